--- /dev/null
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -0,0 +1,859 @@
+package spartrail.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.random.RandomGenerator;
+import spartrail.model.Call;
+import spartrail.model.Decisions;
+import spartrail.model.Multiget;
+import spartrail.model.OpType;
+import spartrail.model.Part;
+import spartrail.model.Send;
+import spartrail.model.Server;
+import spartrail.model.Shard;
+
+/**
+ * All decisions of a front node.
+ *
+ * <p>How it is reached: through {@link Coordinator}, in this package. A caller says once what it read at start, then
+ * {@link #place} for each multiget (and its second step), {@link #after} for each outcome, {@link #waitMs} for the time
+ * until {@link #waited}; news come by the other calls. Each returns {@link Decisions}: plain lists of what to do now.
+ *
+ * <p>The ordinary path is {@link #place} and {@link #release}: every part joins its shard's queue under the key of its
+ * multiget (deadline window, then rank hashed from the id), and leaves in key order as soon as a replica is under its
+ * in-flight limit, for the replica with the fewest of our calls out, ties in turn.
+ *
+ * <p>Beside it stand six mechanisms, each in a section below:
+ * 1. admission and pushback, by importance against the time left;
+ * 2. further sends, their number by importance, within the rules of effects and budget;
+ * 3. health of servers, from answers, silence and probes, against the other servers;
+ * 4. allowance of cold servers, this node's share of the fleet's;
+ * 5. when to answer, partly answer or give up;
+ * 6. following the list.
+ */
+public final class WindowCoordinator implements Coordinator {
+    /** Width of a deadline window. */
+    private static final double WINDOW_MS = 250;
+    private static final int FIRST_LIMIT = 4;
+    /** An answer within this many times what a server with nothing else of ours takes lets a limit grow. */
+    private static final double USUAL = 2;
+    /** Weight of a new sample in what is learned. */
+    private static final double LEARN = 0.1;
+    private static final double BEAT_MS = 100;
+    /** A sum of weights may fall short by rounding. */
+    private static final double ROUNDING = 1e-4;
+
+    private static final Comparator<Part> KEY_ORDER = Comparator
+            .<Part>comparingLong(part -> part.multiget.window)
+            .thenComparingInt(part -> part.multiget.rank)
+            .thenComparingLong(part -> part.multiget.id)
+            .thenComparingLong(part -> part.id);
+
+    private record Due(double atMs, long number, Runnable what) {
+    }
+
+    private final RandomGenerator random;
+    private final List<OpType> opTypes;
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final List<Shard> shards = new ArrayList<>();
+    private final PriorityQueue<Due> dues =
+            new PriorityQueue<>(Comparator.comparingDouble(Due::atMs).thenComparingLong(Due::number));
+    private Decisions decisions = new Decisions();
+    private double now;
+    private double nextBeatMs;
+    private long turns;
+    private long dueCount;
+
+    private int node;
+    private int nodes = 1;
+    private double turnMs = 1;
+    private int cells = 1;
+    private int reach = 1;
+    private int partsPerCall = 1;
+
+    public WindowCoordinator(RandomGenerator random, List<OpType> opTypes) {
+        this.random = random;
+        this.opTypes = opTypes;
+    }
+
+    @Override
+    public Coordinator node(int number, int ofNodes, double shortestTurnMs) {
+        node = number;
+        nodes = Math.max(1, ofNodes);
+        turnMs = shortestTurnMs;
+        return this;
+    }
+
+    @Override
+    public Coordinator layout(int shardCount, int cellCount, int cellsPerShard, int mostPartsPerCall) {
+        for (int i = 0; i < shardCount; i++) {
+            shards.add(new Shard(i, KEY_ORDER));
+        }
+        cells = Math.max(1, cellCount);
+        reach = cellsPerShard;
+        partsPerCall = Math.max(1, mostPartsPerCall);
+        return this;
+    }
+
+    @Override
+    public Shard shard(int number) {
+        return shards.get(number);
+    }
+
+    // ---- The ordinary path ----
+
+    @Override
+    public Decisions place(Multiget mg, double nowMs) {
+        begin(nowMs);
+        taken(1 + mg.parts.size());
+        if (mg.step == 1) {
+            mg.clientAtMs = now + mg.clientLeftMs;
+            mg.budgetAtMs = now + mg.opType.budgetMs;
+            mg.window = (long) Math.floor(mg.budgetAtMs / WINDOW_MS);
+            mg.rank = rank(mg.id);
+            if (!admitted(mg)) {
+                giveUp(mg);
+                return decisions;
+            }
+            due(mg.budgetAtMs - 3 * turnMs, () -> budgetEnds(mg));
+            due(mg.clientAtMs - 2 * turnMs, () -> clientEnds(mg));
+        }
+        for (Part part : mg.parts) {
+            hold(part);
+        }
+        release(mg.parts.stream().map(part -> part.shard).distinct().toList());
+        return decisions;
+    }
+
+    /** Puts a part in its place in its shard's queue. */
+    private void hold(Part part) {
+        part.held = true;
+        part.heldSinceMs = now;
+        part.shard.queue.add(part);
+    }
+
+    /** Lets parts go from these shards' queues, the first key first, while a replica has room for them. */
+    private void release(Collection<Shard> from) {
+        while (true) {
+            Part next = null;
+            Server to = null;
+            for (Shard shard : from) {
+                Part head = shard.queue.isEmpty() ? null : shard.queue.first();
+                if (head == null || next != null && KEY_ORDER.compare(head, next) > 0) {
+                    continue;
+                }
+                Server replica = pick(head);
+                if (replica != null) {
+                    next = head;
+                    to = replica;
+                }
+            }
+            if (next == null) {
+                return;
+            }
+            unhold(next);
+            learnDelay(next.shard, now - next.heldSinceMs);
+            send(next, to);
+        }
+    }
+
+    /** The eligible replica with the fewest of our calls out once it has this part too; null if none has room. */
+    private Server pick(Part part) {
+        Server best = null;
+        int bestLoad = 0;
+        int bestShare = 0;
+        boolean spared = part.shard.replicas.stream().anyMatch(server -> sound(server) && !tried(part, server));
+        for (Server server : part.shard.replicas) {
+            if (server.state != Server.State.LIVE || server.out.size() >= server.limit || isOut(part, server)
+                    || spared && (!sound(server) || tried(part, server)) || !coldAllows(server)) {
+                continue;
+            }
+            int load = server.callsOut + (callOpen(server) ? 0 : 1);
+            int share = callShare(part, server);
+            if (best == null || load < bestLoad || load == bestLoad
+                    && (share > bestShare || share == bestShare && server.lastTurn < best.lastTurn)) {
+                best = server;
+                bestLoad = load;
+                bestShare = share;
+            }
+        }
+        return best;
+    }
+
+    private boolean callOpen(Server server) {
+        return server.call != null && server.call.sentMs == now && server.call.parts < partsPerCall;
+    }
+
+    /** How many held parts of the same multiget could travel in the same call. */
+    private int callShare(Part part, Server server) {
+        if (partsPerCall == 1) {
+            return 0;
+        }
+        int room = server.limit - server.out.size();
+        int share = callOpen(server) ? 1 : 0;
+        for (Part other : part.multiget.parts) {
+            if (other.held && other.shard.replicas.contains(server)) {
+                share++;
+            }
+        }
+        return Math.min(share, Math.min(room, partsPerCall));
+    }
+
+    private void send(Part part, Server server) {
+        double leftMs = (part.multiget.opType.lateShare > 0 ? part.multiget.clientAtMs : part.multiget.budgetAtMs) - now;
+        double timeoutMs = mayRace(part) ? leftMs : Math.min(leftMs, patienceMs(part) * LONE_PATIENCE);
+        Send send = new Send(part, server, part.sends.size(), now, timeoutMs);
+        if (!callOpen(server)) {
+            server.call = new Call(now);
+            server.callsOut++;
+        }
+        send.call = server.call;
+        send.call.parts++;
+        send.call.out++;
+        send.alone = server.callsOut == 1;
+        server.out.add(send);
+        server.lastTurn = ++turns;
+        noteColdSend(server);
+        if (part.sends.isEmpty()) {
+            furtherFund = Math.min(FUND_MOST, furtherFund + FUND_GAIN);
+        } else {
+            furtherSends.add(now);
+        }
+        part.sends.add(send);
+        decisions.sends.add(send);
+        due(now + patienceMs(part), () -> overdue(send));
+    }
+
+    @Override
+    public Decisions after(Send send, Send.Outcome outcome, double tookMs, double nowMs) {
+        begin(nowMs);
+        if (!send.out()) {
+            return decisions;
+        }
+        send.outcome = outcome;
+        send.server.out.remove(send);
+        if (--send.call.out == 0) {
+            send.server.callsOut--;
+        }
+        learn(send, outcome, tookMs);
+        Part part = send.part;
+        if (!part.multiget.over && !part.answered && !part.abandoned) {
+            if (outcome == Send.Outcome.ANSWERED) {
+                part.answered = true;
+                part.multiget.answeredWeight += part.weight;
+                unhold(part);
+                cancelSends(part);
+                answerIfDone(part.multiget);
+            } else if (!part.held && part.sends.stream().noneMatch(Send::out)) {
+                sendFurther(part);
+            }
+        }
+        release(send.server.shards);
+        return decisions;
+    }
+
+    /** The limit of a server: one more for an answer within the usual time when it binds, half for a time-out or full. */
+    private void adjustLimit(Send send, Send.Outcome outcome, double tookMs) {
+        Server server = send.server;
+        OpType op = send.part.multiget.opType;
+        boolean late = outcome == Send.Outcome.TIMED_OUT
+                || outcome == Send.Outcome.CANCELLED && tookMs > patienceMs(send.part);
+        if (outcome == Send.Outcome.FULL || late) {
+            server.limit = Math.max(1, server.limit / 2);
+        } else if (outcome == Send.Outcome.ANSWERED && tookMs <= USUAL * op.lightMs
+                && server.out.size() + 1 >= server.limit) {
+            server.limit++;
+        }
+    }
+
+    private void unhold(Part part) {
+        if (part.held) {
+            part.held = false;
+            part.shard.queue.remove(part);
+        }
+    }
+
+    /** The same everywhere for the same id, and without order in it. */
+    private static int rank(long id) {
+        long mixed = (id + 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
+        return (int) ((mixed ^ mixed >>> 31) & 0x7FFF);
+    }
+
+    // ---- 1. Admission and pushback ----
+
+    /** The least important op types may expect to use this share of their budget, the most important all of it. */
+    private static final double LEAST_PATIENCE = 0.4;
+
+    private boolean comebackAllowed;
+    private double longestComebackMs;
+    private boolean importanceByWork;
+
+    @Override
+    public Coordinator comeback(boolean allowed, double longestMs) {
+        comebackAllowed = allowed;
+        longestComebackMs = longestMs;
+        return this;
+    }
+
+    @Override
+    public Coordinator importanceByWork(boolean byWork) {
+        importanceByWork = byWork;
+        return this;
+    }
+
+    /** Under overload work is turned away before it costs anything, or all of it would be served too late. */
+    private boolean admitted(Multiget mg) {
+        OpType op = mg.opType;
+        op.usualParts += (mg.parts.size() - op.usualParts) * (op.usualParts == 0 ? 1 : LEARN);
+        op.longestTryMs = Math.max(op.longestTryMs, mg.clientLeftMs);
+        // Danger: a try that comes when its budget has passed takes capacity and earns nothing.
+        if (op.lateShare == 0 && mg.clientLeftMs <= op.timeoutMs - op.budgetMs) {
+            return false;
+        }
+        double delayMs = 0;
+        for (Part part : mg.parts) {
+            delayMs = Math.max(delayMs, delayOf(part.shard));
+        }
+        double patience = LEAST_PATIENCE + (1 - LEAST_PATIENCE) * density(op)
+                / opTypes.stream().mapToDouble(this::density).max().orElse(1);
+        return delayMs == 0 || delayMs + usualMs(op) <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
+    }
+
+    /** Importance for a part's worth of work. */
+    private double density(OpType op) {
+        return importanceByWork ? op.importance : op.importance / Math.max(1, op.usualParts + op.secondStepParts);
+    }
+
+    private double delayOf(Shard shard) {
+        return shard.queue.isEmpty() ? 0 : Math.max(shard.delayMs, now - shard.queue.first().heldSinceMs);
+    }
+
+    private static void learnDelay(Shard shard, double heldMs) {
+        shard.delayMs += (heldMs - shard.delayMs) * LEARN;
+    }
+
+    /** When a client that is turned away is to come back: once what is held now has left. */
+    private double comebackMs(Multiget mg) {
+        double delayMs = mg.parts.stream().mapToDouble(part -> part.shard.delayMs).max().orElse(0);
+        return comebackAllowed ? Math.min(longestComebackMs, Math.max(usualMs(mg.opType), delayMs)) : 0;
+    }
+
+    // ---- 2. Further sends ----
+
+    /** A send is overdue after the usual time and so many of its mean deviations. */
+    private static final double OVERDUE_DEVIATIONS = 3;
+    /** Where no second copy may race, a send is given this many times longer before it is timed out. */
+    private static final double LONE_PATIENCE = 2;
+    /** First sends fund further ones, up to a most, so that these shrink when many parts need them. */
+    private static final double FUND_GAIN = 0.2;
+    private static final double FUND_MOST = 20;
+
+    private int mostSends = 1;
+    private boolean parallel;
+    private boolean cancelling;
+    private double budgetSpanMs;
+    private double budgetFree;
+    private double budgetShare;
+    private double furtherFund = FUND_MOST / 2;
+    private final Deque<Double> furtherSends = new ArrayDeque<>();
+    private final Deque<double[]> takings = new ArrayDeque<>();
+    private double takenInSpan;
+
+    @Override
+    public Coordinator sends(int most, boolean parallelAllowed, boolean cancellingAllowed) {
+        mostSends = most;
+        parallel = parallelAllowed;
+        cancelling = cancellingAllowed;
+        return this;
+    }
+
+    @Override
+    public Coordinator furtherSendBudget(double spanMs, double free, double share) {
+        budgetSpanMs = spanMs;
+        budgetFree = free;
+        budgetShare = share;
+        return this;
+    }
+
+    private void taken(int count) {
+        if (budgetSpanMs > 0) {
+            takings.add(new double[] {now, count});
+            takenInSpan += count;
+        }
+    }
+
+    /** The stated budget: danger of a rule broken where one send more than it is made, so both ends are cut short. */
+    private boolean inBudget() {
+        if (budgetSpanMs <= 0) {
+            furtherSends.clear();
+            return true;
+        }
+        while (!takings.isEmpty() && takings.peek()[0] <= now - budgetSpanMs + turnMs) {
+            takenInSpan -= takings.poll()[1];
+        }
+        while (!furtherSends.isEmpty() && furtherSends.peek() < now - budgetSpanMs - turnMs) {
+            furtherSends.poll();
+        }
+        return furtherSends.size() + 1 <= budgetFree + budgetShare * takenInSpan;
+    }
+
+    /** Sends that a part may have by the importance of its op type against the others'. */
+    private int sendsFor(OpType op) {
+        double top = opTypes.stream().mapToDouble(other -> other.importance).max().orElse(1);
+        return Math.min(mostSends, 2 + (int) Math.ceil((mostSends - 2) * op.importance / Math.max(top, 1e-9)));
+    }
+
+    private boolean mayRace(Part part) {
+        return parallel && part.multiget.opType.repeat != OpType.Repeat.NON_RETRIABLE;
+    }
+
+    /** Whether the rules of effects and budget let this part have another send. */
+    private boolean mayRepeat(Part part) {
+        OpType op = part.multiget.opType;
+        boolean sent = part.sends.stream().anyMatch(Send::out);
+        if (sent && !mayRace(part) || part.sends.size() >= sendsFor(op) || !inBudget()) {
+            return false;
+        }
+        return switch (op.repeat) {
+            case RETRIABLE -> true;
+            case NON_RETRIABLE -> part.sends.stream().allMatch(WindowCoordinator::neverRan);
+            case DEDUPED -> part.sends.stream().filter(send -> !neverRan(send))
+                    .allMatch(send -> now - send.sentMs < op.dedupMs - turnMs);
+        };
+    }
+
+    private static boolean neverRan(Send send) {
+        return send.outcome != null && !send.outcome.mayHaveRun;
+    }
+
+    private static boolean tried(Part part, Server server) {
+        return part.sends.stream().anyMatch(send -> send.server == server);
+    }
+
+    private static boolean isOut(Part part, Server server) {
+        return part.sends.stream().anyMatch(send -> send.out() && send.server == server);
+    }
+
+    private double usualMs(OpType op) {
+        return op.usualMs > 0 ? op.usualMs : op.budgetMs / 8;
+    }
+
+    private double patienceMs(Part part) {
+        OpType op = part.multiget.opType;
+        return usualMs(op) + OVERDUE_DEVIATIONS * (op.usualMs > 0 ? op.deviationMs : op.budgetMs / 16);
+    }
+
+    /** A part with no send out goes back to its place in the queue, or is lost to its multiget. */
+    private void sendFurther(Part part) {
+        if (mayRepeat(part)) {
+            hold(part);
+        } else {
+            part.abandoned = true;
+            answerIfDone(part.multiget);
+        }
+    }
+
+    /** Silence or slowness of one send: another replica gets a copy, if there is one with room. */
+    private void overdue(Send send) {
+        Part part = send.part;
+        if (!send.out() || part.multiget.over || part.answered || part.abandoned || part.held || send.streaming
+                || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
+            return;
+        }
+        Server other = furtherFund >= 1 ? pick(part) : null;
+        if (other == null) {
+            due(now + BEAT_MS, () -> overdue(send));
+            return;
+        }
+        furtherFund--;
+        send(part, other);
+    }
+
+    private void cancelSends(Part part) {
+        for (Send send : part.sends) {
+            if (cancelling && send.out() && !send.cancelled && !send.streaming) {
+                send.cancelled = true;
+                decisions.cancels.add(send);
+            }
+        }
+    }
+
+    // ---- 3. Health of servers ----
+
+    /** A server this many times slower than the middle one is ill. */
+    private static final double ILL = 3;
+    /** What a failure counts as, in times the usual: fast errors must not attract work. */
+    private static final double FAILURE_PACE = 5;
+    private static final double PACE_LEARN = 0.3;
+    /** A verdict fades over this time, so that a server that is well again is found by the first sends of a low limit. */
+    private static final double FADE_MS = 4000;
+    private static final double PROBE_MS = 1000;
+
+    private boolean probing;
+    private double nextProbesMs;
+
+    @Override
+    public Coordinator probing(boolean allowed) {
+        probing = allowed;
+        return this;
+    }
+
+    private boolean sound(Server server) {
+        return server.state == Server.State.LIVE && !server.ill;
+    }
+
+    private void learn(Send send, Send.Outcome outcome, double tookMs) {
+        Server server = send.server;
+        OpType op = send.part.multiget.opType;
+        adjustLimit(send, outcome, tookMs);
+        double pace = tookMs / Math.max(1, usualMs(op));
+        switch (outcome) {
+            case ANSWERED -> {
+                server.lastAnswerMs = now;
+                notePace(server, pace);
+                double step = op.usualMs == 0 ? 1 : LEARN;
+                op.deviationMs += (Math.abs(tookMs - op.usualMs) - op.deviationMs) * (op.usualMs == 0 ? 0 : LEARN);
+                op.deviationMs = op.usualMs == 0 ? tookMs / 2 : op.deviationMs;
+                op.usualMs += (tookMs - op.usualMs) * step;
+                if (send.alone) {
+                    op.lightMs += (tookMs - op.lightMs) * (op.lightMs == 0 ? 1 : LEARN);
+                }
+            }
+            case CANCELLED, TIMED_OUT -> notePace(server, Math.max(pace, server.pace));
+            case ERROR, RESET, CONNECT_FAILED -> notePace(server, Math.max(pace, FAILURE_PACE));
+            default -> {
+            }
+        }
+    }
+
+    private static void notePace(Server server, double pace) {
+        server.pace += (Math.min(pace, 2 * FAILURE_PACE) - server.pace) * PACE_LEARN;
+    }
+
+    /** The pace, or what silence says: how long the oldest send waits where nothing was answered since. */
+    private double paceNow(Server server) {
+        if (server.out.isEmpty()) {
+            return server.pace;
+        }
+        Send oldest = server.out.iterator().next();
+        double silentMs = now - Math.max(oldest.sentMs, server.lastAnswerMs);
+        return Math.max(server.pace, silentMs / patienceMs(oldest.part));
+    }
+
+    /** Judged against the middle server: a slowdown of all is no outage of some. */
+    private void judge() {
+        List<Server> live = servers.values().stream().filter(server -> server.state == Server.State.LIVE).toList();
+        double[] paces = live.stream().mapToDouble(this::paceNow).sorted().toArray();
+        double middle = paces.length == 0 ? 1 : Math.max(1, paces[paces.length / 2]);
+        for (Server server : live) {
+            boolean ill = paceNow(server) > ILL * middle;
+            if (ill && !server.ill) {
+                server.limit = 1;
+            }
+            server.ill = ill;
+            server.pace += (1 - server.pace) * BEAT_MS / FADE_MS;
+        }
+        if (probing && now >= nextProbesMs) {
+            nextProbesMs = now + PROBE_MS;
+            live.stream().filter(server -> server.ill).forEach(decisions.probes::add);
+        }
+    }
+
+    @Override
+    public Decisions probed(Server server, Send.Outcome outcome, double tookMs, double nowMs) {
+        begin(nowMs);
+        // An answer shows only that the process runs; none shows that it does not.
+        if (outcome != Send.Outcome.ANSWERED) {
+            notePace(server, FAILURE_PACE);
+        }
+        return decisions;
+    }
+
+    // ---- 4. Cold servers ----
+
+    /** Share of the allowance that is used, as what a part takes is known roughly. */
+    private static final double COLD_CARE = 0.8;
+
+    private double coldShare = 1;
+    private double warmMs;
+    private double tipMultiple = 1;
+    private double fallMs;
+
+    @Override
+    public Coordinator coldStart(double leastShare, double warmAfterMs, double tip, double fall) {
+        coldShare = leastShare;
+        warmMs = warmAfterMs;
+        tipMultiple = tip;
+        fallMs = fall;
+        return this;
+    }
+
+    private boolean cold(Server server) {
+        return server.bornMs >= 0 && now - server.bornMs < warmMs;
+    }
+
+    /**
+     * Danger: all nodes find the same fresh server idle and push it over together. Each keeps to its share of what one
+     * core of a warm server would take, grown with age; where that is under one part in the span, it waits.
+     */
+    private boolean coldAllows(Server server) {
+        if (!cold(server)) {
+            return true;
+        }
+        double partMs = opTypes.stream().mapToDouble(op -> op.lightMs).max().orElse(0);
+        while (!server.coldSends.isEmpty() && server.coldSends.peek() < now - fallMs) {
+            server.coldSends.poll();
+        }
+        double share = coldShare + (1 - coldShare) * Math.max(0, now - server.bornMs) / warmMs;
+        double allowed = COLD_CARE * tipMultiple * share * fallMs / Math.max(1, partMs) / nodes;
+        return partMs > 0 && server.coldSends.size() + 1 <= allowed;
+    }
+
+    private void noteColdSend(Server server) {
+        if (cold(server)) {
+            server.coldSends.add(now);
+        }
+    }
+
+    // ---- 5. When to answer, partly answer or give up ----
+
+    private double needed(Multiget mg) {
+        return mg.step == 1 ? mg.opType.need : 1;
+    }
+
+    /** The least weight that an answer may be given from. */
+    private double least(Multiget mg) {
+        return mg.opType.floor < mg.opType.need ? mg.opType.floor : needed(mg);
+    }
+
+    private boolean has(Multiget mg, double weight) {
+        return mg.answeredWeight >= weight - ROUNDING / 2;
+    }
+
+    private void answerIfDone(Multiget mg) {
+        if (mg.over || mg.parts.stream().allMatch(part -> part.answered) && mg.answer != null && mg.step == 1) {
+            return;
+        }
+        boolean open = mg.parts.stream().anyMatch(part -> !part.answered && !part.abandoned);
+        if (has(mg, needed(mg)) && (mg.step == 1 || !open)) {
+            answer(mg, mg.firstStepWhole && has(mg, needed(mg)) && mg.parts.stream().noneMatch(
+                    part -> mg.step > 1 && !part.answered) ? Multiget.Answer.WHOLE : Multiget.Answer.PARTIAL);
+        } else if (has(mg, least(mg)) && (!open || now >= mg.budgetAtMs - 3 * turnMs)) {
+            answer(mg, Multiget.Answer.PARTIAL);
+        } else {
+            // What can still come is not enough: given up at once.
+            double canCome = mg.parts.stream().filter(part -> !part.abandoned).mapToDouble(part -> part.weight).sum();
+            if (canCome < least(mg) - ROUNDING / 2) {
+                giveUp(mg);
+            }
+        }
+    }
+
+    private void answer(Multiget mg, Multiget.Answer answer) {
+        mg.answer = answer;
+        decisions.answers.add(mg);
+        if (mg.step == 1 && mg.opType.secondStepParts > 0 && mg.answeredWeight > 0) {
+            mg.firstStepWhole = answer == Multiget.Answer.WHOLE;
+        } else {
+            mg.over = true;
+        }
+        drop(mg);
+    }
+
+    /** Nothing of it is sent any more, and what is out is called back where that may be. */
+    private void drop(Multiget mg) {
+        for (Part part : mg.parts) {
+            unhold(part);
+            part.abandoned |= !part.answered;
+            cancelSends(part);
+        }
+    }
+
+    /** The final answer of a multiget that is given up: pushed back only where a new try is harmless. */
+    private void giveUp(Multiget mg) {
+        boolean harmless = mg.opType.repeat == OpType.Repeat.RETRIABLE || mg.step == 1 && mg.parts.stream()
+                .flatMap(part -> part.sends.stream()).allMatch(WindowCoordinator::neverRan);
+        mg.over = true;
+        mg.answer = harmless ? Multiget.Answer.PUSHED_BACK : Multiget.Answer.FAILED;
+        mg.comebackMs = harmless ? comebackMs(mg) : 0;
+        decisions.answers.add(mg);
+        drop(mg);
+    }
+
+    /** The latency budget ends: an answer that may be given is given, and what would earn nothing later is given up. */
+    private void budgetEnds(Multiget mg) {
+        if (mg.over) {
+            return;
+        }
+        OpType op = mg.opType;
+        boolean waiting = mg.parts.stream().anyMatch(part -> !part.answered);
+        if (waiting && has(mg, least(mg)) && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
+            answer(mg, Multiget.Answer.PARTIAL);
+        } else if (op.lateShare == 0 || mg.parts.stream().anyMatch(part -> part.held)) {
+            // Danger: late work, which goes first by its key, makes all behind it late too.
+            giveUp(mg);
+        }
+    }
+
+    /** The client's time ends: danger of a multiget lost. */
+    private void clientEnds(Multiget mg) {
+        if (mg.over) {
+            return;
+        }
+        if (mg.parts.stream().anyMatch(part -> !part.answered) && has(mg, least(mg))) {
+            answer(mg, Multiget.Answer.PARTIAL);
+        }
+        if (!mg.over) {
+            giveUp(mg);
+        }
+    }
+
+    @Override
+    public Decisions clientGone(Multiget mg, double nowMs) {
+        begin(nowMs);
+        if (!mg.over) {
+            mg.over = true;
+            drop(mg);
+        }
+        return decisions;
+    }
+
+    @Override
+    public Decisions started(Send send, double nowMs) {
+        begin(nowMs);
+        send.streaming = true;
+        return decisions;
+    }
+
+    // ---- 6. Following the list ----
+
+    private static final double FIRST_ASK_MS = 200;
+    private static final double FIRST_BACKOFF_MS = 500;
+    private static final double MOST_BACKOFF_MS = 4000;
+
+    private boolean listAsked;
+    private double askWithinMs = Double.MAX_VALUE;
+    private double backoffMs = FIRST_BACKOFF_MS;
+    private double askAtMs = Double.MAX_VALUE;
+
+    @Override
+    public Coordinator list(boolean asked, double withinMs) {
+        listAsked = asked;
+        askWithinMs = withinMs > 0 ? withinMs : Double.MAX_VALUE;
+        return this;
+    }
+
+    @Override
+    public Decisions listed(List<Server> lines, boolean all, boolean fresh, double nowMs) {
+        begin(nowMs);
+        if (all) {
+            servers.values().forEach(server -> server.state = Server.State.GONE);
+        }
+        for (Server line : lines) {
+            Server server = servers.computeIfAbsent(line.id, id -> newServer(line));
+            server.zone = line.zone;
+            server.kind = line.kind;
+            server.cell = line.cell;
+            server.state = line.state;
+            server.rating = line.rating;
+            if (line.bornMs > server.bornMs) {
+                // A new process: nothing that was seen of the old one holds.
+                server.bornMs = line.bornMs;
+                server.limit = cold(server) ? 1 : FIRST_LIMIT;
+                server.pace = 1;
+                server.ill = false;
+                server.coldSends.clear();
+            }
+        }
+        setReplicas();
+        if (fresh) {
+            backoffMs = FIRST_BACKOFF_MS;
+            askAtMs = Double.MAX_VALUE;
+        } else if (listAsked) {
+            askAtMs = now + random.nextDouble() * FIRST_ASK_MS;
+        }
+        for (Server server : servers.values()) {
+            if (server.state == Server.State.GONE) {
+                new ArrayList<>(server.out).forEach(this::overdue);
+            }
+        }
+        release(shards);
+        return decisions;
+    }
+
+    private Server newServer(Server line) {
+        Server server = new Server(line.id);
+        server.limit = FIRST_LIMIT;
+        return server;
+    }
+
+    private void setReplicas() {
+        shards.forEach(shard -> shard.replicas.clear());
+        for (Server server : servers.values()) {
+            server.shards.clear();
+            for (Shard shard : shards) {
+                if (Math.floorMod(server.cell - shard.number, cells) < reach) {
+                    server.shards.add(shard);
+                    if (server.state == Server.State.LIVE) {
+                        shard.replicas.add(server);
+                    }
+                }
+            }
+        }
+    }
+
+    /** Asked again, less and less often and not in step with other nodes, so that a weak list service is not flooded. */
+    @Override
+    public Decisions unlisted(double nowMs) {
+        begin(nowMs);
+        askAtMs = now + backoffMs * (0.5 + random.nextDouble());
+        backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
+        return decisions;
+    }
+
+    private void follow() {
+        if (listAsked && now >= askAtMs) {
+            decisions.follow = true;
+            askAtMs = now + askWithinMs / 2;
+        }
+    }
+
+    // ---- Time ----
+
+    private void begin(double nowMs) {
+        now = nowMs;
+        decisions = new Decisions();
+    }
+
+    private void due(double atMs, Runnable what) {
+        dues.add(new Due(atMs, dueCount++, what));
+    }
+
+    @Override
+    public double waitMs(double nowMs) {
+        double next = dues.isEmpty() ? nextBeatMs : Math.min(nextBeatMs, dues.peek().atMs);
+        return Math.max(0, next - nowMs);
+    }
+
+    @Override
+    public Decisions waited(double nowMs) {
+        begin(nowMs);
+        while (!dues.isEmpty() && dues.peek().atMs <= now) {
+            dues.poll().what.run();
+        }
+        if (now >= nextBeatMs) {
+            nextBeatMs = now + BEAT_MS;
+            judge();
+            follow();
+            release(shards);
+        }
+        return decisions;
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/model/Decisions.java
@@ -0,0 +1,15 @@
+package spartrail.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What is to be done now, to be carried out in the order of the fields. */
+public final class Decisions {
+    public final List<Send> sends = new ArrayList<>();
+    /** Multigets that are answered now; {@link Multiget#answer} says how. */
+    public final List<Multiget> answers = new ArrayList<>();
+    public final List<Send> cancels = new ArrayList<>();
+    public final List<Server> probes = new ArrayList<>();
+    /** Ask for the list's changes from now on. */
+    public boolean follow;
+}
--- /dev/null
+++ b/src/main/java/spartrail/model/Multiget.java
@@ -0,0 +1,38 @@
+package spartrail.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What a client asked for: an answer put together from parts. */
+public final class Multiget {
+    /** How a multiget, or its first step, was answered. */
+    public enum Answer { WHOLE, PARTIAL, PUSHED_BACK, FAILED }
+
+    public long id;
+    /** Its number at this node; a protocol without one uses the id. */
+    public long number;
+    public OpType opType;
+    public String tenant;
+    public String key;
+    public boolean clientRetry;
+    public boolean write;
+    public double arrivedMs;
+    public double clientLeftMs;
+    public double costMs;
+    public int step = 1;
+    /** Parts of the step in hand; those of an earlier step stay in {@link #earlier}. */
+    public List<Part> parts = new ArrayList<>();
+    public List<Part> earlier = new ArrayList<>();
+
+    /** Place in every queue: the deadline window, then the rank. */
+    public long window;
+    public int rank;
+    /** When the latency budget and the client's time end. */
+    public double budgetAtMs;
+    public double clientAtMs;
+    public double answeredWeight;
+    public boolean firstStepWhole = true;
+    public boolean over;
+    public Answer answer;
+    public double comebackMs;
+}
--- /dev/null
+++ b/src/main/java/spartrail/model/Send.java
@@ -0,0 +1,41 @@
+package spartrail.model;
+
+/** One try of a part at one server. */
+public final class Send {
+    /** How a send ended. */
+    public enum Outcome {
+        ANSWERED(true), ERROR(true), FULL(false), TIMED_OUT(true), CONNECT_FAILED(false), RESET(true),
+        CANCELLED(true), NOT_SENT(false);
+
+        /** False where the outcome proves that the part never ran. */
+        public final boolean mayHaveRun;
+
+        Outcome(boolean mayHaveRun) {
+            this.mayHaveRun = mayHaveRun;
+        }
+    }
+
+    public final Part part;
+    public final Server server;
+    public final int number;
+    public final double sentMs;
+    public final double timeoutMs;
+    public Call call;
+    public Outcome outcome;
+    public boolean cancelled;
+    public boolean streaming;
+    /** The server had nothing else of this node's out. */
+    public boolean alone;
+
+    public Send(Part part, Server server, int number, double sentMs, double timeoutMs) {
+        this.part = part;
+        this.server = server;
+        this.number = number;
+        this.sentMs = sentMs;
+        this.timeoutMs = timeoutMs;
+    }
+
+    public boolean out() {
+        return outcome == null;
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/sim/SimHost.java
@@ -0,0 +1,169 @@
+package spartrail.sim;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.Reader;
+import java.io.Writer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Hosts instances on the simulator's wire: a line of events in, a line of actions out. */
+public final class SimHost {
+    private final JsonFactory json = new JsonFactory();
+    private final Writer out;
+    private final PrintStream err;
+    private final Map<Integer, SimNode> nodes = new HashMap<>();
+    /** Lists of servers by number, as the wire shares them among instances. */
+    private final Map<Integer, List<?>> rosters = new HashMap<>();
+
+    public SimHost(Writer out, PrintStream err) {
+        this.out = out;
+        this.err = err;
+    }
+
+    /** Serves until the end of input; the exit status. */
+    public int run(Reader input) throws IOException {
+        BufferedReader in = new BufferedReader(input, 1 << 16);
+        int number = 0;
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            number++;
+            Map<?, ?> batch;
+            try {
+                batch = batch(line);
+            } catch (JsonProcessingException e) {
+                return refuse(number, "no JSON: " + e.getOriginalMessage().replaceAll("\\s+", " "));
+            } catch (IllegalArgumentException e) {
+                return refuse(number, "no batch: " + e.getMessage());
+            }
+            answer(batch);
+        }
+        return 0;
+    }
+
+    private int refuse(int number, String why) {
+        err.println("line " + number + ": " + why);
+        return 2;
+    }
+
+    private Map<?, ?> batch(String line) throws IOException {
+        Object value;
+        try (JsonParser parser = json.createParser(line)) {
+            if (parser.nextToken() == null) {
+                throw new IllegalArgumentException("the line is empty");
+            }
+            value = value(parser);
+            if (parser.nextToken() != null) {
+                throw new IllegalArgumentException("more than one value on the line");
+            }
+        }
+        if (!(value instanceof Map<?, ?> batch) || !(batch.get("t") instanceof Number)
+                || !(batch.get("groups") instanceof List<?> groups)) {
+            throw new IllegalArgumentException("an object with a number 't' and an array 'groups' is expected");
+        }
+        for (Object entry : groups) {
+            if (!(entry instanceof Map<?, ?> group) || !(group.get("items") instanceof List<?> items)) {
+                throw new IllegalArgumentException("a group is an object with an array 'items'");
+            }
+            for (Object item : items) {
+                if (!(item instanceof List<?> event) || event.isEmpty() || !(event.get(0) instanceof String)) {
+                    throw new IllegalArgumentException("an event is an array that begins with its name");
+                }
+                if (!"ROSTER".equals(event.get(0)) && !(group.get("i") instanceof Integer)) {
+                    throw new IllegalArgumentException("a group names its instance by a number 'i'");
+                }
+            }
+        }
+        return batch;
+    }
+
+    private static Object value(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
+            case START_ARRAY -> {
+                List<Object> list = new ArrayList<>();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(value(parser));
+                }
+                yield list;
+            }
+            case START_OBJECT -> {
+                Map<String, Object> map = new LinkedHashMap<>();
+                while (parser.nextToken() != JsonToken.END_OBJECT) {
+                    String name = parser.currentName();
+                    parser.nextToken();
+                    map.put(name, value(parser));
+                }
+                yield map;
+            }
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            case VALUE_NULL -> null;
+            default -> parser.getText();
+        };
+    }
+
+    private void answer(Map<?, ?> batch) throws IOException {
+        double nowMs = 1000 * ((Number) batch.get("t")).doubleValue();
+        Map<Integer, SimNode> spoken = new LinkedHashMap<>();
+        for (Object entry : (List<?>) batch.get("groups")) {
+            Map<?, ?> group = (Map<?, ?>) entry;
+            for (Object item : (List<?>) group.get("items")) {
+                List<?> event = (List<?>) item;
+                if ("ROSTER".equals(event.get(0))) {
+                    rosters.put(((Number) event.get(1)).intValue(), (List<?>) event.get(2));
+                } else {
+                    Integer i = (Integer) group.get("i");
+                    SimNode node = nodes.computeIfAbsent(i, number -> new SimNode(rosters, err));
+                    node.take(event, nowMs);
+                    spoken.put(i, node);
+                }
+            }
+        }
+        JsonGenerator reply = json.createGenerator(out).disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
+        reply.writeStartObject();
+        reply.writeArrayFieldStart("groups");
+        for (Map.Entry<Integer, SimNode> entry : spoken.entrySet()) {
+            List<List<Object>> actions = entry.getValue().actions(nowMs);
+            if (!actions.isEmpty()) {
+                reply.writeStartObject();
+                reply.writeNumberField("i", entry.getKey());
+                reply.writeArrayFieldStart("cmds");
+                for (List<Object> action : actions) {
+                    write(reply, action);
+                }
+                reply.writeEndArray();
+                reply.writeEndObject();
+            }
+        }
+        reply.writeEndArray();
+        reply.writeEndObject();
+        reply.close();
+        out.write('\n');
+        out.flush();
+    }
+
+    private static void write(JsonGenerator reply, List<Object> action) throws IOException {
+        reply.writeStartArray();
+        for (Object value : action) {
+            if (value instanceof Double number) {
+                reply.writeNumber(number);
+            } else if (value instanceof Number number) {
+                reply.writeNumber(number.longValue());
+            } else if (value instanceof Boolean flag) {
+                reply.writeBoolean(flag);
+            } else {
+                reply.writeString((String) value);
+            }
+        }
+        reply.writeEndArray();
+    }
+}
