--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -44,6 +44,8 @@
     private static final int FIRST_LIMIT = 4;
     /** An answer within this many times what a server with nothing else of ours takes lets a limit grow. */
     private static final double USUAL = 2;
+    /** A send that takes this share of its op type's latency budget counts as timed out for its server's limit. */
+    private static final double TIME_OUT = 0.4;
     /** Weight of a new sample in what is learned. */
     private static final double LEARN = 0.1;
     private static final double BEAT_MS = 100;
@@ -263,10 +265,11 @@
     private void adjustLimit(Send send, Send.Outcome outcome, double tookMs) {
         Server server = send.server;
         OpType op = send.part.multiget.opType;
-        boolean late = outcome == Send.Outcome.TIMED_OUT
-                || outcome == Send.Outcome.CANCELLED && tookMs > patienceMs(send.part);
-        if (outcome == Send.Outcome.FULL || late) {
+        // Danger: limits that grow while queues build up at the servers, where nothing puts them in key order.
+        boolean timedOut = outcome == Send.Outcome.TIMED_OUT || tookMs > op.budgetMs * TIME_OUT;
+        if ((outcome == Send.Outcome.FULL || timedOut) && send.sentMs >= server.halvedMs) {
             server.limit = Math.max(1, server.limit / 2);
+            server.halvedMs = now;
         } else if (outcome == Send.Outcome.ANSWERED && tookMs <= USUAL * op.lightMs
                 && server.out.size() + 1 >= server.limit) {
             server.limit++;
@@ -323,7 +326,7 @@
         }
         double patience = LEAST_PATIENCE + (1 - LEAST_PATIENCE) * density(op)
                 / opTypes.stream().mapToDouble(this::density).max().orElse(1);
-        return delayMs == 0 || delayMs + usualMs(op) <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
+        return delayMs == 0 || delayMs + usualMs(op) + 2 * op.deviationMs <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
     }
 
     /** Importance for a part's worth of work. */
@@ -523,7 +526,8 @@
                 op.deviationMs = op.usualMs == 0 ? tookMs / 2 : op.deviationMs;
                 op.usualMs += (tookMs - op.usualMs) * step;
                 if (send.alone) {
-                    op.lightMs += (tookMs - op.lightMs) * (op.lightMs == 0 ? 1 : LEARN);
+                    // Danger: under overload no server is idle; the figure falls quickly and rises slowly.
+                    op.lightMs += (tookMs - op.lightMs) * (op.lightMs == 0 ? 1 : tookMs < op.lightMs ? LEARN : LEARN / 4);
                 }
             }
             case CANCELLED, TIMED_OUT -> notePace(server, Math.max(pace, server.pace));
--- a/src/main/java/spartrail/model/Server.java
+++ b/src/main/java/spartrail/model/Server.java
@@ -32,6 +32,7 @@
     public long lastTurn;
     /** Most parts that may be out. */
     public int limit;
+    public double halvedMs;
     /** Time of answers over what their op type usually takes; 1 is as usual. */
     public double pace = 1;
     public double lastAnswerMs;
