--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -516,7 +516,8 @@
         Server server = send.server;
         OpType op = send.part.multiget.opType;
         adjustLimit(send, outcome, tookMs);
-        double pace = tookMs / Math.max(1, usualMs(op));
+        // Danger: a cold server is as slow as its age says; judged ill for it, it would never get its share.
+        double pace = warmth(server) * tookMs / Math.max(1, usualMs(op));
         switch (outcome) {
             case ANSWERED -> {
                 server.lastAnswerMs = now;
@@ -599,6 +600,11 @@
         return this;
     }
 
+    /** The least share of its capacity that a server has at its age. */
+    private double warmth(Server server) {
+        return cold(server) ? coldShare + (1 - coldShare) * Math.max(0, now - server.bornMs) / warmMs : 1;
+    }
+
     private boolean cold(Server server) {
         return server.bornMs >= 0 && now - server.bornMs < warmMs;
     }
@@ -615,8 +621,7 @@
         while (!server.coldSends.isEmpty() && server.coldSends.peek() < now - fallMs) {
             server.coldSends.poll();
         }
-        double share = coldShare + (1 - coldShare) * Math.max(0, now - server.bornMs) / warmMs;
-        double allowed = COLD_CARE * tipMultiple * share * fallMs / Math.max(1, partMs) / nodes;
+        double allowed = COLD_CARE * tipMultiple * warmth(server) * fallMs / Math.max(1, partMs) / nodes;
         return partMs > 0 && server.coldSends.size() + 1 <= allowed;
     }
 
