--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -521,6 +521,7 @@
         switch (outcome) {
             case ANSWERED -> {
                 server.lastAnswerMs = now;
+                server.answers++;
                 notePace(server, pace);
                 double step = op.usualMs == 0 ? 1 : LEARN;
                 op.deviationMs += (Math.abs(tookMs - op.usualMs) - op.deviationMs) * (op.usualMs == 0 ? 0 : LEARN);
@@ -564,6 +565,8 @@
             }
             server.ill = ill;
             server.pace += (1 - server.pace) * BEAT_MS / FADE_MS;
+            server.answerRate += (server.answers / BEAT_MS - server.answerRate) * BEAT_MS / FADE_MS;
+            server.answers = 0;
         }
         if (probing && now >= nextProbesMs) {
             nextProbesMs = now + PROBE_MS;
@@ -610,19 +613,32 @@
     }
 
     /**
-     * Danger: all nodes find the same fresh server idle and push it over together. Each keeps to its share of what one
-     * core of a warm server would take, grown with age; where that is under one part in the span, it waits.
+     * Danger: all nodes find the same fresh server idle and push it over together. Each keeps to what it has itself
+     * seen a warm server take, scaled by age; where that is under one part in the span, it waits.
      */
     private boolean coldAllows(Server server) {
         if (!cold(server)) {
             return true;
         }
-        double partMs = opTypes.stream().mapToDouble(op -> op.lightMs).max().orElse(0);
         while (!server.coldSends.isEmpty() && server.coldSends.peek() < now - fallMs) {
             server.coldSends.poll();
         }
-        double allowed = COLD_CARE * tipMultiple * warmth(server) * fallMs / Math.max(1, partMs) / nodes;
-        return partMs > 0 && server.coldSends.size() + 1 <= allowed;
+        return server.coldSends.size() + 1 <= COLD_CARE * tipMultiple * warmth(server) * warmParts(server) * fallMs;
+    }
+
+    /**
+     * Parts that a warm server of this size takes from this node in a millisecond: what the busiest does, or this
+     * node's share of one core's.
+     */
+    private double warmParts(Server like) {
+        double partMs = opTypes.stream().mapToDouble(op -> op.lightMs).max().orElse(0);
+        double most = partMs > 0 ? 1 / partMs / nodes : 0;
+        for (Server server : servers.values()) {
+            if (!cold(server)) {
+                most = Math.max(most, server.answerRate * like.rating / server.rating);
+            }
+        }
+        return most;
     }
 
     private void noteColdSend(Server server) {
--- a/src/main/java/spartrail/model/Server.java
+++ b/src/main/java/spartrail/model/Server.java
@@ -37,6 +37,9 @@
     public double pace = 1;
     public double lastAnswerMs;
     public boolean ill;
+    /** Parts answered in the present beat, and in a millisecond lately. */
+    public int answers;
+    public double answerRate;
     /** Times of sends while cold, not older than the span that counts. */
     public final Deque<Double> coldSends = new ArrayDeque<>();
 
