--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -45,7 +45,7 @@
     /** An answer within this many times what a server with nothing else of ours takes lets a limit grow. */
     private static final double USUAL = 2;
     /** A send that takes this share of its op type's latency budget counts as timed out for its server's limit. */
-    private static final double TIME_OUT = 0.4;
+    private static final double TIME_OUT = 0.25;
     /** Weight of a new sample in what is learned. */
     private static final double LEARN = 0.1;
     private static final double BEAT_MS = 100;
