--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -45,7 +45,7 @@
     /** An answer within this many times what a server with nothing else of ours takes lets a limit grow. */
     private static final double USUAL = 2;
     /** A send that takes this share of its op type's latency budget counts as timed out for its server's limit. */
-    private static final double TIME_OUT = 0.25;
+    private static final double TIME_OUT = 0.15;
     /** Weight of a new sample in what is learned. */
     private static final double LEARN = 0.1;
     private static final double BEAT_MS = 100;
@@ -173,7 +173,7 @@
         int bestShare = 0;
         boolean spared = part.shard.replicas.stream().anyMatch(server -> sound(server) && !tried(part, server));
         for (Server server : part.shard.replicas) {
-            if (server.state != Server.State.LIVE || server.out.size() >= server.limit || isOut(part, server)
+            if (server.state != Server.State.LIVE || room(server) <= 0 || isOut(part, server)
                     || spared && (!sound(server) || tried(part, server)) || !coldAllows(server)) {
                 continue;
             }
@@ -189,6 +189,15 @@
         return best;
     }
 
+    /**
+     * Parts that may be sent to a server now. Danger: under load each answer frees one place, every part travels alone,
+     * and the cost of calls eats the capacity. Where calls carry several parts, a busy server opens one at half its limit.
+     */
+    private int room(Server server) {
+        boolean shared = partsPerCall > 1 && !server.out.isEmpty() && !callOpen(server);
+        return (shared ? (server.limit + 1) / 2 : server.limit) - server.out.size();
+    }
+
     private boolean callOpen(Server server) {
         return server.call != null && server.call.sentMs == now && server.call.parts < partsPerCall;
     }
@@ -198,14 +207,13 @@
         if (partsPerCall == 1) {
             return 0;
         }
-        int room = server.limit - server.out.size();
         int share = callOpen(server) ? 1 : 0;
         for (Part other : part.multiget.parts) {
             if (other.held && other.shard.replicas.contains(server)) {
                 share++;
             }
         }
-        return Math.min(share, Math.min(room, partsPerCall));
+        return Math.min(share, Math.min(server.limit - server.out.size(), partsPerCall));
     }
 
     private void send(Part part, Server server) {
