--- /dev/null
+++ b/src/test/java/spartrail/coordination/Script.java
@@ -0,0 +1,170 @@
+package spartrail.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import spartrail.model.Decisions;
+import spartrail.model.Multiget;
+import spartrail.model.OpType;
+import spartrail.model.Part;
+import spartrail.model.Send;
+import spartrail.model.Server;
+
+/** Plays a small script to a coordinator and prints what it decides, to be compared with a kept trace. */
+final class Script {
+    final OpType opType = new OpType();
+    final List<OpType> opTypes = new ArrayList<>(List.of(opType));
+    Coordinator coordinator;
+    double now = 1000;
+    private final StringBuilder trace = new StringBuilder();
+    private final Map<Long, Multiget> multigets = new LinkedHashMap<>();
+    private final Map<String, Send> sends = new LinkedHashMap<>();
+
+    Script() {
+        opType.name = "read";
+        opType.importance = 1;
+        opType.budgetMs = 1000;
+        opType.timeoutMs = 2000;
+        opType.lateShare = 0.3;
+        opType.repeat = OpType.Repeat.RETRIABLE;
+        opType.need = 1;
+        opType.floor = 1;
+        opType.partialShare = 0.9;
+        opType.usualMs = 100;
+        opType.lightMs = 100;
+        opType.deviationMs = 20;
+    }
+
+    /** So many shards, each held by so many cells of one server, and every thing allowed. */
+    Script fleet(int shards, int cells, int reach, int partsPerCall) {
+        coordinator = new WindowCoordinator(new Random(7), opTypes)
+                .node(0, 2, 5).layout(shards, cells, reach, partsPerCall).sends(4, true, true)
+                .coldStart(0.2, 10_000, 2, 1000).comeback(true, 1000).probing(true);
+        List<Server> lines = new ArrayList<>();
+        for (int cell = 0; cell < cells; cell++) {
+            lines.add(line("s" + cell, cell, Server.State.LIVE, -1));
+        }
+        return print("list", coordinator.listed(lines, true, true, now));
+    }
+
+    static Server line(String id, int cell, Server.State state, double bornMs) {
+        Server server = new Server(id);
+        server.cell = cell;
+        server.state = state;
+        server.bornMs = bornMs;
+        return server;
+    }
+
+    Script listed(boolean all, boolean fresh, Server... lines) {
+        return print("list", coordinator.listed(List.of(lines), all, fresh, now));
+    }
+
+    Script place(long id, int... shards) {
+        return place(opType, id, 2000, shards);
+    }
+
+    Script place(OpType of, long id, double leftMs, int... shards) {
+        Multiget mg = multigets.get(id);
+        if (mg == null) {
+            mg = new Multiget();
+            mg.id = id;
+            mg.opType = of;
+            mg.clientLeftMs = leftMs;
+            mg.arrivedMs = now;
+            multigets.put(id, mg);
+        } else {
+            mg.earlier = mg.parts;
+            mg.parts = new ArrayList<>();
+            mg.step++;
+            mg.answeredWeight = 0;
+        }
+        for (int shard : shards) {
+            Part part = new Part();
+            part.id = 100 * mg.step + shard;
+            part.multiget = mg;
+            part.shard = coordinator.shard(shard);
+            part.weight = 1.0 / shards.length;
+            mg.parts.add(part);
+        }
+        return print("place " + id, coordinator.place(mg, now));
+    }
+
+    /** The outcome of a send, named as in the trace. */
+    Script after(String name, Send.Outcome outcome) {
+        Send send = sends.get(name);
+        return print(name + " " + outcome, coordinator.after(send, outcome, now - send.sentMs, now));
+    }
+
+    /** The same outcome for all that is out at a server. */
+    Script afterAt(String server, Send.Outcome outcome) {
+        List.copyOf(sends.keySet()).stream().filter(name -> sends.get(name).out()
+                && sends.get(name).server.id.equals(server)).forEach(name -> after(name, outcome));
+        return this;
+    }
+
+    Script gone(long id) {
+        return print("gone " + id, coordinator.clientGone(multigets.get(id), now));
+    }
+
+    Script unlisted() {
+        return print("unlisted", coordinator.unlisted(now));
+    }
+
+    /** Time passes, with the calls that the coordinator asks for. */
+    Script pass(double ms) {
+        double until = now + ms;
+        while (now + coordinator.waitMs(now) <= until) {
+            now += coordinator.waitMs(now);
+            Decisions decisions = coordinator.waited(now);
+            if (!text(decisions).isEmpty()) {
+                print("wait", decisions);
+            }
+        }
+        now = until;
+        return this;
+    }
+
+    private Script print(String call, Decisions decisions) {
+        trace.append(String.format(Locale.ROOT, "%5.0f %s ->%s%n", now, call, text(decisions)));
+        return this;
+    }
+
+    private String text(Decisions decisions) {
+        StringBuilder text = new StringBuilder();
+        for (Send send : decisions.sends) {
+            text.append(' ').append(name(send)).append('@').append(send.server.id);
+            sends.put(name(send), send);
+        }
+        for (Multiget mg : decisions.answers) {
+            text.append(" [").append(mg.id).append(' ').append(mg.answer).append(']');
+        }
+        decisions.cancels.forEach(send -> text.append(" x").append(name(send)));
+        decisions.probes.forEach(server -> text.append(" probe:").append(server.id));
+        return text.append(decisions.follow ? " follow" : "").toString();
+    }
+
+    /** Multiget, shard (with a mark for the second step), number of the send. */
+    private static String name(Send send) {
+        Part part = send.part;
+        return part.multiget.id + (part.multiget.step > 1 ? "'" : "") + "." + part.shard.number + "#" + send.number;
+    }
+
+    /** Compares with the trace that is kept under this name. */
+    void matches(String name) {
+        try (InputStream kept = Script.class.getResourceAsStream("/traces/" + name + ".txt")) {
+            String expected = kept == null ? "" : new String(kept.readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(trace.toString()).isEqualToNormalizingNewlines(expected);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -0,0 +1,188 @@
+package spartrail.coordination;
+
+import static spartrail.coordination.Script.line;
+
+import org.junit.jupiter.api.Test;
+import spartrail.model.OpType;
+import spartrail.model.Send.Outcome;
+import spartrail.model.Server;
+
+class WindowCoordinatorTest {
+
+    // ---- The ordinary path ----
+
+    @Test
+    void heldPartsLeaveInTheSameKeyOrderAtEveryShard() {
+        Script script = new Script().fleet(2, 2, 1, 1);
+        script.place(1, 0, 1).place(2, 0, 1).place(3, 0, 1).place(4, 0, 1);
+        script.place(5, 0, 1).place(6, 1, 0).place(7, 0, 1);
+        script.pass(60).after("1.0#0", Outcome.ANSWERED).after("2.0#0", Outcome.ANSWERED)
+                .after("1.1#0", Outcome.ANSWERED).after("2.1#0", Outcome.ANSWERED).matches("release-order");
+    }
+
+    @Test
+    void anEarlierWindowGoesFirstWhateverTheRank() {
+        Script script = new Script().fleet(1, 1, 1, 1);
+        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(9, 0).pass(300).place(8, 0);
+        script.after("1.0#0", Outcome.FULL).pass(10).after("2.0#0", Outcome.ANSWERED).after("3.0#0", Outcome.ANSWERED)
+                .after("4.0#0", Outcome.ANSWERED).matches("window-order");
+    }
+
+    @Test
+    void theLeastLoadedReplicaIsPickedAndTiesGoInTurn() {
+        Script script = new Script().fleet(1, 3, 3, 1);
+        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).pass(50).after("2.0#0", Outcome.ANSWERED)
+                .place(5, 0).place(6, 0).matches("least-loaded");
+    }
+
+    @Test
+    void partsThatCanShareACallDo() {
+        new Script().fleet(4, 4, 4, 3).place(1, 0, 1, 2, 3).pass(5).place(2, 0, 1).matches("calls");
+    }
+
+    @Test
+    void aLimitGrowsWithQuickAnswersAndHalvesOnFullAndLate() {
+        Script script = new Script().fleet(1, 1, 1, 1);
+        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).place(6, 0).place(7, 0).place(8, 0);
+        script.pass(50).after("1.0#0", Outcome.ANSWERED).after("2.0#0", Outcome.ANSWERED);
+        script.pass(5).after("3.0#0", Outcome.FULL).matches("limit");
+    }
+
+    // ---- Rules ----
+
+    @Test
+    void everyMultigetGetsOneFinalAnswerInItsTime() {
+        Script script = new Script().fleet(2, 2, 1, 1);
+        script.listed(false, true, line("s1", 1, Server.State.GONE, -1)).place(1, 0, 1).place(2, 0).pass(2500)
+                .after("1.0#0", Outcome.TIMED_OUT).matches("final-answer");
+    }
+
+    @Test
+    void aNonRetriablePartIsRepeatedOnlyIfItNeverRan() {
+        Script script = new Script();
+        script.opType.repeat = OpType.Repeat.NON_RETRIABLE;
+        script.fleet(1, 3, 3, 1).place(1, 0).place(2, 0).pass(500).after("1.0#0", Outcome.CONNECT_FAILED)
+                .after("2.0#0", Outcome.RESET).after("1.0#1", Outcome.FULL).after("1.0#2", Outcome.ERROR)
+                .matches("non-retriable");
+    }
+
+    @Test
+    void aDedupedPartIsRepeatedOnlyWithinItsWindow() {
+        Script script = new Script();
+        script.opType.repeat = OpType.Repeat.DEDUPED;
+        script.opType.dedupMs = 400;
+        script.fleet(1, 3, 3, 1).place(1, 0).place(2, 0).pass(100).after("1.0#0", Outcome.ERROR).pass(350)
+                .after("1.0#1", Outcome.ERROR).after("2.0#0", Outcome.RESET).matches("deduped");
+    }
+
+    @Test
+    void aDrainingOrGoneServerGetsNothingNew() {
+        Script script = new Script().fleet(1, 2, 2, 1);
+        script.place(1, 0).place(2, 0).listed(false, true, line("s0", 0, Server.State.DRAINING, -1)).place(3, 0)
+                .listed(true, true, line("s0", 0, Server.State.LIVE, -1)).place(4, 0).place(5, 0).matches("drain");
+    }
+
+    @Test
+    void aColdServerGetsThisNodesShareOfWhatAWarmOneTakes() {
+        Script script = new Script().fleet(1, 2, 2, 1);
+        script.listed(false, true, line("s0", 0, Server.State.LIVE, 900)).place(1, 0).place(2, 0).place(3, 0)
+                .pass(50).afterAt("s0", Outcome.ANSWERED).afterAt("s1", Outcome.ANSWERED).place(4, 0).place(5, 0)
+                .pass(5000).afterAt("s1", Outcome.ANSWERED).place(6, 0).place(7, 0).place(8, 0).matches("cold");
+    }
+
+    @Test
+    void furtherSendsKeepTheStatedBudget() {
+        Script script = new Script().fleet(1, 3, 3, 1);
+        script.coordinator.furtherSendBudget(1000, 1, 0.25);
+        script.place(1, 0).place(2, 0).pass(10).after("1.0#0", Outcome.ERROR).after("2.0#0", Outcome.ERROR)
+                .after("1.0#1", Outcome.ERROR).matches("budget");
+    }
+
+    @Test
+    void aPartialAnswerIsGivenAtTheBudgetAndNotMarkedWhole() {
+        Script script = new Script();
+        script.opType.floor = 0.6;
+        script.fleet(3, 3, 1, 1).place(1, 0, 1, 2).place(2, 0, 1, 2).pass(50)
+                .after("1.0#0", Outcome.ANSWERED).after("1.1#0", Outcome.ANSWERED).after("2.0#0", Outcome.ANSWERED)
+                .pass(1200).after("2.1#0", Outcome.ANSWERED).matches("partial");
+    }
+
+    @Test
+    void aSecondStepIsCarriedToItsEnd() {
+        Script script = new Script();
+        script.opType.secondStepParts = 2;
+        script.fleet(3, 3, 1, 1).place(1, 0, 1, 2).pass(50).after("1.0#0", Outcome.ANSWERED)
+                .after("1.1#0", Outcome.ANSWERED).after("1.2#0", Outcome.ANSWERED).pass(5).place(1, 0, 2).pass(50)
+                .after("1'.0#0", Outcome.ANSWERED).after("1'.2#0", Outcome.ANSWERED).matches("second-step");
+    }
+
+    // ---- Troubles ----
+
+    @Test
+    void anOverdueSendGetsACopyElsewhereAndTheLoserIsCancelled() {
+        new Script().fleet(1, 2, 2, 1).place(1, 0).pass(200).after("1.0#1", Outcome.ANSWERED)
+                .after("1.0#0", Outcome.CANCELLED).matches("copy");
+    }
+
+    @Test
+    void noCopyRacesWhereParallelSendsAreForbidden() {
+        Script script = new Script().fleet(1, 2, 2, 1);
+        script.coordinator.sends(2, false, false);
+        script.place(1, 0).pass(320).after("1.0#0", Outcome.TIMED_OUT).pass(100).after("1.0#1", Outcome.ANSWERED)
+                .matches("no-parallel");
+    }
+
+    @Test
+    void aServerThatFailsQuicklyAttractsNoWork() {
+        Script script = new Script().fleet(1, 3, 3, 1);
+        for (int i = 1; i < 10; i++) {
+            script.place(i, 0).pass(2);
+            for (int server = 0; server < 3; server++) {
+                script.afterAt("s" + server, server == 0 ? Outcome.ERROR : Outcome.ANSWERED);
+            }
+            script.pass(100);
+        }
+        script.matches("fast-errors");
+    }
+
+    @Test
+    void underOverloadTheLeastImportantAreTurnedAwayFirst() {
+        Script script = new Script();
+        OpType vital = new Script().opType;
+        vital.name = "vital";
+        vital.importance = 3;
+        script.opTypes.add(vital);
+        script.fleet(1, 1, 1, 1);
+        for (int i = 1; i < 7; i++) {
+            script.place(i, 0);
+        }
+        script.pass(500).place(7, 0).place(vital, 8, 2000, 0).matches("overload");
+    }
+
+    @Test
+    void aTryThatComesAfterItsBudgetIsTurnedAway() {
+        Script script = new Script();
+        script.opType.lateShare = 0;
+        script.fleet(1, 1, 1, 1).place(script.opType, 1, 900, 0).place(script.opType, 2, 1900, 0).matches("too-late");
+    }
+
+    @Test
+    void theListIsAskedForAgainWithoutFloodingIt() {
+        Script script = new Script().fleet(1, 2, 2, 1);
+        script.coordinator.list(true, 10_000);
+        script.listed(true, false, line("s0", 0, Server.State.LIVE, -1)).pass(300).unlisted().pass(1000).unlisted()
+                .pass(2000).listed(false, true).pass(6000).matches("list");
+    }
+
+    // ---- Odd but legal ----
+
+    @Test
+    void oddOrdersEndInOneAnswer() {
+        Script script = new Script().fleet(2, 2, 1, 1);
+        script.place(1, 0).listed(true, true, line("s1", 1, Server.State.LIVE, -1)).pass(50)
+                .after("1.0#0", Outcome.ANSWERED).after("1.0#0", Outcome.ANSWERED).gone(1);
+        script.place(2, 1).gone(2).gone(2).after("2.1#0", Outcome.CANCELLED);
+        script.place(script.opType, 3, 0, 1).pass(20).after("3.1#0", Outcome.NOT_SENT);
+        script.listed(false, true, line("s0", 0, Server.State.LIVE, 1040)).place(4, 0).pass(2100).matches("odd");
+    }
+}
