Judge held repeats again as they leave; take no outcome of a former process

A deduped part could outlive its window in the queue, and two held repeats could pass a budget meant for one.

--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -114,7 +114,7 @@
     @Override
     public Decisions place(Multiget mg, double nowMs) {
         begin(nowMs);
-        taken(1 + mg.parts.size());
+        taken(mg.parts.size() + (mg.step == 1 ? 1 : 0));
         if (mg.step == 1) {
             mg.clientAtMs = now + mg.clientLeftMs;
             mg.budgetAtMs = now + mg.opType.budgetMs;
@@ -147,6 +147,11 @@
             Part next = null;
             Server to = null;
             for (Shard shard : from) {
+                // Danger: a repeat that was harmless when it joined the queue need not be so when it leaves.
+                while (!shard.queue.isEmpty() && !shard.queue.first().sends.isEmpty()
+                        && !mayRepeat(shard.queue.first())) {
+                    lose(shard.queue.first());
+                }
                 Part head = shard.queue.isEmpty() ? null : shard.queue.first();
                 if (head == null || next != null && KEY_ORDER.compare(head, next) > 0) {
                     continue;
@@ -466,11 +471,16 @@
         if (mayRepeat(part)) {
             hold(part);
         } else {
-            part.abandoned = true;
-            answerIfDone(part.multiget);
+            lose(part);
         }
     }
 
+    private void lose(Part part) {
+        unhold(part);
+        part.abandoned = true;
+        answerIfDone(part.multiget);
+    }
+
     /** Silence or slowness of one send: another replica gets a copy, if there is one with room. */
     private void overdue(Send send) {
         Part part = send.part;
@@ -523,6 +533,9 @@
     private void learn(Send send, Send.Outcome outcome, double tookMs) {
         Server server = send.server;
         OpType op = send.part.multiget.opType;
+        if (send.sentMs < server.bornMs) {
+            return; // Of a process that is no more.
+        }
         adjustLimit(send, outcome, tookMs);
         // Danger: a cold server is as slow as its age says; judged ill for it, it would never get its share.
         double pace = warmth(server) * tookMs / Math.max(1, usualMs(op));
@@ -847,7 +860,7 @@
     public Decisions unlisted(double nowMs) {
         begin(nowMs);
         askAtMs = now + backoffMs * (0.5 + random.nextDouble());
-        backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
+        backoffMs = Math.min(Math.min(MOST_BACKOFF_MS, askWithinMs / 2), 2 * backoffMs);
         return decisions;
     }
 
--- a/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -75,6 +75,17 @@
                 .after("1.0#1", Outcome.ERROR).after("2.0#0", Outcome.RESET).matches("deduped");
     }
 
+    @Test
+    void aRepeatIsJudgedAgainWhenItLeavesTheQueue() {
+        Script script = new Script();
+        script.opType.repeat = OpType.Repeat.DEDUPED;
+        script.opType.dedupMs = 100;
+        script.fleet(1, 1, 1, 1).place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).place(6, 0);
+        script.pass(50).after("1.0#0", Outcome.ERROR).after("2.0#0", Outcome.FULL).pass(100)
+                .after("3.0#0", Outcome.ANSWERED).after("4.0#0", Outcome.ANSWERED).after("5.0#0", Outcome.ANSWERED)
+                .after("6.0#0", Outcome.ANSWERED).matches("repeat-held");
+    }
+
     @Test
     void aDrainingOrGoneServerGetsNothingNew() {
         Script script = new Script().fleet(1, 2, 2, 1);
