--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -279,7 +279,9 @@
         Server server = send.server;
         OpType op = send.part.multiget.opType;
         // Danger: limits that grow while queues build up at the servers, where nothing puts them in key order.
-        boolean timedOut = outcome == Send.Outcome.TIMED_OUT || tookMs > op.budgetMs * TIME_OUT;
+        // Danger: a part that is lost says nothing of a queue; where later ones were answered, it does not count.
+        boolean timedOut = outcome == Send.Outcome.TIMED_OUT || tookMs > op.budgetMs * TIME_OUT
+                && (outcome == Send.Outcome.ANSWERED || server.lastAnsweredSentMs <= send.sentMs);
         if ((outcome == Send.Outcome.FULL || timedOut) && send.sentMs >= server.halvedMs) {
             server.limit = Math.max(1, server.limit / 2);
             server.halvedMs = now;
@@ -542,6 +544,7 @@
         switch (outcome) {
             case ANSWERED -> {
                 server.lastAnswerMs = now;
+                server.lastAnsweredSentMs = Math.max(server.lastAnsweredSentMs, send.sentMs);
                 server.answers++;
                 notePace(server, pace);
                 double step = op.usualMs == 0 ? 1 : LEARN;
--- a/src/main/java/spartrail/model/Server.java
+++ b/src/main/java/spartrail/model/Server.java
@@ -36,6 +36,8 @@
     /** Time of answers over what their op type usually takes; 1 is as usual. */
     public double pace = 1;
     public double lastAnswerMs;
+    /** When the latest sent of the answered sends was sent. */
+    public double lastAnsweredSentMs;
     public boolean ill;
     /** Parts answered in the present beat, and in a millisecond lately. */
     public int answers;
