--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -243,7 +243,7 @@
         }
         part.sends.add(send);
         decisions.sends.add(send);
-        due(now + patienceMs(part), () -> overdue(send));
+        due(now + usualMs(part.multiget.opType) + part.multiget.opType.deviationMs, () -> overdue(send));
     }
 
     @Override
@@ -370,7 +370,7 @@
     /** Where no second copy may race, a send is given this many times longer before it is timed out. */
     private static final double LONE_PATIENCE = 2;
     /** First sends fund further ones, up to a most, so that these shrink when many parts need them. */
-    private static final double FUND_GAIN = 0.2;
+    private static final double FUND_GAIN = 0.4;
     private static final double FUND_MOST = 20;
 
     private int mostSends = 1;
@@ -490,7 +490,9 @@
                 || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
             return;
         }
-        Server other = furtherFund >= 1 ? pick(part) : null;
+        // Danger: a server that loses parts and answers the rest quickly; what later answers have overtaken is lost.
+        boolean lost = send.server.lastAnsweredSentMs > send.sentMs || now >= send.sentMs + patienceMs(part) - 1;
+        Server other = lost && furtherFund >= 1 ? pick(part) : null;
         if (other == null) {
             due(now + BEAT_MS, () -> overdue(send));
             return;
