--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -559,7 +559,9 @@
                 }
             }
             case CANCELLED, TIMED_OUT -> notePace(server, Math.max(pace, server.pace));
-            case ERROR, RESET, CONNECT_FAILED -> notePace(server, Math.max(pace, FAILURE_PACE));
+            case ERROR, RESET -> notePace(server, Math.max(pace, FAILURE_PACE));
+            // Danger: each send to a machine that is down costs its part the time that connecting may take.
+            case CONNECT_FAILED -> server.pace = Math.max(server.pace, FAILURE_PACE);
             default -> {
             }
         }
@@ -605,7 +607,7 @@
         begin(nowMs);
         // An answer shows only that the process runs; none shows that it does not.
         if (outcome != Send.Outcome.ANSWERED) {
-            notePace(server, FAILURE_PACE);
+            server.pace = Math.max(server.pace, FAILURE_PACE);
         }
         return decisions;
     }
