Take little time left for what it is, not for a late retry

Told from overload by parts held (p90 under 0.1 s) and sends back in 210 ms. Now only what the usual time does not fit in is turned away.

--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -330,9 +330,10 @@
     private boolean admitted(Multiget mg) {
         OpType op = mg.opType;
         op.usualParts += (mg.parts.size() - op.usualParts) * (op.usualParts == 0 ? 1 : LEARN);
-        op.longestTryMs = Math.max(op.longestTryMs, mg.clientLeftMs);
-        // Danger: a try that comes when its budget has passed takes capacity and earns nothing.
-        if (op.lateShare == 0 && mg.clientLeftMs <= op.timeoutMs - op.budgetMs) {
+        // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing. That a client
+        // gives little time does not tell that it has tried before, unless it says so.
+        boolean spent = mg.clientRetry && op.lateShare == 0 && mg.clientLeftMs <= op.timeoutMs - op.budgetMs;
+        if (spent || mg.clientLeftMs < usualMs(op) + op.deviationMs) {
             return false;
         }
         double delayMs = 0;
@@ -491,10 +492,11 @@
             return;
         }
         // Danger: a server that loses parts and answers the rest quickly; what later answers have overtaken is lost.
-        boolean lost = send.server.lastAnsweredSentMs > send.sentMs || now >= send.sentMs + patienceMs(part) - 1;
+        double lostAtMs = send.sentMs + patienceMs(part);
+        boolean lost = send.server.lastAnsweredSentMs > send.sentMs || now >= lostAtMs;
         Server other = lost && furtherFund >= 1 ? pick(part) : null;
         if (other == null) {
-            due(now + BEAT_MS, () -> overdue(send));
+            due(lost ? now + BEAT_MS : Math.min(now + BEAT_MS, lostAtMs), () -> overdue(send));
             return;
         }
         furtherFund--;
