--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -266,7 +266,7 @@
                 unhold(part);
                 cancelSends(part);
                 answerIfDone(part.multiget);
-            } else if (!part.held && part.sends.stream().noneMatch(Send::out)) {
+            } else if (!part.held && !hasSendOut(part)) {
                 sendFurther(part);
             }
         }
@@ -436,8 +436,7 @@
     /** Whether the rules of effects and budget let this part have another send. */
     private boolean mayRepeat(Part part) {
         OpType op = part.multiget.opType;
-        boolean sent = part.sends.stream().anyMatch(Send::out);
-        if (sent && !mayRace(part) || part.sends.size() >= sendsFor(op) || !inBudget()) {
+        if (hasSendOut(part) && !mayRace(part) || part.sends.size() >= sendsFor(op) || !inBudget()) {
             return false;
         }
         return switch (op.repeat) {
@@ -452,6 +451,10 @@
         return send.outcome != null && !send.outcome.mayHaveRun;
     }
 
+    private static boolean hasSendOut(Part part) {
+        return part.sends.stream().anyMatch(Send::out);
+    }
+
     private static boolean tried(Part part, Server server) {
         return part.sends.stream().anyMatch(send -> send.server == server);
     }
@@ -484,23 +487,26 @@
         answerIfDone(part.multiget);
     }
 
-    /** Silence or slowness of one send: another replica gets a copy, if there is one with room. */
+    /**
+     * Silence or slowness of one send: its part joins its queue again, for a copy at another replica. Danger: a server
+     * that loses parts and answers the rest quickly; what later answers have overtaken is taken for lost early.
+     */
     private void overdue(Send send) {
         Part part = send.part;
         if (!send.out() || part.multiget.over || part.answered || part.abandoned || part.held || send.streaming
                 || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
             return;
         }
-        // Danger: a server that loses parts and answers the rest quickly; what later answers have overtaken is lost.
         double lostAtMs = send.sentMs + patienceMs(part);
         boolean lost = send.server.lastAnsweredSentMs > send.sentMs || now >= lostAtMs;
-        Server other = lost && furtherFund >= 1 ? pick(part) : null;
-        if (other == null) {
+        // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is due its turn.
+        if (lost && furtherFund >= 1 && (send.server.ill || pick(part) != null)) {
+            furtherFund--;
+            hold(part);
+            release(List.of(part.shard));
+        } else {
             due(lost ? now + BEAT_MS : Math.min(now + BEAT_MS, lostAtMs), () -> overdue(send));
-            return;
         }
-        furtherFund--;
-        send(part, other);
     }
 
     private void cancelSends(Part part) {
@@ -563,7 +569,7 @@
             case CANCELLED, TIMED_OUT -> notePace(server, Math.max(pace, server.pace));
             case ERROR, RESET -> notePace(server, Math.max(pace, FAILURE_PACE));
             // Danger: each send to a machine that is down costs its part the time that connecting may take.
-            case CONNECT_FAILED -> server.pace = Math.max(server.pace, FAILURE_PACE);
+            case CONNECT_FAILED -> server.pace = 2 * FAILURE_PACE;
             default -> {
             }
         }
@@ -580,7 +586,8 @@
         }
         Send oldest = server.out.iterator().next();
         double silentMs = now - Math.max(oldest.sentMs, server.lastAnswerMs);
-        return Math.max(server.pace, silentMs / patienceMs(oldest.part));
+        OpType op = oldest.part.multiget.opType;
+        return Math.max(server.pace, silentMs / (usualMs(op) + op.deviationMs));
     }
 
     /** Judged against the middle server: a slowdown of all is no outage of some. */
@@ -609,7 +616,7 @@
         begin(nowMs);
         // An answer shows only that the process runs; none shows that it does not.
         if (outcome != Send.Outcome.ANSWERED) {
-            server.pace = Math.max(server.pace, FAILURE_PACE);
+            server.pace = 2 * FAILURE_PACE;
         }
         return decisions;
     }
@@ -751,7 +758,7 @@
         boolean waiting = mg.parts.stream().anyMatch(part -> !part.answered);
         if (waiting && has(mg, least(mg)) && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
             answer(mg, Multiget.Answer.PARTIAL);
-        } else if (op.lateShare == 0 || mg.parts.stream().anyMatch(part -> part.held)) {
+        } else if (op.lateShare == 0 || mg.parts.stream().anyMatch(part -> part.held && !hasSendOut(part))) {
             // Danger: late work, which goes first by its key, makes all behind it late too.
             giveUp(mg);
         }
