--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -173,13 +173,22 @@
 
     /** The eligible replica with the fewest of our calls out once it has this part too; null if none has room. */
     private Server pick(Part part) {
+        List<Server> replicas = part.shard.replicas;
+        Server best = fewestOut(part, replicas.stream().filter(server -> sound(server) && !tried(part, server)).toList());
+        if (best == null) {
+            // Danger: sound replicas drown while an ill one that still answers is spared all work.
+            best = fewestOut(part, replicas.stream().filter(server -> answering(server) && !tried(part, server)).toList());
+        }
+        boolean spared = replicas.stream().anyMatch(server -> sound(server) && !tried(part, server));
+        return best == null && !spared ? fewestOut(part, replicas) : best;
+    }
+
+    private Server fewestOut(Part part, List<Server> replicas) {
         Server best = null;
         int bestLoad = 0;
         int bestShare = 0;
-        boolean spared = part.shard.replicas.stream().anyMatch(server -> sound(server) && !tried(part, server));
-        for (Server server : part.shard.replicas) {
-            if (server.state != Server.State.LIVE || room(server) <= 0 || isOut(part, server)
-                    || spared && (!sound(server) || tried(part, server)) || !coldAllows(server)) {
+        for (Server server : replicas) {
+            if (server.state != Server.State.LIVE || room(server) <= 0 || isOut(part, server) || !coldAllows(server)) {
                 continue;
             }
             int load = server.callsOut + (callOpen(server) ? 0 : 1);
@@ -528,6 +537,7 @@
     /** A verdict fades over this time, so that a server that is well again is found by the first sends of a low limit. */
     private static final double FADE_MS = 4000;
     private static final double PROBE_MS = 1000;
+    private static final double ANSWERING_MS = 1000;
 
     private boolean probing;
     private double nextProbesMs;
@@ -542,6 +552,11 @@
         return server.state == Server.State.LIVE && !server.ill;
     }
 
+    /** Ill or not, it has answered lately. */
+    private boolean answering(Server server) {
+        return now - server.lastAnswerMs < ANSWERING_MS;
+    }
+
     private void learn(Send send, Send.Outcome outcome, double tookMs) {
         Server server = send.server;
         OpType op = send.part.multiget.opType;
