--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -581,8 +581,10 @@
                     op.lightMs += (tookMs - op.lightMs) * (op.lightMs == 0 ? 1 : tookMs < op.lightMs ? LEARN : LEARN / 4);
                 }
             }
-            case CANCELLED, TIMED_OUT -> notePace(server, Math.max(pace, server.pace));
-            case ERROR, RESET -> notePace(server, Math.max(pace, FAILURE_PACE));
+            // Danger: a server that loses half of its parts and answers the rest quickly looks well by its answers.
+            case CANCELLED -> notePace(server, tookMs > patienceMs(send.part) ? Math.max(pace, FAILURE_PACE)
+                    : Math.max(pace, server.pace));
+            case ERROR, RESET, TIMED_OUT -> notePace(server, Math.max(pace, FAILURE_PACE));
             // Danger: each send to a machine that is down costs its part the time that connecting may take.
             case CONNECT_FAILED -> server.pace = 2 * FAILURE_PACE;
             default -> {
