--- a/src/main/java/spartrail/coordination/Coordinator.java
+++ b/src/main/java/spartrail/coordination/Coordinator.java
@@ -37,9 +37,6 @@
     /** Whether the list must be asked for, and how often at the least. */
     Coordinator list(boolean asked, double askWithinMs);
 
-    /** Whether importance is counted by work, not by multiget. */
-    Coordinator importanceByWork(boolean byWork);
-
     /** Whether servers may be probed. */
     Coordinator probing(boolean allowed);
 
--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -320,7 +320,6 @@
 
     private boolean comebackAllowed;
     private double longestComebackMs;
-    private boolean importanceByWork;
 
     @Override
     public Coordinator comeback(boolean allowed, double longestMs) {
@@ -329,16 +328,9 @@
         return this;
     }
 
-    @Override
-    public Coordinator importanceByWork(boolean byWork) {
-        importanceByWork = byWork;
-        return this;
-    }
-
     /** Under overload work is turned away before it costs anything, or all of it would be served too late. */
     private boolean admitted(Multiget mg) {
         OpType op = mg.opType;
-        op.usualParts += (mg.parts.size() - op.usualParts) * (op.usualParts == 0 ? 1 : LEARN);
         // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing. That a client
         // gives little time does not tell that it has tried before, unless it says so.
         boolean spent = mg.clientRetry && op.lateShare == 0 && mg.clientLeftMs <= op.timeoutMs - op.budgetMs;
@@ -349,16 +341,10 @@
         for (Part part : mg.parts) {
             delayMs = Math.max(delayMs, delayOf(part.shard));
         }
-        double patience = LEAST_PATIENCE + (1 - LEAST_PATIENCE) * density(op)
-                / opTypes.stream().mapToDouble(this::density).max().orElse(1);
+        double patience = LEAST_PATIENCE + (1 - LEAST_PATIENCE) * standing(op);
         return delayMs == 0 || delayMs + usualMs(op) + 2 * op.deviationMs <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
     }
 
-    /** Importance for a part's worth of work. */
-    private double density(OpType op) {
-        return importanceByWork ? op.importance : op.importance / Math.max(1, op.usualParts + op.secondStepParts);
-    }
-
     private double delayOf(Shard shard) {
         return shard.queue.isEmpty() ? 0 : Math.max(shard.delayMs, now - shard.queue.first().heldSinceMs);
     }
@@ -434,8 +420,12 @@
 
     /** Sends that a part may have by the importance of its op type against the others'. */
     private int sendsFor(OpType op) {
-        double top = opTypes.stream().mapToDouble(other -> other.importance).max().orElse(1);
-        return Math.min(mostSends, 2 + (int) Math.ceil((mostSends - 2) * op.importance / Math.max(top, 1e-9)));
+        return Math.min(mostSends, 2 + (int) Math.ceil((mostSends - 2) * standing(op)));
+    }
+
+    /** Its importance over that of the most important op type. */
+    private double standing(OpType op) {
+        return op.importance / opTypes.stream().mapToDouble(other -> other.importance).max().orElse(1);
     }
 
     private boolean mayRace(Part part) {
--- a/src/main/java/spartrail/model/OpType.java
+++ b/src/main/java/spartrail/model/OpType.java
@@ -22,6 +22,4 @@
     public double usualMs;
     public double deviationMs;
     public double lightMs;
-    /** Learned: the usual number of parts. */
-    public double usualParts;
 }
--- a/src/main/java/spartrail/sim/Provisioning.java
+++ b/src/main/java/spartrail/sim/Provisioning.java
@@ -55,7 +55,6 @@
                         number(rules, "tip-multiple", 1), 1000 * number(rules, "fall", 0))
                 .comeback(flag(bounds, "retry-after"), 1000 * number(bounds, "max-retry-after", 0))
                 .list("ask".equals(info.get("discovery")), 1000 * number(rules, "ask-within", 0))
-                .importanceByWork("work".equals(info.get("worth-by")))
                 .probing(flag(bounds, "probing"));
     }
 
