--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -425,7 +425,8 @@
 
     /** Its importance over that of the most important op type. */
     private double standing(OpType op) {
-        return op.importance / opTypes.stream().mapToDouble(other -> other.importance).max().orElse(1);
+        double most = opTypes.stream().mapToDouble(other -> other.importance).max().orElse(0);
+        return most > 0 ? op.importance / most : 1;
     }
 
     private boolean mayRace(Part part) {
