--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -245,7 +245,7 @@
         server.out.add(send);
         server.lastTurn = ++turns;
         noteColdSend(server);
-        if (part.sends.isEmpty()) {
+        if (part.sends.isEmpty() && part.heldSinceMs == now) {
             furtherFund = Math.min(FUND_MOST, furtherFund + FUND_GAIN);
         } else {
             furtherSends.add(now);
@@ -365,7 +365,10 @@
     private static final double OVERDUE_DEVIATIONS = 3;
     /** Where no second copy may race, a send is given this many times longer before it is timed out. */
     private static final double LONE_PATIENCE = 2;
-    /** First sends fund further ones, up to a most, so that these shrink when many parts need them. */
+    /**
+     * First sends that left at once fund further ones, up to a most. Danger: copies feed a collapse. Where parts are held
+     * there is no room to spare, and copies dry up; for sends at ill servers, few by their limits, they do not.
+     */
     private static final double FUND_GAIN = 0.4;
     private static final double FUND_MOST = 20;
 
@@ -500,8 +503,9 @@
         double lostAtMs = send.sentMs + patienceMs(part);
         boolean lost = send.server.lastAnsweredSentMs > send.sentMs || now >= lostAtMs;
         // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is due its turn.
-        if (lost && furtherFund >= 1 && (send.server.ill || pick(part) != null)) {
-            furtherFund--;
+        boolean funded = furtherFund >= 1 && pick(part) != null;
+        if (lost && (send.server.ill || funded)) {
+            furtherFund -= send.server.ill ? 0 : 1;
             hold(part);
             release(List.of(part.shard));
         } else {
