--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -127,6 +127,7 @@
             due(mg.budgetAtMs - 3 * turnMs, () -> budgetEnds(mg));
             due(mg.clientAtMs - 2 * turnMs, () -> clientEnds(mg));
         }
+        mg.betweenSteps = false;
         for (Part part : mg.parts) {
             hold(part);
         }
@@ -712,7 +713,7 @@
     }
 
     private void answerIfDone(Multiget mg) {
-        if (mg.over || mg.parts.stream().allMatch(part -> part.answered) && mg.answer != null && mg.step == 1) {
+        if (mg.over || mg.betweenSteps) {
             return;
         }
         boolean open = mg.parts.stream().anyMatch(part -> !part.answered && !part.abandoned);
@@ -735,6 +736,7 @@
         decisions.answers.add(mg);
         if (mg.step == 1 && mg.opType.secondStepParts > 0 && mg.answeredWeight > 0) {
             mg.firstStepWhole = answer == Multiget.Answer.WHOLE;
+            mg.betweenSteps = true;
         } else {
             mg.over = true;
         }
@@ -767,8 +769,8 @@
             return;
         }
         OpType op = mg.opType;
-        boolean waiting = mg.parts.stream().anyMatch(part -> !part.answered);
-        if (waiting && has(mg, least(mg)) && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
+        // Danger: an answer between the steps would be the final one, before the second step's parts are there.
+        if (!mg.betweenSteps && has(mg, least(mg)) && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
             answer(mg, Multiget.Answer.PARTIAL);
         } else if (op.lateShare == 0 || mg.parts.stream().anyMatch(part -> part.held && !hasSendOut(part))) {
             // Danger: late work, which goes first by its key, makes all behind it late too.
@@ -781,7 +783,7 @@
         if (mg.over) {
             return;
         }
-        if (mg.parts.stream().anyMatch(part -> !part.answered) && has(mg, least(mg))) {
+        if (!mg.betweenSteps && has(mg, least(mg))) {
             answer(mg, Multiget.Answer.PARTIAL);
         }
         if (!mg.over) {
--- a/src/main/java/spartrail/model/Multiget.java
+++ b/src/main/java/spartrail/model/Multiget.java
@@ -32,6 +32,8 @@
     public double clientAtMs;
     public double answeredWeight;
     public boolean firstStepWhole = true;
+    /** The first step is answered, and the second step's parts are not there yet. */
+    public boolean betweenSteps;
     public boolean over;
     public Answer answer;
     public double comebackMs;
