Let parts pass a repeat that cannot leave its queue

Cause: a repeat may not go to the replica that still has its send out; at the head of a queue it kept all behind it from that replica.

--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -148,24 +148,32 @@
             Part next = null;
             Server to = null;
             for (Shard shard : from) {
-                // Danger: a repeat that was harmless when it joined the queue need not be so when it leaves.
-                while (!shard.queue.isEmpty() && !shard.queue.first().sends.isEmpty()
-                        && !mayRepeat(shard.queue.first())) {
-                    lose(shard.queue.first());
-                }
-                Part head = shard.queue.isEmpty() ? null : shard.queue.first();
-                if (head == null || next != null && KEY_ORDER.compare(head, next) > 0) {
-                    continue;
-                }
-                Server replica = pick(head);
-                if (replica != null) {
-                    next = head;
-                    to = replica;
+                for (Part part : shard.queue) {
+                    if (next != null && KEY_ORDER.compare(part, next) > 0) {
+                        break;
+                    }
+                    Server replica = pick(part);
+                    if (replica != null) {
+                        next = part;
+                        to = replica;
+                    }
+                    // Danger: a repeat that may not go to the one replica with room would hold up all behind it.
+                    if (replica != null || part.sends.isEmpty()) {
+                        break;
+                    }
                 }
             }
             if (next == null) {
                 return;
             }
+            // Danger: a repeat that was harmless when it joined the queue need not be so when it leaves.
+            if (!next.sends.isEmpty() && !mayRepeat(next)) {
+                unhold(next);
+                if (!hasSendOut(next)) {
+                    lose(next);
+                }
+                continue;
+            }
             unhold(next);
             learnDelay(next.shard, now - next.heldSinceMs);
             send(next, to);
--- a/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -202,6 +202,14 @@
                 .pass(2000).listed(false, true).pass(6000).matches("list");
     }
 
+    @Test
+    void aRepeatThatCannotLeaveHoldsUpNothing() {
+        Script script = new Script().fleet(1, 2, 2, 1);
+        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).place(6, 0).place(7, 0).place(8, 0);
+        script.pass(10).afterAt("s1", Outcome.FULL).place(9, 0).place(10, 0).pass(10).after("1.0#0", Outcome.ANSWERED)
+                .after("3.0#0", Outcome.ANSWERED).matches("repeat-blocked");
+    }
+
     // ---- Odd but legal ----
 
     @Test
