--- a/src/main/java/spartrail/coordination/Coordinator.java
+++ b/src/main/java/spartrail/coordination/Coordinator.java
@@ -8,27 +8,36 @@
 import spartrail.model.Shard;
 
 /**
- * What a front node asks of the module that decides. Times are milliseconds on the caller's clock. A front end of any
- * protocol builds multigets, makes the three calls, passes on news, and carries out the decisions returned; it keeps
- * its own timer and the multigets in hand. An instance belongs to one front node and one thread.
+ * What a front node asks of the module that decides. Times are milliseconds on the caller's clock. A front
+ * end of any protocol builds multigets, makes the three calls, passes on news, and carries out the decisions
+ * returned; it keeps its own timer and the multigets in hand. An instance belongs to one front node and one
+ * thread.
  */
 public interface Coordinator {
 
     // What is read at start, each part with its own few figures.
 
-    /** This node's number, how many nodes there are, and the shortest time between two turns. */
-    Coordinator node(int number, int nodes, double turnMs);
+    /** How many front nodes there are, and the shortest time between two turns of this one. */
+    Coordinator nodes(int count, double turnMs);
 
-    /** Shard s is held by the cells (s + j) mod cells, j from 0 to reach - 1; a call carries up to so many parts. */
+    /**
+     * Shard s is held by the cells (s + j) mod cells, j from 0 to reach - 1; a call carries up to so many
+     * parts.
+     */
     Coordinator layout(int shards, int cells, int reach, int partsPerCall);
 
     /** Most sends of a part, whether two may be out at a time, and whether a send may be cancelled. */
     Coordinator sends(int most, boolean parallel, boolean cancelling);
 
-    /** Further sends in any span may not pass the free ones plus a share of what was taken; a span of 0 is no budget. */
+    /**
+     * Further sends in any span may not pass the free ones plus a share of what was taken; a span of 0 is no
+     * budget.
+     */
     Coordinator furtherSendBudget(double spanMs, double free, double share);
 
-    /** A cold server's least share of its capacity, when it is warm, and how much for how long pushes it over. */
+    /**
+     * A cold server's least share of its capacity, when it is warm, and how much for how long pushes it over.
+     */
     Coordinator coldStart(double leastShare, double warmMs, double tipMultiple, double fallMs);
 
     /** Whether clients are told when to come back, and the longest time that they heed. */
--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -22,13 +22,14 @@
 /**
  * All decisions of a front node.
  *
- * <p>How it is reached: through {@link Coordinator}, in this package. A caller says once what it read at start, then
- * {@link #place} for each multiget (and its second step), {@link #after} for each outcome, {@link #waitMs} for the time
- * until {@link #waited}; news come by the other calls. Each returns {@link Decisions}: plain lists of what to do now.
+ * <p>How it is reached: through {@link Coordinator}, in this package. A caller says once what it read at
+ * start, then {@link #place} for each multiget (and its second step), {@link #after} for each outcome, {@link
+ * #waitMs} for the time until {@link #waited}; news come by the other calls. Each returns {@link Decisions}:
+ * plain lists of what to do now.
  *
- * <p>The ordinary path is {@link #place} and {@link #release}: every part joins its shard's queue under the key of its
- * multiget (deadline window, then rank hashed from the id), and leaves in key order as soon as a replica is under its
- * in-flight limit, for the replica with the fewest of our calls out, ties in turn.
+ * <p>The ordinary path is {@link #place} and {@link #release}: every part joins its shard's queue under the
+ * key of its multiget (deadline window, then rank hashed from the id), and leaves in key order as soon as a
+ * replica is under its in-flight limit, for the replica with the fewest of our calls out, ties in turn.
  *
  * <p>Beside it stand six mechanisms, each in a section below:
  * 1. admission and pushback, by importance against the time left;
@@ -44,7 +45,10 @@
     private static final int FIRST_LIMIT = 4;
     /** An answer within this many times what a server with nothing else of ours takes lets a limit grow. */
     private static final double USUAL = 2;
-    /** A send that takes this share of its op type's latency budget counts as timed out for its server's limit. */
+    /**
+     * A send that takes this share of its op type's latency budget counts as timed out for its server's
+     * limit.
+     */
     private static final double TIME_OUT = 0.15;
     /** Weight of a new sample in what is learned. */
     private static final double LEARN = 0.1;
@@ -73,7 +77,6 @@
     private long turns;
     private long dueCount;
 
-    private int node;
     private int nodes = 1;
     private double turnMs = 1;
     private int cells = 1;
@@ -86,9 +89,8 @@
     }
 
     @Override
-    public Coordinator node(int number, int ofNodes, double shortestTurnMs) {
-        node = number;
-        nodes = Math.max(1, ofNodes);
+    public Coordinator nodes(int count, double shortestTurnMs) {
+        nodes = Math.max(1, count);
         turnMs = shortestTurnMs;
         return this;
     }
@@ -157,7 +159,8 @@
                         next = part;
                         to = replica;
                     }
-                    // Danger: a repeat that may not go to the one replica with room would hold up all behind it.
+                    // Danger: a repeat that may not go to the one replica with room would hold up all behind
+                    // it.
                     if (replica != null || part.sends.isEmpty()) {
                         break;
                     }
@@ -180,13 +183,17 @@
         }
     }
 
-    /** The eligible replica with the fewest of our calls out once it has this part too; null if none has room. */
+    /**
+     * The eligible replica with the fewest of our calls out once it has this part too; null if none has room.
+     */
     private Server pick(Part part) {
         List<Server> replicas = part.shard.replicas;
-        Server best = fewestOut(part, replicas.stream().filter(server -> sound(server) && !tried(part, server)).toList());
+        Server best = fewestOut(part,
+                replicas.stream().filter(server -> sound(server) && !tried(part, server)).toList());
         if (best == null) {
             // Danger: sound replicas drown while an ill one that still answers is spared all work.
-            best = fewestOut(part, replicas.stream().filter(server -> answering(server) && !tried(part, server)).toList());
+            best = fewestOut(part,
+                    replicas.stream().filter(server -> answering(server) && !tried(part, server)).toList());
         }
         boolean spared = replicas.stream().anyMatch(server -> sound(server) && !tried(part, server));
         return best == null && !spared ? fewestOut(part, replicas) : best;
@@ -197,7 +204,8 @@
         int bestLoad = 0;
         int bestShare = 0;
         for (Server server : replicas) {
-            if (server.state != Server.State.LIVE || room(server) <= 0 || isOut(part, server) || !coldAllows(server)) {
+            if (server.state != Server.State.LIVE || room(server) <= 0 || isOut(part, server)
+                    || !coldAllows(server)) {
                 continue;
             }
             int load = server.callsOut + (callOpen(server) ? 0 : 1);
@@ -213,8 +221,9 @@
     }
 
     /**
-     * Parts that may be sent to a server now. Danger: under load each answer frees one place, every part travels alone,
-     * and the cost of calls eats the capacity. Where calls carry several parts, a busy server opens one at half its limit.
+     * Parts that may be sent to a server now. Danger: under load each answer frees one place, every part
+     * travels alone, and the cost of calls eats the capacity. Where calls carry several parts, a busy server
+     * opens one at half its limit.
      */
     private int room(Server server) {
         boolean shared = partsPerCall > 1 && !server.out.isEmpty() && !callOpen(server);
@@ -240,7 +249,8 @@
     }
 
     private void send(Part part, Server server) {
-        double leftMs = (part.multiget.opType.lateShare > 0 ? part.multiget.clientAtMs : part.multiget.budgetAtMs) - now;
+        Multiget mg = part.multiget;
+        double leftMs = (mg.opType.lateShare > 0 ? mg.clientAtMs : mg.budgetAtMs) - now;
         double timeoutMs = mayRace(part) ? leftMs : Math.min(leftMs, patienceMs(part) * LONE_PATIENCE);
         Send send = new Send(part, server, part.sends.size(), now, timeoutMs);
         if (!callOpen(server)) {
@@ -292,12 +302,16 @@
         return decisions;
     }
 
-    /** The limit of a server: one more for an answer within the usual time when it binds, half for a time-out or full. */
+    /**
+     * The limit of a server: one more for an answer within the usual time when it binds, half for a time-out
+     * or full.
+     */
     private void adjustLimit(Send send, Send.Outcome outcome, double tookMs) {
         Server server = send.server;
         OpType op = send.part.multiget.opType;
-        // Danger: limits that grow while queues build up at the servers, where nothing puts them in key order.
-        // Danger: a part that is lost says nothing of a queue; where later ones were answered, it does not count.
+        // Danger: limits that grow while queues build up at the servers, where nothing puts them in key
+        // order. Danger: a part that is lost says nothing of a queue; where later ones were answered, it does
+        // not count.
         boolean timedOut = outcome == Send.Outcome.TIMED_OUT || tookMs > op.budgetMs * TIME_OUT
                 && (outcome == Send.Outcome.ANSWERED || server.lastAnsweredSentMs <= send.sentMs);
         if ((outcome == Send.Outcome.FULL || timedOut) && send.sentMs >= server.halvedMs) {
@@ -324,7 +338,10 @@
 
     // ---- 1. Admission and pushback ----
 
-    /** The least important op types may expect to use this share of their budget, the most important all of it. */
+    /**
+     * The least important op types may expect to use this share of their budget, the most important all of
+     * it.
+     */
     private static final double LEAST_PATIENCE = 0.4;
 
     private boolean comebackAllowed;
@@ -340,8 +357,8 @@
     /** Under overload work is turned away before it costs anything, or all of it would be served too late. */
     private boolean admitted(Multiget mg) {
         OpType op = mg.opType;
-        // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing. That a client
-        // gives little time does not tell that it has tried before, unless it says so.
+        // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing. That a
+        // client gives little time does not tell that it has tried before, unless it says so.
         boolean spent = mg.clientRetry && op.lateShare == 0 && mg.clientLeftMs <= op.timeoutMs - op.budgetMs;
         if (spent || mg.clientLeftMs < usualMs(op) + op.deviationMs) {
             return false;
@@ -351,7 +368,8 @@
             delayMs = Math.max(delayMs, delayOf(part.shard));
         }
         double patience = LEAST_PATIENCE + (1 - LEAST_PATIENCE) * standing(op);
-        return delayMs == 0 || delayMs + usualMs(op) + 2 * op.deviationMs <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
+        return delayMs == 0 || delayMs + usualMs(op) + 2 * op.deviationMs
+                <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
     }
 
     private double delayOf(Shard shard) {
@@ -375,8 +393,9 @@
     /** Where no second copy may race, a send is given this many times longer before it is timed out. */
     private static final double LONE_PATIENCE = 2;
     /**
-     * First sends that left at once fund further ones, up to a most. Danger: copies feed a collapse. Where parts are held
-     * there is no room to spare, and copies dry up; for sends at ill servers, few by their limits, they do not.
+     * First sends that left at once fund further ones, up to a most. Danger: copies feed a collapse. Where
+     * parts are held there is no room to spare, and copies dry up; for sends at ill servers, few by their
+     * limits, they do not.
      */
     private static final double FUND_GAIN = 0.4;
     private static final double FUND_MOST = 20;
@@ -415,7 +434,10 @@
         }
     }
 
-    /** The stated budget: danger of a rule broken where one send more than it is made, so both ends are cut short. */
+    /**
+     * The stated budget: danger of a rule broken where one send more than it is made, so both ends are cut
+     * short.
+     */
     private boolean inBudget() {
         if (budgetSpanMs <= 0) {
             furtherSends.clear();
@@ -500,18 +522,20 @@
     }
 
     /**
-     * Silence or slowness of one send: its part joins its queue again, for a copy at another replica. Danger: a server
-     * that loses parts and answers the rest quickly; what later answers have overtaken is taken for lost early.
+     * Silence or slowness of one send: its part joins its queue again, for a copy at another replica. Danger:
+     * a server that loses parts and answers the rest quickly; what later answers have overtaken is taken for
+     * lost early.
      */
     private void overdue(Send send) {
         Part part = send.part;
-        if (!send.out() || part.multiget.over || part.answered || part.abandoned || part.held || send.streaming
+        if (!send.out() || send.streaming || part.multiget.over || part.answered || part.abandoned || part.held
                 || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
             return;
         }
         double lostAtMs = send.sentMs + patienceMs(part);
         boolean lost = send.server.lastAnsweredSentMs > send.sentMs || now >= lostAtMs;
-        // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is due its turn.
+        // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is
+        // due its turn.
         boolean funded = furtherFund >= 1 && pick(part) != null;
         if (lost && (send.server.ill || funded)) {
             furtherFund -= send.server.ill ? 0 : 1;
@@ -538,7 +562,10 @@
     /** What a failure counts as, in times the usual: fast errors must not attract work. */
     private static final double FAILURE_PACE = 5;
     private static final double PACE_LEARN = 0.3;
-    /** A verdict fades over this time, so that a server that is well again is found by the first sends of a low limit. */
+    /**
+     * A verdict fades over this time, so that a server that is well again is found by the first sends of a
+     * low limit.
+     */
     private static final double FADE_MS = 4000;
     private static final double PROBE_MS = 1000;
     private static final double ANSWERING_MS = 1000;
@@ -577,15 +604,17 @@
                 server.answers++;
                 notePace(server, pace);
                 double step = op.usualMs == 0 ? 1 : LEARN;
-                op.deviationMs += (Math.abs(tookMs - op.usualMs) - op.deviationMs) * (op.usualMs == 0 ? 0 : LEARN);
-                op.deviationMs = op.usualMs == 0 ? tookMs / 2 : op.deviationMs;
+                op.deviationMs = op.usualMs == 0 ? tookMs / 2
+                        : op.deviationMs + (Math.abs(tookMs - op.usualMs) - op.deviationMs) * LEARN;
                 op.usualMs += (tookMs - op.usualMs) * step;
                 if (send.alone) {
                     // Danger: under overload no server is idle; the figure falls quickly and rises slowly.
-                    op.lightMs += (tookMs - op.lightMs) * (op.lightMs == 0 ? 1 : tookMs < op.lightMs ? LEARN : LEARN / 4);
+                    double lightStep = op.lightMs == 0 ? 1 : tookMs < op.lightMs ? LEARN : LEARN / 4;
+                    op.lightMs += (tookMs - op.lightMs) * lightStep;
                 }
             }
-            // Danger: a server that loses half of its parts and answers the rest quickly looks well by its answers.
+            // Danger: a server that loses half of its parts and answers the rest quickly looks well by its
+            // answers.
             case CANCELLED -> notePace(server, tookMs > patienceMs(send.part) ? Math.max(pace, FAILURE_PACE)
                     : Math.max(pace, server.pace));
             case ERROR, RESET, TIMED_OUT -> notePace(server, Math.max(pace, FAILURE_PACE));
@@ -613,7 +642,8 @@
 
     /** Judged against the middle server: a slowdown of all is no outage of some. */
     private void judge() {
-        List<Server> live = servers.values().stream().filter(server -> server.state == Server.State.LIVE).toList();
+        List<Server> live = servers.values().stream()
+                .filter(server -> server.state == Server.State.LIVE).toList();
         double[] paces = live.stream().mapToDouble(this::paceNow).sorted().toArray();
         double middle = paces.length == 0 ? 1 : Math.max(1, paces[paces.length / 2]);
         for (Server server : live) {
@@ -671,8 +701,8 @@
     }
 
     /**
-     * Danger: all nodes find the same fresh server idle and push it over together. Each keeps to what it has itself
-     * seen a warm server take, scaled by age; where that is under one part in the span, it waits.
+     * Danger: all nodes find the same fresh server idle and push it over together. Each keeps to what it has
+     * itself seen a warm server take, scaled by age; where that is under one part in the span, it waits.
      */
     private boolean coldAllows(Server server) {
         if (!cold(server)) {
@@ -681,12 +711,13 @@
         while (!server.coldSends.isEmpty() && server.coldSends.peek() < now - fallMs) {
             server.coldSends.poll();
         }
-        return server.coldSends.size() + 1 <= COLD_CARE * tipMultiple * warmth(server) * warmParts(server) * fallMs;
+        return server.coldSends.size() + 1
+                <= COLD_CARE * tipMultiple * warmth(server) * warmParts(server) * fallMs;
     }
 
     /**
-     * Parts that a warm server of this size takes from this node in a millisecond: what the busiest does, or this
-     * node's share of one core's.
+     * Parts that a warm server of this size takes from this node in a millisecond: what the busiest does, or
+     * this node's share of one core's.
      */
     private double warmParts(Server like) {
         double partMs = opTypes.stream().mapToDouble(op -> op.lightMs).max().orElse(0);
@@ -732,7 +763,8 @@
             answer(mg, Multiget.Answer.PARTIAL);
         } else {
             // What can still come is not enough: given up at once.
-            double canCome = mg.parts.stream().filter(part -> !part.abandoned).mapToDouble(part -> part.weight).sum();
+            double canCome = mg.parts.stream().filter(part -> !part.abandoned)
+                    .mapToDouble(part -> part.weight).sum();
             if (canCome < least(mg) - ROUNDING / 2) {
                 giveUp(mg);
             }
@@ -771,14 +803,19 @@
         drop(mg);
     }
 
-    /** The latency budget ends: an answer that may be given is given, and what would earn nothing later is given up. */
+    /**
+     * The latency budget ends: an answer that may be given is given, and what would earn nothing later is
+     * given up.
+     */
     private void budgetEnds(Multiget mg) {
         if (mg.over) {
             return;
         }
         OpType op = mg.opType;
-        // Danger: an answer between the steps would be the final one, before the second step's parts are there.
-        if (!mg.betweenSteps && has(mg, least(mg)) && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
+        // Danger: an answer between the steps would be the final one, before the second step's parts are
+        // there.
+        if (!mg.betweenSteps && has(mg, least(mg))
+                && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
             answer(mg, Multiget.Answer.PARTIAL);
         } else if (op.lateShare == 0 || mg.parts.stream().anyMatch(part -> part.held && !hasSendOut(part))) {
             // Danger: late work, which goes first by its key, makes all behind it late too.
@@ -893,7 +930,10 @@
         }
     }
 
-    /** Asked again, less and less often and not in step with other nodes, so that a weak list service is not flooded. */
+    /**
+     * Asked again, less and less often and not in step with other nodes, so that a weak list service is not
+     * flooded.
+     */
     @Override
     public Decisions unlisted(double nowMs) {
         begin(nowMs);
--- a/src/main/java/spartrail/model/OpType.java
+++ b/src/main/java/spartrail/model/OpType.java
@@ -18,7 +18,10 @@
     public double partialShare;
     public int secondStepParts;
 
-    /** Learned: time of an answer on average, its mean deviation, and that of a server with nothing else of ours. */
+    /**
+     * Learned: time of an answer on average, its mean deviation, and that of a server with nothing else of
+     * ours.
+     */
     public double usualMs;
     public double deviationMs;
     public double lightMs;
--- a/src/main/java/spartrail/sim/Provisioning.java
+++ b/src/main/java/spartrail/sim/Provisioning.java
@@ -42,8 +42,7 @@
         Map<?, ?> bounds = map(info, "bounds");
         Map<?, ?> rules = map(info, "rules");
         return new WindowCoordinator(new Random(seed), opTypes)
-                .node((int) number(info, "ordinal", 0), (int) number(info, "peers-total", 1),
-                        1000 * number(need(info, "tick", "")))
+                .nodes((int) number(info, "peers-total", 1), 1000 * number(need(info, "tick", "")))
                 .layout((int) number(need(layout, "slabs", " of family-info")),
                         (int) number(need(layout, "sets", " of family-info")),
                         (int) number(need(layout, "width", " of family-info")), (int) number(layout, "batch", 1))
--- a/src/test/java/spartrail/coordination/Script.java
+++ b/src/test/java/spartrail/coordination/Script.java
@@ -47,7 +47,7 @@
     /** So many shards, each held by so many cells of one server, and every thing allowed. */
     Script fleet(int shards, int cells, int reach, int partsPerCall) {
         coordinator = new WindowCoordinator(new Random(7), opTypes)
-                .node(0, 2, 5).layout(shards, cells, reach, partsPerCall).sends(4, true, true)
+                .nodes(2, 5).layout(shards, cells, reach, partsPerCall).sends(4, true, true)
                 .coldStart(0.2, 10_000, 2, 1000).comeback(true, 1000).probing(true);
         List<Server> lines = new ArrayList<>();
         for (int cell = 0; cell < cells; cell++) {
