--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -528,8 +528,8 @@
      */
     private void overdue(Send send) {
         Part part = send.part;
-        if (!send.out() || send.streaming || part.multiget.over || part.answered || part.abandoned || part.held
-                || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
+        if (!send.out() || send.streaming || part.multiget.over || part.answered || part.abandoned
+                || part.held || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
             return;
         }
         double lostAtMs = send.sentMs + patienceMs(part);
