Count no held first send against the budget of further sends; say a few things once

A first send that had been held was booked as a further one since copies were funded by sends that left at once, so a stated budget was spent by ordinary parts (never overdrawn). Found by rereading; a trace test fails without the change. Beside it, with no change of behaviour: pick filters its sound replicas once, the budget's window is kept only where there is a budget, the whole-answer test is written once.

--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -188,15 +188,14 @@
      */
     private Server pick(Part part) {
         List<Server> replicas = part.shard.replicas;
-        Server best = fewestOut(part,
-                replicas.stream().filter(server -> sound(server) && !tried(part, server)).toList());
+        List<Server> fit = replicas.stream().filter(server -> sound(server) && !tried(part, server)).toList();
+        Server best = fewestOut(part, fit);
         if (best == null) {
             // Danger: sound replicas drown while an ill one that still answers is spared all work.
             best = fewestOut(part,
                     replicas.stream().filter(server -> answering(server) && !tried(part, server)).toList());
         }
-        boolean spared = replicas.stream().anyMatch(server -> sound(server) && !tried(part, server));
-        return best == null && !spared ? fewestOut(part, replicas) : best;
+        return best == null && fit.isEmpty() ? fewestOut(part, replicas) : best;
     }
 
     private Server fewestOut(Part part, List<Server> replicas) {
@@ -264,10 +263,10 @@
         server.out.add(send);
         server.lastTurn = ++turns;
         noteColdSend(server);
-        if (part.sends.isEmpty() && part.heldSinceMs == now) {
+        if (!part.sends.isEmpty()) {
+            noteFurtherSend();
+        } else if (part.heldSinceMs == now) {
             furtherFund = Math.min(FUND_MOST, furtherFund + FUND_GAIN);
-        } else {
-            furtherSends.add(now);
         }
         part.sends.add(send);
         decisions.sends.add(send);
@@ -434,13 +433,18 @@
         }
     }
 
+    private void noteFurtherSend() {
+        if (budgetSpanMs > 0) {
+            furtherSends.add(now);
+        }
+    }
+
     /**
      * The stated budget: danger of a rule broken where one send more than it is made, so both ends are cut
      * short.
      */
     private boolean inBudget() {
         if (budgetSpanMs <= 0) {
-            furtherSends.clear();
             return true;
         }
         while (!takings.isEmpty() && takings.peek()[0] <= now - budgetSpanMs + turnMs) {
@@ -757,8 +761,9 @@
         }
         boolean open = mg.parts.stream().anyMatch(part -> !part.answered && !part.abandoned);
         if (has(mg, needed(mg)) && (mg.step == 1 || !open)) {
-            answer(mg, mg.firstStepWhole && has(mg, needed(mg)) && mg.parts.stream().noneMatch(
-                    part -> mg.step > 1 && !part.answered) ? Multiget.Answer.WHOLE : Multiget.Answer.PARTIAL);
+            boolean whole = mg.step == 1
+                    || mg.firstStepWhole && mg.parts.stream().allMatch(part -> part.answered);
+            answer(mg, whole ? Multiget.Answer.WHOLE : Multiget.Answer.PARTIAL);
         } else if (has(mg, least(mg)) && (!open || now >= mg.budgetAtMs - 3 * turnMs)) {
             answer(mg, Multiget.Answer.PARTIAL);
         } else {
--- a/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -109,6 +109,15 @@
                 .after("1.0#1", Outcome.ERROR).matches("budget");
     }
 
+    @Test
+    void aHeldFirstSendIsNoFurtherSendInTheBudget() {
+        Script script = new Script().fleet(1, 1, 1, 1);
+        script.coordinator.furtherSendBudget(1000, 1, 0);
+        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).pass(50);
+        script.after("1.0#0", Outcome.ANSWERED).after("2.0#0", Outcome.ERROR).after("3.0#0", Outcome.ERROR)
+                .matches("budget-held");
+    }
+
     @Test
     void aPartialAnswerIsGivenAtTheBudgetAndNotMarkedWhole() {
         Script script = new Script();
