--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import spartrail.model.Call;
 import spartrail.model.Decisions;
@@ -131,6 +132,8 @@
         }
         mg.betweenSteps = false;
         for (Part part : mg.parts) {
+            mg.openParts++;
+            mg.openWeight += part.weight;
             hold(part);
         }
         release(mg.parts.stream().map(part -> part.shard).distinct().toList());
@@ -142,32 +145,19 @@
         part.held = true;
         part.heldSinceMs = now;
         part.shard.queue.add(part);
+        part.multiget.heldAt.add(part.shard);
     }
 
     /** Lets parts go from these shards' queues, the first key first, while a replica has room for them. */
     private void release(Collection<Shard> from) {
-        while (true) {
-            Part next = null;
-            Server to = null;
-            for (Shard shard : from) {
-                for (Part part : shard.queue) {
-                    if (next != null && KEY_ORDER.compare(part, next) > 0) {
-                        break;
-                    }
-                    Server replica = pick(part);
-                    if (replica != null) {
-                        next = part;
-                        to = replica;
-                    }
-                    // Danger: a repeat that may not go to the one replica with room would hold up all behind
-                    // it.
-                    if (replica != null || part.sends.isEmpty()) {
-                        break;
-                    }
-                }
-            }
-            if (next == null) {
-                return;
+        TreeSet<Part> heads = new TreeSet<>(KEY_ORDER);
+        from.forEach(shard -> addHeads(shard, heads));
+        while (!heads.isEmpty()) {
+            Part next = heads.pollFirst();
+            // Danger: what was given up on the way must not leave any more.
+            Server to = next.held ? pick(next) : null;
+            if (to == null) {
+                continue;
             }
             // Danger: a repeat that was harmless when it joined the queue need not be so when it leaves.
             if (!next.sends.isEmpty() && !mayRepeat(next)) {
@@ -175,11 +165,30 @@
                 if (!hasSendOut(next)) {
                     lose(next);
                 }
+                addHeads(next.shard, heads);
                 continue;
             }
             unhold(next);
             learnDelay(next.shard, now - next.heldSinceMs);
+            boolean opens = !callOpen(to);
             send(next, to);
+            addHeads(next.shard, heads);
+            if (opens && partsPerCall > 1) {
+                to.shards.forEach(shard -> addHeads(shard, heads));
+            }
+        }
+    }
+
+    /**
+     * The parts of a queue that may leave next: its first, and those behind repeats. Danger: a repeat that may
+     * not go to the one replica with room would hold up all behind it.
+     */
+    private static void addHeads(Shard shard, TreeSet<Part> heads) {
+        for (Part part : shard.queue) {
+            heads.add(part);
+            if (part.sends.isEmpty()) {
+                break;
+            }
         }
     }
 
@@ -222,10 +231,13 @@
     /**
      * Parts that may be sent to a server now. Danger: under load each answer frees one place, every part
      * travels alone, and the cost of calls eats the capacity. Where calls carry several parts, a busy server
-     * opens one at half its limit.
+     * opens one at half its limit, and a call that is open is filled.
      */
     private int room(Server server) {
-        boolean shared = partsPerCall > 1 && !server.out.isEmpty() && !callOpen(server);
+        if (callOpen(server)) {
+            return partsPerCall - server.call.parts;
+        }
+        boolean shared = partsPerCall > 1 && !server.out.isEmpty();
         return (shared ? (server.limit + 1) / 2 : server.limit) - server.out.size();
     }
 
@@ -233,18 +245,21 @@
         return server.call != null && server.call.sentMs == now && server.call.parts < partsPerCall;
     }
 
-    /** How many held parts of the same multiget could travel in the same call. */
+    /** How many held parts of the same multiget could travel in the same call; an open one goes first. */
     private int callShare(Part part, Server server) {
         if (partsPerCall == 1) {
             return 0;
         }
-        int share = callOpen(server) ? 1 : 0;
-        for (Part other : part.multiget.parts) {
-            if (other.held && other.shard.replicas.contains(server)) {
+        if (callOpen(server)) {
+            return partsPerCall;
+        }
+        int share = 0;
+        for (Shard shard : server.shards) {
+            if (part.multiget.heldAt.contains(shard)) {
                 share++;
             }
         }
-        return Math.min(share, Math.min(server.limit - server.out.size(), partsPerCall));
+        return Math.min(share, partsPerCall);
     }
 
     private void send(Part part, Server server) {
@@ -259,6 +274,7 @@
         send.call = server.call;
         send.call.parts++;
         send.call.out++;
+        part.multiget.sendsOut++;
         send.alone = server.callsOut == 1;
         server.out.add(send);
         server.lastTurn = ++turns;
@@ -281,6 +297,7 @@
         }
         send.outcome = outcome;
         send.server.out.remove(send);
+        send.part.multiget.sendsOut--;
         if (--send.call.out == 0) {
             send.server.callsOut--;
         }
@@ -288,6 +305,7 @@
         Part part = send.part;
         if (!part.multiget.over && !part.answered && !part.abandoned) {
             if (outcome == Send.Outcome.ANSWERED) {
+                close(part);
                 part.answered = true;
                 part.multiget.answeredWeight += part.weight;
                 unhold(part);
@@ -326,6 +344,15 @@
         if (part.held) {
             part.held = false;
             part.shard.queue.remove(part);
+            part.multiget.heldAt.remove(part.shard);
+        }
+    }
+
+    /** No more answer of this part is waited for. */
+    private static void close(Part part) {
+        if (!part.answered && !part.abandoned) {
+            part.multiget.openParts--;
+            part.multiget.openWeight -= part.weight;
         }
     }
 
@@ -521,6 +548,7 @@
 
     private void lose(Part part) {
         unhold(part);
+        close(part);
         part.abandoned = true;
         answerIfDone(part.multiget);
     }
@@ -759,7 +787,7 @@
         if (mg.over || mg.betweenSteps) {
             return;
         }
-        boolean open = mg.parts.stream().anyMatch(part -> !part.answered && !part.abandoned);
+        boolean open = mg.openParts > 0;
         if (has(mg, needed(mg)) && (mg.step == 1 || !open)) {
             boolean whole = mg.step == 1
                     || mg.firstStepWhole && mg.parts.stream().allMatch(part -> part.answered);
@@ -768,9 +796,7 @@
             answer(mg, Multiget.Answer.PARTIAL);
         } else {
             // What can still come is not enough: given up at once.
-            double canCome = mg.parts.stream().filter(part -> !part.abandoned)
-                    .mapToDouble(part -> part.weight).sum();
-            if (canCome < least(mg) - ROUNDING / 2) {
+            if (mg.answeredWeight + mg.openWeight < least(mg) - ROUNDING / 2) {
                 giveUp(mg);
             }
         }
@@ -792,6 +818,7 @@
     private void drop(Multiget mg) {
         for (Part part : mg.parts) {
             unhold(part);
+            close(part);
             part.abandoned |= !part.answered;
             cancelSends(part);
         }
@@ -924,11 +951,11 @@
         shards.forEach(shard -> shard.replicas.clear());
         for (Server server : servers.values()) {
             server.shards.clear();
-            for (Shard shard : shards) {
-                if (Math.floorMod(server.cell - shard.number, cells) < reach) {
-                    server.shards.add(shard);
+            for (int back = 0; back < Math.min(reach, cells); back++) {
+                for (int at = Math.floorMod(server.cell - back, cells); at < shards.size(); at += cells) {
+                    server.shards.add(shards.get(at));
                     if (server.state == Server.State.LIVE) {
-                        shard.replicas.add(server);
+                        shards.get(at).replicas.add(server);
                     }
                 }
             }
--- a/src/main/java/spartrail/model/Multiget.java
+++ b/src/main/java/spartrail/model/Multiget.java
@@ -1,7 +1,9 @@
 package spartrail.model;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** What a client asked for: an answer put together from parts. */
 public final class Multiget {
@@ -31,6 +33,13 @@
     public double budgetAtMs;
     public double clientAtMs;
     public double answeredWeight;
+    /** Parts of the step in hand that are neither answered nor abandoned, and their weight. */
+    public int openParts;
+    public double openWeight;
+    /** Shards with a held part of it. */
+    public final Set<Shard> heldAt = new HashSet<>();
+    /** Its sends that have had no outcome yet, of both steps. */
+    public int sendsOut;
     public boolean firstStepWhole = true;
     /** The first step is answered, and the second step's parts are not there yet. */
     public boolean betweenSteps;
--- a/src/main/java/spartrail/sim/SimNode.java
+++ b/src/main/java/spartrail/sim/SimNode.java
@@ -237,7 +237,7 @@
     }
 
     private void forgetIfEnded(Multiget mg) {
-        if (mg.over && ended(mg.parts) && ended(mg.earlier)) {
+        if (mg.over && mg.sendsOut == 0) {
             multigets.remove(mg.id);
             multigetsByNumber.remove(mg.number);
             mg.parts.forEach(part -> parts.remove(part.id));
@@ -245,10 +245,6 @@
         }
     }
 
-    private static boolean ended(List<Part> parts) {
-        return parts.stream().allMatch(part -> part.sends.stream().noneMatch(Send::out));
-    }
-
     private void carryOut(Decisions decisions) {
         for (Send send : decisions.sends) {
             actions.add(List.of("TRY", send.part.id, send.timeoutMs / 1000, send.server.id));
