--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -234,10 +234,7 @@
      * opens one at half its limit, and a call that is open is filled.
      */
     private int room(Server server) {
-        if (callOpen(server)) {
-            return partsPerCall - server.call.parts;
-        }
-        boolean shared = partsPerCall > 1 && !server.out.isEmpty();
+        boolean shared = partsPerCall > 1 && !server.out.isEmpty() && !callOpen(server);
         return (shared ? (server.limit + 1) / 2 : server.limit) - server.out.size();
     }
 
@@ -250,16 +247,13 @@
         if (partsPerCall == 1) {
             return 0;
         }
-        if (callOpen(server)) {
-            return partsPerCall;
-        }
-        int share = 0;
+        int share = callOpen(server) ? 1 : 0;
         for (Shard shard : server.shards) {
             if (part.multiget.heldAt.contains(shard)) {
                 share++;
             }
         }
-        return Math.min(share, partsPerCall);
+        return Math.min(share, Math.min(server.limit - server.out.size(), partsPerCall));
     }
 
     private void send(Part part, Server server) {
