--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -388,8 +388,15 @@
             delayMs = Math.max(delayMs, delayOf(part.shard));
         }
         double patience = LEAST_PATIENCE + (1 - LEAST_PATIENCE) * standing(op);
-        return delayMs == 0 || delayMs + usualMs(op) + 2 * op.deviationMs
-                <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
+        // The slowest of many parts is later than the usual one by about the logarithm of their number.
+        double expectedMs = delayMs + usualMs(op) + (delayMs > 0 ? 2 : 1) * op.deviationMs;
+        if (expectedMs <= patience * Math.min(op.budgetMs, mg.clientLeftMs)) {
+            return true;
+        }
+        // Danger: where nothing is admitted nothing is learned; each one turned away brings the next nearer.
+        op.usualMs -= (op.usualMs - Math.min(op.usualMs, op.lightMs)) * LEARN;
+        op.deviationMs -= op.deviationMs * LEARN;
+        return false;
     }
 
     private double delayOf(Shard shard) {
