Send nothing further of a multiget broken off at two servers and not yet answered

The victims of such multigets are not ill: what tells is that one multiget breaks at several servers and none of it is ever answered.

--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -302,11 +302,24 @@
                 close(part);
                 part.answered = true;
                 part.multiget.answeredWeight += part.weight;
+                boolean cleared = part.multiget.tasting;
+                part.multiget.tasting = false;
                 unhold(part);
                 cancelSends(part);
                 answerIfDone(part.multiget);
+                if (cleared && !part.multiget.over) {
+                    resume(part.multiget);
+                }
             } else if (!part.held && !hasSendOut(part)) {
-                sendFurther(part);
+                if (outcome == Send.Outcome.RESET) {
+                    brokeAt(part.multiget, send.server);
+                }
+                if (!part.multiget.tasting) {
+                    sendFurther(part);
+                }
+            }
+            if (part.multiget.tasting && part.multiget.sendsOut == 0) {
+                giveUp(part.multiget);
             }
         }
         release(send.server.shards);
@@ -547,6 +560,33 @@
         }
     }
 
+    /**
+     * Danger: a multiget whose parts bring servers down, one after another, and each further send one more.
+     * Where connections broke at two servers and nothing of it is answered, what is out must tell: the first
+     * answer clears it, and with nothing out any more it is given up.
+     */
+    private void brokeAt(Multiget mg, Server server) {
+        mg.brokeAt.add(server);
+        if (mg.step == 1 && mg.answeredWeight == 0 && mg.brokeAt.size() >= 2 && !mg.tasting) {
+            mg.tasting = true;
+            mg.parts.forEach(this::unhold);
+        }
+    }
+
+    /** All that waited for a first answer goes on. */
+    private void resume(Multiget mg) {
+        for (Part part : mg.parts) {
+            if (!mg.over && !part.answered && !part.abandoned && !part.held && !hasSendOut(part)) {
+                if (part.sends.isEmpty()) {
+                    hold(part);
+                } else {
+                    sendFurther(part);
+                }
+            }
+        }
+        release(mg.parts.stream().map(part -> part.shard).toList());
+    }
+
     private void lose(Part part) {
         unhold(part);
         close(part);
@@ -570,7 +610,7 @@
         // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is
         // due its turn.
         boolean funded = furtherFund >= 1 && pick(part) != null;
-        if (lost && (send.server.ill || funded)) {
+        if (!part.multiget.tasting && lost && (send.server.ill || funded)) {
             furtherFund -= send.server.ill ? 0 : 1;
             hold(part);
             release(List.of(part.shard));
@@ -850,7 +890,7 @@
         if (!mg.betweenSteps && has(mg, least(mg))
                 && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
             answer(mg, Multiget.Answer.PARTIAL);
-        } else if (op.lateShare == 0 || mg.parts.stream().anyMatch(part -> part.held && !hasSendOut(part))) {
+        } else if (op.lateShare == 0 || mg.parts.stream().anyMatch(part -> !part.answered && !part.abandoned && !hasSendOut(part))) {
             // Danger: late work, which goes first by its key, makes all behind it late too.
             giveUp(mg);
         }
--- a/src/main/java/spartrail/model/Multiget.java
+++ b/src/main/java/spartrail/model/Multiget.java
@@ -43,6 +43,10 @@
     public boolean firstStepWhole = true;
     /** The first step is answered, and the second step's parts are not there yet. */
     public boolean betweenSteps;
+    /** Servers that broke the connection of one of its sends. */
+    public final Set<Server> brokeAt = new HashSet<>();
+    /** Nothing more of it is sent until one of its parts is answered. */
+    public boolean tasting;
     public boolean over;
     public Answer answer;
     public double comebackMs;
