--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -43,6 +43,7 @@
 public final class WindowCoordinator implements Coordinator {
     /** Width of a deadline window. */
     private static final double WINDOW_MS = 250;
+    private static final int RANKS = 32_768;
     private static final int FIRST_LIMIT = 4;
     /** An answer within this many times what a server with nothing else of ours takes lets a limit grow. */
     private static final double USUAL = 2;
@@ -213,7 +214,7 @@
         int bestShare = 0;
         for (Server server : replicas) {
             if (server.state != Server.State.LIVE || room(server) <= 0 || isOut(part, server)
-                    || !coldAllows(server)) {
+                    || !coldAllows(part.multiget, server)) {
                 continue;
             }
             int load = server.callsOut + (callOpen(server) ? 0 : 1);
@@ -366,7 +367,7 @@
     /** The same everywhere for the same id, and without order in it. */
     private static int rank(long id) {
         long mixed = (id + 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
-        return (int) ((mixed ^ mixed >>> 31) & 0x7FFF);
+        return (int) ((mixed ^ mixed >>> 31) & (RANKS - 1));
     }
 
     // ---- 1. Admission and pushback ----
@@ -754,6 +755,7 @@
     private double warmMs;
     private double tipMultiple = 1;
     private double fallMs;
+    private double warmParts;
 
     @Override
     public Coordinator coldStart(double leastShare, double warmAfterMs, double tip, double fall) {
@@ -777,30 +779,30 @@
      * Danger: all nodes find the same fresh server idle and push it over together. Each keeps to what it has
      * itself seen a warm server take, scaled by age; where that is under one part in the span, it waits.
      */
-    private boolean coldAllows(Server server) {
+    private boolean coldAllows(Multiget mg, Server server) {
         if (!cold(server)) {
             return true;
         }
         while (!server.coldSends.isEmpty() && server.coldSends.peek() < now - fallMs) {
             server.coldSends.poll();
         }
-        return server.coldSends.size() + 1
-                <= COLD_CARE * tipMultiple * warmth(server) * warmParts(server) * fallMs;
+        double care = COLD_CARE * tipMultiple * warmth(server);
+        return server.coldSends.size() + 1 <= care * warmParts * fallMs
+                // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew
+                // stands idle. So few of its multigets meet one server that those of the lower ranks may pass
+                // whole: the same ones at every server, and no more than that part of what a warm one takes.
+                || mg.rank < care * RANKS && (server.coldSends.isEmpty() || server.coldSends.peek() == now);
     }
 
     /**
-     * Parts that a warm server of this size takes from this node in a millisecond: what the busiest does, or
-     * this node's share of one core's.
+     * Parts that a warm server takes from this node in a millisecond: what they do on average, or this node's
+     * share of one core's. Danger: of many servers that are seen seldom the busiest is so by chance.
      */
-    private double warmParts(Server like) {
+    private void learnWarmParts() {
         double partMs = opTypes.stream().mapToDouble(op -> op.lightMs).max().orElse(0);
-        double most = partMs > 0 ? 1 / partMs / nodes : 0;
-        for (Server server : servers.values()) {
-            if (!cold(server)) {
-                most = Math.max(most, server.answerRate * like.rating / server.rating);
-            }
-        }
-        return most;
+        warmParts = Math.max(partMs > 0 ? 1 / partMs / nodes : 0, servers.values().stream()
+                .filter(server -> sound(server) && !cold(server)).mapToDouble(server -> server.answerRate)
+                .average().orElse(0));
     }
 
     private void noteColdSend(Server server) {
@@ -1048,6 +1050,7 @@
         if (now >= nextBeatMs) {
             nextBeatMs = now + BEAT_MS;
             judge();
+            learnWarmParts();
             follow();
             release(shards);
         }
