--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -213,7 +213,7 @@
         int bestLoad = 0;
         int bestShare = 0;
         for (Server server : replicas) {
-            if (server.state != Server.State.LIVE || room(server) <= 0 || isOut(part, server)
+            if (server.state != Server.State.LIVE || now < server.closedUntilMs || room(server) <= 0 || isOut(part, server)
                     || !coldAllows(part.multiget, server)) {
                 continue;
             }
@@ -642,6 +642,7 @@
      */
     private static final double FADE_MS = 4000;
     private static final double PROBE_MS = 1000;
+    private static final int MOST_CLOSINGS = 3;
     private static final double ANSWERING_MS = 1000;
 
     private boolean probing;
@@ -674,6 +675,8 @@
         switch (outcome) {
             case ANSWERED -> {
                 server.lastAnswerMs = now;
+                server.closings = 0;
+                server.closedUntilMs = 0;
                 server.lastAnsweredSentMs = Math.max(server.lastAnsweredSentMs, send.sentMs);
                 server.answers++;
                 notePace(server, pace);
@@ -693,12 +696,25 @@
                     : Math.max(pace, server.pace));
             case ERROR, RESET, TIMED_OUT -> notePace(server, Math.max(pace, FAILURE_PACE));
             // Danger: each send to a machine that is down costs its part the time that connecting may take.
-            case CONNECT_FAILED -> server.pace = 2 * FAILURE_PACE;
+            case CONNECT_FAILED -> {
+                server.pace = 2 * FAILURE_PACE;
+                close(server, usualMs(op));
+            }
             default -> {
             }
         }
     }
 
+    /**
+     * Danger: where all replicas of a shard are down, a part has spent its sends within a blink. A server that
+     * cannot be connected to is left alone for an answer's time, each time in a row for twice as long.
+     */
+    private void close(Server server, double ms) {
+        if (now >= server.closedUntilMs) {
+            server.closedUntilMs = now + ms * (1 << Math.min(server.closings++, MOST_CLOSINGS));
+        }
+    }
+
     private static void notePace(Server server, double pace) {
         server.pace += (Math.min(pace, 2 * FAILURE_PACE) - server.pace) * PACE_LEARN;
     }
@@ -965,6 +981,8 @@
                 server.limit = cold(server) ? 1 : FIRST_LIMIT;
                 server.pace = 1;
                 server.ill = false;
+                server.closings = 0;
+                server.closedUntilMs = 0;
                 server.coldSends.clear();
             }
         }
