--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -509,6 +509,12 @@
         return most > 0 ? op.importance / most : 1;
     }
 
+    /** What never ran cost no server work and counts towards the stated most only. */
+    private boolean sendsSpent(Part part) {
+        return part.sends.size() >= mostSends || part.sends.stream().filter(send -> !neverRan(send)).count()
+                >= sendsFor(part.multiget.opType);
+    }
+
     private boolean mayRace(Part part) {
         return parallel && part.multiget.opType.repeat != OpType.Repeat.NON_RETRIABLE;
     }
@@ -516,7 +522,7 @@
     /** Whether the rules of effects and budget let this part have another send. */
     private boolean mayRepeat(Part part) {
         OpType op = part.multiget.opType;
-        if (hasSendOut(part) && !mayRace(part) || part.sends.size() >= sendsFor(op) || !inBudget()) {
+        if (hasSendOut(part) && !mayRace(part) || sendsSpent(part) || !inBudget()) {
             return false;
         }
         return switch (op.repeat) {
