--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -281,6 +281,7 @@
         }
         part.sends.add(send);
         decisions.sends.add(send);
+        probeFund = Math.min(PROBE_FUND_MOST, probeFund + PROBE_GAIN);
         due(now + usualMs(part.multiget.opType) + part.multiget.opType.deviationMs, () -> overdue(send));
     }
 
@@ -648,11 +649,15 @@
      */
     private static final double FADE_MS = 4000;
     private static final double PROBE_MS = 1000;
+    /** Sends fund probes: at size they would cost more than the sends that they spare. */
+    private static final double PROBE_GAIN = 0.1;
+    private static final double PROBE_FUND_MOST = 20;
     private static final int MOST_CLOSINGS = 3;
     private static final double ANSWERING_MS = 1000;
 
     private boolean probing;
     private double nextProbesMs;
+    private double probeFund;
 
     @Override
     public Coordinator probing(boolean allowed) {
@@ -754,7 +759,12 @@
         }
         if (probing && now >= nextProbesMs) {
             nextProbesMs = now + PROBE_MS;
-            live.stream().filter(server -> server.ill).forEach(decisions.probes::add);
+            for (Server server : live) {
+                if (server.ill && probeFund >= 1) {
+                    probeFund--;
+                    decisions.probes.add(server);
+                }
+            }
         }
     }
 
