--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -378,6 +378,7 @@
      * it.
      */
     private static final double LEAST_PATIENCE = 0.4;
+    private static final double EVIDENCE_MS = 10_000;
 
     private boolean comebackAllowed;
     private double longestComebackMs;
@@ -403,15 +404,16 @@
             delayMs = Math.max(delayMs, delayOf(part.shard));
         }
         double patience = LEAST_PATIENCE + (1 - LEAST_PATIENCE) * standing(op);
-        // The slowest of many parts is later than the usual one by about the logarithm of their number.
-        double expectedMs = delayMs + usualMs(op) + (delayMs > 0 ? 2 : 1) * op.deviationMs;
-        if (expectedMs <= patience * Math.min(op.budgetMs, mg.clientLeftMs)) {
-            return true;
+        if (delayMs > 0) {
+            return delayMs + usualMs(op) + 2 * op.deviationMs
+                    <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
         }
-        // Danger: where nothing is admitted nothing is learned; each one turned away brings the next nearer.
-        op.usualMs -= (op.usualMs - Math.min(op.usualMs, op.lightMs)) * LEARN;
-        op.deviationMs -= op.deviationMs * LEARN;
-        return false;
+        // Danger: of many nodes none holds anything, and the queues that all of them make at the servers turn
+        // nobody away. Danger: where nothing is admitted nothing is learned; what was seen fades with its age.
+        double old = Math.min(1, (now - op.learnedMs) / EVIDENCE_MS);
+        double lightMs = Math.min(op.lightMs, usualMs(op));
+        return lightMs * old + (usualMs(op) + op.deviationMs) * (1 - old)
+                <= Math.min(patience * op.budgetMs, mg.clientLeftMs);
     }
 
     private double delayOf(Shard shard) {
@@ -691,6 +693,7 @@
                 server.lastAnsweredSentMs = Math.max(server.lastAnsweredSentMs, send.sentMs);
                 server.answers++;
                 notePace(server, pace);
+                op.learnedMs = now;
                 double step = op.usualMs == 0 ? 1 : LEARN;
                 op.deviationMs = op.usualMs == 0 ? tookMs / 2
                         : op.deviationMs + (Math.abs(tookMs - op.usualMs) - op.deviationMs) * LEARN;
--- a/src/main/java/spartrail/model/OpType.java
+++ b/src/main/java/spartrail/model/OpType.java
@@ -24,5 +24,6 @@
      */
     public double usualMs;
     public double deviationMs;
+    public double learnedMs;
     public double lightMs;
 }
