--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -444,6 +444,8 @@
     private static final double FUND_GAIN = 0.4;
     private static final double FUND_MOST = 20;
 
+    private static final double STRAGGLERS = 0.1;
+
     private int mostSends = 1;
     private boolean parallel;
     private boolean cancelling;
@@ -615,7 +617,9 @@
                 || part.held || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
             return;
         }
-        double lostAtMs = send.sentMs + patienceMs(part);
+        // Danger: the last few parts decide when all the others are answered; there are few of them to copy.
+        boolean straggles = part.multiget.openParts <= STRAGGLERS * part.multiget.parts.size();
+        double lostAtMs = send.sentMs + (straggles ? 0 : patienceMs(part));
         boolean lost = send.server.lastAnsweredSentMs > send.sentMs || now >= lostAtMs;
         // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is
         // due its turn.
