--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -931,8 +931,10 @@
         if (!mg.betweenSteps && has(mg, least(mg))
                 && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
             answer(mg, Multiget.Answer.PARTIAL);
-        } else if (op.lateShare == 0 || mg.parts.stream().anyMatch(part -> !part.answered && !part.abandoned && !hasSendOut(part))) {
-            // Danger: late work, which goes first by its key, makes all behind it late too.
+        } else if (op.lateShare == 0 || op.lateShare < mg.parts.stream().filter(part -> !part.answered
+                && !part.abandoned && !hasSendOut(part)).mapToDouble(part -> part.weight).sum()) {
+            // Danger: late work, which goes first by its key, makes all behind it late too; what is left of it
+            // may take the share of the work that it still earns of the importance.
             giveUp(mg);
         }
     }
