--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -830,7 +830,8 @@
                 // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew
                 // stands idle. So few of its multigets meet one server that those of the lower ranks may pass
                 // whole: the same ones at every server, and no more than that part of what a warm one takes.
-                || mg.rank < care * RANKS && (server.coldSends.isEmpty() || server.coldSends.peek() == now);
+                || mg.rank < care * RANKS && (server.coldSends.isEmpty() || server.coldSends.peek() == now
+                || server.coldSends.size() <= 2 * care * warmParts * fallMs);
     }
 
     /**
@@ -1003,7 +1004,7 @@
             if (line.bornMs > server.bornMs) {
                 // A new process: nothing that was seen of the old one holds.
                 server.bornMs = line.bornMs;
-                server.limit = cold(server) ? 1 : FIRST_LIMIT;
+                server.limit = cold(server) ? 2 : FIRST_LIMIT;
                 server.pace = 1;
                 server.ill = false;
                 server.closings = 0;
