--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -379,8 +379,6 @@
      */
     private static final double LEAST_PATIENCE = 0.4;
     private static final double EVIDENCE_MS = 10_000;
-    private static final double WELCOME_STEP = 0.1;
-    private static final double WELCOME_CUT = 0.7;
 
     private boolean comebackAllowed;
     private double longestComebackMs;
@@ -415,18 +413,7 @@
         double old = Math.min(1, (now - op.learnedMs) / EVIDENCE_MS);
         double lightMs = Math.min(op.lightMs, usualMs(op));
         return lightMs * old + (usualMs(op) + op.deviationMs) * (1 - old)
-                <= Math.min(patience * op.budgetMs, mg.clientLeftMs) && welcome(op);
-    }
-
-    /** What became of those let in tells how many more to let in; each one turned away brings the next nearer. */
-    private boolean welcome(OpType op) {
-        boolean welcome = random.nextDouble() < op.welcome;
-        op.welcome = welcome ? op.welcome : Math.min(1, op.welcome + WELCOME_STEP / 2);
-        return welcome;
-    }
-
-    private static void learnWelcome(OpType op, boolean inTime) {
-        op.welcome = inTime ? Math.min(1, op.welcome + WELCOME_STEP) : op.welcome * WELCOME_CUT;
+                <= Math.min(patience * op.budgetMs, mg.clientLeftMs);
     }
 
     private double delayOf(Shard shard) {
@@ -906,7 +893,6 @@
             mg.betweenSteps = true;
         } else {
             mg.over = true;
-            learnWelcome(mg.opType, now <= mg.budgetAtMs);
         }
         drop(mg);
     }
@@ -950,7 +936,6 @@
                 && !part.abandoned && !hasSendOut(part)).mapToDouble(part -> part.weight).sum()) {
             // Danger: late work, which goes first by its key, makes all behind it late too; what is left of it
             // may take the share of the work that it still earns of the importance.
-            learnWelcome(op, false);
             giveUp(mg);
         }
     }
--- a/src/main/java/spartrail/model/OpType.java
+++ b/src/main/java/spartrail/model/OpType.java
@@ -25,7 +25,5 @@
     public double usualMs;
     public double deviationMs;
     public double learnedMs;
-    /** Share of multigets that is let in where nothing is held. */
-    public double welcome = 1;
     public double lightMs;
 }
