Cold servers: lower ranks by what the whole fleet asks; a rule broken on an incident

The share of ranks now comes from what a core takes in the span, less three deviations of chance, over what all nodes ask of one server, times the replicas that are missing.

--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -214,7 +214,7 @@
         int bestShare = 0;
         for (Server server : replicas) {
             if (server.state != Server.State.LIVE || now < server.closedUntilMs || room(server) <= 0 || isOut(part, server)
-                    || !coldAllows(part.multiget, server)) {
+                    || !coldAllows(part, server)) {
                 continue;
             }
             int load = server.callsOut + (callOpen(server) ? 0 : 1);
@@ -794,6 +794,7 @@
     private double warmMs;
     private double tipMultiple = 1;
     private double fallMs;
+    private double coreParts;
     private double warmParts;
 
     @Override
@@ -818,20 +819,26 @@
      * Danger: all nodes find the same fresh server idle and push it over together. Each keeps to what it has
      * itself seen a warm server take, scaled by age; where that is under one part in the span, it waits.
      */
-    private boolean coldAllows(Multiget mg, Server server) {
+    private boolean coldAllows(Part part, Server server) {
         if (!cold(server)) {
             return true;
         }
         while (!server.coldSends.isEmpty() && server.coldSends.peek() < now - fallMs) {
             server.coldSends.poll();
         }
-        double care = COLD_CARE * tipMultiple * warmth(server);
-        return server.coldSends.size() + 1 <= care * warmParts * fallMs
-                // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew
-                // stands idle. So few of its multigets meet one server that those of the lower ranks may pass
-                // whole: the same ones at every server, and no more than that part of what a warm one takes.
-                || mg.rank < care * RANKS && (server.coldSends.isEmpty() || server.coldSends.peek() == now
-                || server.coldSends.size() <= 2 * care * warmParts * fallMs);
+        double takes = tipMultiple * warmth(server) * fallMs;
+        if (server.coldSends.size() + 1 <= COLD_CARE * takes * warmParts) {
+            return true;
+        }
+        // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew stands idle.
+        // There so few multigets of a node meet one server that those of the lower ranks may pass whole, the same
+        // ones at every server: as many as keep what all nodes ask of it, with three deviations of chance, within
+        // what it takes. Where replicas are missing more is asked of those that are left.
+        double root = (Math.sqrt(9 + 4 * takes * coreParts) - 3) / 2;
+        long open = part.shard.replicas.stream().filter(other -> sound(other) && now >= other.closedUntilMs).count();
+        double asked = nodes * warmParts * fallMs * reach / Math.max(1, open);
+        return part.multiget.rank < RANKS * root * root / asked
+                && (server.coldSends.isEmpty() || server.coldSends.peek() == now);
     }
 
     /**
@@ -840,7 +847,8 @@
      */
     private void learnWarmParts() {
         double partMs = opTypes.stream().mapToDouble(op -> op.lightMs).max().orElse(0);
-        warmParts = Math.max(partMs > 0 ? 1 / partMs / nodes : 0, servers.values().stream()
+        coreParts = partMs > 0 ? 1 / partMs : 0;
+        warmParts = Math.max(coreParts / nodes, servers.values().stream()
                 .filter(server -> sound(server) && !cold(server)).mapToDouble(server -> server.answerRate)
                 .average().orElse(0));
     }
