Admit by the wait at servers, learned from all op types together

An op type that a node sees once in half a minute told nothing of the queues; what answers of any op type take beyond the light time does. The light time rises ten times slower, or it follows the queues.

--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -380,6 +380,11 @@
     private static final double LEAST_PATIENCE = 0.4;
     private static final double EVIDENCE_MS = 10_000;
 
+    /** How long parts wait at servers beyond the light time, its mean deviation, and when that was seen. */
+    private double waitMs;
+    private double waitDeviationMs;
+    private double learnedMs;
+
     private boolean comebackAllowed;
     private double longestComebackMs;
 
@@ -409,10 +414,10 @@
                     <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
         }
         // Danger: of many nodes none holds anything, and the queues that all of them make at the servers turn
-        // nobody away. Danger: where nothing is admitted nothing is learned; what was seen fades with its age.
-        double old = Math.min(1, (now - op.learnedMs) / EVIDENCE_MS);
-        double lightMs = Math.min(op.lightMs, usualMs(op));
-        return lightMs * old + (usualMs(op) + op.deviationMs) * (1 - old)
+        // nobody away. What answers of any op type take beyond the light time tells of those queues. Danger: where
+        // nothing is admitted nothing is learned; what was seen fades with its age.
+        double fresh = 1 - Math.min(1, (now - learnedMs) / EVIDENCE_MS);
+        return op.lightMs + (waitMs + waitDeviationMs) * fresh
                 <= Math.min(patience * op.budgetMs, mg.clientLeftMs);
     }
 
@@ -697,14 +702,17 @@
                 server.lastAnsweredSentMs = Math.max(server.lastAnsweredSentMs, send.sentMs);
                 server.answers++;
                 notePace(server, pace);
-                op.learnedMs = now;
+                learnedMs = now;
+                double waitedMs = tookMs - Math.min(tookMs, op.lightMs);
+                waitDeviationMs += (Math.abs(waitedMs - waitMs) - waitDeviationMs) * LEARN;
+                waitMs += (waitedMs - waitMs) * LEARN;
                 double step = op.usualMs == 0 ? 1 : LEARN;
                 op.deviationMs = op.usualMs == 0 ? tookMs / 2
                         : op.deviationMs + (Math.abs(tookMs - op.usualMs) - op.deviationMs) * LEARN;
                 op.usualMs += (tookMs - op.usualMs) * step;
                 if (send.alone) {
                     // Danger: under overload no server is idle; the figure falls quickly and rises slowly.
-                    double lightStep = op.lightMs == 0 ? 1 : tookMs < op.lightMs ? LEARN : LEARN / 4;
+                    double lightStep = op.lightMs == 0 ? 1 : tookMs < op.lightMs ? LEARN : LEARN / 40;
                     op.lightMs += (tookMs - op.lightMs) * lightStep;
                 }
             }
--- a/src/main/java/spartrail/model/OpType.java
+++ b/src/main/java/spartrail/model/OpType.java
@@ -24,6 +24,5 @@
      */
     public double usualMs;
     public double deviationMs;
-    public double learnedMs;
     public double lightMs;
 }
