A node that stood still judges nothing by its own gap (tests to follow)

A fleet that starts with cold servers only is sent its shares at once, from a guess of the work until answers tell.

--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -76,6 +76,9 @@
     private Decisions decisions = new Decisions();
     private double now;
     private double nextBeatMs;
+    /** When the next turn was asked for, and when this node last came back late. */
+    private double wakeMs = Double.MAX_VALUE;
+    private double backMs = Double.NEGATIVE_INFINITY;
     private long turns;
     private long dueCount;
 
@@ -163,14 +166,14 @@
             // Danger: a repeat that was harmless when it joined the queue need not be so when it leaves.
             if (!next.sends.isEmpty() && !mayRepeat(next)) {
                 unhold(next);
-                if (!hasSendOut(next)) {
+                if (!next.sendOut()) {
                     lose(next);
                 }
                 addHeads(next.shard, heads);
                 continue;
             }
             unhold(next);
-            learnDelay(next.shard, now - next.heldSinceMs);
+            next.shard.delayMs += (now - next.heldSinceMs - next.shard.delayMs) * LEARN;
             boolean opens = !callOpen(to);
             send(next, to);
             addHeads(next.shard, heads);
@@ -181,8 +184,8 @@
     }
 
     /**
-     * The parts of a queue that may leave next: its first, and those behind repeats. Danger: a repeat that may
-     * not go to the one replica with room would hold up all behind it.
+     * The parts of a queue that may leave next: its first, and those behind repeats. Danger: a repeat that
+     * may not go to the one replica with room would hold up all behind it.
      */
     private static void addHeads(Shard shard, TreeSet<Part> heads) {
         for (Part part : shard.queue) {
@@ -198,12 +201,12 @@
      */
     private Server pick(Part part) {
         List<Server> replicas = part.shard.replicas;
-        List<Server> fit = replicas.stream().filter(server -> sound(server) && !tried(part, server)).toList();
+        List<Server> fit = replicas.stream().filter(server -> sound(server) && !part.triedAt(server)).toList();
         Server best = fewestOut(part, fit);
         if (best == null) {
             // Danger: sound replicas drown while an ill one that still answers is spared all work.
             best = fewestOut(part,
-                    replicas.stream().filter(server -> answering(server) && !tried(part, server)).toList());
+                    replicas.stream().filter(server -> answering(server) && !part.triedAt(server)).toList());
         }
         return best == null && fit.isEmpty() ? fewestOut(part, replicas) : best;
     }
@@ -213,7 +216,7 @@
         int bestLoad = 0;
         int bestShare = 0;
         for (Server server : replicas) {
-            if (server.state != Server.State.LIVE || now < server.closedUntilMs || room(server) <= 0 || isOut(part, server)
+            if (server.state != Server.State.LIVE || now < server.closedUntilMs || room(server) <= 0 || part.outAt(server)
                     || !coldAllows(part, server)) {
                 continue;
             }
@@ -273,9 +276,11 @@
         send.alone = server.callsOut == 1;
         server.out.add(send);
         server.lastTurn = ++turns;
-        noteColdSend(server);
+        if (cold(server)) {
+            server.coldSends.add(now);
+        }
         if (!part.sends.isEmpty()) {
-            noteFurtherSend();
+            furtherSends.add(now);
         } else if (part.heldSinceMs == now) {
             furtherFund = Math.min(FUND_MOST, furtherFund + FUND_GAIN);
         }
@@ -299,7 +304,7 @@
         }
         learn(send, outcome, tookMs);
         Part part = send.part;
-        if (!part.multiget.over && !part.answered && !part.abandoned) {
+        if (!part.multiget.over && part.open()) {
             if (outcome == Send.Outcome.ANSWERED) {
                 close(part);
                 part.answered = true;
@@ -312,7 +317,7 @@
                 if (cleared && !part.multiget.over) {
                     resume(part.multiget);
                 }
-            } else if (!part.held && !hasSendOut(part)) {
+            } else if (!part.held && !part.sendOut()) {
                 if (outcome == Send.Outcome.RESET) {
                     brokeAt(part.multiget, send.server);
                 }
@@ -359,7 +364,7 @@
 
     /** No more answer of this part is waited for. */
     private static void close(Part part) {
-        if (!part.answered && !part.abandoned) {
+        if (part.open()) {
             part.multiget.openParts--;
             part.multiget.openWeight -= part.weight;
         }
@@ -414,8 +419,8 @@
                     <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
         }
         // Danger: of many nodes none holds anything, and the queues that all of them make at the servers turn
-        // nobody away. What answers of any op type take beyond the light time tells of those queues. Danger: where
-        // nothing is admitted nothing is learned; what was seen fades with its age.
+        // nobody away. What answers of any op type take beyond the light time tells of those queues. Danger:
+        // where nothing is admitted nothing is learned; what was seen fades with its age.
         double fresh = 1 - Math.min(1, (now - learnedMs) / EVIDENCE_MS);
         return op.lightMs + (waitMs + waitDeviationMs) * fresh
                 <= Math.min(patience * op.budgetMs, mg.clientLeftMs);
@@ -425,10 +430,6 @@
         return shard.queue.isEmpty() ? 0 : Math.max(shard.delayMs, now - shard.queue.first().heldSinceMs);
     }
 
-    private static void learnDelay(Shard shard, double heldMs) {
-        shard.delayMs += (heldMs - shard.delayMs) * LEARN;
-    }
-
     /** When a client that is turned away is to come back: once what is held now has left. */
     private double comebackMs(Multiget mg) {
         double delayMs = mg.parts.stream().mapToDouble(part -> part.shard.delayMs).max().orElse(0);
@@ -479,33 +480,19 @@
     }
 
     private void taken(int count) {
-        if (budgetSpanMs > 0) {
-            takings.add(new double[] {now, count});
-            takenInSpan += count;
-        }
-    }
-
-    private void noteFurtherSend() {
-        if (budgetSpanMs > 0) {
-            furtherSends.add(now);
-        }
+        takings.add(new double[] {now, count});
+        takenInSpan += count;
     }
 
-    /**
-     * The stated budget: danger of a rule broken where one send more than it is made, so both ends are cut
-     * short.
-     */
+    /** The stated budget. Danger of a rule broken by one send more than it: both ends are cut short. */
     private boolean inBudget() {
-        if (budgetSpanMs <= 0) {
-            return true;
-        }
         while (!takings.isEmpty() && takings.peek()[0] <= now - budgetSpanMs + turnMs) {
             takenInSpan -= takings.poll()[1];
         }
         while (!furtherSends.isEmpty() && furtherSends.peek() < now - budgetSpanMs - turnMs) {
             furtherSends.poll();
         }
-        return furtherSends.size() + 1 <= budgetFree + budgetShare * takenInSpan;
+        return budgetSpanMs <= 0 || furtherSends.size() + 1 <= budgetFree + budgetShare * takenInSpan;
     }
 
     /** Sends that a part may have by the importance of its op type against the others'. */
@@ -521,7 +508,7 @@
 
     /** What never ran cost no server work and counts towards the stated most only. */
     private boolean sendsSpent(Part part) {
-        return part.sends.size() >= mostSends || part.sends.stream().filter(send -> !neverRan(send)).count()
+        return part.sends.size() >= mostSends || part.sends.stream().filter(send -> !send.neverRan()).count()
                 >= sendsFor(part.multiget.opType);
     }
 
@@ -532,33 +519,17 @@
     /** Whether the rules of effects and budget let this part have another send. */
     private boolean mayRepeat(Part part) {
         OpType op = part.multiget.opType;
-        if (hasSendOut(part) && !mayRace(part) || sendsSpent(part) || !inBudget()) {
+        if (part.sendOut() && !mayRace(part) || sendsSpent(part) || !inBudget()) {
             return false;
         }
         return switch (op.repeat) {
             case RETRIABLE -> true;
-            case NON_RETRIABLE -> part.sends.stream().allMatch(WindowCoordinator::neverRan);
-            case DEDUPED -> part.sends.stream().filter(send -> !neverRan(send))
+            case NON_RETRIABLE -> part.sends.stream().allMatch(Send::neverRan);
+            case DEDUPED -> part.sends.stream().filter(send -> !send.neverRan())
                     .allMatch(send -> now - send.sentMs < op.dedupMs - turnMs);
         };
     }
 
-    private static boolean neverRan(Send send) {
-        return send.outcome != null && !send.outcome.mayHaveRun;
-    }
-
-    private static boolean hasSendOut(Part part) {
-        return part.sends.stream().anyMatch(Send::out);
-    }
-
-    private static boolean tried(Part part, Server server) {
-        return part.sends.stream().anyMatch(send -> send.server == server);
-    }
-
-    private static boolean isOut(Part part, Server server) {
-        return part.sends.stream().anyMatch(send -> send.out() && send.server == server);
-    }
-
     private double usualMs(OpType op) {
         return op.usualMs > 0 ? op.usualMs : op.budgetMs / 8;
     }
@@ -593,7 +564,7 @@
     /** All that waited for a first answer goes on. */
     private void resume(Multiget mg) {
         for (Part part : mg.parts) {
-            if (!mg.over && !part.answered && !part.abandoned && !part.held && !hasSendOut(part)) {
+            if (!mg.over && part.open() && !part.held && !part.sendOut()) {
                 if (part.sends.isEmpty()) {
                     hold(part);
                 } else {
@@ -618,7 +589,7 @@
      */
     private void overdue(Send send) {
         Part part = send.part;
-        if (!send.out() || send.streaming || part.multiget.over || part.answered || part.abandoned
+        if (!send.out() || send.streaming || part.multiget.over || !part.open()
                 || part.held || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
             return;
         }
@@ -628,7 +599,7 @@
         boolean lost = send.server.lastAnsweredSentMs > send.sentMs || now >= lostAtMs;
         // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is
         // due its turn.
-        boolean funded = furtherFund >= 1 && pick(part) != null;
+        boolean funded = !justBack() && furtherFund >= 1 && pick(part) != null;
         if (!part.multiget.tasting && lost && (send.server.ill || funded)) {
             furtherFund -= send.server.ill ? 0 : 1;
             hold(part);
@@ -691,16 +662,20 @@
         if (send.sentMs < server.bornMs) {
             return; // Of a process that is no more.
         }
+        if (outcome == Send.Outcome.ANSWERED) {
+            server.lastAnswerMs = now;
+            server.lastAnsweredSentMs = Math.max(server.lastAnsweredSentMs, send.sentMs);
+            server.answers++;
+            open(server);
+        }
+        if (justBack()) {
+            return;
+        }
         adjustLimit(send, outcome, tookMs);
         // Danger: a cold server is as slow as its age says; judged ill for it, it would never get its share.
         double pace = warmth(server) * tookMs / Math.max(1, usualMs(op));
         switch (outcome) {
             case ANSWERED -> {
-                server.lastAnswerMs = now;
-                server.closings = 0;
-                server.closedUntilMs = 0;
-                server.lastAnsweredSentMs = Math.max(server.lastAnsweredSentMs, send.sentMs);
-                server.answers++;
                 notePace(server, pace);
                 learnedMs = now;
                 double waitedMs = tookMs - Math.min(tookMs, op.lightMs);
@@ -724,21 +699,20 @@
             // Danger: each send to a machine that is down costs its part the time that connecting may take.
             case CONNECT_FAILED -> {
                 server.pace = 2 * FAILURE_PACE;
-                close(server, usualMs(op));
+                // Danger: where all replicas of a shard are down, a part has spent its sends within a blink.
+                // Such a server is left alone for an answer's time, each time in a row for twice as long.
+                if (now >= server.closedUntilMs) {
+                    server.closedUntilMs = now + usualMs(op) * (1 << Math.min(server.closings++, MOST_CLOSINGS));
+                }
             }
             default -> {
             }
         }
     }
 
-    /**
-     * Danger: where all replicas of a shard are down, a part has spent its sends within a blink. A server that
-     * cannot be connected to is left alone for an answer's time, each time in a row for twice as long.
-     */
-    private void close(Server server, double ms) {
-        if (now >= server.closedUntilMs) {
-            server.closedUntilMs = now + ms * (1 << Math.min(server.closings++, MOST_CLOSINGS));
-        }
+    private static void open(Server server) {
+        server.closings = 0;
+        server.closedUntilMs = 0;
     }
 
     private static void notePace(Server server, double pace) {
@@ -838,10 +812,11 @@
         if (server.coldSends.size() + 1 <= COLD_CARE * takes * warmParts) {
             return true;
         }
-        // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew stands idle.
-        // There so few multigets of a node meet one server that those of the lower ranks may pass whole, the same
-        // ones at every server: as many as keep what all nodes ask of it, with three deviations of chance, within
-        // what it takes. Where replicas are missing more is asked of those that are left.
+        // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew stands
+        // idle. There so few multigets of a node meet one server that those of the lower ranks may pass
+        // whole, the same ones at every server: as many as keep what all nodes ask of it, with three
+        // deviations of chance, within what it takes. Where replicas are missing more is asked of those that
+        // are left.
         double root = (Math.sqrt(9 + 4 * takes * coreParts) - 3) / 2;
         long open = part.shard.replicas.stream().filter(other -> sound(other) && now >= other.closedUntilMs).count();
         double asked = nodes * warmParts * fallMs * reach / Math.max(1, open);
@@ -854,19 +829,12 @@
      * share of one core's. Danger: of many servers that are seen seldom the busiest is so by chance.
      */
     private void learnWarmParts() {
-        double partMs = opTypes.stream().mapToDouble(op -> op.lightMs).max().orElse(0);
-        coreParts = partMs > 0 ? 1 / partMs : 0;
+        coreParts = 1 / opTypes.stream().mapToDouble(op -> op.lightMs > 0 ? op.lightMs : usualMs(op)).max().orElse(1);
         warmParts = Math.max(coreParts / nodes, servers.values().stream()
                 .filter(server -> sound(server) && !cold(server)).mapToDouble(server -> server.answerRate)
                 .average().orElse(0));
     }
 
-    private void noteColdSend(Server server) {
-        if (cold(server)) {
-            server.coldSends.add(now);
-        }
-    }
-
     // ---- 5. When to answer, partly answer or give up ----
 
     private double needed(Multiget mg) {
@@ -926,7 +894,7 @@
     /** The final answer of a multiget that is given up: pushed back only where a new try is harmless. */
     private void giveUp(Multiget mg) {
         boolean harmless = mg.opType.repeat == OpType.Repeat.RETRIABLE || mg.step == 1 && mg.parts.stream()
-                .flatMap(part -> part.sends.stream()).allMatch(WindowCoordinator::neverRan);
+                .flatMap(part -> part.sends.stream()).allMatch(Send::neverRan);
         mg.over = true;
         mg.answer = harmless ? Multiget.Answer.PUSHED_BACK : Multiget.Answer.FAILED;
         mg.comebackMs = harmless ? comebackMs(mg) : 0;
@@ -942,6 +910,10 @@
         if (mg.over) {
             return;
         }
+        if (now == backMs) {
+            due(now + turnMs, () -> budgetEnds(mg));
+            return;
+        }
         OpType op = mg.opType;
         // Danger: an answer between the steps would be the final one, before the second step's parts are
         // there.
@@ -949,9 +921,9 @@
                 && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
             answer(mg, Multiget.Answer.PARTIAL);
         } else if (op.lateShare == 0 || op.lateShare < mg.parts.stream().filter(part -> !part.answered
-                && !part.abandoned && !hasSendOut(part)).mapToDouble(part -> part.weight).sum()) {
-            // Danger: late work, which goes first by its key, makes all behind it late too; what is left of it
-            // may take the share of the work that it still earns of the importance.
+                && !part.abandoned && !part.sendOut()).mapToDouble(part -> part.weight).sum()) {
+            // Danger: late work, which goes first by its key, makes all behind it late too; what is left of
+            // it may take the share of the work that it still earns of the importance.
             giveUp(mg);
         }
     }
@@ -1011,24 +983,24 @@
             servers.values().forEach(server -> server.state = Server.State.GONE);
         }
         for (Server line : lines) {
-            Server server = servers.computeIfAbsent(line.id, id -> newServer(line));
+            Server server = servers.computeIfAbsent(line.id, Server::new);
             server.zone = line.zone;
             server.kind = line.kind;
             server.cell = line.cell;
             server.state = line.state;
             server.rating = line.rating;
-            if (line.bornMs > server.bornMs) {
+            if (line.bornMs > server.bornMs || server.limit == 0) {
                 // A new process: nothing that was seen of the old one holds.
                 server.bornMs = line.bornMs;
                 server.limit = cold(server) ? 2 : FIRST_LIMIT;
                 server.pace = 1;
                 server.ill = false;
-                server.closings = 0;
-                server.closedUntilMs = 0;
+                open(server);
                 server.coldSends.clear();
             }
         }
         setReplicas();
+        learnWarmParts();
         if (fresh) {
             backoffMs = FIRST_BACKOFF_MS;
             askAtMs = Double.MAX_VALUE;
@@ -1044,12 +1016,6 @@
         return decisions;
     }
 
-    private Server newServer(Server line) {
-        Server server = new Server(line.id);
-        server.limit = FIRST_LIMIT;
-        return server;
-    }
-
     private void setReplicas() {
         shards.forEach(shard -> shard.replicas.clear());
         for (Server server : servers.values()) {
@@ -1086,8 +1052,21 @@
 
     // ---- Time ----
 
+    /**
+     * Danger: a node that itself stood still finds all that came meanwhile at once, some of it behind its own
+     * due times, and would take its own gap for slow servers. Such a node looks at nothing but answers for a
+     * beat.
+     */
+    private boolean justBack() {
+        return now < backMs + BEAT_MS;
+    }
+
     private void begin(double nowMs) {
         now = nowMs;
+        if (now > wakeMs + BEAT_MS) {
+            backMs = now;
+        }
+        wakeMs = Double.MAX_VALUE;
         decisions = new Decisions();
     }
 
@@ -1098,7 +1077,8 @@
     @Override
     public double waitMs(double nowMs) {
         double next = dues.isEmpty() ? nextBeatMs : Math.min(nextBeatMs, dues.peek().atMs);
-        return Math.max(0, next - nowMs);
+        wakeMs = Math.max(nowMs, next);
+        return wakeMs - nowMs;
     }
 
     @Override
@@ -1109,7 +1089,9 @@
         }
         if (now >= nextBeatMs) {
             nextBeatMs = now + BEAT_MS;
-            judge();
+            if (!justBack()) {
+                judge();
+            }
             learnWarmParts();
             follow();
             release(shards);
--- a/src/main/java/spartrail/model/Part.java
+++ b/src/main/java/spartrail/model/Part.java
@@ -15,4 +15,21 @@
     public boolean answered;
     public boolean abandoned;
     public final List<Send> sends = new ArrayList<>();
+
+    /** Its answer is still waited for. */
+    public boolean open() {
+        return !answered && !abandoned;
+    }
+
+    public boolean sendOut() {
+        return sends.stream().anyMatch(Send::out);
+    }
+
+    public boolean triedAt(Server server) {
+        return sends.stream().anyMatch(send -> send.server == server);
+    }
+
+    public boolean outAt(Server server) {
+        return sends.stream().anyMatch(send -> send.out() && send.server == server);
+    }
 }
--- a/src/main/java/spartrail/model/Send.java
+++ b/src/main/java/spartrail/model/Send.java
@@ -38,4 +38,9 @@
     public boolean out() {
         return outcome == null;
     }
+
+    /** Known not to have run. */
+    public boolean neverRan() {
+        return outcome != null && !outcome.mayHaveRun;
+    }
 }
