--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.DoubleSummaryStatistics;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -723,6 +724,7 @@
     private double fallMs;
     private double coreParts;
     private double warmParts;
+    private double busyParts;
 
     @Override
     public Coordinator coldStart(double leastShare, double warmAfterMs, double tip, double fall) {
@@ -752,7 +754,7 @@
         }
         int sent = server.coldSends.since(now - fallMs);
         double takes = tipMultiple * warmth(server) * fallMs;
-        if (sent + 1 <= COLD_CARE * takes * warmParts) {
+        if (sent + 1 <= COLD_CARE * takes * busyParts) {
             return true;
         }
         // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew stands
@@ -775,9 +777,10 @@
     private void learnWarmParts() {
         coreParts = 1 / opTypes.stream().mapToDouble(op -> op.lightMs > 0 ? op.lightMs : usualMs(op)).max()
                 .orElse(1);
-        warmParts = Math.max(coreParts / nodes, servers.values().stream()
-                .filter(server -> sound(server) && !cold(server)).mapToDouble(server -> server.answerRate)
-                .average().orElse(0));
+        DoubleSummaryStatistics rates = servers.values().stream().filter(server -> sound(server) && !cold(server))
+                .mapToDouble(server -> server.answerRate).summaryStatistics();
+        warmParts = Math.max(coreParts / nodes, rates.getAverage());
+        busyParts = Math.max(warmParts, Math.min(rates.getMax(), 2 * rates.getAverage()));
     }
 
     // ---- 5. When to answer, partly answer or give up ----
