--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -205,7 +205,7 @@
         int bestLoad = 0;
         int bestShare = 0;
         for (Server server : replicas) {
-            if (server.state != Server.State.LIVE || now < server.closedUntilMs || room(server) <= 0
+            if (server.state != Server.State.LIVE || room(server) <= 0
                     || part.outAt(server) || !coldAllows(part, server)) {
                 continue;
             }
@@ -484,12 +484,6 @@
         return most > 0 ? op.importance / most : 1;
     }
 
-    /** What never ran cost no server work and counts towards the stated most only. */
-    private boolean sendsSpent(Part part) {
-        return part.sends.size() >= mostSends || part.sends.stream().filter(send -> !send.neverRan()).count()
-                >= sendsFor(part.multiget.opType);
-    }
-
     private boolean mayRace(Part part) {
         return parallel && part.multiget.opType.repeat != OpType.Repeat.NON_RETRIABLE;
     }
@@ -497,7 +491,7 @@
     /** Whether the rules of effects and budget let this part have another send. */
     private boolean mayRepeat(Part part) {
         OpType op = part.multiget.opType;
-        if (part.sendOut() && !mayRace(part) || sendsSpent(part) || !inBudget()) {
+        if (part.sendOut() && !mayRace(part) || part.sends.size() >= sendsFor(op) || !inBudget()) {
             return false;
         }
         return switch (op.repeat) {
@@ -608,7 +602,6 @@
      * low limit.
      */
     private static final double FADE_MS = 4000;
-    private static final int MOST_CLOSINGS = 3;
     private static final double ANSWERING_MS = 1000;
 
     private boolean sound(Server server) {
@@ -630,7 +623,6 @@
             server.lastAnswerMs = now;
             server.lastAnsweredSentMs = Math.max(server.lastAnsweredSentMs, send.sentMs);
             server.answers++;
-            open(server);
         }
         if (justBack()) {
             return;
@@ -661,25 +653,12 @@
                     : Math.max(pace, server.pace));
             case ERROR, RESET, TIMED_OUT -> notePace(server, Math.max(pace, FAILURE_PACE));
             // Danger: each send to a machine that is down costs its part the time that connecting may take.
-            case CONNECT_FAILED -> {
-                server.pace = 2 * FAILURE_PACE;
-                // Danger: where all replicas of a shard are down, a part has spent its sends within a blink.
-                // Such a server is left alone for an answer's time, each time in a row for twice as long.
-                if (now >= server.closedUntilMs) {
-                    server.closedUntilMs = now + usualMs(op) * (1 << server.closings);
-                    server.closings = Math.min(server.closings + 1, MOST_CLOSINGS);
-                }
-            }
+            case CONNECT_FAILED -> server.pace = 2 * FAILURE_PACE;
             default -> {
             }
         }
     }
 
-    private static void open(Server server) {
-        server.closings = 0;
-        server.closedUntilMs = 0;
-    }
-
     private static void notePace(Server server, double pace) {
         server.pace += (Math.min(pace, 2 * FAILURE_PACE) - server.pace) * PACE_LEARN;
     }
@@ -763,9 +742,8 @@
         // deviations of chance, within what it takes. Where replicas are missing more is asked of those that
         // are left.
         double root = (Math.sqrt(9 + 4 * takes * coreParts) - 3) / 2;
-        long open = part.shard.replicas.stream().filter(rep -> sound(rep) && now >= rep.closedUntilMs)
-                .count();
-        double asked = nodes * warmParts * fallMs * layout.reach / Math.max(1, open);
+        long fit = part.shard.replicas.stream().filter(this::sound).count();
+        double asked = nodes * warmParts * fallMs * layout.reach / Math.max(1, fit);
         return part.multiget.rank < RANKS * root * root / asked
                 && server.coldSends.firstMs() >= now;
     }
@@ -777,8 +755,9 @@
     private void learnWarmParts() {
         coreParts = 1 / opTypes.stream().mapToDouble(op -> op.lightMs > 0 ? op.lightMs : usualMs(op)).max()
                 .orElse(1);
-        DoubleSummaryStatistics rates = servers.values().stream().filter(server -> sound(server) && !cold(server))
-                .mapToDouble(server -> server.answerRate).summaryStatistics();
+        DoubleSummaryStatistics rates = servers.values().stream()
+                .filter(server -> sound(server) && !cold(server)).mapToDouble(server -> server.answerRate)
+                .summaryStatistics();
         warmParts = Math.max(coreParts / nodes, rates.getAverage());
         busyParts = Math.max(warmParts, Math.min(rates.getMax(), 2 * rates.getAverage()));
     }
@@ -943,7 +922,6 @@
                 server.limit = cold(server) ? 2 : FIRST_LIMIT;
                 server.pace = 1;
                 server.ill = false;
-                open(server);
                 server.coldSends.clear();
             }
         }
