--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -224,7 +224,7 @@
     /**
      * Parts that may be sent to a server now. Danger: under load each answer frees one place, every part
      * travels alone, and the cost of calls eats the capacity. Where calls carry several parts, a busy server
-     * opens one at half its limit, and a call that is open is filled.
+     * opens one at half its limit.
      */
     private int room(Server server) {
         boolean shared = partsPerCall > 1 && !server.out.isEmpty() && !callOpen(server);
@@ -235,7 +235,7 @@
         return server.call != null && server.call.sentMs == now && server.call.parts < partsPerCall;
     }
 
-    /** How many held parts of the same multiget could travel in the same call; an open one goes first. */
+    /** How many held parts of the same multiget could travel in the same call. */
     private int callShare(Part part, Server server) {
         if (partsPerCall == 1) {
             return 0;
