--- a/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -292,6 +292,16 @@
                 .after("2.1#0", Outcome.ANSWERED).matches("given-up");
     }
 
+    @Test
+    void hundredsOfChangesAmongThousandsOfServersAreFollowed() {
+        Script script = new Script().fleet(4000, 2000, 4, 4);
+        Server[] draining = new Server[500];
+        for (int i = 0; i < draining.length; i++) {
+            draining[i] = line("s" + i, i, Server.State.DRAINING, -1);
+        }
+        script.listed(false, true, draining).place(1, 0, 498, 499, 500, 2000).place(2, 100).matches("many-changes");
+    }
+
     @Test
     void theLongestMultigetsFindTheirPlaces() {
         Script script = new Script().fleet(200, 100, 3, 4);
