Say a few things once: abandoning a part, a multiget's shards, the vital op type of tests

Tallies of what was taken forget what the budget no longer counts as they grow, instead of only when a repeat is asked for: without repeats, or without a budget, they grew for as long as the node ran. Two comments on cold servers say what the code does.

--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -110,6 +110,7 @@
     @Override
     public Decisions place(Multiget mg, double nowMs) {
         begin(nowMs);
+        taken.forget(now - budgetSpanMs);
         taken.add(now, mg.parts.size() + (mg.step == 1 ? 1 : 0));
         if (mg.step == 1) {
             mg.clientAtMs = now + mg.clientLeftMs;
@@ -129,7 +130,7 @@
             mg.openWeight += part.weight;
             hold(part);
         }
-        release(mg.parts.stream().map(part -> part.shard).distinct().toList());
+        release(shardsOf(mg));
         return decisions;
     }
 
@@ -141,6 +142,10 @@
         part.multiget.heldAt.add(part.shard);
     }
 
+    private static List<Shard> shardsOf(Multiget mg) {
+        return mg.parts.stream().map(part -> part.shard).toList();
+    }
+
     /** Lets parts go from these shards' queues, the first key first, while a replica has room for them. */
     private void release(Collection<Shard> from) {
         TreeSet<Part> heads = new TreeSet<>(KEY_ORDER);
@@ -358,6 +363,12 @@
         }
     }
 
+    private void abandon(Part part) {
+        unhold(part);
+        close(part);
+        part.abandoned |= !part.answered;
+    }
+
     /** The same everywhere for the same id, and without order in it. */
     private static int rank(long id) {
         long mixed = (id + 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
@@ -544,13 +555,11 @@
                 }
             }
         }
-        release(mg.parts.stream().map(part -> part.shard).toList());
+        release(shardsOf(mg));
     }
 
     private void lose(Part part) {
-        unhold(part);
-        close(part);
-        part.abandoned = true;
+        abandon(part);
         answerIfDone(part.multiget);
     }
 
@@ -725,7 +734,7 @@
 
     /**
      * Danger: all nodes find the same fresh server idle and push it over together. Each keeps to what it has
-     * itself seen a warm server take, scaled by age; where that is under one part in the span, it waits.
+     * itself seen a warm server take, scaled by age.
      */
     private boolean coldAllows(Part part, Server server) {
         if (!cold(server)) {
@@ -749,8 +758,9 @@
     }
 
     /**
-     * Parts that a warm server takes from this node in a millisecond: what they do on average, or this node's
-     * share of one core's. Danger: of many servers that are seen seldom the busiest is so by chance.
+     * Parts in a millisecond: what a core takes, what warm servers take from this node on average, at least
+     * its share of a core's, and what the busiest does. Danger: of many servers that are seen seldom the
+     * busiest is so by chance.
      */
     private void learnWarmParts() {
         coreParts = 1 / opTypes.stream().mapToDouble(op -> op.lightMs > 0 ? op.lightMs : usualMs(op)).max()
@@ -811,9 +821,7 @@
     /** Nothing of it is sent any more, and what is out is called back where that may be. */
     private void drop(Multiget mg) {
         for (Part part : mg.parts) {
-            unhold(part);
-            close(part);
-            part.abandoned |= !part.answered;
+            abandon(part);
             cancelSends(part);
         }
     }
@@ -847,8 +855,8 @@
         if (!mg.betweenSteps && has(mg, least(mg))
                 && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
             answer(mg, Multiget.Answer.PARTIAL);
-        } else if (op.lateShare == 0 || op.lateShare < mg.parts.stream().filter(part -> !part.answered
-                && !part.abandoned && !part.sendOut()).mapToDouble(part -> part.weight).sum()) {
+        } else if (op.lateShare == 0 || op.lateShare < mg.parts.stream()
+                .filter(part -> part.open() && !part.sendOut()).mapToDouble(part -> part.weight).sum()) {
             // Danger: late work, which goes first by its key, makes all behind it late too; what is left of
             // it may take the share of the work that it still earns of the importance.
             giveUp(mg);
@@ -919,7 +927,7 @@
             if (line.bornMs > server.bornMs || server.limit == 0) {
                 // A new process: nothing that was seen of the old one holds.
                 server.bornMs = line.bornMs;
-                server.limit = cold(server) ? 2 : FIRST_LIMIT;
+                server.limit = cold(server) ? FIRST_LIMIT / 2 : FIRST_LIMIT;
                 server.pace = 1;
                 server.ill = false;
                 server.coldSends.clear();
--- a/src/main/java/spartrail/model/Layout.java
+++ b/src/main/java/spartrail/model/Layout.java
@@ -8,7 +8,7 @@
 /** Which cells hold which shards: shard s is held by the cells (s + j) mod cells, j from 0 to reach - 1. */
 public final class Layout {
     public final List<Shard> shards = new ArrayList<>();
-    public final int cells;
+    private final int cells;
     public final int reach;
 
     public Layout(int shardCount, int cells, int reach, Comparator<Part> order) {
--- a/src/main/java/spartrail/model/Tally.java
+++ b/src/main/java/spartrail/model/Tally.java
@@ -18,10 +18,14 @@
 
     /** Counts at this time or later; earlier ones are forgotten. */
     public int since(double ms) {
-        while (!entries.isEmpty() && entries.peek().atMs < ms) {
+        forget(ms);
+        return total;
+    }
+
+    public void forget(double beforeMs) {
+        while (!entries.isEmpty() && entries.peek().atMs < beforeMs) {
             total -= entries.poll().count;
         }
-        return total;
     }
 
     /** Time of the first count that is not forgotten; infinite without one. */
--- a/src/test/java/spartrail/coordination/Script.java
+++ b/src/test/java/spartrail/coordination/Script.java
@@ -44,6 +44,15 @@
         opType.deviationMs = 20;
     }
 
+    /** A further op type, of three times the importance. */
+    OpType vital() {
+        OpType vital = new Script().opType;
+        vital.name = "vital";
+        vital.importance = 3;
+        opTypes.add(vital);
+        return vital;
+    }
+
     /** So many shards, each held by so many cells of one server, and every thing allowed. */
     Script fleet(int shards, int cells, int reach, int partsPerCall) {
         coordinator = new WindowCoordinator(new Random(7), opTypes)
--- a/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -198,10 +198,7 @@
     @Test
     void underOverloadTheLeastImportantAreTurnedAwayFirst() {
         Script script = new Script();
-        OpType vital = new Script().opType;
-        vital.name = "vital";
-        vital.importance = 3;
-        script.opTypes.add(vital);
+        OpType vital = script.vital();
         script.fleet(1, 1, 1, 1);
         for (int i = 1; i < 7; i++) {
             script.place(i, 0);
@@ -235,10 +232,7 @@
     @Test
     void aNodeThatHoldsNothingTurnsAwayByWhatAnswersTakeAndForgetsItInTime() {
         Script script = new Script();
-        OpType vital = new Script().opType;
-        vital.name = "vital";
-        vital.importance = 3;
-        script.opTypes.add(vital);
+        OpType vital = script.vital();
         script.fleet(4, 4, 1, 1);
         for (int i = 1; i < 5; i++) {
             script.place(i, i - 1).pass(900).afterAt("s" + (i - 1), Outcome.ANSWERED);
