--- /dev/null
+++ b/src/main/java/spartrail/cli/ServeCommand.java
@@ -0,0 +1,37 @@
+package spartrail.cli;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.kohsuke.args4j.Option;
+import spartrail.front.FrontNode;
+import spartrail.provisioning.DeploymentFile;
+
+/** Serves clients as a front node, until it is told to end; then it drains. */
+public final class ServeCommand implements Command {
+    @Option(name = "--config", metaVar = "FILE", usage = "the node's configuration; else BALANCER_CONFIG names it")
+    private Path config;
+
+    @Override
+    public int run(PrintStream out, PrintStream err) throws Exception {
+        String named = System.getenv("BALANCER_CONFIG");
+        if (config == null && (named == null || named.isEmpty())) {
+            throw new IllegalArgumentException("no configuration: give --config or BALANCER_CONFIG");
+        }
+        FrontNode node = new FrontNode(DeploymentFile.read(config == null ? Path.of(named) : config));
+        node.start();
+        CountDownLatch over = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                node.drain();
+                node.close();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } finally {
+                over.countDown();
+            }
+        }, "spartrail-drain"));
+        over.await();
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/cli/VersionCommand.java
@@ -0,0 +1,13 @@
+package spartrail.cli;
+
+import java.io.PrintStream;
+
+/** Says which version this is. */
+public final class VersionCommand implements Command {
+    @Override
+    public int run(PrintStream out, PrintStream err) {
+        String version = VersionCommand.class.getPackage().getImplementationVersion();
+        out.println("spartrail " + (version == null ? "(not packaged)" : version));
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -0,0 +1,193 @@
+package spartrail.client;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.IoCallback;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import spartrail.model.NodeClock;
+
+/** Where clients connect: HTTP requests in, final answers out. All but the constructor runs on the I/O thread. */
+public final class ClientDoor {
+    /** Who takes what clients ask. */
+    public interface Taker {
+        void asked(Ask ask, ClientRequest request);
+
+        void gone(ClientRequest request);
+    }
+
+    private static final System.Logger LOG = System.getLogger("spartrail.client");
+    /** The longest body that the protocol knows. */
+    private static final long LONGEST = 64 * 1024;
+
+    private final NodeClock clock;
+    private final AskReader reader;
+    private final Taker taker;
+    private final int mostConnections;
+    private final AcceptingChannel<StreamConnection> listening;
+    /** Open connections, the longest unused first; true while a request is in hand. */
+    private final Map<StreamConnection, Boolean> connections = new LinkedHashMap<>();
+    private final HttpOpenListener http;
+    private boolean up;
+    private boolean draining;
+
+    public ClientDoor(XnioWorker worker, ByteBufferPool buffers, InetSocketAddress address, NodeClock clock,
+            Set<String> opTypes, int shards, int mostConnections, Taker taker) throws IOException {
+        this.clock = clock;
+        this.reader = new AskReader(opTypes, shards);
+        this.taker = taker;
+        this.mostConnections = mostConnections;
+        http = new HttpOpenListener(buffers, OptionMap.builder()
+                .set(UndertowOptions.MAX_ENTITY_SIZE, LONGEST)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false).getMap());
+        http.setRootHandler(this::handle);
+        ChannelListener<AcceptingChannel<StreamConnection>> accepting = this::accept;
+        listening = worker.createStreamConnectionServer(address, accepting, OptionMap.builder()
+                .set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 1024).getMap());
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listening.getLocalAddress();
+    }
+
+    /** From now on clients are served. */
+    public void open() {
+        up = true;
+        listening.resumeAccepts();
+    }
+
+    /** New requests are still taken, but each answer is its connection's last. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Nothing new comes in: no connection is accepted, unused ones are closed. */
+    public void shut() {
+        IoUtils.safeClose(listening);
+        connections.entrySet().stream().filter(entry -> !entry.getValue()).map(Map.Entry::getKey).toList()
+                .forEach(IoUtils::safeClose);
+    }
+
+    public void close() {
+        IoUtils.safeClose(listening);
+        connections.keySet().stream().toList().forEach(IoUtils::safeClose);
+    }
+
+    public int size() {
+        return connections.size();
+    }
+
+    private void accept(AcceptingChannel<StreamConnection> channel) {
+        try {
+            for (StreamConnection next = channel.accept(); next != null; next = channel.accept()) {
+                StreamConnection connection = next;
+                if (Thread.currentThread() == connection.getIoThread()) {
+                    accepted(connection);
+                } else {
+                    connection.getIoThread().execute(() -> accepted(connection));
+                }
+            }
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "cannot accept a connection: " + e.getMessage());
+        }
+    }
+
+    private void accepted(StreamConnection connection) {
+        if (connections.size() >= mostConnections) {
+            // Danger: clients' connections use up the descriptors that servers and discovery need.
+            StreamConnection unused = connections.entrySet().stream().filter(entry -> !entry.getValue())
+                    .map(Map.Entry::getKey).findFirst().orElse(connection);
+            IoUtils.safeClose(unused);
+            if (unused == connection) {
+                return;
+            }
+        }
+        connections.put(connection, false);
+        http.handleEvent(connection);
+        ChannelListener<? super StreamConnection> theirs = connection.getCloseListener();
+        connection.setCloseListener(closed -> {
+            connections.remove(connection);
+            ChannelListeners.invokeChannelListener(closed, theirs);
+        });
+        if (!connection.isOpen()) {
+            connections.remove(connection);
+        }
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        StreamConnection connection = ClientRequest.channel(exchange);
+        connections.replace(connection, true);
+        exchange.addExchangeCompleteListener((ended, next) -> {
+            if (connections.remove(connection) != null) {
+                connections.put(connection, false);
+            }
+            next.proceed();
+        });
+        if (draining) {
+            exchange.setPersistent(false);
+        }
+        if (exchange.getRequestMethod().equals(Methods.GET) && exchange.getRequestPath().equals("/up")) {
+            exchange.setStatusCode(up && !draining ? 200 : 503);
+            exchange.endExchange();
+        } else if (exchange.getRequestMethod().equals(Methods.POST)) {
+            exchange.getRequestReceiver().receiveFullBytes(this::received, (failed, e) -> {
+                if (e instanceof io.undertow.io.Receiver.RequestToLargeException) {
+                    send(failed, Reply.refused(413, "the body is too long"));
+                } else {
+                    IoUtils.safeClose(failed.getConnection());
+                }
+            });
+        } else {
+            send(exchange, Reply.refused(405, "POST a multiget, or GET /up"));
+        }
+    }
+
+    private void received(HttpServerExchange exchange, byte[] body) {
+        double atMs = clock.nowMs();
+        try {
+            Ask ask = reader.read(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
+            ClientRequest request = new ClientRequest(this, exchange, atMs);
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                request.watchClient();
+                taker.asked(ask, request);
+            });
+        } catch (AskReader.BadRequest e) {
+            send(exchange, Reply.refused(400, e.getMessage()));
+        }
+    }
+
+    void gone(ClientRequest request) {
+        taker.gone(request);
+    }
+
+    void send(HttpServerExchange exchange, Reply reply) {
+        if (draining) {
+            exchange.setPersistent(false);
+        }
+        exchange.setStatusCode(reply.status());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE,
+                reply.status() == 200 ? "application/json" : "text/plain");
+        if (reply.retryAfter() != null) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, reply.retryAfter());
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(reply.body()), IoCallback.END_EXCHANGE);
+    }
+}
--- a/src/main/java/spartrail/coordination/Timetable.java
+++ b/src/main/java/spartrail/coordination/Timetable.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** What is due when, in order of time, then of entry. */
-final class Timetable {
+public final class Timetable {
     private record Due(double atMs, long number, Runnable what) {
     }
 
@@ -12,15 +12,15 @@
             new PriorityQueue<>(Comparator.comparingDouble(Due::atMs).thenComparingLong(Due::number));
     private long count;
 
-    void add(double atMs, Runnable what) {
+    public void add(double atMs, Runnable what) {
         dues.add(new Due(atMs, count++, what));
     }
 
-    double nextMs() {
+    public double nextMs() {
         return dues.isEmpty() ? Double.MAX_VALUE : dues.peek().atMs;
     }
 
-    void run(double nowMs) {
+    public void run(double nowMs) {
         while (nextMs() <= nowMs) {
             dues.poll().what.run();
         }
--- /dev/null
+++ b/src/main/java/spartrail/discovery/HostList.java
@@ -0,0 +1,72 @@
+package spartrail.discovery;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import spartrail.json.JsonTree;
+import spartrail.model.Server;
+
+/** A version of the list of servers, or the lines that changed. */
+public record HostList(long version, boolean all, List<Line> lines) {
+    /** A server and its address as this node reaches it; the time of its start is a Unix time, 0 if long ago. */
+    public record Line(String id, InetSocketAddress address, String zone, String kind, int cell, Server.State state,
+            double rating, long bootMs) {
+    }
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** Decodes a body in discovery's form; an IllegalArgumentException or IOException where it is none. */
+    public static HostList decode(byte[] body) throws IOException {
+        try (JsonParser parser = JSON.createParser(body)) {
+            if (parser.nextToken() == null || !(JsonTree.value(parser) instanceof Map<?, ?> tree)) {
+                throw new IllegalArgumentException("a list of servers is a JSON object");
+            }
+            return of(tree);
+        }
+    }
+
+    public static HostList of(Map<?, ?> tree) {
+        if (!(tree.get("rev") instanceof Number version) || !(tree.get("targets") instanceof List<?> targets)) {
+            throw new IllegalArgumentException("a list of servers has 'rev' and 'targets'");
+        }
+        List<Line> lines = new ArrayList<>();
+        for (Object target : targets) {
+            if (!(target instanceof Map<?, ?> line) || !(line.get("uid") instanceof String id)
+                    || !(line.get("pod_group") instanceof Number cell)) {
+                throw new IllegalArgumentException("a line of the list has 'uid' and 'pod_group'");
+            }
+            Server.State state = switch (String.valueOf(line.get("state"))) {
+                case "SERVING" -> Server.State.LIVE;
+                case "DRAINING" -> Server.State.DRAINING;
+                default -> Server.State.GONE;
+            };
+            InetSocketAddress address = line.get("endpoint") instanceof String endpoint ? address(endpoint) : null;
+            if (address == null && state != Server.State.GONE) {
+                throw new IllegalArgumentException("a server of the list has an 'endpoint'");
+            }
+            lines.add(new Line(id, address, String.valueOf(line.get("az")), String.valueOf(line.get("model")),
+                    cell.intValue(), state, line.get("capacity_hint") instanceof Number hint ? hint.doubleValue() : 1,
+                    line.get("boot_ms") instanceof Number boot ? boot.longValue() : 0));
+        }
+        return new HostList(version.longValue(), !Boolean.FALSE.equals(tree.get("all")), lines);
+    }
+
+    /** An address in the form host:port, without a look-up of names. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            String host = text.substring(0, Math.max(0, colon));
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (!host.isEmpty() && host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]|localhost") && port >= 0 && port < 65_536) {
+                return new InetSocketAddress(host, port);
+            }
+        } catch (NumberFormatException e) {
+            // Said below.
+        }
+        throw new IllegalArgumentException("no address of the form host:port: " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/front/ClientMultiget.java
@@ -0,0 +1,29 @@
+package spartrail.front;
+
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import spartrail.client.Ask;
+import spartrail.client.ClientRequest;
+import spartrail.model.Multiget;
+import spartrail.model.Part;
+import spartrail.model.Send;
+import spartrail.shard.PartRequest;
+
+/** A multiget in hand, with the client that waits for it and what servers have answered. */
+final class ClientMultiget extends Multiget {
+    final Ask ask;
+    final ClientRequest request;
+    final Map<Part, byte[]> values = new HashMap<>();
+    final Map<Send, PartRequest> requests = new IdentityHashMap<>();
+
+    ClientMultiget(Ask ask, ClientRequest request) {
+        this.ask = ask;
+        this.request = request;
+    }
+
+    /** What it takes of the most that a node may have in hand. */
+    int size() {
+        return 1 + parts.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/front/Counters.java
@@ -0,0 +1,23 @@
+package spartrail.front;
+
+import java.util.EnumMap;
+import java.util.Map;
+import spartrail.model.Multiget;
+import spartrail.model.Send;
+
+/** What a node has done since its start, for its log; kept by the node's thread. */
+final class Counters {
+    long taken;
+    long overCap;
+    long gone;
+    long lists;
+    long exceptions;
+    final Map<Multiget.Answer, Long> answers = new EnumMap<>(Multiget.Answer.class);
+    final Map<Send.Outcome, Long> outcomes = new EnumMap<>(Send.Outcome.class);
+
+    @Override
+    public String toString() {
+        return "taken " + taken + ", over cap " + overCap + ", clients gone " + gone + ", answers " + answers
+                + ", outcomes " + outcomes + ", lists " + lists + ", exceptions " + exceptions;
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/front/FrontNode.java
@@ -0,0 +1,124 @@
+package spartrail.front;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import spartrail.client.ClientDoor;
+import spartrail.discovery.HostList;
+import spartrail.discovery.HostWatch;
+import spartrail.model.Invariants;
+import spartrail.model.NodeClock;
+import spartrail.model.OpType;
+import spartrail.provisioning.DeploymentFile;
+import spartrail.shard.ShardPool;
+
+/**
+ * A front node that a program can embed: start it, let it drain, close it. One I/O thread does all that
+ * concerns sockets; one thread owns the decisions.
+ */
+public final class FrontNode implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger("spartrail.front");
+    /** After being asked to end, a node still gets new connections for less than this. */
+    private static final long STILL_COMING_MS = 700;
+    private static final int BUFFER = 8 * 1024;
+
+    private final DeploymentFile deployment;
+    private final Invariants invariants = new Invariants();
+    private XnioWorker worker;
+    private XnioIoThread io;
+    private NodeLoop loop;
+    private ShardPool servers;
+    private HostWatch watch;
+    private ClientDoor door;
+    private Thread thread;
+    private double longestMs;
+
+    public FrontNode(DeploymentFile deployment) {
+        this.deployment = deployment;
+    }
+
+    /** Listens and serves from here on. */
+    public void start() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 0).set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.WORKER_NAME, "spartrail-io").set(Options.THREAD_DAEMON, true).getMap());
+        io = worker.getIoThread();
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, 256, 0);
+        NodeClock clock = new NodeClock();
+        HostList known = deployment.known();
+        List<OpType> opTypes = deployment.opTypes();
+        longestMs = opTypes.stream().mapToDouble(op -> op.timeoutMs).max().orElse(0);
+        loop = new NodeLoop(deployment.coordinator(opTypes), opTypes, clock, io, deployment.turnMs(),
+                deployment.openCap(), deployment.mostSends(), invariants);
+        servers = new ShardPool(io, clock, deployment.callsPerConnection(), deployment.connectTimeoutMs(),
+                deployment.keepAliveMs(), deployment.cancelling(), loop, invariants);
+        watch = new HostWatch(io, buffers, deployment.discovery(), deployment.listAsked(), loop);
+        door = new ClientDoor(worker, buffers, deployment.listen(), clock,
+                opTypes.stream().map(op -> op.name).collect(java.util.stream.Collectors.toSet()),
+                deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), loop);
+        loop.tie(servers, watch, known);
+        thread = new Thread(loop, "spartrail-node");
+        thread.start();
+        io.execute(() -> {
+            if (!deployment.listAsked()) {
+                watch.start();
+            }
+            door.open();
+        });
+        LOG.log(System.Logger.Level.INFO, "serving on " + door.address() + ", " + known.lines().size()
+                + " servers known");
+    }
+
+    public InetSocketAddress address() {
+        return door.address();
+    }
+
+    /** Answers all that has been taken, and what may still come, then returns; the node is to be closed next. */
+    public void drain() throws InterruptedException {
+        LOG.log(System.Logger.Level.INFO, "draining");
+        CountDownLatch empty = new CountDownLatch(1);
+        io.execute(() -> {
+            door.drain();
+            io.executeAfter(() -> {
+                door.shut();
+                awaitEmpty(empty);
+            }, STILL_COMING_MS, TimeUnit.MILLISECONDS);
+        });
+        boolean all = empty.await(STILL_COMING_MS + Math.round(longestMs), TimeUnit.MILLISECONDS);
+        LOG.log(all ? System.Logger.Level.INFO : System.Logger.Level.WARNING,
+                all ? "drained" : "drained, with clients still connected");
+    }
+
+    private void awaitEmpty(CountDownLatch empty) {
+        if (door.size() == 0) {
+            empty.countDown();
+        } else {
+            io.executeAfter(() -> awaitEmpty(empty), 10, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        CountDownLatch closed = new CountDownLatch(1);
+        io.execute(() -> {
+            door.close();
+            watch.close();
+            servers.close();
+            closed.countDown();
+        });
+        closed.await();
+        loop.end();
+        thread.join();
+        worker.shutdown();
+        LOG.log(System.Logger.Level.INFO, "ended: " + loop.counters() + ", invariants broken " + invariants.broken());
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/front/NodeLoop.java
@@ -0,0 +1,381 @@
+package spartrail.front;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioIoThread;
+import spartrail.client.Ask;
+import spartrail.client.ClientDoor;
+import spartrail.client.ClientRequest;
+import spartrail.client.Reply;
+import spartrail.coordination.Coordinator;
+import spartrail.coordination.Timetable;
+import spartrail.discovery.HostList;
+import spartrail.discovery.HostWatch;
+import spartrail.model.Call;
+import spartrail.model.Decisions;
+import spartrail.model.Invariants;
+import spartrail.model.Multiget;
+import spartrail.model.NodeClock;
+import spartrail.model.OpType;
+import spartrail.model.Part;
+import spartrail.model.Send;
+import spartrail.model.Server;
+import spartrail.shard.PartRequest;
+import spartrail.shard.ShardPool;
+
+/**
+ * The one thread that owns the module, the multigets in hand and their timer. Socket code reaches it through
+ * its queue only, and is reached by tasks for the I/O thread only. It goes in turns: all that is queued is
+ * taken, then what was decided is carried out, so that parts which leave in one turn share their calls. It
+ * decides nothing.
+ */
+final class NodeLoop implements Runnable, ClientDoor.Taker, ShardPool.Ends, HostWatch.Listener {
+    private static final System.Logger LOG = System.getLogger("spartrail.front");
+
+    private final Coordinator coordinator;
+    private final Map<String, OpType> opTypes = new HashMap<>();
+    private final NodeClock clock;
+    private final XnioIoThread io;
+    private final Invariants invariants;
+    private final double turnMs;
+    private final int openCap;
+    private final int mostSends;
+
+    private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+    private final Map<String, ClientMultiget> inHand = new HashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private final Timetable timetable = new Timetable();
+    private final Counters counters = new Counters();
+    private ShardPool servers;
+    private HostWatch watch;
+
+    private double nowMs;
+    private int open;
+    private boolean dueTurn;
+    private volatile boolean ended;
+
+    // What this turn has decided.
+    private final List<Send> sends = new ArrayList<>();
+    private final List<Multiget> answers = new ArrayList<>();
+    private final List<Send> cancels = new ArrayList<>();
+    private final List<InetSocketAddress> barred = new ArrayList<>();
+    private boolean follow;
+
+    NodeLoop(Coordinator coordinator, List<OpType> opTypes, NodeClock clock, XnioIoThread io, double turnMs,
+            int openCap, int mostSends, Invariants invariants) {
+        this.coordinator = coordinator;
+        opTypes.forEach(op -> this.opTypes.put(op.name, op));
+        this.clock = clock;
+        this.io = io;
+        this.turnMs = turnMs;
+        this.openCap = openCap;
+        this.mostSends = mostSends;
+        this.invariants = invariants;
+    }
+
+    /** Before the loop starts: what it reaches, and the list as it was last had. */
+    void tie(ShardPool pool, HostWatch hosts, HostList known) {
+        servers = pool;
+        watch = hosts;
+        nowMs = clock.nowMs();
+        list(known, false);
+    }
+
+    void end() {
+        ended = true;
+        queue.add(() -> { });
+    }
+
+    Counters counters() {
+        return counters;
+    }
+
+    // ---- News from the sockets, on the I/O thread ----
+
+    @Override
+    public void asked(Ask ask, ClientRequest request) {
+        queue.add(() -> place(ask, request));
+    }
+
+    @Override
+    public void gone(ClientRequest request) {
+        queue.add(() -> {
+            for (ClientMultiget mg : inHand.values()) {
+                if (mg.request == request) {
+                    counters.gone++;
+                    take(coordinator.clientGone(mg, nowMs));
+                    release(mg);
+                    return;
+                }
+            }
+        });
+    }
+
+    @Override
+    public void ended(PartRequest part, Send.Outcome outcome, byte[] value, double atMs) {
+        queue.add(() -> after(part.send(), outcome, value, atMs));
+    }
+
+    @Override
+    public void listed(HostList list) {
+        queue.add(() -> list(list, true));
+    }
+
+    @Override
+    public void unlisted() {
+        queue.add(() -> take(coordinator.unlisted(nowMs)));
+    }
+
+    // ---- Turns ----
+
+    @Override
+    public void run() {
+        double lastTurnMs = 0;
+        boolean looking = false;
+        double dueMs = clock.nowMs();
+        while (!ended) {
+            try {
+                long waitNs = looking ? Long.MAX_VALUE : (long) (1e6 * (dueMs - clock.nowMs()));
+                Runnable first = queue.poll(Math.max(0, waitNs), TimeUnit.NANOSECONDS);
+                if (first == null) {
+                    looking = true;
+                    lookAtSockets();
+                    continue;
+                }
+                double earlyMs = lastTurnMs + turnMs - clock.nowMs();
+                if (earlyMs > 0) {
+                    TimeUnit.NANOSECONDS.sleep((long) (1e6 * earlyMs));
+                }
+                nowMs = clock.nowMs();
+                lastTurnMs = nowMs;
+                for (Runnable next = first; next != null; next = queue.poll()) {
+                    guarded(next);
+                }
+                if (dueTurn) {
+                    dueTurn = false;
+                    looking = false;
+                    guarded(() -> timetable.run(nowMs));
+                    guarded(() -> take(coordinator.waited(nowMs)));
+                }
+                guarded(this::carryOut);
+                dueMs = Math.min(nowMs + coordinator.waitMs(nowMs), timetable.nextMs());
+            } catch (InterruptedException e) {
+                ended = true;
+            }
+        }
+    }
+
+    /**
+     * Has the I/O thread take what waits in the sockets before anything that is due. Danger: a node that
+     * stood still would time out what was answered long ago.
+     */
+    private void lookAtSockets() {
+        io.execute(() -> io.executeAfter(() -> queue.add(() -> dueTurn = true), 1, TimeUnit.MILLISECONDS));
+    }
+
+    /** What goes wrong in one call ends there; multigets that are hurt by it are ended by their time. */
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | AssertionError e) {
+            counters.exceptions++;
+            LOG.log(System.Logger.Level.ERROR, "exception on the node's thread", e);
+        }
+    }
+
+    private void place(Ask ask, ClientRequest request) {
+        counters.taken++;
+        if (inHand.containsKey(ask.id()) || open + 1 + ask.parts().size() > openCap) {
+            counters.overCap++;
+            io.execute(() -> request.answer(Reply.pushedBack(0)));
+            return;
+        }
+        ClientMultiget mg = new ClientMultiget(ask, request);
+        mg.id = hash(ask.id());
+        mg.opType = opTypes.get(ask.opType());
+        mg.key = ask.key();
+        mg.clientRetry = ask.retry();
+        mg.arrivedMs = request.arrivedMs;
+        mg.clientLeftMs = ask.clientLeftMs() - (nowMs - request.arrivedMs);
+        for (Ask.AskedPart asked : ask.parts()) {
+            Part part = new Part();
+            part.id = asked.shard();
+            part.multiget = mg;
+            part.shard = coordinator.shard(asked.shard());
+            part.weight = asked.weight();
+            part.costMs = asked.costMs();
+            mg.costMs += asked.costMs();
+            mg.parts.add(part);
+        }
+        inHand.put(ask.id(), mg);
+        open += mg.size();
+        // Danger: whatever goes wrong in the decisions, the client gets its one final answer.
+        timetable.add(nowMs + mg.clientLeftMs, () -> {
+            if (!invariants.holds(inHand.get(ask.id()) != mg, "a multiget is answered in the client's time")) {
+                mg.over = true;
+                mg.answer = Multiget.Answer.FAILED;
+                answers.add(mg);
+            }
+        });
+        take(coordinator.place(mg, nowMs));
+    }
+
+    private void after(Send send, Send.Outcome outcome, byte[] value, double atMs) {
+        counters.outcomes.merge(outcome, 1L, Long::sum);
+        ClientMultiget mg = (ClientMultiget) send.part.multiget;
+        mg.requests.remove(send);
+        if (outcome == Send.Outcome.ANSWERED && send.part.open()) {
+            mg.values.put(send.part, value);
+        }
+        take(coordinator.after(send, outcome, Math.max(0, atMs - send.sentMs), nowMs));
+    }
+
+    private void list(HostList list, boolean fresh) {
+        List<Server> lines = new ArrayList<>();
+        for (HostList.Line line : list.lines()) {
+            InetSocketAddress old = addresses.get(line.id());
+            InetSocketAddress address = line.address() == null ? old : line.address();
+            Server server = new Server(line.id());
+            server.zone = line.zone();
+            server.kind = line.kind();
+            server.cell = line.cell();
+            server.state = line.state();
+            server.rating = line.rating();
+            server.bornMs = line.bootMs() > 0 ? clock.at(line.bootMs()) : -1;
+            lines.add(server);
+            if (address != null) {
+                addresses.put(line.id(), address);
+                if (line.state() != Server.State.LIVE) {
+                    barred.add(address);
+                }
+            }
+        }
+        if (list.all()) {
+            addresses.forEach((id, address) -> {
+                if (list.lines().stream().noneMatch(line -> line.id().equals(id))) {
+                    barred.add(address);
+                }
+            });
+        }
+        counters.lists++;
+        take(coordinator.listed(lines, list.all(), fresh, nowMs));
+    }
+
+    // ---- What was decided ----
+
+    private void take(Decisions decisions) {
+        sends.addAll(decisions.sends);
+        answers.addAll(decisions.answers);
+        cancels.addAll(decisions.cancels);
+        follow |= decisions.follow;
+    }
+
+    /** One task for the I/O thread: frames first, then what is taken back, then answers. */
+    private void carryOut() {
+        List<Runnable> tasks = new ArrayList<>();
+        barred.forEach(address -> tasks.add(() -> servers.bar(address)));
+        barred.clear();
+        calls(tasks);
+        for (Send send : cancels) {
+            PartRequest part = ((ClientMultiget) send.part.multiget).requests.get(send);
+            if (part != null) {
+                tasks.add(() -> servers.withdraw(part, Send.Outcome.CANCELLED));
+            }
+        }
+        cancels.clear();
+        for (Multiget answered : answers) {
+            ClientMultiget mg = (ClientMultiget) answered;
+            if (!release(mg)) {
+                continue;
+            }
+            // Danger: a part must not leave once its multiget has its answer.
+            mg.requests.values().forEach(part -> tasks.add(() -> servers.withdrawUnsent(part)));
+            Reply reply = reply(mg);
+            tasks.add(() -> mg.request.answer(reply));
+        }
+        answers.clear();
+        if (follow) {
+            follow = false;
+            tasks.add(watch::start);
+        }
+        if (!tasks.isEmpty()) {
+            io.execute(() -> tasks.forEach(Runnable::run));
+        }
+    }
+
+    private void calls(List<Runnable> tasks) {
+        Map<Call, List<PartRequest>> calls = new IdentityHashMap<>();
+        List<Call> order = new ArrayList<>();
+        for (Send send : sends) {
+            ClientMultiget mg = (ClientMultiget) send.part.multiget;
+            if (mg.over || send.cancelled || !invariants.holds(send.number < mostSends, "most sends of a part")) {
+                queue.add(() -> after(send, Send.Outcome.NOT_SENT, null, send.sentMs));
+                continue;
+            }
+            double untilMs = Math.min(send.sentMs + send.timeoutMs, mg.clientAtMs);
+            PartRequest part = new PartRequest(send, mg.ask.id() + '.' + send.part.shard.number,
+                    send.part.shard.number, mg.ask.text(), untilMs);
+            mg.requests.put(send, part);
+            timetable.add(untilMs, () -> {
+                if (send.out()) {
+                    io.execute(() -> servers.withdraw(part, Send.Outcome.TIMED_OUT));
+                }
+            });
+            calls.computeIfAbsent(send.call, call -> {
+                order.add(call);
+                return new ArrayList<>();
+            }).add(part);
+        }
+        sends.clear();
+        for (Call call : order) {
+            List<PartRequest> parts = calls.get(call);
+            InetSocketAddress address = addresses.get(parts.get(0).send().server.id);
+            tasks.add(() -> servers.send(address, parts));
+        }
+    }
+
+    /** Out of hand; false if it was so already. */
+    private boolean release(ClientMultiget mg) {
+        boolean held = inHand.remove(mg.ask.id(), mg);
+        if (held) {
+            open -= mg.size();
+        }
+        return held;
+    }
+
+    private Reply reply(ClientMultiget mg) {
+        counters.answers.merge(mg.answer, 1L, Long::sum);
+        switch (mg.answer) {
+            case WHOLE, PARTIAL -> {
+                List<Reply.Value> values = new ArrayList<>();
+                mg.parts.stream().filter(part -> part.answered && mg.values.containsKey(part))
+                        .forEach(part -> values.add(new Reply.Value(part.shard.number, mg.values.get(part))));
+                boolean all = values.size() == mg.parts.size() || mg.opType.need < 1;
+                boolean whole = mg.answer == Multiget.Answer.WHOLE
+                        && invariants.holds(all, "a whole answer has all its parts");
+                return Reply.returned(whole, values);
+            }
+            case PUSHED_BACK -> {
+                return Reply.pushedBack(mg.comebackMs);
+            }
+            default -> {
+                return Reply.failed();
+            }
+        }
+    }
+
+    /** A number for the id, from all of its characters. */
+    private static long hash(String id) {
+        long hash = 0xCBF29CE484222325L;
+        for (int i = 0; i < id.length(); i++) {
+            hash = (hash ^ id.charAt(i)) * 0x100000001B3L;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/json/JsonTree.java
@@ -0,0 +1,42 @@
+package spartrail.json;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads a JSON value whose form is not known beforehand: maps, lists, numbers, text, flags. */
+public final class JsonTree {
+    private JsonTree() {
+    }
+
+    /** The value that begins at the parser's current token. */
+    public static Object value(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
+            case START_ARRAY -> {
+                List<Object> list = new ArrayList<>();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(value(parser));
+                }
+                yield list;
+            }
+            case START_OBJECT -> {
+                Map<String, Object> map = new LinkedHashMap<>();
+                while (parser.nextToken() != JsonToken.END_OBJECT) {
+                    String name = parser.currentName();
+                    parser.nextToken();
+                    map.put(name, value(parser));
+                }
+                yield map;
+            }
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            case VALUE_NULL -> null;
+            default -> parser.getText();
+        };
+    }
+}
--- a/src/main/java/spartrail/model/Multiget.java
+++ b/src/main/java/spartrail/model/Multiget.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Set;
 
-/** What a client asked for: an answer put together from parts. */
-public final class Multiget {
+/** What a client asked for: an answer put together from parts. A front end may extend it by what it needs. */
+public class Multiget {
     /** How a multiget, or its first step, was answered. */
     public enum Answer { WHOLE, PARTIAL, PUSHED_BACK, FAILED }
 
--- /dev/null
+++ b/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -0,0 +1,162 @@
+package spartrail.provisioning;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import spartrail.coordination.Coordinator;
+import spartrail.discovery.HostList;
+import spartrail.json.JsonTree;
+import spartrail.model.OpType;
+
+/** The JSON file that tells a front node all it is told at its start; read once, asked by each part for its own. */
+public final class DeploymentFile {
+    private final Map<?, ?> tree;
+    private final Map<?, ?> info;
+
+    private DeploymentFile(Map<?, ?> tree) {
+        this.tree = tree;
+        this.info = (Map<?, ?>) tree.get("settings");
+    }
+
+    /** Reads and checks the file; what is wrong is said in one line. */
+    public static DeploymentFile read(Path path) throws IOException {
+        String text;
+        try {
+            text = Files.readString(path);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("cannot read " + path);
+        }
+        return parse(text);
+    }
+
+    public static DeploymentFile parse(String text) throws IOException {
+        try (JsonParser parser = new JsonFactory().createParser(text)) {
+            if (parser.nextToken() == null || !(JsonTree.value(parser) instanceof Map<?, ?> tree)) {
+                throw new IllegalArgumentException("a JSON object is expected");
+            }
+            if (!(tree.get("settings") instanceof Map<?, ?>)) {
+                throw new IllegalArgumentException("'settings' is missing or no object");
+            }
+            DeploymentFile file = new DeploymentFile(tree);
+            file.check();
+            return file;
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("no JSON: " + e.getOriginalMessage());
+        }
+    }
+
+    private void check() {
+        listen();
+        discovery();
+        known();
+        List<OpType> opTypes = opTypes();
+        coordinator(opTypes);
+        if (opTypes.stream().anyMatch(op -> op.secondStepParts > 0 || op.streamed)) {
+            throw new IllegalArgumentException("a class with a second step or a stream has no form on these sockets");
+        }
+        if (openCap() <= 0 || sockets() <= 0 || callsPerConnection() <= 0) {
+            throw new IllegalArgumentException("open-cap, sockets and streams-per-conn are above 0");
+        }
+    }
+
+    public String name() {
+        return String.valueOf(tree.get("name"));
+    }
+
+    public InetSocketAddress listen() {
+        return HostList.address(text("listen"));
+    }
+
+    public InetSocketAddress discovery() {
+        return HostList.address(text("discovery"));
+    }
+
+    /** The list of servers as this node last had it; it may be old. */
+    public HostList known() {
+        return tree.get("known") instanceof Map<?, ?> known ? HostList.of(known) : new HostList(0, true, List.of());
+    }
+
+    /** The chance of this start, from the seed in hex. */
+    private long seed() {
+        String seed = String.valueOf(tree.get("seed"));
+        try {
+            return Long.parseUnsignedLong(seed, 16);
+        } catch (NumberFormatException e) {
+            return seed.hashCode();
+        }
+    }
+
+    public List<OpType> opTypes() {
+        return Provisioning.opTypes(info);
+    }
+
+    public Coordinator coordinator(List<OpType> opTypes) {
+        return Provisioning.coordinator(seed(), info, opTypes);
+    }
+
+    /** Most file descriptors that the process may hold. */
+    public int sockets() {
+        return (int) number(map(tree, "limits"), "sockets", 1024);
+    }
+
+    /** Most multigets and parts in hand. */
+    public int openCap() {
+        return (int) number(map(info, "bounds"), "open-cap", Integer.MAX_VALUE);
+    }
+
+    public int mostSends() {
+        return (int) number(map(info, "bounds"), "try-limit", Integer.MAX_VALUE);
+    }
+
+    public int callsPerConnection() {
+        return (int) number(map(info, "bounds"), "streams-per-conn", 1);
+    }
+
+    public double connectTimeoutMs() {
+        return 1000 * number(map(info, "bounds"), "connect-timeout", 1);
+    }
+
+    /** After this long without use a server closes a connection. */
+    public double keepAliveMs() {
+        return 1000 * number(map(info, "bounds"), "keepalive", 30);
+    }
+
+    public boolean cancelling() {
+        return Boolean.TRUE.equals(map(info, "bounds").get("cancelling"));
+    }
+
+    public int shards() {
+        return (int) number(map(info, "family-info"), "slabs", 0);
+    }
+
+    /** The shortest time between two turns. */
+    public double turnMs() {
+        return 1000 * number(info, "tick", 0);
+    }
+
+    /** Whether the module says when the list's changes are asked for. */
+    public boolean listAsked() {
+        return "ask".equals(info.get("discovery"));
+    }
+
+    private String text(String name) {
+        if (!(tree.get(name) instanceof String value)) {
+            throw new IllegalArgumentException("'" + name + "' is missing or no text");
+        }
+        return value;
+    }
+
+    private static Map<?, ?> map(Map<?, ?> map, String name) {
+        return map.get(name) instanceof Map<?, ?> inner ? inner : Map.of();
+    }
+
+    private static double number(Map<?, ?> map, String name, double otherwise) {
+        return map.get(name) instanceof Number number ? number.doubleValue() : otherwise;
+    }
+}
--- a/src/main/java/spartrail/sim/Provisioning.java
+++ b/src/main/java/spartrail/provisioning/Provisioning.java
@@ -1,4 +1,4 @@
-package spartrail.sim;
+package spartrail.provisioning;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,12 +8,12 @@
 import spartrail.coordination.WindowCoordinator;
 import spartrail.model.OpType;
 
-/** Turns what the wire says at an instance's start into our words and milliseconds. */
-final class Provisioning {
+/** Turns what a node is told at its start, on either wire, into our words and milliseconds. */
+public final class Provisioning {
     private Provisioning() {
     }
 
-    static List<OpType> opTypes(Map<?, ?> info) {
+    public static List<OpType> opTypes(Map<?, ?> info) {
         List<OpType> opTypes = new ArrayList<>();
         Map<?, ?> layout = map(info, "family-info");
         for (Object entry : list(need(info, "classes", ""))) {
@@ -37,7 +37,7 @@
         return opTypes;
     }
 
-    static Coordinator coordinator(long seed, Map<?, ?> info, List<OpType> opTypes) {
+    public static Coordinator coordinator(long seed, Map<?, ?> info, List<OpType> opTypes) {
         Map<?, ?> layout = map(info, "family-info");
         Map<?, ?> bounds = map(info, "bounds");
         Map<?, ?> rules = map(info, "rules");
--- /dev/null
+++ b/src/main/java/spartrail/shard/Frames.java
@@ -0,0 +1,124 @@
+package spartrail.shard;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+
+/** The frames between front nodes and index servers: a length, a letter, the rest. */
+final class Frames {
+    /** A server's answer for one part. */
+    record Answer(String id, End end, byte[] value) {
+    }
+
+    /** How a server says that a part ended. */
+    enum End { OK, ERROR, REJECTED }
+
+    /** A frame that the protocol does not know. */
+    static final class Garbled extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Garbled(String what) {
+            super(what);
+        }
+    }
+
+    /** A value goes into a client's answer, and no answer is longer than this. */
+    static final int LONGEST = 64 * 1024;
+    private static final int HEAD = 5;
+
+    private Frames() {
+    }
+
+    /** One call: each part a line and its text. */
+    static ByteBuffer call(List<PartRequest> parts, double nowMs) {
+        ByteArrayOutputStream rest = new ByteArrayOutputStream();
+        for (PartRequest part : parts) {
+            long waitMs = Math.max(1, (long) (part.untilMs - nowMs));
+            byte[] line = (part.id + ' ' + part.shard + " d=" + waitMs + ' ' + part.text.length + '\n')
+                    .getBytes(StandardCharsets.US_ASCII);
+            rest.writeBytes(line);
+            rest.writeBytes(part.text);
+        }
+        return frame('R', rest.toByteArray());
+    }
+
+    /** A part is given up. */
+    static ByteBuffer giveUp(String id) {
+        return frame('A', id.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    static ByteBuffer frame(char letter, byte[] rest) {
+        ByteBuffer frame = ByteBuffer.allocate(HEAD + rest.length);
+        return frame.putInt(1 + rest.length).put((byte) letter).put(rest).flip();
+    }
+
+    /** Takes bytes as they come and tells where frames end. */
+    static final class Reader {
+        private byte[] bytes = new byte[512];
+        private int from;
+        private int to;
+
+        void take(ByteBuffer in) {
+            int more = in.remaining();
+            if (from > 0) {
+                System.arraycopy(bytes, from, bytes, 0, to - from);
+                to -= from;
+                from = 0;
+            }
+            if (to + more > bytes.length) {
+                bytes = Arrays.copyOf(bytes, Math.max(2 * bytes.length, to + more));
+            }
+            in.get(bytes, to, more);
+            to += more;
+        }
+
+        /** The next answer that is there whole, or null. Probes' answers, which nobody here asks for, are passed over. */
+        Answer next() throws Garbled {
+            while (to - from >= 4) {
+                int length = ByteBuffer.wrap(bytes, from, 4).getInt();
+                if (length < 1 || length > LONGEST) {
+                    throw new Garbled("a frame of length " + length);
+                }
+                if (to - from < 4 + length) {
+                    return null;
+                }
+                char letter = (char) (bytes[from + 4] & 0xff);
+                int start = from + HEAD;
+                int end = from + 4 + length;
+                from = end;
+                switch (letter) {
+                    case 'Y':
+                        return answer(start, end);
+                    case 'N':
+                        throw new Garbled("N: " + new String(bytes, start, Math.min(100, end - start),
+                                StandardCharsets.US_ASCII).replaceAll("[^ -~]", "?"));
+                    case 'G', 'T':
+                        break;
+                    default:
+                        throw new Garbled("a frame of letter " + (int) letter);
+                }
+            }
+            return null;
+        }
+
+        private Answer answer(int start, int end) throws Garbled {
+            int lf = start;
+            while (lf < end && bytes[lf] != '\n') {
+                lf++;
+            }
+            String[] words = new String(bytes, start, lf - start, StandardCharsets.US_ASCII).split(" ");
+            if (lf == end || words.length != 4) {
+                throw new Garbled("an answer without its line");
+            }
+            End how = switch (words[1]) {
+                case "OK" -> End.OK;
+                case "ERROR" -> End.ERROR;
+                case "REJECTED" -> End.REJECTED;
+                default -> throw new Garbled("an answer of an unknown end");
+            };
+            return new Answer(words[0], how, Arrays.copyOfRange(bytes, lf + 1, end));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/spartrail/shard/ShardConnection.java
@@ -0,0 +1,243 @@
+package spartrail.shard;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.conduits.ConduitStreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import spartrail.model.Send.Outcome;
+
+/** One connection to a server: calls that wait to be written, and parts that wait for answers. */
+final class ShardConnection {
+    private final ShardPool pool;
+    private final InetSocketAddress address;
+    private final Deque<ShardCall> waiting = new ArrayDeque<>();
+    private final Deque<ByteBuffer> giveUps = new ArrayDeque<>();
+    /** The call whose frame is being written, and what is left of the frame; no call for a frame that gives up. */
+    private ShardCall writing;
+    private ByteBuffer left;
+    private final Map<String, PartRequest> out = new HashMap<>();
+    private final Frames.Reader frames = new Frames.Reader();
+
+    private final IoFuture<StreamConnection> opening;
+    private final XnioExecutor.Key openTimer;
+    private StreamConnection connection;
+    private boolean closed;
+    private double usedMs;
+
+    ShardConnection(ShardPool pool, InetSocketAddress address) {
+        this.pool = pool;
+        this.address = address;
+        this.usedMs = pool.clock.nowMs();
+        // Danger: a machine that vanished says nothing, and what waits for its connection would wait on.
+        openTimer = pool.io.executeAfter(() -> {
+            if (connection == null) {
+                end("no connection in time");
+            }
+        }, Math.round(pool.connectTimeoutMs), TimeUnit.MILLISECONDS);
+        opening = pool.io.openStreamConnection(address, null, OptionMap.create(Options.TCP_NODELAY, true));
+        opening.addNotifier((future, attachment) -> pool.io.execute(() -> opened(future)), null);
+    }
+
+    private void opened(IoFuture<? extends StreamConnection> future) {
+        openTimer.remove();
+        if (future.getStatus() != IoFuture.Status.DONE) {
+            end("cannot connect");
+            return;
+        }
+        try {
+            StreamConnection opened = future.get();
+            if (closed) {
+                IoUtils.safeClose(opened);
+                return;
+            }
+            connection = opened;
+            connection.getSourceChannel().setReadListener(this::readable);
+            connection.getSinkChannel().setWriteListener(channel -> write());
+            connection.getSourceChannel().resumeReads();
+            write();
+        } catch (IOException e) {
+            end("cannot connect");
+        }
+    }
+
+    /** Parts that it has in hand, of the number that it may carry. */
+    int load() {
+        int load = out.size();
+        for (ShardCall call : waiting) {
+            load += call.parts.size();
+        }
+        return load + (writing == null ? 0 : writing.parts.size());
+    }
+
+    boolean idleSince(double ms) {
+        return load() == 0 && left == null && giveUps.isEmpty() && usedMs < ms;
+    }
+
+    void send(ShardCall call) {
+        usedMs = pool.clock.nowMs();
+        call.parts.forEach(part -> part.connection = this);
+        waiting.add(call);
+        if (connection != null) {
+            write();
+        }
+    }
+
+    /** Nothing more is waited for; a frame that has not begun does not leave. False where its part may have run. */
+    boolean withdraw(PartRequest part) {
+        if (part.stage == PartRequest.Stage.WAITING) {
+            part.call.parts.remove(part);
+            if (part.call.parts.isEmpty()) {
+                waiting.remove(part.call);
+            }
+            return true;
+        }
+        out.remove(part.id, part);
+        if (pool.cancelling && !closed) {
+            giveUps.add(Frames.giveUp(part.id));
+            if (connection != null) {
+                write();
+            }
+        }
+        return false;
+    }
+
+    /** Whatever has not begun to leave goes back unsent. */
+    void dropWaiting() {
+        List<ShardCall> calls = new ArrayList<>(waiting);
+        waiting.clear();
+        calls.forEach(call -> List.copyOf(call.parts).forEach(part -> pool.ended(part, Outcome.NOT_SENT, null)));
+    }
+
+    private void write() {
+        if (closed) {
+            return;
+        }
+        ConduitStreamSinkChannel sink = connection.getSinkChannel();
+        try {
+            while (nextFrame()) {
+                sink.write(left);
+                if (left.hasRemaining()) {
+                    sink.resumeWrites();
+                    return;
+                }
+                left = null;
+                usedMs = pool.clock.nowMs();
+                if (writing != null) {
+                    for (PartRequest part : writing.parts) {
+                        if (part.stage == PartRequest.Stage.BEGUN) {
+                            part.stage = PartRequest.Stage.WRITTEN;
+                            out.put(part.id, part);
+                        }
+                    }
+                    writing = null;
+                }
+            }
+            if (!sink.flush()) {
+                sink.resumeWrites();
+            } else {
+                sink.suspendWrites();
+            }
+        } catch (IOException e) {
+            end("broken while writing");
+        }
+    }
+
+    /** Begins the next frame if none is being written. */
+    private boolean nextFrame() {
+        if (left != null) {
+            return true;
+        }
+        left = giveUps.poll();
+        if (left == null && !waiting.isEmpty()) {
+            writing = waiting.poll();
+            writing.parts.forEach(part -> part.stage = PartRequest.Stage.BEGUN);
+            left = Frames.call(writing.parts, pool.clock.nowMs());
+        }
+        return left != null;
+    }
+
+    private void readable(ConduitStreamSourceChannel source) {
+        try {
+            while (!closed) {
+                ByteBuffer buffer = pool.readBuffer.clear();
+                int got = source.read(buffer);
+                if (got < 0) {
+                    end("closed by the server");
+                } else if (got == 0) {
+                    return;
+                } else {
+                    frames.take(buffer.flip());
+                    for (Frames.Answer answer = frames.next(); answer != null; answer = frames.next()) {
+                        answered(answer);
+                    }
+                }
+            }
+        } catch (Frames.Garbled e) {
+            pool.log(System.Logger.Level.WARNING, "server " + address + ": unusable frame, connection closed: "
+                    + e.getMessage());
+            end(null);
+        } catch (IOException e) {
+            end("broken");
+        }
+    }
+
+    private void answered(Frames.Answer answer) {
+        usedMs = pool.clock.nowMs();
+        // Answers that are late, unknown or doubled concern nobody any more.
+        PartRequest part = out.remove(answer.id());
+        if (part != null) {
+            switch (answer.end()) {
+                case OK -> pool.ended(part, Outcome.ANSWERED, answer.value());
+                case ERROR -> pool.ended(part, Outcome.ERROR, null);
+                default -> pool.ended(part, Outcome.FULL, null);
+            }
+        }
+    }
+
+    /**
+     * The connection is over: what was written whole may have run, the rest never did. Danger: a frame that
+     * was written in part is no call to the server, so none of its parts ran.
+     */
+    void end(String why) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        openTimer.remove();
+        if (connection == null) {
+            opening.cancel();
+        } else {
+            IoUtils.safeClose(connection);
+        }
+        pool.forget(address, this);
+        List<PartRequest> never = new ArrayList<>();
+        if (writing != null) {
+            never.addAll(writing.parts);
+        }
+        waiting.forEach(call -> never.addAll(call.parts));
+        List<PartRequest> maybe = new ArrayList<>(out.values());
+        waiting.clear();
+        out.clear();
+        writing = null;
+        if (why != null && never.size() + maybe.size() > 0) {
+            pool.log(System.Logger.Level.DEBUG, "server " + address + ": " + why + "; " + never.size()
+                    + " parts never ran, " + maybe.size() + " may have");
+        }
+        never.forEach(part -> pool.ended(part, Outcome.CONNECT_FAILED, null));
+        maybe.forEach(part -> pool.ended(part, Outcome.RESET, null));
+    }
+}
--- a/src/main/java/spartrail/sim/SimHost.java
+++ b/src/main/java/spartrail/sim/SimHost.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import spartrail.json.JsonTree;
 
 /** Hosts instances on the simulator's wire: a line of events in, a line of actions out. */
 public final class SimHost {
@@ -60,7 +61,7 @@
             if (parser.nextToken() == null) {
                 throw new IllegalArgumentException("the line is empty");
             }
-            value = value(parser);
+            value = JsonTree.value(parser);
             if (parser.nextToken() != null) {
                 throw new IllegalArgumentException("more than one value on the line");
             }
@@ -85,32 +86,6 @@
         return batch;
     }
 
-    private static Object value(JsonParser parser) throws IOException {
-        return switch (parser.currentToken()) {
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(value(parser));
-                }
-                yield list;
-            }
-            case START_OBJECT -> {
-                Map<String, Object> map = new LinkedHashMap<>();
-                while (parser.nextToken() != JsonToken.END_OBJECT) {
-                    String name = parser.currentName();
-                    parser.nextToken();
-                    map.put(name, value(parser));
-                }
-                yield map;
-            }
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
-            case VALUE_TRUE -> true;
-            case VALUE_FALSE -> false;
-            case VALUE_NULL -> null;
-            default -> parser.getText();
-        };
-    }
-
     private void answer(Map<?, ?> batch) throws IOException {
         double nowMs = 1000 * ((Number) batch.get("t")).doubleValue();
         Map<Integer, SimNode> spoken = new LinkedHashMap<>();
--- a/src/main/java/spartrail/sim/SimNode.java
+++ b/src/main/java/spartrail/sim/SimNode.java
@@ -12,6 +12,7 @@
 import spartrail.model.Part;
 import spartrail.model.Send;
 import spartrail.model.Server;
+import spartrail.provisioning.Provisioning;
 
 /** One instance on the wire: keeps its timer and the multigets in hand, converts words and units. */
 final class SimNode {
