--- a/src/main/java/spartrail/cli/CommandLine.java
+++ b/src/main/java/spartrail/cli/CommandLine.java
@@ -20,6 +20,8 @@
 
     /** Runs the command that the arguments name; what is unknown ends with the usage and status 2. */
     public static int run(String[] args, PrintStream out, PrintStream err) {
+        // The parser of arguments logs too, so it comes first.
+        DrainingLogManager.install();
         CommandLine line = new CommandLine();
         try {
             new CmdLineParser(line).parseArgument(args);
--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -41,9 +41,20 @@
     private final AskReader reader;
     private final Taker taker;
     private final int mostConnections;
+    /** Most bytes of bodies that are still coming in, and how many these may become. */
+    private final long mostUnread = Runtime.getRuntime().maxMemory() / 4;
+    private long unread;
     private final AcceptingChannel<StreamConnection> listening;
-    /** Open connections, the longest unused first; true while a request is in hand. */
-    private final Map<StreamConnection, Boolean> connections = new LinkedHashMap<>();
+    /** A client's connection. */
+    private static final class Peer {
+        /** A request of it is in hand. */
+        boolean busy;
+        /** What its body, still coming in, may take. */
+        long unread;
+    }
+
+    /** Open connections, the longest unused first. */
+    private final Map<StreamConnection, Peer> connections = new LinkedHashMap<>();
     private final HttpOpenListener http;
     private boolean up;
     private boolean draining;
@@ -56,6 +67,7 @@
         this.mostConnections = mostConnections;
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_ENTITY_SIZE, LONGEST)
+                .set(UndertowOptions.MAX_HEADER_SIZE, (int) LONGEST / 4)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false).getMap());
         http.setRootHandler(this::handle);
@@ -82,7 +94,7 @@
     /** Nothing new comes in: no connection is accepted, unused ones are closed. */
     public void shut() {
         IoUtils.safeClose(listening);
-        connections.entrySet().stream().filter(entry -> !entry.getValue()).map(Map.Entry::getKey).toList()
+        connections.entrySet().stream().filter(entry -> !entry.getValue().busy).map(Map.Entry::getKey).toList()
                 .forEach(IoUtils::safeClose);
     }
 
@@ -113,31 +125,38 @@
     private void accepted(StreamConnection connection) {
         if (connections.size() >= mostConnections) {
             // Danger: clients' connections use up the descriptors that servers and discovery need.
-            StreamConnection unused = connections.entrySet().stream().filter(entry -> !entry.getValue())
+            StreamConnection unused = connections.entrySet().stream().filter(entry -> !entry.getValue().busy)
                     .map(Map.Entry::getKey).findFirst().orElse(connection);
             IoUtils.safeClose(unused);
             if (unused == connection) {
                 return;
             }
         }
-        connections.put(connection, false);
+        connections.put(connection, new Peer());
         http.handleEvent(connection);
         ChannelListener<? super StreamConnection> theirs = connection.getCloseListener();
         connection.setCloseListener(closed -> {
-            connections.remove(connection);
+            forget(connection);
             ChannelListeners.invokeChannelListener(closed, theirs);
         });
         if (!connection.isOpen()) {
-            connections.remove(connection);
+            forget(connection);
         }
     }
 
+    private void forget(StreamConnection connection) {
+        read(connections.remove(connection));
+    }
+
     private void handle(HttpServerExchange exchange) {
         StreamConnection connection = ClientRequest.channel(exchange);
-        connections.replace(connection, true);
+        Peer peer = connections.computeIfAbsent(connection, open -> new Peer());
+        peer.busy = true;
         exchange.addExchangeCompleteListener((ended, next) -> {
-            if (connections.remove(connection) != null) {
-                connections.put(connection, false);
+            read(peer);
+            peer.busy = false;
+            if (connections.remove(connection, peer)) {
+                connections.put(connection, peer);
             }
             next.proceed();
         });
@@ -148,7 +167,18 @@
             exchange.setStatusCode(up && !draining ? 200 : 503);
             exchange.endExchange();
         } else if (exchange.getRequestMethod().equals(Methods.POST)) {
+            long length = exchange.getRequestContentLength();
+            long claim = length < 0 ? LONGEST : Math.min(length, LONGEST);
+            if (unread + claim > mostUnread) {
+                // Danger: half-sent bodies fill the memory, and the node dies with all that it has in hand.
+                exchange.setPersistent(false);
+                send(exchange, Reply.refused(503, "too many requests are coming in"));
+                return;
+            }
+            peer.unread = claim;
+            unread += claim;
             exchange.getRequestReceiver().receiveFullBytes(this::received, (failed, e) -> {
+                read(peer);
                 if (e instanceof io.undertow.io.Receiver.RequestToLargeException) {
                     send(failed, Reply.refused(413, "the body is too long"));
                 } else {
@@ -160,7 +190,16 @@
         }
     }
 
+    /** Its body is read, or never will be. */
+    private void read(Peer peer) {
+        if (peer != null) {
+            unread -= peer.unread;
+            peer.unread = 0;
+        }
+    }
+
     private void received(HttpServerExchange exchange, byte[] body) {
+        read(connections.get(ClientRequest.channel(exchange)));
         double atMs = clock.nowMs();
         try {
             Ask ask = reader.read(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
--- a/src/main/java/spartrail/front/NodeLoop.java
+++ b/src/main/java/spartrail/front/NodeLoop.java
@@ -50,6 +50,7 @@
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final Map<String, ClientMultiget> inHand = new HashMap<>();
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<String, Long> boots = new HashMap<>();
     private final Timetable timetable = new Timetable();
     private final Counters counters = new Counters();
     private ShardPool servers;
@@ -58,6 +59,9 @@
     private double nowMs;
     private int open;
     private boolean dueTurn;
+    /** How long this node has just stood still; 0 again once all that waited in its sockets is taken. */
+    private double stoodStillMs;
+    private int looksAfter;
     private volatile boolean ended;
 
     // What this turn has decided.
@@ -65,6 +69,7 @@
     private final List<Multiget> answers = new ArrayList<>();
     private final List<Send> cancels = new ArrayList<>();
     private final List<InetSocketAddress> barred = new ArrayList<>();
+    private final List<InetSocketAddress> renewed = new ArrayList<>();
     private boolean follow;
 
     NodeLoop(Coordinator coordinator, List<OpType> opTypes, NodeClock clock, XnioIoThread io, double turnMs,
@@ -138,6 +143,7 @@
     public void run() {
         double lastTurnMs = 0;
         boolean looking = false;
+        double lookedMs = 0;
         double dueMs = clock.nowMs();
         while (!ended) {
             try {
@@ -145,6 +151,7 @@
                 Runnable first = queue.poll(Math.max(0, waitNs), TimeUnit.NANOSECONDS);
                 if (first == null) {
                     looking = true;
+                    lookedMs = clock.nowMs();
                     lookAtSockets();
                     continue;
                 }
@@ -154,23 +161,39 @@
                 }
                 nowMs = clock.nowMs();
                 lastTurnMs = nowMs;
+                noteStandstill(nowMs - (looking ? lookedMs : dueMs));
                 for (Runnable next = first; next != null; next = queue.poll()) {
                     guarded(next);
                 }
                 if (dueTurn) {
                     dueTurn = false;
                     looking = false;
+                    if (looksAfter > 0 && --looksAfter == 0) {
+                        stoodStillMs = 0;
+                    }
                     guarded(() -> timetable.run(nowMs));
                     guarded(() -> take(coordinator.waited(nowMs)));
                 }
                 guarded(this::carryOut);
                 dueMs = Math.min(nowMs + coordinator.waitMs(nowMs), timetable.nextMs());
+                dueMs = looksAfter > 0 ? nowMs : dueMs;
             } catch (InterruptedException e) {
                 ended = true;
             }
         }
     }
 
+    /**
+     * Danger: what clients sent while this node stood still is read late, and its time would be counted from
+     * the reading. Until the sockets have been gone through, whatever is read counts as come at the beginning.
+     */
+    private void noteStandstill(double lateMs) {
+        if (lateMs > 2 * turnMs && lateMs > stoodStillMs) {
+            stoodStillMs = lateMs;
+            looksAfter = 3;
+        }
+    }
+
     /**
      * Has the I/O thread take what waits in the sockets before anything that is due. Danger: a node that
      * stood still would time out what was answered long ago.
@@ -201,8 +224,8 @@
         mg.opType = opTypes.get(ask.opType());
         mg.key = ask.key();
         mg.clientRetry = ask.retry();
-        mg.arrivedMs = request.arrivedMs;
-        mg.clientLeftMs = ask.clientLeftMs() - (nowMs - request.arrivedMs);
+        mg.arrivedMs = request.arrivedMs - stoodStillMs;
+        mg.clientLeftMs = ask.clientLeftMs() - (nowMs - mg.arrivedMs);
         for (Ask.AskedPart asked : ask.parts()) {
             Part part = new Part();
             part.id = asked.shard();
@@ -251,6 +274,10 @@
             lines.add(server);
             if (address != null) {
                 addresses.put(line.id(), address);
+                Long boot = boots.put(line.id(), line.bootMs());
+                if (!address.equals(old) || boot == null || boot != line.bootMs()) {
+                    renewed.add(address);
+                }
                 if (line.state() != Server.State.LIVE) {
                     barred.add(address);
                 }
@@ -281,6 +308,8 @@
         List<Runnable> tasks = new ArrayList<>();
         barred.forEach(address -> tasks.add(() -> servers.bar(address)));
         barred.clear();
+        renewed.forEach(address -> tasks.add(() -> servers.renew(address)));
+        renewed.clear();
         calls(tasks);
         for (Send send : cancels) {
             PartRequest part = ((ClientMultiget) send.part.multiget).requests.get(send);
--- a/src/main/java/spartrail/shard/PartRequest.java
+++ b/src/main/java/spartrail/shard/PartRequest.java
@@ -15,6 +15,7 @@
     final double untilMs;
 
     Stage stage = Stage.WAITING;
+    double writtenMs;
     ShardConnection connection;
     ShardCall call;
 
--- a/src/main/java/spartrail/shard/ShardConnection.java
+++ b/src/main/java/spartrail/shard/ShardConnection.java
@@ -37,6 +37,9 @@
     private StreamConnection connection;
     private boolean closed;
     private double usedMs;
+    private double readMs;
+    /** It gets no further calls, and goes once nothing is out on it. */
+    private boolean retired;
 
     ShardConnection(ShardPool pool, InetSocketAddress address) {
         this.pool = pool;
@@ -96,8 +99,23 @@
         }
     }
 
-    /** Nothing more is waited for; a frame that has not begun does not leave. False where its part may have run. */
-    boolean withdraw(PartRequest part) {
+    boolean takes(int parts, int most) {
+        return !retired && load() + parts <= most;
+    }
+
+    void retire() {
+        retired = true;
+        goIfDone();
+    }
+
+    private void goIfDone() {
+        if (retired && load() == 0) {
+            end(null);
+        }
+    }
+
+    /** Nothing more is waited for; a frame that has not begun does not leave. True where the part never left. */
+    boolean withdraw(PartRequest part, boolean timedOut) {
         if (part.stage == PartRequest.Stage.WAITING) {
             part.call.parts.remove(part);
             if (part.call.parts.isEmpty()) {
@@ -106,12 +124,16 @@
             return true;
         }
         out.remove(part.id, part);
+        // Danger: a connection that no longer leads anywhere says nothing, and would swallow all that comes
+        // after. One that was silent for the whole wait for a part gets no more.
+        retired |= timedOut && readMs < part.writtenMs;
         if (pool.cancelling && !closed) {
             giveUps.add(Frames.giveUp(part.id));
             if (connection != null) {
                 write();
             }
         }
+        goIfDone();
         return false;
     }
 
@@ -140,6 +162,7 @@
                     for (PartRequest part : writing.parts) {
                         if (part.stage == PartRequest.Stage.BEGUN) {
                             part.stage = PartRequest.Stage.WRITTEN;
+                            part.writtenMs = usedMs;
                             out.put(part.id, part);
                         }
                     }
@@ -184,6 +207,7 @@
                     for (Frames.Answer answer = frames.next(); answer != null; answer = frames.next()) {
                         answered(answer);
                     }
+                    goIfDone();
                 }
             }
         } catch (Frames.Garbled e) {
@@ -197,6 +221,7 @@
 
     private void answered(Frames.Answer answer) {
         usedMs = pool.clock.nowMs();
+        readMs = usedMs;
         // Answers that are late, unknown or doubled concern nobody any more.
         PartRequest part = out.remove(answer.id());
         if (part != null) {
--- a/src/main/java/spartrail/shard/ShardPool.java
+++ b/src/main/java/spartrail/shard/ShardPool.java
@@ -56,7 +56,7 @@
         List<ShardConnection> open = connections.computeIfAbsent(address, at -> new ArrayList<>());
         ShardConnection best = null;
         for (ShardConnection connection : open) {
-            if (connection.load() + parts.size() <= partsPerConnection) {
+            if (connection.takes(parts.size(), partsPerConnection)) {
                 best = connection;
                 break;
             }
@@ -71,7 +71,7 @@
     /** Nothing more of this part is waited for; the outcome holds if its frame has begun to leave. */
     public void withdraw(PartRequest part, Outcome ifBegun) {
         if (part.stage != PartRequest.Stage.ENDED && part.connection != null) {
-            boolean neverLeft = part.connection.withdraw(part);
+            boolean neverLeft = part.connection.withdraw(part, ifBegun == Outcome.TIMED_OUT);
             ended(part, neverLeft ? Outcome.NOT_SENT : ifBegun, null);
         }
     }
@@ -88,6 +88,11 @@
         List.copyOf(connections.getOrDefault(address, List.of())).forEach(ShardConnection::dropWaiting);
     }
 
+    /** The process there is another one: what leads to the old one gets no further calls. */
+    public void renew(InetSocketAddress address) {
+        List.copyOf(connections.getOrDefault(address, List.of())).forEach(ShardConnection::retire);
+    }
+
     public int size() {
         return connections.values().stream().mapToInt(List::size).sum();
     }
