--- a/src/main/java/spartrail/cli/CheckCommand.java
+++ b/src/main/java/spartrail/cli/CheckCommand.java
@@ -1,8 +1,16 @@
 package spartrail.cli;
 
+import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import spartrail.front.FrontNode;
 import spartrail.provisioning.DeploymentFile;
 
 /** Reads a configuration and says whether a node could start with it. */
@@ -10,12 +18,37 @@
     @Argument(required = true, metaVar = "FILE")
     private Path config;
 
+    @Option(name = "--start", usage = "start such a node on a free port of the loopback and ask it a multiget")
+    private boolean start;
+
     @Override
     public int run(PrintStream out, PrintStream err) throws Exception {
         DeploymentFile deployment = DeploymentFile.read(config);
         out.println("usable: node " + deployment.name() + " on " + deployment.listen() + ", op types "
                 + deployment.opTypes().stream().map(op -> op.name).toList() + ", " + deployment.known().lines().size()
                 + " servers known");
+        if (start) {
+            InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+            try (FrontNode node = new FrontNode(deployment, free)) {
+                node.start();
+                String opType = deployment.opTypes().get(0).name;
+                String body = "{\"segments\":[{\"segment\":0,\"boost\":1.0}],\"text\":\"check\"}";
+                out.println("/up: " + answer(node.address(), "GET /up HTTP/1.1\r\n", ""));
+                out.println("a multiget: " + answer(node.address(), "POST /" + opType + "/check HTTP/1.1\r\nReq-Id: check"
+                        + "\r\nReq-Kind: " + opType + "\r\nReq-Deadline: 1\r\n", body));
+            }
+        }
         return 0;
     }
+
+    /** The first line of the answer. */
+    private static String answer(InetSocketAddress address, String head, String body) throws IOException {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            String request = head + "Host: check\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                    + body;
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            InputStream in = socket.getInputStream();
+            return new String(in.readAllBytes(), StandardCharsets.US_ASCII).lines().findFirst().orElse("none");
+        }
+    }
 }
--- a/src/main/java/spartrail/cli/CommandLine.java
+++ b/src/main/java/spartrail/cli/CommandLine.java
@@ -20,8 +20,9 @@
 
     /** Runs the command that the arguments name; what is unknown ends with the usage and status 2. */
     public static int run(String[] args, PrintStream out, PrintStream err) {
-        // The parser of arguments logs too, so it comes first.
-        DrainingLogManager.install();
+        // Before anything logs, the parser of arguments included.
+        System.setProperty("java.util.logging.manager", "spartrail.cli.DrainingLogManager");
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tF %1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
         CommandLine line = new CommandLine();
         try {
             new CmdLineParser(line).parseArgument(args);
@@ -29,7 +30,7 @@
         } catch (CmdLineException | IllegalArgumentException e) {
             err.println("spartrail: " + e.getMessage());
             if (e instanceof CmdLineException) {
-                err.println("usage: spartrail serve [--config FILE] | check FILE | simhost | version");
+                err.println("usage: spartrail serve [--config FILE] | check [--start] FILE | simhost | version");
             }
             return 2;
         } catch (Exception e) {
--- a/src/main/java/spartrail/front/FrontNode.java
+++ b/src/main/java/spartrail/front/FrontNode.java
@@ -32,6 +32,7 @@
     private static final int BUFFER = 8 * 1024;
 
     private final DeploymentFile deployment;
+    private final InetSocketAddress listen;
     private final Invariants invariants = new Invariants();
     private XnioWorker worker;
     private XnioIoThread io;
@@ -43,7 +44,13 @@
     private double longestMs;
 
     public FrontNode(DeploymentFile deployment) {
+        this(deployment, deployment.listen());
+    }
+
+    /** A node that listens elsewhere than its file says. */
+    public FrontNode(DeploymentFile deployment, InetSocketAddress listen) {
         this.deployment = deployment;
+        this.listen = listen;
     }
 
     /** Listens and serves from here on. */
@@ -62,7 +69,7 @@
         servers = new ShardPool(io, clock, deployment.callsPerConnection(), deployment.connectTimeoutMs(),
                 deployment.keepAliveMs(), deployment.cancelling(), loop, invariants);
         watch = new HostWatch(io, buffers, deployment.discovery(), deployment.listAsked(), loop);
-        door = new ClientDoor(worker, buffers, deployment.listen(), clock,
+        door = new ClientDoor(worker, buffers, listen, clock,
                 opTypes.stream().map(op -> op.name).collect(java.util.stream.Collectors.toSet()),
                 deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), loop);
         loop.tie(servers, watch, known);
