--- /dev/null
+++ b/src/test/java/spartrail/shard/ShardPoolTest.java
@@ -0,0 +1,231 @@
+package spartrail.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import example.ToyFleet;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import spartrail.discovery.HostList;
+import spartrail.model.Invariants;
+import spartrail.model.NodeClock;
+import spartrail.model.Send.Outcome;
+
+/** How parts end, by what becomes of their connection. */
+class ShardPoolTest {
+    private final XnioWorker worker;
+    private final NodeClock clock = new NodeClock();
+    private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+    private final Invariants invariants = new Invariants();
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private ShardPool pool;
+
+    ShardPoolTest() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        io(pool::close);
+        worker.shutdown();
+        for (AutoCloseable each : opened) {
+            each.close();
+        }
+        assertThat(invariants.broken()).isEmpty();
+    }
+
+    private void pool(int partsPerConnection, double connectTimeoutMs, double keepAliveMs) {
+        pool = new ShardPool(worker.getIoThread(), clock, partsPerConnection, connectTimeoutMs, keepAliveMs, true,
+                (part, outcome, value, atMs) -> seen.add(part.id + " " + outcome), invariants);
+    }
+
+    private void io(Runnable task) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        worker.getIoThread().execute(() -> {
+            task.run();
+            done.countDown();
+        });
+        done.await();
+    }
+
+    private PartRequest part(String id) {
+        return new PartRequest(null, id, 0, new byte[] {'x'}, clock.nowMs() + 10_000);
+    }
+
+    private String next() throws InterruptedException {
+        String next = seen.poll(20, TimeUnit.SECONDS);
+        return next == null ? "nothing" : next;
+    }
+
+    /** An address where connecting neither succeeds nor fails: its queue of new connections is full. */
+    private InetSocketAddress hanging() throws IOException {
+        ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        opened.add(full);
+        for (int i = 0; i < 4; i++) {
+            Socket socket = new Socket();
+            opened.add(socket);
+            try {
+                socket.connect(full.getLocalSocketAddress(), 100);
+            } catch (IOException e) {
+                break;
+            }
+        }
+        return (InetSocketAddress) full.getLocalSocketAddress();
+    }
+
+    /** A server that does as told with each part, and tells what it sees. */
+    private InetSocketAddress toy(ToyFleet.Manner manner) throws IOException {
+        ToyFleet fleet = new ToyFleet(1, 0, 0);
+        opened.add(fleet);
+        fleet.servers.get(0).manner = manner;
+        return HostList.address(fleet.servers.get(0).endpoint());
+    }
+
+    private class Silent implements ToyFleet.Manner {
+        @Override
+        public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+            seen.add("server: part " + id);
+        }
+
+        @Override
+        public void givenUp(ToyFleet.Link link, String id) {
+            seen.add("server: given up " + id);
+        }
+
+        @Override
+        public void opened(ToyFleet.Link link) {
+            seen.add("server: opened");
+        }
+
+        @Override
+        public void closed(ToyFleet.Link link) {
+            seen.add("server: closed");
+        }
+    }
+
+    @Test
+    void whatWaitsForItsConnectionDoesNotLeaveOnceTheServerDrainsOrTheSendIsTakenBack() throws Exception {
+        pool(100, 60_000, 60_000);
+        InetSocketAddress address = hanging();
+        PartRequest one = part("1.0");
+        PartRequest two = part("2.0");
+        PartRequest three = part("3.0");
+        io(() -> {
+            pool.send(address, List.of(one, two));
+            pool.send(address, List.of(three));
+            pool.withdraw(one, Outcome.CANCELLED);
+            pool.withdrawUnsent(three);
+            pool.bar(address);
+        });
+        assertThat(List.of(next(), next(), next())).containsExactly("1.0 NOT_SENT", "3.0 NOT_SENT", "2.0 NOT_SENT");
+    }
+
+    @Test
+    void aConnectionThatNeverComesUpOrIsRefusedMeansNeverRan() throws Exception {
+        pool(100, 50, 60_000);
+        InetSocketAddress address = hanging();
+        io(() -> pool.send(address, List.of(part("1.0"), part("2.0"))));
+        assertThat(List.of(next(), next())).containsExactly("1.0 CONNECT_FAILED", "2.0 CONNECT_FAILED");
+        ServerSocket gone = new ServerSocket(0);
+        gone.close();
+        io(() -> pool.send(new InetSocketAddress("127.0.0.1", gone.getLocalPort()), List.of(part("3.0"))));
+        assertThat(next()).isEqualTo("3.0 CONNECT_FAILED");
+    }
+
+    @Test
+    void aConnectionThatBreaksResetsWhatWasWrittenWhole() throws Exception {
+        pool(100, 1000, 60_000);
+        InetSocketAddress address = toy(new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                if (id.equals("2.0")) {
+                    link.close();
+                } else {
+                    link.answer("9.9", "OK", "nobody asked");
+                    link.answer(id, "ERROR", "");
+                    link.answer(id, "OK", "twice");
+                }
+            }
+        });
+        io(() -> pool.send(address, List.of(part("1.0"))));
+        assertThat(next()).isEqualTo("1.0 ERROR");
+        io(() -> pool.send(address, List.of(part("2.0"), part("3.0"))));
+        assertThat(List.of(next(), next())).containsExactlyInAnyOrder("2.0 RESET", "3.0 RESET");
+    }
+
+    @Test
+    void aFrameWrittenInPartNeverRan() throws Exception {
+        pool(100, 1000, 60_000);
+        ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        opened.add(deaf);
+        PartRequest big = new PartRequest(null, "1.0", 0, new byte[32 * 1024 * 1024], clock.nowMs() + 10_000);
+        io(() -> pool.send((InetSocketAddress) deaf.getLocalSocketAddress(), List.of(big)));
+        Socket accepted = deaf.accept();
+        accepted.getInputStream().read();
+        accepted.setSoLinger(true, 0);
+        accepted.close();
+        assertThat(next()).isEqualTo("1.0 CONNECT_FAILED");
+    }
+
+    @Test
+    void givingUpIsToldToTheServerAndASilentConnectionGetsNoMore() throws Exception {
+        pool(100, 1000, 60_000);
+        InetSocketAddress address = toy(new Silent());
+        PartRequest one = part("1.0");
+        PartRequest two = part("2.0");
+        io(() -> pool.send(address, List.of(one)));
+        assertThat(List.of(next(), next())).containsExactly("server: opened", "server: part 1.0");
+        io(() -> pool.withdraw(one, Outcome.CANCELLED));
+        assertThat(List.of(next(), next())).containsExactlyInAnyOrder("1.0 CANCELLED", "server: given up 1.0");
+        io(() -> pool.send(address, List.of(two)));
+        assertThat(next()).isEqualTo("server: part 2.0");
+        io(() -> {
+            pool.withdraw(two, Outcome.TIMED_OUT);
+            pool.send(address, List.of(part("3.0")));
+        });
+        assertThat(List.of(next(), next(), next(), next(), next())).containsExactlyInAnyOrder("2.0 TIMED_OUT",
+                "server: given up 2.0", "server: closed", "server: opened", "server: part 3.0");
+    }
+
+    @Test
+    void moreConnectionsAreOpenedOnlyWhenOneIsFull() throws Exception {
+        pool(2, 1000, 60_000);
+        InetSocketAddress address = toy(new Silent());
+        io(() -> {
+            pool.send(address, List.of(part("1.0")));
+            pool.send(address, List.of(part("2.0")));
+        });
+        assertThat(List.of(next(), next(), next())).containsExactly("server: opened", "server: part 1.0",
+                "server: part 2.0");
+        io(() -> pool.send(address, List.of(part("3.0"))));
+        assertThat(List.of(next(), next())).containsExactly("server: opened", "server: part 3.0");
+        io(() -> assertThat(pool.size()).isEqualTo(2));
+    }
+
+    @Test
+    void anUnusedConnectionIsClosedByUsBeforeTheServerDoes() throws Exception {
+        pool(100, 1000, 200);
+        InetSocketAddress address = toy(new Silent() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                link.answer(id, "OK", text);
+            }
+        });
+        io(() -> pool.send(address, List.of(part("1.0"))));
+        assertThat(List.of(next(), next(), next())).containsExactly("server: opened", "1.0 ANSWERED", "server: closed");
+    }
+}
