--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -66,7 +66,6 @@
         this.taker = taker;
         this.mostConnections = mostConnections;
         http = new HttpOpenListener(buffers, OptionMap.builder()
-                .set(UndertowOptions.MAX_ENTITY_SIZE, LONGEST)
                 .set(UndertowOptions.MAX_HEADER_SIZE, (int) LONGEST / 4)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false).getMap());
@@ -168,6 +167,12 @@
             exchange.endExchange();
         } else if (exchange.getRequestMethod().equals(Methods.POST)) {
             long length = exchange.getRequestContentLength();
+            if (length > LONGEST) {
+                exchange.setPersistent(false);
+                send(exchange, Reply.refused(413, "the body is too long"));
+                return;
+            }
+            exchange.setMaxEntitySize(LONGEST);
             long claim = length < 0 ? LONGEST : Math.min(length, LONGEST);
             if (unread + claim > mostUnread) {
                 // Danger: half-sent bodies fill the memory, and the node dies with all that it has in hand.
@@ -179,11 +184,7 @@
             unread += claim;
             exchange.getRequestReceiver().receiveFullBytes(this::received, (failed, e) -> {
                 read(peer);
-                if (e instanceof io.undertow.io.Receiver.RequestToLargeException) {
-                    send(failed, Reply.refused(413, "the body is too long"));
-                } else {
-                    IoUtils.safeClose(failed.getConnection());
-                }
+                IoUtils.safeClose(failed.getConnection());
             });
         } else {
             send(exchange, Reply.refused(405, "POST a multiget, or GET /up"));
--- a/src/main/java/spartrail/front/Counters.java
+++ b/src/main/java/spartrail/front/Counters.java
@@ -10,7 +10,7 @@
     long taken;
     long overCap;
     long gone;
-    long lists;
+    volatile long lists;
     long exceptions;
     final Map<Multiget.Answer, Long> answers = new EnumMap<>(Multiget.Answer.class);
     final Map<Send.Outcome, Long> outcomes = new EnumMap<>(Send.Outcome.class);
--- a/src/main/java/spartrail/front/Descriptors.java
+++ b/src/main/java/spartrail/front/Descriptors.java
@@ -12,8 +12,13 @@
      * clients' connections use up what servers and discovery need.
      */
     static int forClients(int most, int servers) {
-        String[] held = new File("/proc/self/fd").list();
-        int free = most - (held == null ? 0 : held.length);
+        int free = most - held();
         return Math.max(1, Math.max(free / 2, free - 4 * servers - free / 4));
     }
+
+    /** How many are open now; 0 where the system does not say. */
+    static int held() {
+        String[] open = new File("/proc/self/fd").list();
+        return open == null ? 0 : open.length;
+    }
 }
--- a/src/main/java/spartrail/front/FrontNode.java
+++ b/src/main/java/spartrail/front/FrontNode.java
@@ -85,6 +85,16 @@
                 + " servers known");
     }
 
+    /** What must hold, and how often it did not. */
+    public Invariants invariants() {
+        return invariants;
+    }
+
+    /** How many lists and changes of lists have been taken, the one known at the start included. */
+    public long listsTaken() {
+        return loop.counters().lists;
+    }
+
     public InetSocketAddress address() {
         return door.address();
     }
--- a/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -47,7 +47,8 @@
             file.check();
             return file;
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("no JSON: " + e.getOriginalMessage());
+            throw new IllegalArgumentException("no JSON: " + e.getOriginalMessage().replaceAll("\\s*\\(.*", "")
+                    + " in line " + e.getLocation().getLineNr());
         }
     }
 
--- /dev/null
+++ b/src/test/java/spartrail/front/FrontNodeTest.java
@@ -0,0 +1,334 @@
+package spartrail.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import example.ToyFleet;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import spartrail.provisioning.DeploymentFile;
+
+/** A whole node on the loopback, between raw clients and the toy fleet of the example. */
+class FrontNodeTest {
+    private final ToyFleet fleet = new ToyFleet(4, 0, 0);
+    private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+    private final List<Client> clients = new ArrayList<>();
+    private FrontNode node;
+
+    FrontNodeTest() throws IOException {
+    }
+
+    /** The example's configuration on the ports of this fleet; each change is a text and what replaces it. */
+    private void start(String... changes) throws IOException {
+        String text = Files.readString(Path.of("example/config.json")).replace("127.0.0.1:3000", "127.0.0.1:0")
+                .replace("127.0.0.1:8500", fleet.discoveryEndpoint());
+        for (int i = 0; i < 4; i++) {
+            text = text.replace("127.0.0.1:" + (7001 + i), fleet.servers.get(i).endpoint());
+        }
+        for (int i = 0; i < changes.length; i += 2) {
+            assertThat(text).contains(changes[i]);
+            text = text.replace(changes[i], changes[i + 1]);
+        }
+        node = new FrontNode(DeploymentFile.parse(text));
+        node.start();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (Client client : clients) {
+            client.socket.close();
+        }
+        node.close();
+        fleet.close();
+        assertThat(node.invariants().broken()).isEmpty();
+    }
+
+    /** A raw client connection. */
+    private final class Client {
+        final Socket socket;
+        final InputStream in;
+
+        Client() throws IOException {
+            InetSocketAddress address = node.address();
+            socket = new Socket(address.getAddress(), address.getPort());
+            socket.setSoTimeout(20_000);
+            in = new BufferedInputStream(socket.getInputStream());
+            clients.add(this);
+        }
+
+        Client send(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            return this;
+        }
+
+        Client ask(String id, int... shards) throws IOException {
+            return send(request(id, "4", body(shards)));
+        }
+
+        /** Status, what matters of the head, and the body of the next answer; or that there is none. */
+        String answer() throws IOException {
+            StringBuilder head = new StringBuilder();
+            try {
+                while (head.indexOf("\r\n\r\n") < 0) {
+                    int next = in.read();
+                    if (next < 0) {
+                        return "closed";
+                    }
+                    head.append((char) next);
+                }
+            } catch (java.net.SocketException e) {
+                return "closed";
+            }
+            int length = Integer.parseInt(head.toString().replaceAll("(?s).*Content-Length: (\\d+).*", "$1"));
+            String body = new String(in.readNBytes(length), StandardCharsets.UTF_8).strip();
+            return head.substring(9, 12) + (head.indexOf("Connection: close") > 0 ? " close " : " ") + body;
+        }
+    }
+
+    private static String body(int... shards) {
+        StringBuilder body = new StringBuilder("{\"segments\":[");
+        for (int shard : shards) {
+            body.append("{\"segment\":").append(shard).append(",\"boost\":").append(1.0 / shards.length)
+                    .append(",\"work\":9000,\"affinity\":\"00ff\"},");
+        }
+        body.setCharAt(body.length() - 1, ']');
+        return body.append(",\"text\":\"t\"}").toString();
+    }
+
+    private static String request(String id, String deadline, String body) {
+        return "POST /orders/k HTTP/1.1\r\nHost: api.internal\r\nReq-Id: " + id + "\r\nReq-Kind: orders\r\nReq-Deadline: "
+                + deadline + "\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
+    }
+
+    /** Servers that take parts and tell of them, and answer those whose id begins with one of these. */
+    private void tell(String... answered) {
+        fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                seen.add("part " + id);
+                if (List.of(answered).contains(id.substring(0, id.indexOf('.')))) {
+                    link.answer(id, "OK", text);
+                }
+            }
+
+            @Override
+            public void givenUp(ToyFleet.Link link, String id) {
+                seen.add("given up " + id);
+            }
+        });
+    }
+
+    private String next() throws InterruptedException {
+        String next = seen.poll(20, TimeUnit.SECONDS);
+        return next == null ? "nothing" : next;
+    }
+
+    @Test
+    void servesOneAfterTheOtherOnAConnectionValuesAsTheServersGaveThem() throws Exception {
+        start();
+        Client client = new Client();
+        fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                link.answer(id, "OK", "\"é\n" + shard + text);
+            }
+        });
+        assertThat(client.ask("a", 2, 0).answer()).isEqualTo("200 {\"all_in\":true,\"matches\":"
+                + "[{\"segment\":2,\"payload\":\"\\\"é\\n2t\"},{\"segment\":0,\"payload\":\"\\\"é\\n0t\"}]}");
+        String body = body(1);
+        String chunked = request("b", "0.9", body).replaceAll("(?s)Content-Length.*", "Transfer-Encoding: chunked\r\n\r\n")
+                + "5\r\n" + body.substring(0, 5) + "\r\n" + Integer.toHexString(body.length() - 5) + "\r\n" + body.substring(5)
+                + "\r\n0\r\n\r\n";
+        for (char each : chunked.toCharArray()) {
+            client.send(String.valueOf(each));
+        }
+        assertThat(client.answer()).isEqualTo("200 {\"all_in\":true,\"matches\":[{\"segment\":1,\"payload\":\"\\\"é\\n1t\"}]}");
+        assertThat(client.send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").answer()).isEqualTo("200 ");
+    }
+
+    @Test
+    void whatIsNoRequestGetsOnePlainRefusalAndTheConnectionGoesOn() throws Exception {
+        start();
+        tell("a");
+        Client client = new Client();
+        StringBuilder told = new StringBuilder();
+        for (String bad : List.of(request("a b", "1", body(0)), request("a", "soon", body(0)), request("a", "-1", body(0)),
+                request("a", "1", "{"), request("a", "1", "[]"), request("a", "1", body(0, 0)), request("a", "1", body(4)),
+                request("a", "1", "{\"segments\":[{\"segment\":0}]}"), request("a", "1", "{\"text\":7}"),
+                request("a", "1", "{\"segments\":[{\"segment\":0,\"boost\":0.4}]}"),
+                request("a", "1", "{\"segments\":[{\"segment\":\"0\",\"boost\":1}]}"),
+                request("a", "1", body(0)).replace("/orders/", "/others/"), request("a", "1", body(0)).replace("Req-Kind", "Kind"),
+                "GET /else HTTP/1.1\r\nHost: x\r\n\r\n")) {
+            told.append(client.send(bad).answer()).append('\n');
+        }
+        assertThat(told.toString()).isEqualTo("""
+                400 Req-Id is missing or unusable
+                400 Req-Deadline is missing or no time
+                400 Req-Deadline is missing or no time
+                400 the body is no JSON of the expected form
+                400 the body is no JSON object
+                400 a segment does not exist or is there twice
+                400 a segment does not exist or is there twice
+                400 a segment's boost or work is out of range
+                400 segments are missing
+                400 the boosts of the segments do not sum up to 1
+                400 the body is no JSON of the expected form
+                400 Req-Kind is unknown or not the path's
+                400 Req-Kind is unknown or not the path's
+                405 POST a multiget, or GET /up
+                """);
+        assertThat(client.ask("a", 0).answer()).startsWith("200 {\"all_in\":true");
+        assertThat(seen).containsExactly("part a.0");
+        assertThat(new Client().send(request("a", "1", " ".repeat(70_000))).answer()).startsWith("413 ");
+    }
+
+    @Test
+    void aClientThatLeavesEndsTheWorkForIt() throws Exception {
+        start();
+        tell("b");
+        Client client = new Client().ask("a", 0);
+        assertThat(next()).isEqualTo("part a.0");
+        client.socket.close();
+        assertThat(next()).isEqualTo("given up a.0");
+        assertThat(new Client().ask("b", 0).answer()).startsWith("200 ");
+    }
+
+    @Test
+    void aRequestSentAheadIsServedAfterTheOneInHand() throws Exception {
+        start();
+        tell("a", "b");
+        Client client = new Client().send(request("a", "4", body(0)) + request("b", "4", body(1)));
+        assertThat(client.answer()).contains("\"segment\":0");
+        assertThat(client.answer()).contains("\"segment\":1");
+    }
+
+    @Test
+    void aPartWhoseServerDiesOrTalksNonsenseGoesToAnother() throws Exception {
+        start();
+        fleet.kill(fleet.servers.get(0));
+        fleet.servers.get(2).manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                link.raw(new byte[] {0, 0, 0, 1, 'Q'});
+            }
+        };
+        Client client = new Client();
+        assertThat(client.ask("a", 0, 1, 2, 3).answer()).startsWith("200 {\"all_in\":true");
+        assertThat(client.ask("b", 0, 1, 2, 3).answer()).startsWith("200 {\"all_in\":true");
+    }
+
+    @Test
+    void whatNobodyAnswersIsGivenUpInTheClientsTimeWithATimeToComeBack() throws Exception {
+        start("\"aim\": 2.0, \"deadline\": 4.0", "\"aim\": 0.3, \"deadline\": 0.6");
+        tell();
+        long beganNs = System.nanoTime();
+        assertThat(new Client().send(request("a", "0.5", body(0, 1))).answer()).isEqualTo("503 pushed back");
+        assertThat((System.nanoTime() - beganNs) / 1e6).isBetween(250.0, 560.0);
+    }
+
+    @Test
+    void moreThanMayBeInHandIsPushedBackAtOnce() throws Exception {
+        start("\"open-cap\": 187", "\"open-cap\": 3");
+        tell("c");
+        Client first = new Client().ask("a", 0, 1);
+        assertThat(next()).startsWith("part a.");
+        assertThat(new Client().ask("b", 2).answer()).isEqualTo("503 pushed back");
+        first.socket.close();
+        while (!next().startsWith("given up")) {
+            // What was sent of the first is taken back, and there is room again.
+        }
+        assertThat(new Client().ask("c", 2).answer()).startsWith("200 ");
+    }
+
+    @Test
+    void drainingAnswersWhatIsInHandAndWhatStillComesThenLetsGo() throws Exception {
+        start("\"aim\": 2.0, \"deadline\": 4.0", "\"aim\": 0.8, \"deadline\": 1.6");
+        tell("b");
+        Client unused = new Client().send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+        assertThat(unused.answer()).isEqualTo("200 ");
+        Client inHand = new Client().send(request("a", "1.5", body(0)));
+        assertThat(next()).isEqualTo("part a.0");
+        CompletableFuture<Void> drained = CompletableFuture.runAsync(() -> {
+            try {
+                node.drain();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        while (!new Client().send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").answer().startsWith("503 close")) {
+            // Told to end, but the door has not heard of it yet.
+        }
+        assertThat(new Client().ask("b", 1).answer()).startsWith("200 close {\"all_in\":true");
+        assertThat(unused.answer()).isEqualTo("closed");
+        assertThat(drained).isNotDone();
+        assertThat(inHand.answer()).startsWith("503 close");
+        drained.get(20, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void whenDescriptorsAreShortTheLongestUnusedClientGoesFirst() throws Exception {
+        start("\"sockets\": 1024", "\"sockets\": " + (Descriptors.held() + 60));
+        List<Client> idle = new ArrayList<>();
+        tell("b");
+        Client inHand = new Client().ask("a", 0);
+        assertThat(next()).isEqualTo("part a.0");
+        for (int i = 0; i < 60; i++) {
+            idle.add(new Client());
+            assertThat(idle.get(i).send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").answer()).isEqualTo("200 ");
+        }
+        assertThat(idle.get(0).answer()).isEqualTo("closed");
+        assertThat(idle.get(59).ask("b", 0).answer()).startsWith("200 ");
+        assertThat(inHand.socket.getInputStream().available()).isZero();
+        inHand.socket.setSoTimeout(1);
+        assertThat(catching(inHand)).isEqualTo("still waiting");
+    }
+
+    private static String catching(Client client) throws IOException {
+        try {
+            return client.answer();
+        } catch (java.net.SocketTimeoutException e) {
+            return "still waiting";
+        }
+    }
+
+    @Test
+    void theListIsFollowedAndItsSilenceEndsNothing() throws Exception {
+        fleet.silent = true;
+        start();
+        tell("a", "b", "c", "d");
+        assertThat(new Client().ask("a", 0).answer()).startsWith("200 ");
+        assertThat(next()).isEqualTo("part a.0");
+        fleet.tell(fleet.servers.get(0), "DRAINING");
+        fleet.silent = false;
+        ToyFleet.Manner manner = fleet.servers.get(0).manner;
+        fleet.servers.get(0).manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                seen.add("still sent to");
+                manner.part(link, id, shard, text);
+            }
+        };
+        // Once the change is told, all of a burst goes round the draining server.
+        for (int tries = 0; node.listsTaken() < 2 && tries < 2000; tries++) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        Client client = new Client();
+        for (String id : List.of("b", "c", "d")) {
+            assertThat(client.ask(id, 0, 3).answer()).startsWith("200 ");
+        }
+        assertThat(seen).hasSize(6).doesNotContain("still sent to");
+    }
+}
