Half-sent requests go first when memory or descriptors are short; a standstill has its own place

A half-sent body counted as a request in hand and could not be turned out: with 1,024 descriptors a few hundred of them would have kept all others away. Found by reading. Also: one exception in a turn's tasks no longer ends the others, the counters are logged once a minute.

--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -47,7 +47,7 @@
     private final AcceptingChannel<StreamConnection> listening;
     /** A client's connection. */
     private static final class Peer {
-        /** A request of it is in hand. */
+        /** A request of it has been read and is not answered. */
         boolean busy;
         /** What its body, still coming in, may take. */
         long unread;
@@ -93,8 +93,8 @@
     /** Nothing new comes in: no connection is accepted, unused ones are closed. */
     public void shut() {
         IoUtils.safeClose(listening);
-        connections.entrySet().stream().filter(entry -> !entry.getValue().busy).map(Map.Entry::getKey).toList()
-                .forEach(IoUtils::safeClose);
+        connections.entrySet().stream().filter(entry -> !entry.getValue().busy && entry.getValue().unread == 0)
+                .map(Map.Entry::getKey).toList().forEach(this::drop);
     }
 
     public void close() {
@@ -124,10 +124,9 @@
     private void accepted(StreamConnection connection) {
         if (connections.size() >= mostConnections) {
             // Danger: clients' connections use up the descriptors that servers and discovery need.
-            StreamConnection unused = connections.entrySet().stream().filter(entry -> !entry.getValue().busy)
-                    .map(Map.Entry::getKey).findFirst().orElse(connection);
-            IoUtils.safeClose(unused);
-            if (unused == connection) {
+            StreamConnection unused = longestUnused();
+            drop(unused == null ? connection : unused);
+            if (unused == null) {
                 return;
             }
         }
@@ -143,6 +142,22 @@
         }
     }
 
+    /** The first of the connections with no request in hand, whether one is half sent or none. */
+    private StreamConnection longestUnused() {
+        return connections.entrySet().stream().filter(entry -> !entry.getValue().busy).map(Map.Entry::getKey)
+                .findFirst().orElse(null);
+    }
+
+    private StreamConnection longestUnread() {
+        return connections.entrySet().stream().filter(entry -> entry.getValue().unread > 0).map(Map.Entry::getKey)
+                .findFirst().orElse(null);
+    }
+
+    private void drop(StreamConnection connection) {
+        forget(connection);
+        IoUtils.safeClose(connection);
+    }
+
     private void forget(StreamConnection connection) {
         read(connections.remove(connection));
     }
@@ -150,7 +165,6 @@
     private void handle(HttpServerExchange exchange) {
         StreamConnection connection = ClientRequest.channel(exchange);
         Peer peer = connections.computeIfAbsent(connection, open -> new Peer());
-        peer.busy = true;
         exchange.addExchangeCompleteListener((ended, next) -> {
             read(peer);
             peer.busy = false;
@@ -174,11 +188,10 @@
             }
             exchange.setMaxEntitySize(LONGEST);
             long claim = length < 0 ? LONGEST : Math.min(length, LONGEST);
-            if (unread + claim > mostUnread) {
-                // Danger: half-sent bodies fill the memory, and the node dies with all that it has in hand.
-                exchange.setPersistent(false);
-                send(exchange, Reply.refused(503, "too many requests are coming in"));
-                return;
+            // Danger: half-sent bodies fill the memory, and the node dies with all that it has in hand.
+            for (StreamConnection half = longestUnread(); unread + claim > mostUnread && half != null;
+                    half = longestUnread()) {
+                drop(half);
             }
             peer.unread = claim;
             unread += claim;
@@ -200,11 +213,15 @@
     }
 
     private void received(HttpServerExchange exchange, byte[] body) {
-        read(connections.get(ClientRequest.channel(exchange)));
+        Peer peer = connections.get(ClientRequest.channel(exchange));
+        read(peer);
         double atMs = clock.nowMs();
         try {
             Ask ask = reader.read(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
             ClientRequest request = new ClientRequest(this, exchange, atMs);
+            if (peer != null) {
+                peer.busy = true;
+            }
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                 request.watchClient();
                 taker.asked(ask, request);
--- a/src/main/java/spartrail/front/Counters.java
+++ b/src/main/java/spartrail/front/Counters.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
 import spartrail.model.Multiget;
 import spartrail.model.Send;
 
@@ -11,7 +12,7 @@
     long overCap;
     long gone;
     volatile long lists;
-    long exceptions;
+    final LongAdder exceptions = new LongAdder();
     final Map<Multiget.Answer, Long> answers = new EnumMap<>(Multiget.Answer.class);
     final Map<Send.Outcome, Long> outcomes = new EnumMap<>(Send.Outcome.class);
 
--- a/src/main/java/spartrail/front/NodeLoop.java
+++ b/src/main/java/spartrail/front/NodeLoop.java
@@ -37,6 +37,7 @@
  */
 final class NodeLoop implements Runnable, ClientDoor.Taker, ShardPool.Ends, HostWatch.Listener {
     private static final System.Logger LOG = System.getLogger("spartrail.front");
+    private static final double COUNTED_MS = 60_000;
 
     private final Coordinator coordinator;
     private final Map<String, OpType> opTypes = new HashMap<>();
@@ -52,16 +53,16 @@
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<String, Long> boots = new HashMap<>();
     private final Timetable timetable = new Timetable();
+    private final Standstill standstill;
     private final Counters counters = new Counters();
     private ShardPool servers;
     private HostWatch watch;
 
     private double nowMs;
+    /** When this thread wakes at the latest. */
+    private double dueMs;
     private int open;
     private boolean dueTurn;
-    /** How long this node has just stood still; 0 again once all that waited in its sockets is taken. */
-    private double stoodStillMs;
-    private int looksAfter;
     private volatile boolean ended;
 
     // What this turn has decided.
@@ -82,6 +83,7 @@
         this.openCap = openCap;
         this.mostSends = mostSends;
         this.invariants = invariants;
+        this.standstill = new Standstill(turnMs);
     }
 
     /** Before the loop starts: what it reaches, and the list as it was last had. */
@@ -90,6 +92,13 @@
         watch = hosts;
         nowMs = clock.nowMs();
         list(known, false);
+        timetable.add(nowMs + COUNTED_MS, this::logCounters);
+    }
+
+    private void logCounters() {
+        LOG.log(System.Logger.Level.INFO, counters + ", in hand " + inHand.size() + ", invariants broken "
+                + invariants.broken());
+        timetable.add(nowMs + COUNTED_MS, this::logCounters);
     }
 
     void end() {
@@ -144,7 +153,7 @@
         double lastTurnMs = 0;
         boolean looking = false;
         double lookedMs = 0;
-        double dueMs = clock.nowMs();
+        dueMs = clock.nowMs();
         while (!ended) {
             try {
                 long waitNs = looking ? Long.MAX_VALUE : (long) (1e6 * (dueMs - clock.nowMs()));
@@ -161,39 +170,27 @@
                 }
                 nowMs = clock.nowMs();
                 lastTurnMs = nowMs;
-                noteStandstill(nowMs - (looking ? lookedMs : dueMs));
+                standstill.turnLate(nowMs - (looking ? lookedMs : dueMs));
                 for (Runnable next = first; next != null; next = queue.poll()) {
                     guarded(next);
                 }
                 if (dueTurn) {
                     dueTurn = false;
                     looking = false;
-                    if (looksAfter > 0 && --looksAfter == 0) {
-                        stoodStillMs = 0;
-                    }
+                    standstill.passed();
                     guarded(() -> timetable.run(nowMs));
                     guarded(() -> take(coordinator.waited(nowMs)));
                 }
                 guarded(this::carryOut);
-                dueMs = Math.min(nowMs + coordinator.waitMs(nowMs), timetable.nextMs());
-                dueMs = looksAfter > 0 ? nowMs : dueMs;
+                dueMs = nowMs + turnMs;
+                guarded(() -> dueMs = Math.min(nowMs + coordinator.waitMs(nowMs), timetable.nextMs()));
+                dueMs = standstill.passWanted() ? nowMs : dueMs;
             } catch (InterruptedException e) {
                 ended = true;
             }
         }
     }
 
-    /**
-     * Danger: what clients sent while this node stood still is read late, and its time would be counted from
-     * the reading. Until the sockets have been gone through, whatever is read counts as come at the beginning.
-     */
-    private void noteStandstill(double lateMs) {
-        if (lateMs > 2 * turnMs && lateMs > stoodStillMs) {
-            stoodStillMs = lateMs;
-            looksAfter = 3;
-        }
-    }
-
     /**
      * Has the I/O thread take what waits in the sockets before anything that is due. Danger: a node that
      * stood still would time out what was answered long ago.
@@ -207,8 +204,8 @@
         try {
             task.run();
         } catch (RuntimeException | AssertionError e) {
-            counters.exceptions++;
-            LOG.log(System.Logger.Level.ERROR, "exception on the node's thread", e);
+            counters.exceptions.increment();
+            LOG.log(System.Logger.Level.ERROR, "exception, the call that threw it is given up", e);
         }
     }
 
@@ -224,7 +221,7 @@
         mg.opType = opTypes.get(ask.opType());
         mg.key = ask.key();
         mg.clientRetry = ask.retry();
-        mg.arrivedMs = request.arrivedMs - stoodStillMs;
+        mg.arrivedMs = request.arrivedMs - standstill.gapMs();
         mg.clientLeftMs = ask.clientLeftMs() - (nowMs - mg.arrivedMs);
         for (Ask.AskedPart asked : ask.parts()) {
             Part part = new Part();
@@ -334,7 +331,7 @@
             tasks.add(watch::start);
         }
         if (!tasks.isEmpty()) {
-            io.execute(() -> tasks.forEach(Runnable::run));
+            io.execute(() -> tasks.forEach(this::guarded));
         }
     }
 
--- /dev/null
+++ b/src/main/java/spartrail/front/Standstill.java
@@ -0,0 +1,44 @@
+package spartrail.front;
+
+/**
+ * How long a node has just stood still. Danger: what clients sent meanwhile is read late, and its time would be
+ * counted from the reading. Until the sockets have been gone through, whatever is read counts as come at the
+ * beginning of the gap, as it may be that old.
+ */
+final class Standstill {
+    /** A pass that was asked for before the gap, one that takes what waited, one for connections just accepted. */
+    private static final int PASSES = 3;
+
+    private final double turnMs;
+    private double gapMs;
+    private int passesLeft;
+
+    Standstill(double turnMs) {
+        this.turnMs = turnMs;
+    }
+
+    /** A turn begins this much later than was planned at the latest; what is within two turns is no gap. */
+    void turnLate(double lateMs) {
+        if (lateMs > 2 * turnMs && lateMs > gapMs) {
+            gapMs = lateMs;
+            passesLeft = PASSES;
+        }
+    }
+
+    /** All sockets have been gone through. */
+    void passed() {
+        if (passesLeft > 0 && --passesLeft == 0) {
+            gapMs = 0;
+        }
+    }
+
+    /** A further pass is wanted at once. */
+    boolean passWanted() {
+        return passesLeft > 0;
+    }
+
+    /** How much older than its reading a request may be. */
+    double gapMs() {
+        return gapMs;
+    }
+}
--- a/src/main/java/spartrail/shard/ShardConnection.java
+++ b/src/main/java/spartrail/shard/ShardConnection.java
@@ -216,6 +216,9 @@
             end(null);
         } catch (IOException e) {
             end("broken");
+        } catch (RuntimeException e) {
+            pool.log(System.Logger.Level.ERROR, "server " + address + ": connection closed after exception " + e);
+            end(null);
         }
     }
 
--- a/src/main/java/spartrail/shard/ShardPool.java
+++ b/src/main/java/spartrail/shard/ShardPool.java
@@ -70,8 +70,8 @@
 
     /** Nothing more of this part is waited for; the outcome holds if its frame has begun to leave. */
     public void withdraw(PartRequest part, Outcome ifBegun) {
-        if (part.stage != PartRequest.Stage.ENDED && part.connection != null) {
-            boolean neverLeft = part.connection.withdraw(part, ifBegun == Outcome.TIMED_OUT);
+        if (part.stage != PartRequest.Stage.ENDED) {
+            boolean neverLeft = part.connection == null || part.connection.withdraw(part, ifBegun == Outcome.TIMED_OUT);
             ended(part, neverLeft ? Outcome.NOT_SENT : ifBegun, null);
         }
     }
--- /dev/null
+++ b/src/test/java/spartrail/front/StandstillTest.java
@@ -0,0 +1,28 @@
+package spartrail.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class StandstillTest {
+    @Test
+    void whatIsReadAfterAGapMayBeAsOldAsTheGapUntilTheSocketsAreGoneThrough() {
+        Standstill node = new Standstill(5);
+        StringBuilder trace = new StringBuilder();
+        for (double late : new double[] {-3, 9, 700, 4, 6}) {
+            node.turnLate(late);
+            trace.append("late ").append(late).append(": ").append(node.gapMs()).append(node.passWanted() ? " pass\n" : "\n");
+            if (late > 0) {
+                node.passed();
+            }
+        }
+        trace.append("after the passes: ").append(node.gapMs());
+        assertThat(trace.toString()).isEqualTo("""
+                late -3.0: 0.0
+                late 9.0: 0.0
+                late 700.0: 700.0 pass
+                late 4.0: 700.0 pass
+                late 6.0: 700.0 pass
+                after the passes: 0.0""");
+    }
+}
