A node that stood still is seen to wake by its timer too; no second answer beside one just decided

Seen with a node stopped for 1.6 s between two hand-made requests: one of 1.0 s was served after 1.6 s. Checked: the wake by the timer set the plan anew before the gap was read off it (NodeLoop.run, first == null). With that mended the same request got the backstop's 500 in place of the module's pushback, as the due times ran between decision and answer (NodeLoop.place).

--- a/src/main/java/spartrail/front/NodeLoop.java
+++ b/src/main/java/spartrail/front/NodeLoop.java
@@ -152,15 +152,17 @@
     public void run() {
         double lastTurnMs = 0;
         boolean looking = false;
-        double lookedMs = 0;
         dueMs = clock.nowMs();
+        standstill.plan(dueMs);
         while (!ended) {
             try {
                 long waitNs = looking ? Long.MAX_VALUE : (long) (1e6 * (dueMs - clock.nowMs()));
                 Runnable first = queue.poll(Math.max(0, waitNs), TimeUnit.NANOSECONDS);
                 if (first == null) {
                     looking = true;
-                    lookedMs = clock.nowMs();
+                    nowMs = clock.nowMs();
+                    standstill.woke(nowMs);
+                    standstill.plan(nowMs);
                     lookAtSockets();
                     continue;
                 }
@@ -170,7 +172,7 @@
                 }
                 nowMs = clock.nowMs();
                 lastTurnMs = nowMs;
-                standstill.turnLate(nowMs - (looking ? lookedMs : dueMs));
+                standstill.woke(nowMs);
                 for (Runnable next = first; next != null; next = queue.poll()) {
                     guarded(next);
                 }
@@ -185,6 +187,9 @@
                 dueMs = nowMs + turnMs;
                 guarded(() -> dueMs = Math.min(nowMs + coordinator.waitMs(nowMs), timetable.nextMs()));
                 dueMs = standstill.passWanted() ? nowMs : dueMs;
+                if (!looking) {
+                    standstill.plan(dueMs);
+                }
             } catch (InterruptedException e) {
                 ended = true;
             }
@@ -237,7 +242,8 @@
         open += mg.size();
         // Danger: whatever goes wrong in the decisions, the client gets its one final answer.
         timetable.add(nowMs + mg.clientLeftMs, () -> {
-            if (!invariants.holds(inHand.get(ask.id()) != mg, "a multiget is answered in the client's time")) {
+            boolean answered = inHand.get(ask.id()) != mg || answers.contains(mg);
+            if (!invariants.holds(answered, "a multiget is answered in the client's time")) {
                 mg.over = true;
                 mg.answer = Multiget.Answer.FAILED;
                 answers.add(mg);
--- a/src/main/java/spartrail/front/Standstill.java
+++ b/src/main/java/spartrail/front/Standstill.java
@@ -10,6 +10,7 @@
     private static final int PASSES = 3;
 
     private final double turnMs;
+    private double plannedMs;
     private double gapMs;
     private int passesLeft;
 
@@ -17,8 +18,14 @@
         this.turnMs = turnMs;
     }
 
-    /** A turn begins this much later than was planned at the latest; what is within two turns is no gap. */
-    void turnLate(double lateMs) {
+    /** When the node is to wake at the latest. */
+    void plan(double wakeMs) {
+        plannedMs = wakeMs;
+    }
+
+    /** It wakes, by an event or because something is due; what is within two turns of the plan is no gap. */
+    void woke(double nowMs) {
+        double lateMs = nowMs - plannedMs;
         if (lateMs > 2 * turnMs && lateMs > gapMs) {
             gapMs = lateMs;
             passesLeft = PASSES;
--- a/src/test/java/spartrail/front/StandstillTest.java
+++ b/src/test/java/spartrail/front/StandstillTest.java
@@ -9,9 +9,15 @@
     void whatIsReadAfterAGapMayBeAsOldAsTheGapUntilTheSocketsAreGoneThrough() {
         Standstill node = new Standstill(5);
         StringBuilder trace = new StringBuilder();
+        double now = 1000;
         for (double late : new double[] {-3, 9, 700, 4, 6}) {
-            node.turnLate(late);
+            node.plan(now);
+            node.woke(now + late);
             trace.append("late ").append(late).append(": ").append(node.gapMs()).append(node.passWanted() ? " pass\n" : "\n");
+            // It woke because something was due: first the sockets are gone through, and that is planned for now.
+            now += late;
+            node.plan(now);
+            node.woke(now + 2);
             if (late > 0) {
                 node.passed();
             }
