Servers that do not read, clients that wait for 100 Continue, accepts that fail

A server that does not read kept its connection for good, as the part of the blocked frame counted as load (ShardConnection.load): it is retired after the first wait in silence. A client that waits for 100 Continue before its body waited for ever, as Undertow sends it only through its own handler. Not shown by a test: with no descriptor left, accepting would be tried on and on; the longest unused client makes room. Servers gone from the list no longer have waiting frames for their address dropped at each whole list.

--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -4,6 +4,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.io.IoCallback;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -20,6 +21,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import spartrail.model.NodeClock;
@@ -37,6 +39,7 @@
     /** The longest body that the protocol knows. */
     private static final long LONGEST = 64 * 1024;
 
+    private final XnioIoThread io;
     private final NodeClock clock;
     private final AskReader reader;
     private final Taker taker;
@@ -56,11 +59,13 @@
     /** Open connections, the longest unused first. */
     private final Map<StreamConnection, Peer> connections = new LinkedHashMap<>();
     private final HttpOpenListener http;
+    private long notAccepted;
     private boolean up;
     private boolean draining;
 
     public ClientDoor(XnioWorker worker, ByteBufferPool buffers, InetSocketAddress address, NodeClock clock,
             Set<String> opTypes, int shards, int mostConnections, Taker taker) throws IOException {
+        this.io = worker.getIoThread();
         this.clock = clock;
         this.reader = new AskReader(opTypes, shards);
         this.taker = taker;
@@ -69,7 +74,7 @@
                 .set(UndertowOptions.MAX_HEADER_SIZE, (int) LONGEST / 4)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false).getMap());
-        http.setRootHandler(this::handle);
+        http.setRootHandler(new HttpContinueReadHandler(this::handle));
         ChannelListener<AcceptingChannel<StreamConnection>> accepting = this::accept;
         listening = worker.createStreamConnectionServer(address, accepting, OptionMap.builder()
                 .set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 1024).getMap());
@@ -117,7 +122,16 @@
                 }
             }
         } catch (IOException e) {
-            LOG.log(System.Logger.Level.WARNING, "cannot accept a connection: " + e.getMessage());
+            // Danger: with no descriptor left this would be tried on and on; the longest unused makes room.
+            io.execute(() -> {
+                if (notAccepted++ == 0) {
+                    LOG.log(System.Logger.Level.WARNING, "cannot accept a connection: " + e.getMessage());
+                }
+                StreamConnection unused = longestUnused();
+                if (unused != null) {
+                    drop(unused);
+                }
+            });
         }
     }
 
--- a/src/main/java/spartrail/front/FrontNode.java
+++ b/src/main/java/spartrail/front/FrontNode.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -70,7 +71,7 @@
                 deployment.keepAliveMs(), deployment.cancelling(), loop, invariants);
         watch = new HostWatch(io, buffers, deployment.discovery(), deployment.listAsked(), loop);
         door = new ClientDoor(worker, buffers, listen, clock,
-                opTypes.stream().map(op -> op.name).collect(java.util.stream.Collectors.toSet()),
+                opTypes.stream().map(op -> op.name).collect(Collectors.toSet()),
                 deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), loop);
         loop.tie(servers, watch, known);
         thread = new Thread(loop, "spartrail-node");
--- a/src/main/java/spartrail/front/NodeLoop.java
+++ b/src/main/java/spartrail/front/NodeLoop.java
@@ -3,9 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioIoThread;
@@ -286,12 +288,15 @@
                 }
             }
         }
+        Set<String> gone = new HashSet<>();
         if (list.all()) {
-            addresses.forEach((id, address) -> {
-                if (list.lines().stream().noneMatch(line -> line.id().equals(id))) {
-                    barred.add(address);
-                }
-            });
+            gone.addAll(addresses.keySet());
+            list.lines().forEach(line -> gone.remove(line.id()));
+        }
+        list.lines().stream().filter(line -> line.state() == Server.State.GONE).forEach(line -> gone.add(line.id()));
+        for (String id : gone) {
+            barred.add(addresses.remove(id));
+            boots.remove(id);
         }
         counters.lists++;
         take(coordinator.listed(lines, list.all(), fresh, nowMs));
--- a/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -44,7 +44,11 @@
                 throw new IllegalArgumentException("'settings' is missing or no object");
             }
             DeploymentFile file = new DeploymentFile(tree);
-            file.check();
+            try {
+                file.check();
+            } catch (ClassCastException e) {
+                throw new IllegalArgumentException("a setting is of the wrong kind", e);
+            }
             return file;
         } catch (JsonProcessingException e) {
             throw new IllegalArgumentException("no JSON: " + e.getOriginalMessage().replaceAll("\\s*\\(.*", "")
--- a/src/main/java/spartrail/shard/PartRequest.java
+++ b/src/main/java/spartrail/shard/PartRequest.java
@@ -15,7 +15,7 @@
     final double untilMs;
 
     Stage stage = Stage.WAITING;
-    double writtenMs;
+    double givenMs;
     ShardConnection connection;
     ShardCall call;
 
--- a/src/main/java/spartrail/shard/ShardConnection.java
+++ b/src/main/java/spartrail/shard/ShardConnection.java
@@ -83,7 +83,12 @@
         for (ShardCall call : waiting) {
             load += call.parts.size();
         }
-        return load + (writing == null ? 0 : writing.parts.size());
+        if (writing != null) {
+            for (PartRequest part : writing.parts) {
+                load += part.stage == PartRequest.Stage.BEGUN ? 1 : 0;
+            }
+        }
+        return load;
     }
 
     boolean idleSince(double ms) {
@@ -92,7 +97,10 @@
 
     void send(ShardCall call) {
         usedMs = pool.clock.nowMs();
-        call.parts.forEach(part -> part.connection = this);
+        for (PartRequest part : call.parts) {
+            part.connection = this;
+            part.givenMs = usedMs;
+        }
         waiting.add(call);
         if (connection != null) {
             write();
@@ -108,6 +116,13 @@
         goIfDone();
     }
 
+    /** Not at once: the part that is being taken back has its end first. */
+    private void goWhenDone() {
+        if (retired) {
+            pool.io.execute(this::goIfDone);
+        }
+    }
+
     private void goIfDone() {
         if (retired && load() == 0) {
             end(null);
@@ -116,24 +131,25 @@
 
     /** Nothing more is waited for; a frame that has not begun does not leave. True where the part never left. */
     boolean withdraw(PartRequest part, boolean timedOut) {
+        // Danger: a connection that no longer leads anywhere says nothing, and would swallow all that comes
+        // after. One that was silent for the whole wait for a part gets no more.
+        retired |= timedOut && connection != null && readMs < part.givenMs;
         if (part.stage == PartRequest.Stage.WAITING) {
             part.call.parts.remove(part);
             if (part.call.parts.isEmpty()) {
                 waiting.remove(part.call);
             }
+            goWhenDone();
             return true;
         }
         out.remove(part.id, part);
-        // Danger: a connection that no longer leads anywhere says nothing, and would swallow all that comes
-        // after. One that was silent for the whole wait for a part gets no more.
-        retired |= timedOut && readMs < part.writtenMs;
         if (pool.cancelling && !closed) {
             giveUps.add(Frames.giveUp(part.id));
             if (connection != null) {
                 write();
             }
         }
-        goIfDone();
+        goWhenDone();
         return false;
     }
 
@@ -162,7 +178,6 @@
                     for (PartRequest part : writing.parts) {
                         if (part.stage == PartRequest.Stage.BEGUN) {
                             part.stage = PartRequest.Stage.WRITTEN;
-                            part.writtenMs = usedMs;
                             out.put(part.id, part);
                         }
                     }
--- a/src/test/java/spartrail/cli/CommandLineTest.java
+++ b/src/test/java/spartrail/cli/CommandLineTest.java
@@ -35,7 +35,7 @@
                 check(good.replace("127.0.0.1:3000", "front:3000")), check(good.replace("\"discovery\": \"127", "\"d\": \"127")),
                 check(good.replace("\"uid\": \"s-2\"", "\"uid\": 2")), check(good.replace("\"aim\": 2.0,", "")),
                 check(good.replace("\"effect\": \"free\"", "\"effect\": \"odd\"")), check(good.replace("\"fetch-parts\": [0]", "\"fetch-parts\": [3]")),
-                run("check", folder.resolve("none").toString()))).isEqualTo("""
+                check(good.replace("\"slabs\": 4", "\"slabs\": \"4\"")), run("check", folder.resolve("none").toString()))).isEqualTo("""
                 0 usable: node n0 on /127.0.0.1:3000, op types [orders], 4 servers known
                 2 spartrail: no JSON: Unexpected end-of-input: expected close marker for Object in line 1
                 2 spartrail: a JSON object is expected
@@ -46,6 +46,7 @@
                 2 spartrail: boot-info lacks 'aim' of class orders
                 2 spartrail: unknown effect 'odd' of class orders
                 2 spartrail: a class with a second step or a stream has no form on these sockets
+                2 spartrail: a setting is of the wrong kind
                 2 spartrail: cannot read FOLDER/none""");
     }
 
--- a/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/src/test/java/spartrail/front/FrontNodeTest.java
@@ -156,6 +156,10 @@
             client.send(String.valueOf(each));
         }
         assertThat(client.answer()).isEqualTo("200 {\"all_in\":true,\"matches\":[{\"segment\":1,\"payload\":\"\\\"é\\n1t\"}]}");
+        client.send(request("c", "1", "").replaceAll("(?s)Content-Length.*",
+                "Expect: 100-continue\r\nContent-Length: " + body.length() + "\r\n\r\n"));
+        assertThat(new String(client.in.readNBytes(25), StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 100 Continue\r\n\r\n");
+        assertThat(client.send(body).answer()).startsWith("200 {\"all_in\":true");
         assertThat(client.send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").answer()).isEqualTo("200 ");
     }
 
--- a/src/test/java/spartrail/shard/ShardPoolTest.java
+++ b/src/test/java/spartrail/shard/ShardPoolTest.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -201,6 +202,31 @@
                 "server: given up 2.0", "server: closed", "server: opened", "server: part 3.0");
     }
 
+    @Test
+    void aServerThatDoesNotReadBlocksNothingAfterTheFirstWait() throws Exception {
+        pool(100, 1000, 60_000);
+        ServerSocket deaf = new ServerSocket(0, 4, InetAddress.getByName("127.0.0.1"));
+        opened.add(deaf);
+        InetSocketAddress address = (InetSocketAddress) deaf.getLocalSocketAddress();
+        PartRequest big = new PartRequest(null, "1.0", 0, new byte[32 * 1024 * 1024], clock.nowMs() + 10_000);
+        PartRequest behind = part("2.0");
+        io(() -> pool.send(address, List.of(big)));
+        Socket first = deaf.accept();
+        opened.add(first);
+        first.getInputStream().read();
+        io(() -> {
+            pool.send(address, List.of(behind));
+            pool.withdraw(behind, Outcome.TIMED_OUT);
+            pool.withdraw(big, Outcome.TIMED_OUT);
+            pool.send(address, List.of(part("3.0")));
+        });
+        assertThat(List.of(next(), next())).containsExactly("2.0 NOT_SENT", "1.0 TIMED_OUT");
+        Socket second = deaf.accept();
+        opened.add(second);
+        assertThat(second.getInputStream().readNBytes(10)).endsWith("3.0 0".getBytes(StandardCharsets.US_ASCII));
+        io(() -> assertThat(pool.size()).isEqualTo(1));
+    }
+
     @Test
     void moreConnectionsAreOpenedOnlyWhenOneIsFull() throws Exception {
         pool(2, 1000, 60_000);
