--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -178,7 +178,12 @@
 
     private void handle(HttpServerExchange exchange) {
         StreamConnection connection = ClientRequest.channel(exchange);
-        Peer peer = connections.computeIfAbsent(connection, open -> new Peer());
+        Peer peer = connections.get(connection);
+        if (peer == null) {
+            // Turned out while its request was on the way up.
+            IoUtils.safeClose(connection);
+            return;
+        }
         exchange.addExchangeCompleteListener((ended, next) -> {
             read(peer);
             peer.busy = false;
@@ -209,7 +214,7 @@
             }
             peer.unread = claim;
             unread += claim;
-            exchange.getRequestReceiver().receiveFullBytes(this::received, (failed, e) -> {
+            exchange.getRequestReceiver().receiveFullBytes((whole, body) -> received(whole, peer, body), (failed, e) -> {
                 read(peer);
                 IoUtils.safeClose(failed.getConnection());
             });
@@ -226,16 +231,13 @@
         }
     }
 
-    private void received(HttpServerExchange exchange, byte[] body) {
-        Peer peer = connections.get(ClientRequest.channel(exchange));
+    private void received(HttpServerExchange exchange, Peer peer, byte[] body) {
         read(peer);
         double atMs = clock.nowMs();
         try {
             Ask ask = reader.read(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
             ClientRequest request = new ClientRequest(this, exchange, atMs);
-            if (peer != null) {
-                peer.busy = true;
-            }
+            peer.busy = true;
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                 request.watchClient();
                 taker.asked(ask, request);
--- a/src/main/java/spartrail/provisioning/Provisioning.java
+++ b/src/main/java/spartrail/provisioning/Provisioning.java
@@ -68,7 +68,7 @@
     private static Object need(Map<?, ?> map, String name, String of) {
         Object value = map.get(name);
         if (value == null) {
-            throw new IllegalArgumentException("boot-info lacks '" + name + "'" + of);
+            throw new IllegalArgumentException("the settings lack '" + name + "'" + of);
         }
         return value;
     }
--- a/src/test/java/spartrail/cli/CommandLineTest.java
+++ b/src/test/java/spartrail/cli/CommandLineTest.java
@@ -43,7 +43,7 @@
                 2 spartrail: no address of the form host:port: front:3000
                 2 spartrail: 'discovery' is missing or no text
                 2 spartrail: a line of the list has 'uid' and 'pod_group'
-                2 spartrail: boot-info lacks 'aim' of class orders
+                2 spartrail: the settings lack 'aim' of class orders
                 2 spartrail: unknown effect 'odd' of class orders
                 2 spartrail: a class with a second step or a stream has no form on these sockets
                 2 spartrail: a setting is of the wrong kind
--- a/src/test/java/spartrail/sim/SimHostTest.java
+++ b/src/test/java/spartrail/sim/SimHostTest.java
@@ -63,6 +63,6 @@
     @Test
     void namesAMissingSetting() throws IOException {
         assertThat(run(START.formatted(INFO.replace("\"aim\":1.0,", "")))).isZero();
-        assertThat(out.toString()).contains("[\"GIVE_IN\",\"boot-info lacks 'aim' of class read\"]");
+        assertThat(out.toString()).contains("[\"GIVE_IN\",\"the settings lack 'aim' of class read\"]");
     }
 }
