--- a/src/main/java/spartrail/cli/CheckCommand.java
+++ b/src/main/java/spartrail/cli/CheckCommand.java
@@ -44,6 +44,7 @@
     /** The first line of the answer. */
     private static String answer(InetSocketAddress address, String head, String body) throws IOException {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(10_000);
             String request = head + "Host: check\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n"
                     + body;
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
