--- a/src/main/java/spartrail/client/AskReader.java
+++ b/src/main/java/spartrail/client/AskReader.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Set;
 
-/** Decodes requests; what the protocol does not know is refused in one plain sentence. */
+/** Decodes requests; what the protocol does not know is turned away with one plain sentence. */
 final class AskReader {
     /** A request that is none; its message goes to the client. */
     static final class BadRequest extends Exception {
--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -202,7 +202,7 @@
             long length = exchange.getRequestContentLength();
             if (length > LONGEST) {
                 exchange.setPersistent(false);
-                send(exchange, Reply.refused(413, "the body is too long"));
+                send(exchange, Reply.unusable(413, "the body is too long"));
                 return;
             }
             exchange.setMaxEntitySize(LONGEST);
@@ -219,7 +219,7 @@
                 IoUtils.safeClose(failed.getConnection());
             });
         } else {
-            send(exchange, Reply.refused(405, "POST a multiget, or GET /up"));
+            send(exchange, Reply.unusable(405, "POST a multiget, or GET /up"));
         }
     }
 
@@ -243,7 +243,7 @@
                 taker.asked(ask, request);
             });
         } catch (AskReader.BadRequest e) {
-            send(exchange, Reply.refused(400, e.getMessage()));
+            send(exchange, Reply.unusable(400, e.getMessage()));
         }
     }
 
--- a/src/main/java/spartrail/client/Reply.java
+++ b/src/main/java/spartrail/client/Reply.java
@@ -46,7 +46,7 @@
         return new Reply(500, null, text("failed"));
     }
 
-    static Reply refused(int status, String why) {
+    static Reply unusable(int status, String why) {
         return new Reply(status, null, text(why));
     }
 
--- a/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -63,7 +63,7 @@
         List<OpType> opTypes = opTypes();
         coordinator(opTypes);
         if (opTypes.stream().anyMatch(op -> op.secondStepParts > 0 || op.streamed)) {
-            throw new IllegalArgumentException("a class with a second step or a stream has no form on these sockets");
+            throw new IllegalArgumentException("an op type with a second step or a stream has no form on these sockets");
         }
         if (openCap() <= 0 || sockets() <= 0 || callsPerConnection() <= 0) {
             throw new IllegalArgumentException("open-cap, sockets and streams-per-conn are above 0");
--- a/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/src/test/java/spartrail/front/FrontNodeTest.java
@@ -339,6 +339,20 @@
         assertThat(catching(inHand)).isEqualTo("still waiting");
     }
 
+    @Test
+    void halfSentRequestsHoldNothingAndGoFirst() throws Exception {
+        start("\"sockets\": 1024", "\"sockets\": " + (Descriptors.held() + 60), "\"open-cap\": 187", "\"open-cap\": 3");
+        tell("b");
+        String half = request("a", "4", body(0));
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            clients.add(new Client().send(half.substring(0, half.length() - 1)));
+        }
+        assertThat(new Client().ask("b", 0, 1).answer()).startsWith("200 ");
+        assertThat(clients.get(0).answer()).isEqualTo("closed");
+        assertThat(clients.get(59).send(half.substring(half.length() - 1).replace('}', 'x')).answer()).startsWith("400 ");
+    }
+
     private static String catching(Client client) throws IOException {
         try {
             return client.answer();
