Say once what the socket code said twice

DeploymentFile had its own readers of settings beside Provisioning's, and read addresses and the known list at each asking, twice at a start; JSON faults were worded in two places; ids and hosts compiled their patterns at each use, one of them on every request. One search serves the three kinds of client connections, ClientRequest keeps its connection, the guard against a connection that is not up stands in write() alone, a list is gone through once and an address barred once. No test changed what it asserts.

--- a/example/ToyFleet.java
+++ b/example/ToyFleet.java
@@ -3,7 +3,6 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.DataInputStream;
-import java.io.EOFException;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -200,8 +199,6 @@
                     }
                 }
             }
-        } catch (EOFException e) {
-            closed(link);
         } catch (IOException e) {
             closed(link);
         }
--- a/src/main/java/spartrail/client/AskReader.java
+++ b/src/main/java/spartrail/client/AskReader.java
@@ -11,6 +11,7 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /** Decodes requests; what the protocol does not know is turned away with one plain sentence. */
 final class AskReader {
@@ -23,6 +24,7 @@
         }
     }
 
+    private static final Pattern USABLE_ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
     private static final HttpString ID = new HttpString("Req-Id");
     private static final HttpString KIND = new HttpString("Req-Kind");
     private static final HttpString DEADLINE = new HttpString("Req-Deadline");
@@ -41,7 +43,7 @@
 
     Ask read(String path, HeaderMap headers, byte[] body) throws BadRequest {
         String id = headers.getFirst(ID);
-        if (id == null || !id.matches("[0-9A-Za-z_-]{1,64}")) {
+        if (id == null || !USABLE_ID.matcher(id).matches()) {
             throw new BadRequest("Req-Id is missing or unusable");
         }
         String[] steps = path.split("/", 3);
--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -15,6 +15,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -56,6 +58,10 @@
         long unread;
     }
 
+    /** With no request in hand, whether one is half sent or none. */
+    private static final Predicate<Peer> UNUSED = peer -> !peer.busy;
+    private static final Predicate<Peer> HALF_SENT = peer -> peer.unread > 0;
+
     /** Open connections, the longest unused first. */
     private final Map<StreamConnection, Peer> connections = new LinkedHashMap<>();
     private final HttpOpenListener http;
@@ -98,8 +104,7 @@
     /** Nothing new comes in: no connection is accepted, unused ones are closed. */
     public void shut() {
         IoUtils.safeClose(listening);
-        connections.entrySet().stream().filter(entry -> !entry.getValue().busy && entry.getValue().unread == 0)
-                .map(Map.Entry::getKey).toList().forEach(this::drop);
+        all(UNUSED.and(HALF_SENT.negate())).toList().forEach(this::drop);
     }
 
     public void close() {
@@ -127,7 +132,7 @@
                 if (notAccepted++ == 0) {
                     LOG.log(System.Logger.Level.WARNING, "cannot accept a connection: " + e.getMessage());
                 }
-                StreamConnection unused = longestUnused();
+                StreamConnection unused = longest(UNUSED);
                 if (unused != null) {
                     drop(unused);
                 }
@@ -138,7 +143,7 @@
     private void accepted(StreamConnection connection) {
         if (connections.size() >= mostConnections) {
             // Danger: clients' connections use up the descriptors that servers and discovery need.
-            StreamConnection unused = longestUnused();
+            StreamConnection unused = longest(UNUSED);
             drop(unused == null ? connection : unused);
             if (unused == null) {
                 return;
@@ -156,15 +161,13 @@
         }
     }
 
-    /** The first of the connections with no request in hand, whether one is half sent or none. */
-    private StreamConnection longestUnused() {
-        return connections.entrySet().stream().filter(entry -> !entry.getValue().busy).map(Map.Entry::getKey)
-                .findFirst().orElse(null);
+    /** The connection of this kind that has been so the longest, or null. */
+    private StreamConnection longest(Predicate<Peer> kind) {
+        return all(kind).findFirst().orElse(null);
     }
 
-    private StreamConnection longestUnread() {
-        return connections.entrySet().stream().filter(entry -> entry.getValue().unread > 0).map(Map.Entry::getKey)
-                .findFirst().orElse(null);
+    private Stream<StreamConnection> all(Predicate<Peer> kind) {
+        return connections.entrySet().stream().filter(entry -> kind.test(entry.getValue())).map(Map.Entry::getKey);
     }
 
     private void drop(StreamConnection connection) {
@@ -208,8 +211,8 @@
             exchange.setMaxEntitySize(LONGEST);
             long claim = length < 0 ? LONGEST : Math.min(length, LONGEST);
             // Danger: half-sent bodies fill the memory, and the node dies with all that it has in hand.
-            for (StreamConnection half = longestUnread(); unread + claim > mostUnread && half != null;
-                    half = longestUnread()) {
+            for (StreamConnection half = longest(HALF_SENT); unread + claim > mostUnread && half != null;
+                    half = longest(HALF_SENT)) {
                 drop(half);
             }
             peer.unread = claim;
--- a/src/main/java/spartrail/client/ClientRequest.java
+++ b/src/main/java/spartrail/client/ClientRequest.java
@@ -12,6 +12,7 @@
 public final class ClientRequest {
     private final ClientDoor door;
     private final HttpServerExchange exchange;
+    private final HttpServerConnection connection;
     /** When its last byte was read. */
     public final double arrivedMs;
     private boolean over;
@@ -19,6 +20,7 @@
     ClientRequest(ClientDoor door, HttpServerExchange exchange, double arrivedMs) {
         this.door = door;
         this.exchange = exchange;
+        this.connection = (HttpServerConnection) exchange.getConnection();
         this.arrivedMs = arrivedMs;
     }
 
@@ -31,15 +33,14 @@
      * left, and work goes on for it. What a client sends ahead is kept for its next request.
      */
     void watchClient() {
-        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
         StreamSourceConduit source = connection.getOriginalSourceConduit();
-        channel(exchange).getSourceChannel().setReadListener(channel -> readable(connection, source));
+        connection.getChannel().getSourceChannel().setReadListener(channel -> readable(source));
         if (connection.getExtraBytes() == null) {
             source.resumeReads();
         }
     }
 
-    private void readable(HttpServerConnection connection, StreamSourceConduit source) {
+    private void readable(StreamSourceConduit source) {
         if (over) {
             source.suspendReads();
             return;
@@ -49,7 +50,7 @@
         try {
             int got = source.read(ahead.getBuffer());
             if (got < 0) {
-                left(connection);
+                left();
             } else if (got > 0) {
                 source.suspendReads();
                 ahead.getBuffer().flip();
@@ -57,7 +58,7 @@
                 kept = true;
             }
         } catch (IOException e) {
-            left(connection);
+            left();
         } finally {
             if (!kept) {
                 ahead.close();
@@ -65,7 +66,7 @@
         }
     }
 
-    private void left(HttpServerConnection connection) {
+    private void left() {
         over = true;
         IoUtils.safeClose(connection);
         door.gone(this);
@@ -77,7 +78,7 @@
             return;
         }
         over = true;
-        ((HttpServerConnection) exchange.getConnection()).getOriginalSourceConduit().suspendReads();
+        connection.getOriginalSourceConduit().suspendReads();
         door.send(exchange, reply);
     }
 }
--- a/src/main/java/spartrail/discovery/HostList.java
+++ b/src/main/java/spartrail/discovery/HostList.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import spartrail.json.JsonTree;
 import spartrail.model.Server;
 
@@ -17,6 +18,7 @@
             double rating, long bootMs) {
     }
 
+    private static final Pattern HOST = Pattern.compile("[0-9.]+|\\[[0-9a-fA-F:.]+]|localhost");
     private static final JsonFactory JSON = new JsonFactory();
 
     /** Decodes a body in discovery's form; an IllegalArgumentException or IOException where it is none. */
@@ -61,7 +63,7 @@
         try {
             String host = text.substring(0, Math.max(0, colon));
             int port = Integer.parseInt(text.substring(colon + 1));
-            if (!host.isEmpty() && host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]|localhost") && port >= 0 && port < 65_536) {
+            if (HOST.matcher(host).matches() && port >= 0 && port < 65_536) {
                 return new InetSocketAddress(host, port);
             }
         } catch (NumberFormatException e) {
--- a/src/main/java/spartrail/front/NodeLoop.java
+++ b/src/main/java/spartrail/front/NodeLoop.java
@@ -269,9 +269,8 @@
 
     private void list(HostList list, boolean fresh) {
         List<Server> lines = new ArrayList<>();
+        Set<String> gone = list.all() ? new HashSet<>(addresses.keySet()) : new HashSet<>();
         for (HostList.Line line : list.lines()) {
-            InetSocketAddress old = addresses.get(line.id());
-            InetSocketAddress address = line.address() == null ? old : line.address();
             Server server = new Server(line.id());
             server.zone = line.zone();
             server.kind = line.kind();
@@ -280,26 +279,26 @@
             server.rating = line.rating();
             server.bornMs = line.bootMs() > 0 ? clock.at(line.bootMs()) : -1;
             lines.add(server);
-            if (address != null) {
-                addresses.put(line.id(), address);
-                Long boot = boots.put(line.id(), line.bootMs());
-                if (!address.equals(old) || boot == null || boot != line.bootMs()) {
-                    renewed.add(address);
-                }
-                if (line.state() != Server.State.LIVE) {
-                    barred.add(address);
-                }
+            if (line.state() == Server.State.GONE) {
+                gone.add(line.id());
+                continue;
+            }
+            gone.remove(line.id());
+            InetSocketAddress old = addresses.put(line.id(), line.address());
+            Long boot = boots.put(line.id(), line.bootMs());
+            if (!line.address().equals(old) || boot != line.bootMs()) {
+                renewed.add(line.address());
+            }
+            if (line.state() == Server.State.DRAINING) {
+                barred.add(line.address());
             }
         }
-        Set<String> gone = new HashSet<>();
-        if (list.all()) {
-            gone.addAll(addresses.keySet());
-            list.lines().forEach(line -> gone.remove(line.id()));
-        }
-        list.lines().stream().filter(line -> line.state() == Server.State.GONE).forEach(line -> gone.add(line.id()));
         for (String id : gone) {
-            barred.add(addresses.remove(id));
+            InetSocketAddress address = addresses.remove(id);
             boots.remove(id);
+            if (address != null) {
+                barred.add(address);
+            }
         }
         counters.lists++;
         take(coordinator.listed(lines, list.all(), fresh, nowMs));
--- a/src/main/java/spartrail/json/JsonTree.java
+++ b/src/main/java/spartrail/json/JsonTree.java
@@ -1,6 +1,7 @@
 package spartrail.json;
 
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -13,6 +14,11 @@
     private JsonTree() {
     }
 
+    /** What is wrong with a text that is no JSON, without where it came from. */
+    public static String fault(JsonProcessingException e) {
+        return e.getOriginalMessage().replaceAll("\\s*\\(.*", "");
+    }
+
     /** The value that begins at the parser's current token. */
     public static Object value(JsonParser parser) throws IOException {
         return switch (parser.currentToken()) {
--- a/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -1,5 +1,9 @@
 package spartrail.provisioning;
 
+import static spartrail.provisioning.Provisioning.flag;
+import static spartrail.provisioning.Provisioning.map;
+import static spartrail.provisioning.Provisioning.number;
+
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -18,10 +22,17 @@
 public final class DeploymentFile {
     private final Map<?, ?> tree;
     private final Map<?, ?> info;
+    private final InetSocketAddress listen;
+    private final InetSocketAddress discovery;
+    private final HostList known;
 
     private DeploymentFile(Map<?, ?> tree) {
         this.tree = tree;
         this.info = (Map<?, ?>) tree.get("settings");
+        this.listen = HostList.address(text("listen"));
+        this.discovery = HostList.address(text("discovery"));
+        this.known = tree.get("known") instanceof Map<?, ?> list ? HostList.of(list)
+                : new HostList(0, true, List.of());
     }
 
     /** Reads and checks the file; what is wrong is said in one line. */
@@ -43,23 +54,19 @@
             if (!(tree.get("settings") instanceof Map<?, ?>)) {
                 throw new IllegalArgumentException("'settings' is missing or no object");
             }
-            DeploymentFile file = new DeploymentFile(tree);
             try {
+                DeploymentFile file = new DeploymentFile(tree);
                 file.check();
+                return file;
             } catch (ClassCastException e) {
                 throw new IllegalArgumentException("a setting is of the wrong kind", e);
             }
-            return file;
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("no JSON: " + e.getOriginalMessage().replaceAll("\\s*\\(.*", "")
-                    + " in line " + e.getLocation().getLineNr());
+            throw new IllegalArgumentException("no JSON: " + JsonTree.fault(e) + " in line " + e.getLocation().getLineNr());
         }
     }
 
     private void check() {
-        listen();
-        discovery();
-        known();
         List<OpType> opTypes = opTypes();
         coordinator(opTypes);
         if (opTypes.stream().anyMatch(op -> op.secondStepParts > 0 || op.streamed)) {
@@ -75,16 +82,16 @@
     }
 
     public InetSocketAddress listen() {
-        return HostList.address(text("listen"));
+        return listen;
     }
 
     public InetSocketAddress discovery() {
-        return HostList.address(text("discovery"));
+        return discovery;
     }
 
     /** The list of servers as this node last had it; it may be old. */
     public HostList known() {
-        return tree.get("known") instanceof Map<?, ?> known ? HostList.of(known) : new HostList(0, true, List.of());
+        return known;
     }
 
     /** The chance of this start, from the seed in hex. */
@@ -133,7 +140,7 @@
     }
 
     public boolean cancelling() {
-        return Boolean.TRUE.equals(map(info, "bounds").get("cancelling"));
+        return flag(map(info, "bounds"), "cancelling");
     }
 
     public int shards() {
@@ -156,12 +163,4 @@
         }
         return value;
     }
-
-    private static Map<?, ?> map(Map<?, ?> map, String name) {
-        return map.get(name) instanceof Map<?, ?> inner ? inner : Map.of();
-    }
-
-    private static double number(Map<?, ?> map, String name, double otherwise) {
-        return map.get(name) instanceof Number number ? number.doubleValue() : otherwise;
-    }
 }
--- a/src/main/java/spartrail/provisioning/Provisioning.java
+++ b/src/main/java/spartrail/provisioning/Provisioning.java
@@ -73,7 +73,7 @@
         return value;
     }
 
-    private static Map<?, ?> map(Map<?, ?> map, String name) {
+    static Map<?, ?> map(Map<?, ?> map, String name) {
         return map.get(name) instanceof Map<?, ?> inner ? inner : Map.of();
     }
 
@@ -86,11 +86,11 @@
         return index < values.size() ? number(values.get(index)) : otherwise;
     }
 
-    private static boolean flag(Map<?, ?> map, String name) {
+    static boolean flag(Map<?, ?> map, String name) {
         return Boolean.TRUE.equals(map.get(name));
     }
 
-    private static double number(Map<?, ?> map, String name, double otherwise) {
+    static double number(Map<?, ?> map, String name, double otherwise) {
         return map.get(name) instanceof Number number ? number.doubleValue() : otherwise;
     }
 
--- a/src/main/java/spartrail/shard/ShardConnection.java
+++ b/src/main/java/spartrail/shard/ShardConnection.java
@@ -102,9 +102,7 @@
             part.givenMs = usedMs;
         }
         waiting.add(call);
-        if (connection != null) {
-            write();
-        }
+        write();
     }
 
     boolean takes(int parts, int most) {
@@ -145,9 +143,7 @@
         out.remove(part.id, part);
         if (pool.cancelling && !closed) {
             giveUps.add(Frames.giveUp(part.id));
-            if (connection != null) {
-                write();
-            }
+            write();
         }
         goWhenDone();
         return false;
@@ -161,7 +157,7 @@
     }
 
     private void write() {
-        if (closed) {
+        if (closed || connection == null) {
             return;
         }
         ConduitStreamSinkChannel sink = connection.getSinkChannel();
--- a/src/main/java/spartrail/shard/ShardPool.java
+++ b/src/main/java/spartrail/shard/ShardPool.java
@@ -85,12 +85,17 @@
 
     /** The server drains or is gone: what has not begun to leave for it does not leave. */
     public void bar(InetSocketAddress address) {
-        List.copyOf(connections.getOrDefault(address, List.of())).forEach(ShardConnection::dropWaiting);
+        to(address).forEach(ShardConnection::dropWaiting);
     }
 
     /** The process there is another one: what leads to the old one gets no further calls. */
     public void renew(InetSocketAddress address) {
-        List.copyOf(connections.getOrDefault(address, List.of())).forEach(ShardConnection::retire);
+        to(address).forEach(ShardConnection::retire);
+    }
+
+    /** A copy, as connections that end leave their list. */
+    private List<ShardConnection> to(InetSocketAddress address) {
+        return List.copyOf(connections.getOrDefault(address, List.of()));
     }
 
     public int size() {
--- a/src/main/java/spartrail/sim/SimHost.java
+++ b/src/main/java/spartrail/sim/SimHost.java
@@ -41,7 +41,7 @@
             try {
                 batch = batch(line);
             } catch (JsonProcessingException e) {
-                return refuse(number, "no JSON: " + e.getOriginalMessage().replaceAll("\\s*\\(.*", ""));
+                return refuse(number, "no JSON: " + JsonTree.fault(e));
             } catch (IllegalArgumentException e) {
                 return refuse(number, "no batch: " + e.getMessage());
             }
--- a/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/src/test/java/spartrail/front/FrontNodeTest.java
@@ -29,6 +29,8 @@
 
 /** A whole node on the loopback, between raw clients and the toy fleet of the example. */
 class FrontNodeTest {
+    private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
     private final ToyFleet fleet = new ToyFleet(4, 0, 0);
     private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
     private final List<Client> clients = new ArrayList<>();
@@ -169,7 +171,7 @@
                 "Expect: 100-continue\r\nContent-Length: " + body.length() + "\r\n\r\n"));
         assertThat(new String(client.in.readNBytes(25), StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 100 Continue\r\n\r\n");
         assertThat(client.send(body).answer()).startsWith("200 {\"all_in\":true");
-        assertThat(client.send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").answer()).isEqualTo("200 ");
+        assertThat(client.send(UP).answer()).isEqualTo("200 ");
     }
 
     @Test
@@ -299,7 +301,7 @@
                 }
             }
         });
-        Client unused = new Client().send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+        Client unused = new Client().send(UP);
         assertThat(unused.answer()).isEqualTo("200 ");
         Client inHand = new Client().ask("a", 0);
         ToyFleet.Link link = held.get(20, TimeUnit.SECONDS);
@@ -310,7 +312,7 @@
                 throw new IllegalStateException(e);
             }
         });
-        while (!new Client().send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").answer().startsWith("503 close")) {
+        while (!new Client().send(UP).answer().startsWith("503 close")) {
             // Told to end, but the door has not heard of it yet.
         }
         assertThat(new Client().ask("b", 1).answer()).startsWith("200 close {\"all_in\":true");
@@ -330,7 +332,7 @@
         assertThat(next()).isEqualTo("part a.0");
         for (int i = 0; i < 60; i++) {
             idle.add(new Client());
-            assertThat(idle.get(i).send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").answer()).isEqualTo("200 ");
+            assertThat(idle.get(i).send(UP).answer()).isEqualTo("200 ");
         }
         assertThat(idle.get(0).answer()).isEqualTo("closed");
         assertThat(idle.get(59).ask("b", 0).answer()).startsWith("200 ");
