One map of listed servers; a send decided before its server's end in one turn is not sent

Addresses and starts of servers stood in two maps that had to agree; the listed line holds both. Seen while joining them: a send decided earlier in the turn in which its server was listed as gone had no address, and its part waited for its time-out (NodeLoop.calls). It now ends as not sent at once, like one whose multiget is over.

--- a/src/main/java/spartrail/front/NodeLoop.java
+++ b/src/main/java/spartrail/front/NodeLoop.java
@@ -52,8 +52,8 @@
 
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final Map<String, ClientMultiget> inHand = new HashMap<>();
-    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
-    private final Map<String, Long> boots = new HashMap<>();
+    /** Servers that are not gone, as last listed. */
+    private final Map<String, HostList.Line> hosts = new HashMap<>();
     private final Timetable timetable = new Timetable();
     private final Standstill standstill;
     private final Counters counters = new Counters();
@@ -269,7 +269,7 @@
 
     private void list(HostList list, boolean fresh) {
         List<Server> lines = new ArrayList<>();
-        Set<String> gone = list.all() ? new HashSet<>(addresses.keySet()) : new HashSet<>();
+        Set<String> gone = list.all() ? new HashSet<>(hosts.keySet()) : new HashSet<>();
         for (HostList.Line line : list.lines()) {
             Server server = new Server(line.id());
             server.zone = line.zone();
@@ -284,9 +284,8 @@
                 continue;
             }
             gone.remove(line.id());
-            InetSocketAddress old = addresses.put(line.id(), line.address());
-            Long boot = boots.put(line.id(), line.bootMs());
-            if (!line.address().equals(old) || boot != line.bootMs()) {
+            HostList.Line old = hosts.put(line.id(), line);
+            if (old == null || !line.address().equals(old.address()) || line.bootMs() != old.bootMs()) {
                 renewed.add(line.address());
             }
             if (line.state() == Server.State.DRAINING) {
@@ -294,10 +293,9 @@
             }
         }
         for (String id : gone) {
-            InetSocketAddress address = addresses.remove(id);
-            boots.remove(id);
-            if (address != null) {
-                barred.add(address);
+            HostList.Line line = hosts.remove(id);
+            if (line != null) {
+                barred.add(line.address());
             }
         }
         counters.lists++;
@@ -352,7 +350,9 @@
         List<Call> order = new ArrayList<>();
         for (Send send : sends) {
             ClientMultiget mg = (ClientMultiget) send.part.multiget;
-            if (mg.over || send.cancelled || !invariants.holds(send.number < mostSends, "most sends of a part")) {
+            // What was decided before the list of the same turn must not leave for a server that this list ends.
+            boolean toNobody = !hosts.containsKey(send.server.id);
+            if (mg.over || send.cancelled || toNobody || !invariants.holds(send.number < mostSends, "most sends of a part")) {
                 queue.add(() -> after(send, Send.Outcome.NOT_SENT, null, send.sentMs));
                 continue;
             }
@@ -373,7 +373,7 @@
         sends.clear();
         for (Call call : order) {
             List<PartRequest> parts = calls.get(call);
-            InetSocketAddress address = addresses.get(parts.get(0).send().server.id);
+            InetSocketAddress address = hosts.get(parts.get(0).send().server.id).address();
             tasks.add(() -> servers.send(address, parts));
         }
     }
