SIGHUP reads the configuration again and moves the watch to its discovery

Checked: the JVM's default action on SIGHUP; nothing in ServeCommand handled it. Ruled out: memory (53 of 144 MB) and descriptors (55 of 384). HostWatch kept its address for good (a final field), so a handler alone would have left the node without news. The watch goes on from the version it holds; a new address that answers with its whole list, whatever its version, does not know that version and is taken at its word once. A file that cannot be used changes nothing. Tests: a node served from the command line is sent SIGHUP (without the handler the test's JVM ends); a watch that moves.

--- a/src/main/java/spartrail/cli/ServeCommand.java
+++ b/src/main/java/spartrail/cli/ServeCommand.java
@@ -1,5 +1,6 @@
 package spartrail.cli;
 
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -8,9 +9,11 @@
 import org.kohsuke.args4j.Option;
 import spartrail.front.FrontNode;
 import spartrail.provisioning.DeploymentFile;
+import sun.misc.Signal;
 
 /** Serves clients as a front node, until it is told to end; then it drains. */
 public final class ServeCommand implements Command {
+    private static final System.Logger LOG = System.getLogger("spartrail.cli");
     /** Held, or its level would be forgotten. */
     private Logger quiet;
 
@@ -25,8 +28,13 @@
         }
         quiet = Logger.getLogger("org.xnio");
         quiet.setLevel(Level.WARNING);
-        FrontNode node = new FrontNode(DeploymentFile.read(config == null ? Path.of(named) : config));
-        node.start();
+        Path path = config == null ? Path.of(named) : config;
+        FrontNode node = new FrontNode(DeploymentFile.read(path));
+        synchronized (ServeCommand.class) {
+            // Danger: a JVM that nobody told otherwise ends on SIGHUP, with all that it has in hand.
+            Signal.handle(new Signal("HUP"), signal -> reload(node, path));
+            node.start();
+        }
         CountDownLatch over = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
@@ -41,4 +49,14 @@
         over.await();
         return 0;
     }
+
+    /** One at a time and none before the start, so that of two signals the later one's reading counts. */
+    private static synchronized void reload(FrontNode node, Path path) {
+        try {
+            node.reload(DeploymentFile.read(path));
+            LOG.log(System.Logger.Level.INFO, "configuration read again");
+        } catch (IOException | RuntimeException e) {
+            LOG.log(System.Logger.Level.WARNING, "configuration not taken, the one before stays: " + e.getMessage());
+        }
+    }
 }
--- a/src/main/java/spartrail/discovery/HostWatch.java
+++ b/src/main/java/spartrail/discovery/HostWatch.java
@@ -42,7 +42,7 @@
 
     private final XnioIoThread io;
     private final ByteBufferPool buffers;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final boolean onRequest;
     private final Listener listener;
 
@@ -50,6 +50,8 @@
     private boolean running;
     private boolean closed;
     private boolean had;
+    /** The present address has not answered yet. */
+    private boolean moved;
     private long version;
     private long call;
     private XnioExecutor.Key timer;
@@ -72,6 +74,27 @@
         }
     }
 
+    /**
+     * From now on the list is asked for elsewhere, from the version that is held; it stays in use until it is
+     * answered there. Danger: a call that waits at the old address would hold the watch up until its time-out.
+     */
+    public void move(InetSocketAddress to) {
+        if (closed || to.equals(address)) {
+            return;
+        }
+        LOG.log(System.Logger.Level.INFO, "discovery is at " + to + " from now on, no longer at " + address);
+        address = to;
+        moved = true;
+        failures = 0;
+        if (timer != null) {
+            timer.remove();
+        }
+        IoUtils.safeClose(connection);
+        connection = null;
+        running = true;
+        ask();
+    }
+
     public void close() {
         closed = true;
         call++;
@@ -186,8 +209,9 @@
             LOG.log(System.Logger.Level.INFO, "discovery answers again after " + failures + " failed calls");
             failures = 0;
         }
-        // Danger: an answer older than what is held would bring back servers that are gone.
-        if (!had || list.version() >= version) {
+        // Danger: an answer older than what is held would bring back servers that are gone. A new address that
+        // answers with its whole list, and not with changes, does not know the version that is held.
+        if (!had || list.version() >= version || moved && list.all()) {
             boolean news = !had || list.all() || !list.lines().isEmpty();
             had = true;
             version = list.version();
@@ -195,6 +219,7 @@
                 listener.listed(list);
             }
         }
+        moved = false;
         ask();
     }
 
--- a/src/main/java/spartrail/front/FrontNode.java
+++ b/src/main/java/spartrail/front/FrontNode.java
@@ -109,6 +109,14 @@
         return door.address();
     }
 
+    /**
+     * Goes by this configuration from now on, as far as a node that serves can: discovery moves to the address
+     * that it names. All else in it is for the next start.
+     */
+    public void reload(DeploymentFile changed) {
+        io.execute(() -> watch.move(changed.discovery()));
+    }
+
     /** Answers all that has been taken, and what may still come, then returns; the node is to be closed next. */
     public void drain() throws InterruptedException {
         LOG.log(System.Logger.Level.INFO, "draining");
--- a/src/test/java/spartrail/cli/CommandLineTest.java
+++ b/src/test/java/spartrail/cli/CommandLineTest.java
@@ -2,14 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.sun.net.httpserver.HttpServer;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import sun.misc.Signal;
 
 class CommandLineTest {
     @TempDir
@@ -57,4 +63,33 @@
         assertThat(run()).startsWith("2 spartrail: ").contains("usage: ");
         assertThat(run("version")).startsWith("0 spartrail ");
     }
+
+    /** Discovery that tells of its calls and answers none. */
+    private static HttpServer discovery(String name, BlockingQueue<String> seen) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        server.createContext("/", exchange -> seen.add(name + " is asked"));
+        server.start();
+        return server;
+    }
+
+    @Test
+    void onSighupDiscoveryMovesAndAFileThatCannotBeUsedChangesNothing() throws Exception {
+        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        HttpServer before = discovery("the old address", seen);
+        HttpServer after = discovery("the new address", seen);
+        String text = Files.readString(Path.of("example/config.json")).replace("127.0.0.1:3000", "127.0.0.1:0");
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, text.replace(":8500", ":" + before.getAddress().getPort()));
+        Thread serving = new Thread(() -> run("serve", "--config", file.toString()));
+        serving.setDaemon(true);
+        serving.start();
+        assertThat(seen.poll(20, TimeUnit.SECONDS)).isEqualTo("the old address is asked");
+        Files.writeString(file, "{");
+        Signal.raise(new Signal("HUP"));
+        Files.writeString(file, text.replace(":8500", ":" + after.getAddress().getPort()));
+        Signal.raise(new Signal("HUP"));
+        assertThat(seen.poll(20, TimeUnit.SECONDS)).isEqualTo("the new address is asked");
+        before.stop(0);
+        after.stop(0);
+    }
 }
