Bad clients get their end in time, spoilt answers end at once, nothing is held of what is over

Checked on the wire, some ninety bad requests one by one: taken were segment numbers with fractions, text that is missing or no text, more behind the JSON object, names twice in it, headers twice, deadlines like 1d and 0x1p1, negative work, and codings other than chunked. Ruled out: a length beside a coding, two lengths, negative and huge ones (Undertow answers 400 and closes). At fault: AskReader, ClientDoor.accepted and the lack of time-outs; heads and silence use Undertow's. Seen in a trace of every answer: length 0, 3, -4 and 3 GB, unknown letter, end, id, plain noise. Parts taken along by one spoilt answer counted as that many failures of the server, and two such ends as a multiget that kills servers: WindowCoordinator.learn and brokeAt. Such an end is an outcome of its own now, one failure. Held: servers that are gone for good, and due times of multigets until their client's time, which a client names freely.

--- a/src/main/java/spartrail/client/AskReader.java
+++ b/src/main/java/spartrail/client/AskReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.io.IOException;
@@ -25,6 +26,8 @@
     }
 
     private static final Pattern USABLE_ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,6}([.][0-9]{1,18})?");
+    private static final Pattern AFFINITY = Pattern.compile("[0-9a-fA-F]{16}");
     private static final HttpString ID = new HttpString("Req-Id");
     private static final HttpString KIND = new HttpString("Req-Kind");
     private static final HttpString DEADLINE = new HttpString("Req-Deadline");
@@ -32,7 +35,8 @@
     /** Weights sum up to the whole, but for rounding. */
     private static final double ROUNDING = 1e-3;
 
-    private final JsonFactory json = new JsonFactory();
+    /** Danger: of two values under one name each reader of the body may take another one. */
+    private final JsonFactory json = JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
     private final Set<String> opTypes;
     private final int shards;
 
@@ -42,16 +46,16 @@
     }
 
     Ask read(String path, HeaderMap headers, byte[] body) throws BadRequest {
-        String id = headers.getFirst(ID);
+        String id = only(headers, ID);
         if (id == null || !USABLE_ID.matcher(id).matches()) {
             throw new BadRequest("Req-Id is missing or unusable");
         }
         String[] steps = path.split("/", 3);
-        String kind = headers.getFirst(KIND);
+        String kind = only(headers, KIND);
         if (kind == null || !opTypes.contains(kind) || steps.length < 2 || !steps[1].equals(kind)) {
             throw new BadRequest("Req-Kind is unknown or not the path's");
         }
-        double clientLeftMs = 1000 * deadline(headers.getFirst(DEADLINE));
+        double clientLeftMs = 1000 * deadline(only(headers, DEADLINE));
         try (JsonParser parser = json.createParser(body)) {
             return body(parser, id, kind, steps.length > 2 ? steps[2] : null, clientLeftMs,
                     "1".equals(headers.getFirst(RETRY)));
@@ -60,14 +64,15 @@
         }
     }
 
+    /** The one value of this header; none where it is missing or there are several. */
+    private static String only(HeaderMap headers, HttpString name) {
+        return headers.count(name) == 1 ? headers.getFirst(name) : null;
+    }
+
     private static double deadline(String text) throws BadRequest {
-        try {
-            double seconds = text == null ? Double.NaN : Double.parseDouble(text);
-            if (seconds > 0 && seconds < 1e6) {
-                return seconds;
-            }
-        } catch (NumberFormatException e) {
-            // Said below.
+        double seconds = text != null && SECONDS.matcher(text).matches() ? Double.parseDouble(text) : 0;
+        if (seconds > 0) {
+            return seconds;
         }
         throw new BadRequest("Req-Deadline is missing or no time");
     }
@@ -75,7 +80,7 @@
     private Ask body(JsonParser parser, String id, String kind, String key, double clientLeftMs, boolean retry)
             throws IOException, BadRequest {
         List<Ask.AskedPart> parts = null;
-        String text = "";
+        String text = null;
         if (parser.nextToken() != JsonToken.START_OBJECT) {
             throw new BadRequest("the body is no JSON object");
         }
@@ -84,14 +89,17 @@
             JsonToken value = parser.nextToken();
             if (name.equals("segments") && value == JsonToken.START_ARRAY) {
                 parts = parts(parser);
-            } else if (name.equals("text") && value == JsonToken.VALUE_STRING) {
-                text = parser.getText();
+            } else if (name.equals("text")) {
+                text = text(parser);
             } else {
                 parser.skipChildren();
             }
         }
-        if (parts == null || parts.isEmpty()) {
-            throw new BadRequest("segments are missing");
+        if (parser.nextToken() != null) {
+            throw new BadRequest("there is more behind the body's JSON object");
+        }
+        if (parts == null || parts.isEmpty() || text == null) {
+            throw new BadRequest("segments or text are missing");
         }
         if (Math.abs(parts.stream().mapToDouble(Ask.AskedPart::weight).sum() - 1) > ROUNDING) {
             throw new BadRequest("the boosts of the segments do not sum up to 1");
@@ -99,6 +107,21 @@
         return new Ask(id, kind, key, clientLeftMs, retry, parts, text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** A text that is the same in UTF-8: half of a surrogate pair has no form there. */
+    private static String text(JsonParser parser) throws IOException, BadRequest {
+        String text = parser.currentToken() == JsonToken.VALUE_STRING ? parser.getText() : null;
+        if (text == null || !StandardCharsets.UTF_8.newEncoder().canEncode(text)) {
+            throw new BadRequest("text is no text");
+        }
+        return text;
+    }
+
+    private static void need(boolean holds) throws BadRequest {
+        if (!holds) {
+            throw new BadRequest("a segment is not of the expected form");
+        }
+    }
+
     private List<Ask.AskedPart> parts(JsonParser parser) throws IOException, BadRequest {
         List<Ask.AskedPart> parts = new ArrayList<>();
         BitSet seen = new BitSet(shards);
@@ -111,18 +134,23 @@
             }
             while (parser.nextToken() != JsonToken.END_OBJECT) {
                 String name = parser.currentName();
-                parser.nextToken();
+                JsonToken value = parser.nextToken();
                 switch (name) {
-                    case "segment" -> shard = parser.getIntValue();
+                    case "segment" -> {
+                        // Danger: a number with a fraction would be cut to that of another shard.
+                        need(value == JsonToken.VALUE_NUMBER_INT);
+                        shard = parser.getIntValue();
+                    }
                     case "boost" -> weight = parser.getDoubleValue();
                     case "work" -> costMs = parser.getDoubleValue() / 1000;
+                    case "affinity" -> need(value == JsonToken.VALUE_STRING && AFFINITY.matcher(parser.getText()).matches());
                     default -> parser.skipChildren();
                 }
             }
             if (shard < 0 || shard >= shards || seen.get(shard)) {
                 throw new BadRequest("a segment does not exist or is there twice");
             }
-            if (!(weight >= 0 && weight <= 1 + ROUNDING) || !Double.isFinite(costMs)) {
+            if (!(weight >= 0 && weight <= 1 + ROUNDING) || !(costMs >= 0 && Double.isFinite(costMs))) {
                 throw new BadRequest("a segment's boost or work is out of range");
             }
             seen.set(shard);
--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -6,6 +6,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
@@ -15,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.xnio.ChannelListener;
@@ -23,6 +25,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
@@ -40,6 +43,13 @@
     private static final System.Logger LOG = System.getLogger("spartrail.client");
     /** The longest body that the protocol knows. */
     private static final long LONGEST = 64 * 1024;
+    /**
+     * A connection with no open request may be closed after the first of these; the others leave a request that
+     * began with its connection less than the 3 s in which a client that sends no whole one is owed its end.
+     */
+    private static final int IDLE_MS = 2000;
+    private static final int HEAD_MS = 1500;
+    private static final int BODY_MS = 1000;
 
     private final XnioIoThread io;
     private final NodeClock clock;
@@ -54,12 +64,17 @@
     private static final class Peer {
         /** A request of it has been read and is not answered. */
         boolean busy;
-        /** What its body, still coming in, may take. */
+        /** A whole request of it has been read, now or earlier. */
+        boolean known;
+        /** What its body, still coming in, may take, and when that has lasted too long. */
         long unread;
+        XnioExecutor.Key lateBody;
     }
 
     /** With no request in hand, whether one is half sent or none. */
     private static final Predicate<Peer> UNUSED = peer -> !peer.busy;
+    /** It has not asked anything yet. */
+    private static final Predicate<Peer> UNKNOWN = peer -> !peer.busy && !peer.known;
     private static final Predicate<Peer> HALF_SENT = peer -> peer.unread > 0;
 
     /** Open connections, the longest unused first. */
@@ -78,6 +93,8 @@
         this.mostConnections = mostConnections;
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, (int) LONGEST / 4)
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false).getMap());
         http.setRootHandler(new HttpContinueReadHandler(this::handle));
@@ -90,12 +107,16 @@
         return (InetSocketAddress) listening.getLocalAddress();
     }
 
-    /** From now on clients are served. */
+    /** From now on connections are accepted. */
     public void open() {
-        up = true;
         listening.resumeAccepts();
     }
 
+    /** From now on the node says that it is ready. */
+    public void up() {
+        up = true;
+    }
+
     /** New requests are still taken, but each answer is its connection's last. */
     public void drain() {
         draining = true;
@@ -132,7 +153,7 @@
                 if (notAccepted++ == 0) {
                     LOG.log(System.Logger.Level.WARNING, "cannot accept a connection: " + e.getMessage());
                 }
-                StreamConnection unused = longest(UNUSED);
+                StreamConnection unused = leastNeeded();
                 if (unused != null) {
                     drop(unused);
                 }
@@ -143,7 +164,7 @@
     private void accepted(StreamConnection connection) {
         if (connections.size() >= mostConnections) {
             // Danger: clients' connections use up the descriptors that servers and discovery need.
-            StreamConnection unused = longest(UNUSED);
+            StreamConnection unused = leastNeeded();
             drop(unused == null ? connection : unused);
             if (unused == null) {
                 return;
@@ -166,6 +187,12 @@
         return all(kind).findFirst().orElse(null);
     }
 
+    /** Danger: those that connect and say nothing would turn out the kept connections of those that ask. */
+    private StreamConnection leastNeeded() {
+        StreamConnection unknown = longest(UNKNOWN);
+        return unknown != null ? unknown : longest(UNUSED);
+    }
+
     private Stream<StreamConnection> all(Predicate<Peer> kind) {
         return connections.entrySet().stream().filter(entry -> kind.test(entry.getValue())).map(Map.Entry::getKey);
     }
@@ -199,13 +226,20 @@
             exchange.setPersistent(false);
         }
         if (exchange.getRequestMethod().equals(Methods.GET) && exchange.getRequestPath().equals("/up")) {
+            peer.known = true;
             exchange.setStatusCode(up && !draining ? 200 : 503);
             exchange.endExchange();
         } else if (exchange.getRequestMethod().equals(Methods.POST)) {
             long length = exchange.getRequestContentLength();
             if (length > LONGEST) {
-                exchange.setPersistent(false);
-                send(exchange, Reply.unusable(413, "the body is too long"));
+                unusable(exchange, 413, "the body is too long");
+                return;
+            }
+            // Danger: where the body ends is anybody's guess, and what one side takes for its rest the other takes
+            // for a request. (Two lengths, and a length beside a coding, Undertow turns away by itself.)
+            HeaderValues codings = exchange.getRequestHeaders().get(Headers.TRANSFER_ENCODING);
+            if (codings != null && !(codings.size() == 1 && codings.getFirst().equalsIgnoreCase("chunked"))) {
+                unusable(exchange, 400, "a body comes with its length or in chunks");
                 return;
             }
             exchange.setMaxEntitySize(LONGEST);
@@ -221,8 +255,11 @@
                 read(peer);
                 IoUtils.safeClose(failed.getConnection());
             });
+            if (peer.unread > 0) {
+                peer.lateBody = io.executeAfter(() -> drop(connection), BODY_MS, TimeUnit.MILLISECONDS);
+            }
         } else {
-            send(exchange, Reply.unusable(405, "POST a multiget, or GET /up"));
+            unusable(exchange, 405, "POST a multiget, or GET /up");
         }
     }
 
@@ -231,6 +268,10 @@
         if (peer != null) {
             unread -= peer.unread;
             peer.unread = 0;
+            if (peer.lateBody != null) {
+                peer.lateBody.remove();
+                peer.lateBody = null;
+            }
         }
     }
 
@@ -241,15 +282,22 @@
             Ask ask = reader.read(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
             ClientRequest request = new ClientRequest(this, exchange, atMs);
             peer.busy = true;
+            peer.known = true;
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                 request.watchClient();
                 taker.asked(ask, request);
             });
         } catch (AskReader.BadRequest e) {
-            send(exchange, Reply.unusable(400, e.getMessage()));
+            unusable(exchange, 400, e.getMessage());
         }
     }
 
+    /** Danger: behind a request that is none, what follows need not begin where a request does. */
+    private void unusable(HttpServerExchange exchange, int status, String why) {
+        exchange.setPersistent(false);
+        send(exchange, Reply.unusable(status, why));
+    }
+
     void gone(ClientRequest request) {
         taker.gone(request);
     }
--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -19,6 +19,7 @@
 import spartrail.model.Server;
 import spartrail.model.Shard;
 import spartrail.model.Tally;
+import spartrail.model.Timetable;
 
 /**
  * All decisions of a front node.
@@ -66,8 +67,8 @@
 
     private final RandomGenerator random;
     private final List<OpType> opTypes;
-    private final Map<String, Server> servers = new LinkedHashMap<>();
-    private final Timetable timetable = new Timetable();
+    final Map<String, Server> servers = new LinkedHashMap<>();
+    final Timetable timetable = new Timetable();
     private Decisions decisions = new Decisions();
     private double now;
     private double nextBeatMs;
@@ -121,8 +122,8 @@
                 giveUp(mg);
                 return decisions;
             }
-            timetable.add(mg.budgetAtMs - 3 * turnMs, () -> budgetEnds(mg));
-            timetable.add(mg.clientAtMs - 2 * turnMs, () -> clientEnds(mg));
+            timetable.add(mg.budgetAtMs - 3 * turnMs, mg.dues, () -> budgetEnds(mg));
+            timetable.add(mg.clientAtMs - 2 * turnMs, mg.dues, () -> clientEnds(mg));
         }
         mg.betweenSteps = false;
         for (Part part : mg.parts) {
@@ -280,7 +281,7 @@
         }
         part.sends.add(send);
         decisions.sends.add(send);
-        timetable.add(now + usualMs(mg.opType) + mg.opType.deviationMs, () -> overdue(send));
+        timetable.add(now + usualMs(mg.opType) + mg.opType.deviationMs, mg.dues, () -> overdue(send));
     }
 
     @Override
@@ -586,7 +587,8 @@
             hold(part);
             release(List.of(part.shard));
         } else {
-            timetable.add(lost ? now + BEAT_MS : Math.min(now + BEAT_MS, lostAtMs), () -> overdue(send));
+            double againMs = lost ? now + BEAT_MS : Math.min(now + BEAT_MS, lostAtMs);
+            timetable.add(againMs, part.multiget.dues, () -> overdue(send));
         }
     }
 
@@ -661,11 +663,14 @@
             case CANCELLED -> notePace(server, tookMs > patienceMs(send.part) ? Math.max(pace, FAILURE_PACE)
                     : Math.max(pace, server.pace));
             case ERROR, RESET, TIMED_OUT -> notePace(server, Math.max(pace, FAILURE_PACE));
+            // Danger: one spoilt answer takes along all that is out on its connection, and would count as many.
+            case GARBLED -> notePace(server, server.garbledMs == now ? server.pace : Math.max(pace, FAILURE_PACE));
             // Danger: each send to a machine that is down costs its part the time that connecting may take.
             case CONNECT_FAILED -> server.pace = 2 * FAILURE_PACE;
             default -> {
             }
         }
+        server.garbledMs = outcome == Send.Outcome.GARBLED ? now : server.garbledMs;
     }
 
     private static void notePace(Server server, double pace) {
@@ -824,6 +829,9 @@
             abandon(part);
             cancelSends(part);
         }
+        if (mg.over) {
+            timetable.removeAll(mg.dues);
+        }
     }
 
     /** The final answer of a multiget that is given up: pushed back only where a new try is harmless. */
@@ -846,7 +854,7 @@
             return;
         }
         if (now == backMs) {
-            timetable.add(now + turnMs, () -> budgetEnds(mg));
+            timetable.add(now + turnMs, mg.dues, () -> budgetEnds(mg));
             return;
         }
         OpType op = mg.opType;
@@ -962,6 +970,16 @@
         return decisions;
     }
 
+    /**
+     * Danger: with servers replaced all day, what was known of them would fill the memory. One that comes back
+     * soon is still known, with the sends that count while it is cold.
+     */
+    private void forgetGone() {
+        servers.values().forEach(rep -> rep.goneBeats = rep.state == Server.State.GONE ? rep.goneBeats + 1 : 0);
+        double keptMs = Math.max(FADE_MS, fallMs);
+        servers.values().removeIf(server -> server.goneBeats * BEAT_MS > keptMs && server.out.isEmpty());
+    }
+
     private void follow() {
         if (listAsked && now >= askAtMs) {
             decisions.follow = true;
@@ -1005,6 +1023,7 @@
                 judge();
             }
             learnWarmParts();
+            forgetGone();
             follow();
             release(layout.shards);
         }
--- a/src/main/java/spartrail/front/ClientMultiget.java
+++ b/src/main/java/spartrail/front/ClientMultiget.java
@@ -8,14 +8,21 @@
 import spartrail.model.Multiget;
 import spartrail.model.Part;
 import spartrail.model.Send;
+import spartrail.model.Timetable;
 import spartrail.shard.PartRequest;
 
 /** A multiget in hand, with the client that waits for it and what servers have answered. */
 final class ClientMultiget extends Multiget {
+    /** A send that has had no outcome yet, and when this node stops waiting for it. */
+    record Underway(PartRequest part, Timetable.Due timeOut) {
+    }
+
     final Ask ask;
     final ClientRequest request;
     final Map<Part, byte[]> values = new HashMap<>();
-    final Map<Send, PartRequest> requests = new IdentityHashMap<>();
+    final Map<Send, Underway> underway = new IdentityHashMap<>();
+    /** What answers it when its time is over and nothing else has. */
+    Timetable.Due lastResort;
 
     ClientMultiget(Ask ask, ClientRequest request) {
         this.ask = ask;
--- a/src/main/java/spartrail/front/FrontNode.java
+++ b/src/main/java/spartrail/front/FrontNode.java
@@ -90,6 +90,7 @@
                 watch.start();
             }
             door.open();
+            door.up();
         });
         LOG.log(System.Logger.Level.INFO, "serving on " + door.address() + ", " + known.lines().size()
                 + " servers known");
--- a/src/main/java/spartrail/front/NodeLoop.java
+++ b/src/main/java/spartrail/front/NodeLoop.java
@@ -16,9 +16,9 @@
 import spartrail.client.ClientRequest;
 import spartrail.client.Reply;
 import spartrail.coordination.Coordinator;
-import spartrail.coordination.Timetable;
 import spartrail.discovery.HostList;
 import spartrail.discovery.HostWatch;
+import spartrail.front.ClientMultiget.Underway;
 import spartrail.model.Call;
 import spartrail.model.Decisions;
 import spartrail.model.Invariants;
@@ -28,6 +28,7 @@
 import spartrail.model.Part;
 import spartrail.model.Send;
 import spartrail.model.Server;
+import spartrail.model.Timetable;
 import spartrail.shard.PartRequest;
 import spartrail.shard.ShardPool;
 
@@ -231,7 +232,8 @@
         mg.key = ask.key();
         mg.clientRetry = ask.retry();
         mg.arrivedMs = request.arrivedMs - standstill.gapMs();
-        mg.clientLeftMs = ask.clientLeftMs() - (nowMs - mg.arrivedMs);
+        // Danger: what a client asks to be waited for is not bounded by anything it has to give.
+        mg.clientLeftMs = Math.min(ask.clientLeftMs(), mg.opType.timeoutMs) - (nowMs - mg.arrivedMs);
         for (Ask.AskedPart asked : ask.parts()) {
             Part part = new Part();
             part.id = asked.shard();
@@ -245,7 +247,7 @@
         inHand.put(ask.id(), mg);
         open += mg.size();
         // Danger: whatever goes wrong in the decisions, the client gets its one final answer.
-        timetable.add(nowMs + mg.clientLeftMs, () -> {
+        mg.lastResort = timetable.add(nowMs + mg.clientLeftMs, () -> {
             boolean answered = inHand.get(ask.id()) != mg || answers.contains(mg) || left.contains(mg);
             if (!answered) {
                 mg.over = true;
@@ -260,7 +262,10 @@
     private void after(Send send, Send.Outcome outcome, byte[] value, double atMs) {
         counters.outcomes.merge(outcome, 1L, Long::sum);
         ClientMultiget mg = (ClientMultiget) send.part.multiget;
-        mg.requests.remove(send);
+        Underway underway = mg.underway.remove(send);
+        if (underway != null) {
+            timetable.remove(underway.timeOut());
+        }
         if (outcome == Send.Outcome.ANSWERED && send.part.open()) {
             mg.values.put(send.part, value);
         }
@@ -320,9 +325,9 @@
         renewed.clear();
         calls(tasks);
         for (Send send : cancels) {
-            PartRequest part = ((ClientMultiget) send.part.multiget).requests.get(send);
-            if (part != null) {
-                tasks.add(() -> servers.withdraw(part, Send.Outcome.CANCELLED));
+            Underway underway = ((ClientMultiget) send.part.multiget).underway.get(send);
+            if (underway != null) {
+                tasks.add(() -> servers.withdraw(underway.part(), Send.Outcome.CANCELLED));
             }
         }
         cancels.clear();
@@ -359,12 +364,8 @@
             double untilMs = Math.min(send.sentMs + send.timeoutMs, mg.clientAtMs);
             PartRequest part = new PartRequest(send, mg.ask.id() + '.' + send.part.shard.number,
                     send.part.shard.number, mg.ask.text(), untilMs);
-            mg.requests.put(send, part);
-            timetable.add(untilMs, () -> {
-                if (send.out()) {
-                    io.execute(() -> servers.withdraw(part, Send.Outcome.TIMED_OUT));
-                }
-            });
+            mg.underway.put(send, new Underway(part, timetable.add(untilMs,
+                    () -> io.execute(() -> servers.withdraw(part, Send.Outcome.TIMED_OUT)))));
             calls.computeIfAbsent(send.call, call -> {
                 order.add(call);
                 return new ArrayList<>();
@@ -383,7 +384,8 @@
         boolean held = inHand.remove(mg.ask.id(), mg);
         if (held) {
             open -= mg.size();
-            mg.requests.values().forEach(part -> tasks.add(() -> servers.withdrawUnsent(part)));
+            timetable.remove(mg.lastResort);
+            mg.underway.values().forEach(underway -> tasks.add(() -> servers.withdrawUnsent(underway.part())));
         }
         return held;
     }
--- a/src/main/java/spartrail/model/Multiget.java
+++ b/src/main/java/spartrail/model/Multiget.java
@@ -47,6 +47,8 @@
     public final Set<Server> brokeAt = new HashSet<>();
     /** Nothing more of it is sent until one of its parts is answered. */
     public boolean tasting;
+    /** What is due for it while it is in hand. */
+    public final List<Timetable.Due> dues = new ArrayList<>();
     public boolean over;
     public Answer answer;
     public double comebackMs;
--- a/src/main/java/spartrail/model/Send.java
+++ b/src/main/java/spartrail/model/Send.java
@@ -5,7 +5,9 @@
     /** How a send ended. */
     public enum Outcome {
         ANSWERED(true), ERROR(true), FULL(false), TIMED_OUT(true), CONNECT_FAILED(false), RESET(true),
-        CANCELLED(true), NOT_SENT(false);
+        CANCELLED(true), NOT_SENT(false),
+        /** Its answer, or that of another part on the same connection, could not be read. */
+        GARBLED(true);
 
         /** False where the outcome proves that the part never ran. */
         public final boolean mayHaveRun;
--- a/src/main/java/spartrail/model/Server.java
+++ b/src/main/java/spartrail/model/Server.java
@@ -37,6 +37,10 @@
     /** When the latest sent of the answered sends was sent. */
     public double lastAnsweredSentMs;
     public boolean ill;
+    /** When an answer of it could last not be read. */
+    public double garbledMs;
+    /** Beats since it was last listed. */
+    public int goneBeats;
     /** Parts answered in the present beat, and in a millisecond lately. */
     public int answers;
     public double answerRate;
--- a/src/main/java/spartrail/shard/Frames.java
+++ b/src/main/java/spartrail/shard/Frames.java
@@ -2,9 +2,11 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /** The frames between front nodes and index servers: a length, a letter, the rest. */
 final class Frames {
@@ -27,6 +29,7 @@
     /** A value goes into a client's answer, and no answer is longer than this. */
     static final int LONGEST = 64 * 1024;
     private static final int HEAD = 5;
+    private static final Pattern SCORE = Pattern.compile("[0-9]{1,20}");
 
     private Frames() {
     }
@@ -74,33 +77,38 @@
             to += more;
         }
 
-        /** The next answer that is there whole, or null. Probes' answers, which nobody here asks for, are passed over. */
+        /** A frame has begun and is not there whole. */
+        boolean partial() {
+            return to > from;
+        }
+
+        /**
+         * The next answer that is there whole, or null. A probe's answer is as unusable as any other that nobody
+         * here asks for. Danger: memory for a frame is taken as its bytes come, never as it announces.
+         */
         Answer next() throws Garbled {
-            while (to - from >= 4) {
-                int length = ByteBuffer.wrap(bytes, from, 4).getInt();
-                if (length < 1 || length > LONGEST) {
-                    throw new Garbled("a frame of length " + length);
-                }
-                if (to - from < 4 + length) {
-                    return null;
-                }
-                char letter = (char) (bytes[from + 4] & 0xff);
-                int start = from + HEAD;
-                int end = from + 4 + length;
-                from = end;
-                switch (letter) {
-                    case 'Y':
-                        return answer(start, end);
-                    case 'N':
-                        throw new Garbled("N: " + new String(bytes, start, Math.min(100, end - start),
-                                StandardCharsets.US_ASCII).replaceAll("[^ -~]", "?"));
-                    case 'G', 'T':
-                        break;
-                    default:
-                        throw new Garbled("a frame of letter " + (int) letter);
-                }
+            if (to - from < HEAD) {
+                return null;
+            }
+            int length = ByteBuffer.wrap(bytes, from, 4).getInt();
+            char letter = (char) (bytes[from + 4] & 0xff);
+            if (length < 1 || length > LONGEST) {
+                throw new Garbled("a frame of length " + length);
+            }
+            if (letter != 'Y' && letter != 'N') {
+                throw new Garbled("a frame of letter " + (int) letter);
             }
-            return null;
+            if (to - from < 4 + length) {
+                return null;
+            }
+            int start = from + HEAD;
+            int end = from + 4 + length;
+            from = end;
+            if (letter == 'N') {
+                throw new Garbled("N: " + new String(bytes, start, Math.min(100, end - start),
+                        StandardCharsets.US_ASCII).replaceAll("[^ -~]", "?"));
+            }
+            return answer(start, end);
         }
 
         private Answer answer(int start, int end) throws Garbled {
@@ -108,8 +116,9 @@
             while (lf < end && bytes[lf] != '\n') {
                 lf++;
             }
-            String[] words = new String(bytes, start, lf - start, StandardCharsets.US_ASCII).split(" ");
-            if (lf == end || words.length != 4) {
+            // What is wrong with a load report alone spoils no answer: nothing here goes by it.
+            String[] words = new String(bytes, start, lf - start, StandardCharsets.US_ASCII).split(" ", 4);
+            if (lf == end || words.length < 4 || !SCORE.matcher(words[2]).matches()) {
                 throw new Garbled("an answer without its line");
             }
             End how = switch (words[1]) {
@@ -118,6 +127,12 @@
                 case "REJECTED" -> End.REJECTED;
                 default -> throw new Garbled("an answer of an unknown end");
             };
+            try {
+                // Danger: what is no text would reach the client as another value than the server made.
+                StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes, lf + 1, end - lf - 1));
+            } catch (CharacterCodingException e) {
+                throw new Garbled("a value that is no text");
+            }
             return new Answer(words[0], how, Arrays.copyOfRange(bytes, lf + 1, end));
         }
     }
--- a/src/main/java/spartrail/shard/ShardConnection.java
+++ b/src/main/java/spartrail/shard/ShardConnection.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -30,6 +32,10 @@
     private ShardCall writing;
     private ByteBuffer left;
     private final Map<String, PartRequest> out = new HashMap<>();
+    /** The parts that were last out and are no longer, at most as many as may be out. */
+    private final Set<String> settled = new LinkedHashSet<>();
+    /** When a frame that has begun should long be there whole. */
+    private XnioExecutor.Key lateFrame;
     private final Frames.Reader frames = new Frames.Reader();
 
     private final IoFuture<StreamConnection> opening;
@@ -141,6 +147,7 @@
             return true;
         }
         out.remove(part.id, part);
+        settle(part.id);
         if (pool.cancelling && !closed) {
             giveUps.add(Frames.giveUp(part.id));
             write();
@@ -206,25 +213,26 @@
 
     private void readable(ConduitStreamSourceChannel source) {
         try {
+            boolean whole = false;
             while (!closed) {
                 ByteBuffer buffer = pool.readBuffer.clear();
                 int got = source.read(buffer);
                 if (got < 0) {
                     end("closed by the server");
                 } else if (got == 0) {
-                    return;
+                    break;
                 } else {
                     frames.take(buffer.flip());
                     for (Frames.Answer answer = frames.next(); answer != null; answer = frames.next()) {
                         answered(answer);
+                        whole = true;
                     }
                     goIfDone();
                 }
             }
+            awaitRest(source, whole);
         } catch (Frames.Garbled e) {
-            pool.log(System.Logger.Level.WARNING, "server " + address + ": unusable frame, connection closed: "
-                    + e.getMessage());
-            end(null);
+            garbled(e.getMessage());
         } catch (IOException e) {
             end("broken");
         } catch (RuntimeException e) {
@@ -233,30 +241,85 @@
         }
     }
 
-    private void answered(Frames.Answer answer) {
+    /**
+     * What has begun to come is to be there soon, and nothing is to come where nothing is waited for. Danger: a
+     * frame that announces more than comes swallows all answers behind it; what is behind a good answer becomes
+     * the head of the next one.
+     */
+    private void awaitRest(ConduitStreamSourceChannel source, boolean whole) throws Frames.Garbled {
+        boolean partial = !closed && frames.partial();
+        if (partial && load() == 0) {
+            throw new Frames.Garbled("more than was asked for");
+        }
+        if (lateFrame != null && (whole || !partial)) {
+            lateFrame.remove();
+            lateFrame = null;
+        }
+        if (partial && lateFrame == null) {
+            lateFrame = pool.io.executeAfter(() -> {
+                // Danger: of a node that stood still the rest may wait in the socket.
+                XnioExecutor.Key due = lateFrame;
+                readable(source);
+                if (!closed && lateFrame == due) {
+                    garbled("a frame that does not end");
+                }
+            }, Math.round(pool.connectTimeoutMs), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void answered(Frames.Answer answer) throws Frames.Garbled {
         usedMs = pool.clock.nowMs();
         readMs = usedMs;
-        // Answers that are late, unknown or doubled concern nobody any more.
         PartRequest part = out.remove(answer.id());
-        if (part != null) {
-            switch (answer.end()) {
-                case OK -> pool.ended(part, Outcome.ANSWERED, answer.value());
-                case ERROR -> pool.ended(part, Outcome.ERROR, null);
-                default -> pool.ended(part, Outcome.FULL, null);
+        if (part == null) {
+            // Late or doubled answers concern nobody any more; another is the spoilt one of a part that is out.
+            if (!settled.contains(answer.id())) {
+                throw new Frames.Garbled("an answer for a part that was not asked for");
             }
+            return;
+        }
+        settle(part.id);
+        switch (answer.end()) {
+            case OK -> pool.ended(part, Outcome.ANSWERED, answer.value());
+            case ERROR -> pool.ended(part, Outcome.ERROR, null);
+            default -> pool.ended(part, Outcome.FULL, null);
         }
     }
 
+    private void settle(String id) {
+        settled.remove(id);
+        settled.add(id);
+        if (settled.size() > pool.partsPerConnection) {
+            settled.remove(settled.iterator().next());
+        }
+    }
+
+    /**
+     * Where frames begin is no longer known, so nothing that is out here can be answered any more. All of it may
+     * have run; that it ends now and not at its time-out leaves time for another server.
+     */
+    private void garbled(String why) {
+        pool.garbled("server " + address + ": unusable frame, connection closed: " + why);
+        end(null, Outcome.NOT_SENT, Outcome.GARBLED);
+    }
+
+    void end(String why) {
+        end(why, Outcome.CONNECT_FAILED, Outcome.RESET);
+    }
+
     /**
      * The connection is over: what was written whole may have run, the rest never did. Danger: a frame that
      * was written in part is no call to the server, so none of its parts ran.
      */
-    void end(String why) {
+    private void end(String why, Outcome neverRan, Outcome mayHaveRun) {
         if (closed) {
             return;
         }
         closed = true;
         openTimer.remove();
+        if (lateFrame != null) {
+            lateFrame.remove();
+        }
         if (connection == null) {
             opening.cancel();
         } else {
@@ -276,7 +339,7 @@
             pool.log(System.Logger.Level.DEBUG, "server " + address + ": " + why + "; " + never.size()
                     + " parts never ran, " + maybe.size() + " may have");
         }
-        never.forEach(part -> pool.ended(part, Outcome.CONNECT_FAILED, null));
-        maybe.forEach(part -> pool.ended(part, Outcome.RESET, null));
+        never.forEach(part -> pool.ended(part, neverRan, null));
+        maybe.forEach(part -> pool.ended(part, mayHaveRun, null));
     }
 }
--- a/src/main/java/spartrail/shard/ShardPool.java
+++ b/src/main/java/spartrail/shard/ShardPool.java
@@ -25,16 +25,20 @@
 
     private static final System.Logger LOG = System.getLogger("spartrail.shard");
 
+    private static final double LOG_EVERY_MS = 1000;
+
     final XnioIoThread io;
     final NodeClock clock;
     final double connectTimeoutMs;
     final boolean cancelling;
     final ByteBuffer readBuffer = ByteBuffer.allocateDirect(16 * 1024);
-    private final int partsPerConnection;
+    final int partsPerConnection;
     private final Ends ends;
     private final Invariants invariants;
     private final Map<InetSocketAddress, List<ShardConnection>> connections = new HashMap<>();
     private final XnioExecutor.Key idleTimer;
+    private long garbled;
+    private double garbledLoggedMs = Double.NEGATIVE_INFINITY;
 
     /** A server closes a connection unused for the keep-alive time; ours go at half of it. */
     public ShardPool(XnioIoThread io, NodeClock clock, int partsPerConnection, double connectTimeoutMs,
@@ -83,9 +87,10 @@
         }
     }
 
-    /** The server drains or is gone: what has not begun to leave for it does not leave. */
+    /** The server drains or is gone: what has not begun to leave for it does not leave, and nothing further will. */
     public void bar(InetSocketAddress address) {
         to(address).forEach(ShardConnection::dropWaiting);
+        renew(address);
     }
 
     /** The process there is another one: what leads to the old one gets no further calls. */
@@ -131,4 +136,14 @@
     void log(System.Logger.Level level, String text) {
         LOG.log(level, text);
     }
+
+    /** Danger: a log that grows with what bad servers send; one line a second says enough. */
+    void garbled(String text) {
+        garbled++;
+        double nowMs = clock.nowMs();
+        if (nowMs - garbledLoggedMs >= LOG_EVERY_MS) {
+            garbledLoggedMs = nowMs;
+            log(System.Logger.Level.WARNING, text + " (" + garbled + " in all)");
+        }
+    }
 }
--- a/src/test/java/spartrail/coordination/Script.java
+++ b/src/test/java/spartrail/coordination/Script.java
@@ -110,6 +110,9 @@
     /** The outcome of a send, named as in the trace. */
     Script after(String name, Send.Outcome outcome) {
         Send send = sends.get(name);
+        if (send == null) {
+            return this;
+        }
         return print(name + " " + outcome, coordinator.after(send, outcome, now - send.sentMs, now));
     }
 
--- a/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -1,5 +1,6 @@
 package spartrail.coordination;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static spartrail.coordination.Script.line;
 
 import org.junit.jupiter.api.Test;
@@ -306,6 +307,35 @@
         script.place(1, all).matches("longest");
     }
 
+    @Test
+    void aSpoiltAnswerIsOneFailureOfItsServerHoweverManyPartsItTakesAlong() {
+        Script script = new Script().fleet(1, 2, 2, 1);
+        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).place(6, 0).pass(20)
+                .afterAt("s0", Outcome.GARBLED).afterAt("s1", Outcome.ANSWERED).pass(100).place(7, 0).place(8, 0)
+                .matches("spoilt");
+    }
+
+    @Test
+    void aMultigetWhoseAnswersAreSpoiltAtTwoServersGoesOn() {
+        new Script().fleet(3, 6, 2, 1).place(1, 0, 1, 2).pass(10).after("1.0#0", Outcome.GARBLED)
+                .after("1.1#0", Outcome.GARBLED).after("1.2#0", Outcome.GARBLED).matches("spoilt-twice");
+    }
+
+    @Test
+    void nothingIsHeldOfServersThatAreGoneAndMultigetsThatAreOver() {
+        Script script = new Script().fleet(1, 2, 2, 1);
+        WindowCoordinator coordinator = (WindowCoordinator) script.coordinator;
+        for (int age = 1; age <= 100; age++) {
+            String before = "s" + (age < 3 ? age - 1 : "0." + (age - 2));
+            script.listed(false, true, line("s0." + age, 0, Server.State.LIVE, script.now), line(before, 0, Server.State.GONE, -1));
+            script.place(age, 0).pass(20).after(age + ".0#0", age % 3 == 0 ? Outcome.ERROR : Outcome.ANSWERED)
+                    .after(age + ".0#1", Outcome.ANSWERED).pass(1000);
+        }
+        script.pass(5000);
+        assertThat(coordinator.servers.keySet()).containsExactly("s0.99", "s0.100");
+        assertThat(coordinator.timetable.size()).isZero();
+    }
+
     @Test
     void oddOrdersEndInOneAnswer() {
         Script script = new Script().fleet(2, 2, 1, 1);
