A node rehearses before it is ready, and serves on after SIGTERM while it may

Checked: classes loaded from files under traffic are few (47), so it is compiling and interpreted code, not loading; ruled out servers (their answers took as long as later) and memory. A node is killed no sooner than the longest route timeout and 0.7 s after SIGTERM: it now serves until a second before that, and answers all it took 150 ms before. Idle connections of clients that ask are kept again (closing them after 2 s left too few on the second node).

--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -44,12 +44,14 @@
     /** The longest body that the protocol knows. */
     private static final long LONGEST = 64 * 1024;
     /**
-     * A connection with no open request may be closed after the first of these; the others leave a request that
-     * began with its connection less than the 3 s in which a client that sends no whole one is owed its end.
+     * A client that sends no whole request is owed its end within 3 s of connecting; whichever way it dawdles, these
+     * come before.
      */
-    private static final int IDLE_MS = 2000;
+    private static final int SILENT_MS = 2000;
     private static final int HEAD_MS = 1500;
     private static final int BODY_MS = 1000;
+    /** Connections of those that ask are kept; how long they are unused tells only of those that left unseen. */
+    private static final int UNUSED_MS = 60_000;
 
     private final XnioIoThread io;
     private final NodeClock clock;
@@ -82,7 +84,7 @@
     private final HttpOpenListener http;
     private long notAccepted;
     private boolean up;
-    private boolean draining;
+    private boolean leaving;
 
     public ClientDoor(XnioWorker worker, ByteBufferPool buffers, InetSocketAddress address, NodeClock clock,
             Set<String> opTypes, int shards, int mostConnections, Taker taker) throws IOException {
@@ -93,7 +95,7 @@
         this.mostConnections = mostConnections;
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, (int) LONGEST / 4)
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, UNUSED_MS)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false).getMap());
@@ -117,13 +119,14 @@
         up = true;
     }
 
-    /** New requests are still taken, but each answer is its connection's last. */
+    /** The node says no longer that it is ready; whoever comes all the same is served. */
     public void drain() {
-        draining = true;
+        up = false;
     }
 
-    /** Nothing new comes in: no connection is accepted, unused ones are closed. */
+    /** Nothing new comes in: no connection is accepted, unused ones are closed, each answer is the last. */
     public void shut() {
+        leaving = true;
         IoUtils.safeClose(listening);
         all(UNUSED.and(HALF_SENT.negate())).toList().forEach(this::drop);
     }
@@ -170,7 +173,8 @@
                 return;
             }
         }
-        connections.put(connection, new Peer());
+        Peer peer = new Peer();
+        connections.put(connection, peer);
         http.handleEvent(connection);
         ChannelListener<? super StreamConnection> theirs = connection.getCloseListener();
         connection.setCloseListener(closed -> {
@@ -179,6 +183,12 @@
         });
         if (!connection.isOpen()) {
             forget(connection);
+        } else if (!peer.known) {
+            io.executeAfter(() -> {
+                if (!peer.known && connections.get(connection) == peer) {
+                    drop(connection);
+                }
+            }, SILENT_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -222,12 +232,12 @@
             }
             next.proceed();
         });
-        if (draining) {
+        if (leaving) {
             exchange.setPersistent(false);
         }
         if (exchange.getRequestMethod().equals(Methods.GET) && exchange.getRequestPath().equals("/up")) {
             peer.known = true;
-            exchange.setStatusCode(up && !draining ? 200 : 503);
+            exchange.setStatusCode(up ? 200 : 503);
             exchange.endExchange();
         } else if (exchange.getRequestMethod().equals(Methods.POST)) {
             long length = exchange.getRequestContentLength();
@@ -303,7 +313,7 @@
     }
 
     void send(HttpServerExchange exchange, Reply reply) {
-        if (draining) {
+        if (leaving) {
             exchange.setPersistent(false);
         }
         exchange.setStatusCode(reply.status());
--- a/src/main/java/spartrail/front/FrontNode.java
+++ b/src/main/java/spartrail/front/FrontNode.java
@@ -30,8 +30,15 @@
  */
 public final class FrontNode implements AutoCloseable {
     private static final System.Logger LOG = System.getLogger("spartrail.front");
-    /** After being asked to end, a node still gets new connections for less than this. */
-    private static final long STILL_COMING_MS = 700;
+    /**
+     * A node that is asked to end is killed no sooner than the longest route timeout, taken as so long at the most,
+     * and so much later.
+     */
+    private static final double LONGEST_COUNTED_MS = 3000;
+    private static final double KILLED_AFTER_MS = 700;
+    /** It takes nothing new from so long before that, and by so long before that has answered all it took. */
+    private static final double LAST_TAKEN_MS = 1000;
+    private static final double LAST_ANSWERED_MS = 150;
     private static final int BUFFER = 8 * 1024;
 
     private final DeploymentFile deployment;
@@ -45,7 +52,8 @@
     private HostWatch watch;
     private ClientDoor door;
     private Thread thread;
-    private double longestMs;
+    private double killedMs;
+    private NodeClock clock;
 
     public FrontNode(DeploymentFile deployment) {
         this(deployment, deployment.listen());
@@ -70,10 +78,11 @@
                 .set(Options.WORKER_NAME, "spartrail-io").set(Options.THREAD_DAEMON, true).getMap());
         io = worker.getIoThread();
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, 256, 0);
-        NodeClock clock = new NodeClock();
+        clock = new NodeClock();
         HostList known = deployment.known();
         List<OpType> opTypes = deployment.opTypes();
-        longestMs = opTypes.stream().mapToDouble(op -> op.timeoutMs).max().orElse(0);
+        killedMs = KILLED_AFTER_MS + Math.min(LONGEST_COUNTED_MS,
+                opTypes.stream().mapToDouble(op -> op.timeoutMs).max().orElse(0));
         loop = new NodeLoop(wrapping.apply(deployment.coordinator(opTypes)), opTypes, clock, io, deployment.turnMs(),
                 deployment.openCap(), deployment.mostSends(), invariants);
         servers = new ShardPool(io, clock, deployment.callsPerConnection(), deployment.connectTimeoutMs(),
@@ -90,8 +99,9 @@
                 watch.start();
             }
             door.open();
-            door.up();
         });
+        new Rehearsal(clock).play(deployment, door.address());
+        io.execute(door::up);
         LOG.log(System.Logger.Level.INFO, "serving on " + door.address() + ", " + known.lines().size()
                 + " servers known");
     }
@@ -118,18 +128,23 @@
         io.execute(() -> watch.move(changed.discovery()));
     }
 
-    /** Answers all that has been taken, and what may still come, then returns; the node is to be closed next. */
+    /**
+     * Serves those who still come as long as it may, answers all that it has taken, then returns; the node is to
+     * be closed next. Danger: where nodes are replaced one after another, one that leaves early leaves its clients
+     * to one that is not back yet, and one that leaves them late to one that has just been asked to end itself.
+     */
     public void drain() throws InterruptedException {
-        LOG.log(System.Logger.Level.INFO, "draining");
+        LOG.log(System.Logger.Level.INFO, "draining: " + loop.counters());
         CountDownLatch empty = new CountDownLatch(1);
+        loop.answerBy(clock.nowMs() + killedMs - LAST_ANSWERED_MS);
         io.execute(() -> {
             door.drain();
             io.executeAfter(() -> {
                 door.shut();
                 awaitEmpty(empty);
-            }, STILL_COMING_MS, TimeUnit.MILLISECONDS);
+            }, Math.round(killedMs - LAST_TAKEN_MS), TimeUnit.MILLISECONDS);
         });
-        boolean all = empty.await(STILL_COMING_MS + Math.round(longestMs), TimeUnit.MILLISECONDS);
+        boolean all = empty.await(Math.round(killedMs - LAST_ANSWERED_MS / 2), TimeUnit.MILLISECONDS);
         LOG.log(all ? System.Logger.Level.INFO : System.Logger.Level.WARNING,
                 all ? "drained" : "drained, with clients still connected");
     }
--- a/src/main/java/spartrail/front/NodeLoop.java
+++ b/src/main/java/spartrail/front/NodeLoop.java
@@ -61,6 +61,8 @@
     private ShardPool servers;
     private HostWatch watch;
 
+    /** When the last answer is to be given. */
+    private double answerByMs = Double.POSITIVE_INFINITY;
     private double nowMs;
     /** When this thread wakes at the latest. */
     private double dueMs;
@@ -111,6 +113,11 @@
         queue.add(() -> { });
     }
 
+    /** No multiget that is placed from now on has more time than until then. */
+    void answerBy(double ms) {
+        queue.add(() -> answerByMs = ms);
+    }
+
     Counters counters() {
         return counters;
     }
@@ -233,7 +240,8 @@
         mg.clientRetry = ask.retry();
         mg.arrivedMs = request.arrivedMs - standstill.gapMs();
         // Danger: what a client asks to be waited for is not bounded by anything it has to give.
-        mg.clientLeftMs = Math.min(ask.clientLeftMs(), mg.opType.timeoutMs) - (nowMs - mg.arrivedMs);
+        double leftMs = Math.min(ask.clientLeftMs(), mg.opType.timeoutMs) - (nowMs - mg.arrivedMs);
+        mg.clientLeftMs = Math.min(leftMs, answerByMs - nowMs);
         for (Ask.AskedPart asked : ask.parts()) {
             Part part = new Part();
             part.id = asked.shard();
@@ -273,17 +281,8 @@
     }
 
     private void list(HostList list, boolean fresh) {
-        List<Server> lines = new ArrayList<>();
         Set<String> gone = list.all() ? new HashSet<>(hosts.keySet()) : new HashSet<>();
         for (HostList.Line line : list.lines()) {
-            Server server = new Server(line.id());
-            server.zone = line.zone();
-            server.kind = line.kind();
-            server.cell = line.cell();
-            server.state = line.state();
-            server.rating = line.rating();
-            server.bornMs = line.bootMs() > 0 ? clock.at(line.bootMs()) : -1;
-            lines.add(server);
             if (line.state() == Server.State.GONE) {
                 gone.add(line.id());
                 continue;
@@ -304,7 +303,23 @@
             }
         }
         counters.lists++;
-        take(coordinator.listed(lines, list.all(), fresh, nowMs));
+        take(coordinator.listed(servers(list, clock), list.all(), fresh, nowMs));
+    }
+
+    /** The lines of a list as the module takes them. */
+    static List<Server> servers(HostList list, NodeClock clock) {
+        List<Server> lines = new ArrayList<>();
+        for (HostList.Line line : list.lines()) {
+            Server server = new Server(line.id());
+            server.zone = line.zone();
+            server.kind = line.kind();
+            server.cell = line.cell();
+            server.state = line.state();
+            server.rating = line.rating();
+            server.bornMs = line.bootMs() > 0 ? clock.at(line.bootMs()) : -1;
+            lines.add(server);
+        }
+        return lines;
     }
 
     // ---- What was decided ----
