--- a/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -48,10 +48,7 @@
     private static final int FIRST_LIMIT = 4;
     /** An answer within this many times what a server with nothing else of ours takes lets a limit grow. */
     private static final double USUAL = 2;
-    /**
-     * A send that takes this share of its op type's latency budget counts as timed out for its server's
-     * limit.
-     */
+    /** A send that takes this share of its latency budget counts as timed out for its server's limit. */
     private static final double TIME_OUT = 0.15;
     /** Weight of a new sample in what is learned. */
     private static final double LEARN = 0.1;
@@ -119,6 +116,7 @@
             mg.window = (long) Math.floor(mg.budgetAtMs / WINDOW_MS);
             mg.rank = rank(mg.id);
             if (!admitted(mg)) {
+                mg.opType.barredMs = Math.min(mg.opType.barredMs, now);
                 giveUp(mg);
                 return decisions;
             }
@@ -370,7 +368,6 @@
         part.abandoned |= !part.answered;
     }
 
-    /** The same everywhere for the same id, and without order in it. */
     private static int rank(long id) {
         long mixed = (id + 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
         return (int) ((mixed ^ mixed >>> 31) & (RANKS - 1));
@@ -378,10 +375,7 @@
 
     // ---- 1. Admission and pushback ----
 
-    /**
-     * The least important op types may expect to use this share of their budget, the most important all of
-     * it.
-     */
+    /** The least important op types may use this share of their budget, the most important all. */
     private static final double LEAST_PATIENCE = 0.4;
     private static final double EVIDENCE_MS = 10_000;
 
@@ -406,7 +400,7 @@
         // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing. That a
         // client gives little time does not tell that it has tried before, unless it says so.
         boolean spent = mg.clientRetry && op.lateShare == 0 && mg.clientLeftMs <= op.timeoutMs - op.budgetMs;
-        if (spent || mg.clientLeftMs < usualMs(op) + op.deviationMs) {
+        if (spent || mg.clientLeftMs < known(op) * (usualMs(op) + op.deviationMs)) {
             return false;
         }
         double delayMs = 0;
@@ -415,17 +409,22 @@
         }
         double patience = LEAST_PATIENCE + (1 - LEAST_PATIENCE) * standing(op);
         if (delayMs > 0) {
-            return delayMs + usualMs(op) + 2 * op.deviationMs
+            return delayMs + known(op) * (usualMs(op) + 2 * op.deviationMs)
                     <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
         }
         // Danger: of many nodes none holds anything, and the queues that all of them make at the servers turn
         // nobody away. What answers of any op type take beyond the light time tells of those queues. Danger:
         // where nothing is admitted nothing is learned; what was seen fades with its age.
         double fresh = 1 - Math.min(1, (now - learnedMs) / EVIDENCE_MS);
-        return op.lightMs + (waitMs + waitDeviationMs) * fresh
+        return known(op) * op.lightMs + (waitMs + waitDeviationMs) * fresh
                 <= Math.min(patience * op.budgetMs, mg.clientLeftMs);
     }
 
+    // Danger: an op type turned away teaches nothing of itself; what was seen of it fades meanwhile.
+    private double known(OpType op) {
+        return 1 - Math.min(1, Math.max(0, now - op.barredMs) / FADE_MS);
+    }
+
     private double delayOf(Shard shard) {
         return shard.queue.isEmpty() ? 0 : Math.max(shard.delayMs, now - shard.queue.first().heldSinceMs);
     }
@@ -648,13 +647,15 @@
                 double waitedMs = tookMs - Math.min(tookMs, op.lightMs);
                 waitDeviationMs += (Math.abs(waitedMs - waitMs) - waitDeviationMs) * LEARN;
                 waitMs += (waitedMs - waitMs) * LEARN;
-                double step = op.usualMs == 0 ? 1 : LEARN;
+                double learn = Math.max(LEARN, 1 - known(op));
+                op.barredMs = Double.MAX_VALUE;
+                double step = op.usualMs == 0 ? 1 : learn;
                 op.deviationMs = op.usualMs == 0 ? tookMs / 2
-                        : op.deviationMs + (Math.abs(tookMs - op.usualMs) - op.deviationMs) * LEARN;
+                        : op.deviationMs + (Math.abs(tookMs - op.usualMs) - op.deviationMs) * learn;
                 op.usualMs += (tookMs - op.usualMs) * step;
                 if (send.alone) {
                     // Danger: under overload no server is idle; the figure falls quickly and rises slowly.
-                    double lightStep = op.lightMs == 0 ? 1 : tookMs < op.lightMs ? LEARN : LEARN / 40;
+                    double lightStep = op.lightMs == 0 ? 1 : tookMs < op.lightMs ? learn : LEARN / 40;
                     op.lightMs += (tookMs - op.lightMs) * lightStep;
                 }
             }
@@ -663,8 +664,9 @@
             case CANCELLED -> notePace(server, tookMs > patienceMs(send.part) ? Math.max(pace, FAILURE_PACE)
                     : Math.max(pace, server.pace));
             case ERROR, RESET, TIMED_OUT -> notePace(server, Math.max(pace, FAILURE_PACE));
-            // Danger: one spoilt answer takes along all that is out on its connection, and would count as many.
-            case GARBLED -> notePace(server, server.garbledMs == now ? server.pace : Math.max(pace, FAILURE_PACE));
+            // Danger: one spoilt answer takes along all on its connection, and would count as many.
+            case GARBLED ->
+                    notePace(server, Math.max(pace, server.garbledMs == now ? server.pace : FAILURE_PACE));
             // Danger: each send to a machine that is down costs its part the time that connecting may take.
             case CONNECT_FAILED -> server.pace = 2 * FAILURE_PACE;
             default -> {
@@ -971,11 +973,13 @@
     }
 
     /**
-     * Danger: with servers replaced all day, what was known of them would fill the memory. One that comes back
-     * soon is still known, with the sends that count while it is cold.
+     * Danger: servers replaced all day would fill the memory. One that is back soon is still known, with the
+     * sends that count while it is cold.
      */
     private void forgetGone() {
-        servers.values().forEach(rep -> rep.goneBeats = rep.state == Server.State.GONE ? rep.goneBeats + 1 : 0);
+        for (Server rep : servers.values()) {
+            rep.goneBeats = rep.state == Server.State.GONE ? rep.goneBeats + 1 : 0;
+        }
         double keptMs = Math.max(FADE_MS, fallMs);
         servers.values().removeIf(server -> server.goneBeats * BEAT_MS > keptMs && server.out.isEmpty());
     }
--- a/src/main/java/spartrail/model/OpType.java
+++ b/src/main/java/spartrail/model/OpType.java
@@ -25,4 +25,6 @@
     public double usualMs;
     public double deviationMs;
     public double lightMs;
+    /** When one was turned away and none has been answered since. */
+    public double barredMs = Double.MAX_VALUE;
 }
--- a/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -307,6 +307,16 @@
         script.place(1, all).matches("longest");
     }
 
+    @Test
+    void whatFirstAnswersTookDoesNotTurnAnOpTypeAwayForGood() {
+        Script script = new Script();
+        script.opType.usualMs = 1990;
+        script.opType.lightMs = 1100;
+        script.fleet(1, 2, 2, 1).place(1, 0).pass(1500).place(2, 0).pass(100).after("2.0#0", Outcome.ANSWERED)
+                .place(3, 0).pass(100).after("3.0#0", Outcome.ANSWERED).pass(800).place(4, 0).pass(100)
+                .after("4.0#0", Outcome.ANSWERED).place(5, 0).matches("barred");
+    }
+
     @Test
     void aSpoiltAnswerIsOneFailureOfItsServerHoweverManyPartsItTakesAlong() {
         Script script = new Script().fleet(1, 2, 2, 1);
--- a/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/src/test/java/spartrail/front/FrontNodeTest.java
@@ -176,8 +176,9 @@
 
     @Test
     void whatIsNoRequestGetsOnePlainRefusalAndIsTheLastOfItsConnection() throws Exception {
-        start();
+        // Before the start, so that a rehearsal that reached servers would be seen.
         tell("a");
+        start();
         String good = request("a", "1", body(0));
         StringBuilder told = new StringBuilder();
         for (String bad : List.of(request("a b", "1", body(0)), good.replace("Req-Kind", "Req-Id: b\r\nReq-Kind"),
--- /dev/null
+++ b/src/test/java/spartrail/front/RehearsalTest.java
@@ -0,0 +1,43 @@
+package spartrail.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpServer;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.junit.jupiter.api.Test;
+import spartrail.model.NodeClock;
+import spartrail.provisioning.DeploymentFile;
+
+class RehearsalTest {
+    /** Danger: a request of the rehearsal that is one would reach the servers. */
+    @Test
+    void whatIsAskedAtTheOwnDoorIsNoRequestThatIsServed() throws Exception {
+        Queue<String> asked = new ConcurrentLinkedQueue<>();
+        HttpServer door = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        door.createContext("/", exchange -> {
+            asked.add(exchange.getRequestURI() + " "
+                    + new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8).replaceAll(",\"work.*", ""));
+            exchange.getResponseHeaders().add("Connection", "close");
+            exchange.sendResponseHeaders(400, -1);
+            exchange.close();
+        });
+        door.start();
+        new Rehearsal(new NodeClock()).play(DeploymentFile.read(Path.of("example/config.json")), door.getAddress());
+        door.stop(0);
+        assertThat(asked).isNotEmpty().allMatch(request ->
+                request.equals("/orders/rehearsal {\"segments\":[{\"segment\":0,\"boost\":0.25"));
+    }
+
+    @Test
+    void aRehearsalWithoutServersOrAnAnsweringDoorEndsAllTheSame() throws Exception {
+        String text = Files.readString(Path.of("example/config.json")).replaceAll("\"targets\": \\[(?s).*?]}", "\"targets\": []}");
+        NodeClock clock = new NodeClock();
+        InetSocketAddress nobody = new InetSocketAddress("127.0.0.1", 1);
+        new Rehearsal(clock).play(DeploymentFile.parse(text), nobody);
+    }
+}
