A crowd of clients takes no more descriptors than its share while the node is busy

Symptom: a rolling restart, then half pushed back or late; 366 of 384 descriptors and 2,518 connections from clients. The accepting thread hands connections over, the I/O thread turns out what is too many, and with part of a core it comes late. Told from other causes: servers answered all that was sent, the module's counters show nothing over the cap. XNIO's high and low water now bound what is accepted ahead of it. Test: a door whose I/O thread is held up; 102 accepted without, at most 24 with it.

--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -102,7 +102,10 @@
         http.setRootHandler(new HttpContinueReadHandler(this::handle));
         ChannelListener<AcceptingChannel<StreamConnection>> accepting = this::accept;
         listening = worker.createStreamConnectionServer(address, accepting, OptionMap.builder()
-                .set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 1024).getMap());
+                .set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 1024)
+                // Danger: they are accepted elsewhere than turned out, and a crowd takes the last descriptor meanwhile.
+                .set(Options.CONNECTION_HIGH_WATER, mostConnections + mostConnections / 8 + 1)
+                .set(Options.CONNECTION_LOW_WATER, mostConnections).getMap());
     }
 
     public InetSocketAddress address() {
