--- a/src/main/java/spartrail/client/ClientDoor.java
+++ b/src/main/java/spartrail/client/ClientDoor.java
@@ -105,7 +105,7 @@
                 .set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 1024)
                 // Danger: they are accepted elsewhere than turned out, and a crowd takes the last descriptor meanwhile.
                 .set(Options.CONNECTION_HIGH_WATER, mostConnections + mostConnections / 8 + 1)
-                .set(Options.CONNECTION_LOW_WATER, mostConnections).getMap());
+                .set(Options.CONNECTION_LOW_WATER, mostConnections + mostConnections / 8).getMap());
     }
 
     public InetSocketAddress address() {
