The repository is a reactor of three modules: core, node and lab

Cause: everything was one module, so a load generator, stand-ins and their libraries would have come into the jar that operators start, whose start time and memory are bounded.

Change: core (model, coordination, json) without I/O, node (the lean jar, its class archive, the simulator's wire) and lab (empty yet).

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -10,7 +10,7 @@
 export MALLOC_ARENA_MAX=1
 # Nobody looks at the JVM's management, and what XNIO registers with it took a tenth of a second of each start.
 exec java -Djavax.management.builder.initial=none -XX:-UsePerfData -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
-    -Xshare:auto -XX:SharedArchiveFile=target/spartrail.jsa \
+    -Xshare:auto -XX:SharedArchiveFile=node/target/spartrail.jsa \
     -Xms${heap_mb}m -Xmx${heap_mb}m -XX:+AlwaysPreTouch -Xss512k \
     -XX:MaxDirectMemorySize=12m -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=16m -XX:+ExitOnOutOfMemoryError \
-    -jar target/spartrail.jar serve "$@"
+    -jar node/target/spartrail.jar serve "$@"
