--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/file/BadInput.java
@@ -0,0 +1,10 @@
+package spartrail.lab.file;
+
+/** What a person gave cannot be used; the message is one line with the place, what was found and what would be right. */
+public final class BadInput extends IllegalArgumentException {
+    private static final long serialVersionUID = 1;
+
+    public BadInput(String what) {
+        super(what);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/file/Document.java
@@ -0,0 +1,99 @@
+package spartrail.lab.file;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.PathType;
+import com.networknt.schema.SchemaValidatorsConfig;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+
+/** A JSON file checked by one of our schemas (JSON Schema 2020-12); its places are named by JSON pointers (RFC 6901). */
+public final class Document {
+    public static final ObjectMapper JSON = JsonMapper.builder().enable(JsonParser.Feature.ALLOW_COMMENTS)
+            .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+
+    public final String name;
+    public final JsonNode tree;
+
+    private Document(String name, JsonNode tree) {
+        this.name = name;
+        this.tree = tree;
+    }
+
+    /** Reads a file and checks it by {@code schema/NAME.json}. */
+    public static Document read(Path file, String schema) {
+        byte[] bytes;
+        try {
+            bytes = Files.readAllBytes(file);
+        } catch (IOException e) {
+            throw new BadInput(file + ": cannot be read");
+        }
+        return parse(file.toString(), bytes, schema);
+    }
+
+    public static Document parse(String name, byte[] bytes, String schema) {
+        JsonNode tree;
+        try {
+            tree = JSON.readTree(bytes);
+        } catch (JsonProcessingException e) {
+            throw new BadInput(name + ":" + e.getLocation().getLineNr() + ": no JSON: " + e.getOriginalMessage()
+                    .lines().findFirst().orElse("").trim());
+        } catch (IOException e) {
+            throw new BadInput(name + ": no JSON");
+        }
+        return of(name, tree, schema);
+    }
+
+    public static Document of(String name, JsonNode tree, String schema) {
+        if (tree == null || tree.isMissingNode()) {
+            throw new BadInput(name + ": is empty, a JSON object is expected");
+        }
+        List<ValidationMessage> faults = schema(schema).validate(tree).stream()
+                .sorted(Comparator.comparing((ValidationMessage fault) -> fault.getInstanceLocation().toString())
+                        .thenComparing(ValidationMessage::getMessage)).toList();
+        if (!faults.isEmpty()) {
+            ValidationMessage first = faults.get(0);
+            String place = first.getInstanceLocation().toString();
+            JsonNode found = first.getInstanceNode();
+            String what = found == null || found.isContainerNode() ? "" : ", found " + found;
+            String more = faults.size() == 1 ? "" : " (and " + (faults.size() - 1) + " more)";
+            throw new BadInput(name + ": " + (place.isEmpty() ? "/" : place) + ": "
+                    + text(first, place) + what + more);
+        }
+        return new Document(name, tree);
+    }
+
+    private static String text(ValidationMessage fault, String place) {
+        String text = fault.getMessage();
+        return text.startsWith(place + ": ") ? text.substring(place.length() + 2) : text;
+    }
+
+    /** What a schema cannot say is wrong with the value at this place. */
+    public BadInput wrong(String pointer, String what) {
+        return new BadInput(name + ": " + pointer + ": " + what);
+    }
+
+    private static JsonSchema schema(String name) {
+        try (InputStream in = Document.class.getResourceAsStream("/schema/" + name + ".json")) {
+            SchemaValidatorsConfig how = SchemaValidatorsConfig.builder().pathType(PathType.JSON_POINTER)
+                    .locale(Locale.ENGLISH).build();
+            return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in, how);
+        } catch (IOException e) {
+            throw new IllegalStateException("schema " + name, e);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/load/Ask.java
@@ -0,0 +1,50 @@
+package spartrail.lab.load;
+
+import spartrail.lab.plan.Arrival;
+import spartrail.lab.plan.Story;
+import spartrail.model.Timetable;
+
+/** One try of one client. Times are the host's clock. */
+public final class Ask {
+    public final Arrival arrival;
+    final Story story;
+    final int tryNumber;
+    /** When it was meant to be sent, and when the first try of its client was. */
+    final double intendedMs;
+    final double storyMs;
+    final String id;
+    /** The generator's own part of the delay so far. */
+    double lagMs;
+    double sentMs = Double.NaN;
+    double writtenMs = Double.NaN;
+    /** It was sent once more, as the connection closed under it. */
+    boolean resent;
+    /** Its client does not wait any more, but an answer is still looked for. */
+    boolean lapsed;
+    boolean over;
+    Conn conn;
+    Timetable.Due end;
+    Timetable.Due leave;
+
+    Ask(Arrival arrival, Story story, int tryNumber, double intendedMs, double storyMs) {
+        this.arrival = arrival;
+        this.story = story;
+        this.tryNumber = tryNumber;
+        this.intendedMs = intendedMs;
+        this.storyMs = storyMs;
+        this.id = arrival.id(tryNumber);
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public int tryNumber() {
+        return tryNumber;
+    }
+
+    /** How long its client still waits. */
+    public double leftMs(double nowMs) {
+        return intendedMs + arrival.clientMs() - nowMs;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/load/Check.java
@@ -0,0 +1,88 @@
+package spartrail.lab.load;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import spartrail.lab.plan.Arrival;
+
+/** Reads an answer as a client does and holds its values against what our stand-in servers make for this very request. */
+public final class Check {
+    /** A readable answer of 200: whether it says that it is whole, and the values by shard. */
+    public record Body(boolean whole, Map<Integer, String> values) {
+    }
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** What an answer counts as. */
+    Kind kind(Ask ask, Answer answer) {
+        if (answer.status() == 429 || answer.status() == 503) {
+            return Kind.PUSHED_BACK;
+        }
+        if (answer.status() != 200) {
+            return Kind.FAILED;
+        }
+        Body body = read(answer.body());
+        if (body == null || body.values().isEmpty()) {
+            return Kind.WRONG;
+        }
+        byte[] text = ask.arrival.text().getBytes(StandardCharsets.UTF_8);
+        int known = 0;
+        for (int shard : ask.arrival.shards()) {
+            String value = body.values().get(shard);
+            if (value != null) {
+                known++;
+                if (!value.equals(Arrival.value(ask.id + '.' + shard, shard, text))) {
+                    return Kind.WRONG;
+                }
+            }
+        }
+        if (known != body.values().size()) {
+            return Kind.WRONG;
+        }
+        return body.whole() ? Kind.WHOLE : Kind.PARTIAL;
+    }
+
+    /** The body's form, or null where it is none. */
+    public static Body read(byte[] bytes) {
+        try (JsonParser parser = JSON.createParser(bytes)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                return null;
+            }
+            Boolean whole = null;
+            Map<Integer, String> values = new HashMap<>();
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                JsonToken value = parser.nextToken();
+                if (name.equals("all_in")) {
+                    whole = parser.getBooleanValue();
+                } else if (name.equals("matches") && value == JsonToken.START_ARRAY) {
+                    while (parser.nextToken() == JsonToken.START_OBJECT) {
+                        int shard = -1;
+                        String payload = null;
+                        while (parser.nextToken() != JsonToken.END_OBJECT) {
+                            String field = parser.currentName();
+                            parser.nextToken();
+                            if (field.equals("segment")) {
+                                shard = parser.getIntValue();
+                            } else if (field.equals("payload")) {
+                                payload = parser.getText();
+                            }
+                        }
+                        if (shard < 0 || payload == null || values.put(shard, payload) != null) {
+                            return null;
+                        }
+                    }
+                } else {
+                    parser.skipChildren();
+                }
+            }
+            return whole == null ? null : new Body(whole, values);
+        } catch (IOException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/load/HttpSockets.java
@@ -0,0 +1,204 @@
+package spartrail.lab.load;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import spartrail.lab.net.Link;
+import spartrail.lab.net.SocketLoop;
+import spartrail.lab.plan.LoadPlan;
+import spartrail.model.Timetable;
+
+/** The generator on real sockets: its loop's thread runs it when it is due and tells it what came. */
+public final class HttpSockets implements Sockets {
+    private static final double LOOKED_MS = 500;
+
+    private final SocketLoop loop;
+    private Generator generator;
+    private Timetable.Due due;
+    private boolean closed;
+
+    public HttpSockets(SocketLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Starts the plan's time; from here on the loop's thread owns the generator. */
+    public void drive(Generator driven, LoadPlan plan) {
+        loop.execute(() -> {
+            generator = driven;
+            generator.start(loop.nowMs());
+            plan.targets().forEach(this::look);
+            turn();
+        });
+    }
+
+    private void turn() {
+        generator.run(loop.nowMs());
+        plan();
+    }
+
+    /** Danger: one entry for each call would fill the timetable; there is one, and it is moved. */
+    private void plan() {
+        double nextMs = generator.nextMs();
+        if (due != null && due.atMs() <= nextMs && due.atMs() > loop.nowMs()) {
+            return;
+        }
+        loop.cancel(due);
+        due = nextMs == Double.MAX_VALUE || closed ? null : loop.at(nextMs, this::turn);
+    }
+
+    /** Asks a front node again and again whether it is ready. */
+    private void look(LoadPlan.Target target) {
+        if (closed || generator.over()) {
+            return;
+        }
+        AnswerReader reader = new AnswerReader();
+        Link link = new Link(loop) {
+            private boolean told;
+
+            private void tell(boolean up) {
+                if (!told) {
+                    told = true;
+                    generator.up(target, up);
+                    close();
+                }
+            }
+
+            @Override
+            protected void bytes(ByteBuffer in) {
+                try {
+                    reader.take(in);
+                    Answer answer = reader.next();
+                    if (answer != null) {
+                        tell(answer.status() == 200);
+                    }
+                } catch (AnswerReader.Unusable e) {
+                    tell(false);
+                }
+            }
+
+            @Override
+            protected void ended(String why) {
+                tell(false);
+            }
+        };
+        try {
+            link.connect(new InetSocketAddress(target.host(), target.port()));
+            link.write(ByteBuffer.wrap(("GET /up HTTP/1.1\r\nHost: " + target + "\r\nConnection: close\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII)));
+            loop.at(loop.nowMs() + LOOKED_MS, () -> {
+                if (link.isOpen()) {
+                    link.close();
+                }
+            });
+        } catch (IOException e) {
+            // No socket: the generator finds out by itself.
+        }
+        loop.at(loop.nowMs() + LOOKED_MS, () -> look(target));
+    }
+
+    public void close() {
+        loop.call(() -> closed = true);
+    }
+
+    @Override
+    public void open(Conn conn) {
+        Client client = new Client(conn);
+        conn.carrier = client;
+        try {
+            client.connect(new InetSocketAddress(conn.target.host(), conn.target.port()));
+        } catch (IOException e) {
+            throw new IllegalStateException(e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void send(Conn conn, Ask ask, double leftMs) {
+        ((Client) conn.carrier).write(request(conn, ask, leftMs));
+    }
+
+    @Override
+    public void close(Conn conn) {
+        if (conn.carrier != null) {
+            ((Client) conn.carrier).close();
+        }
+    }
+
+    private static ByteBuffer request(Conn conn, Ask ask, double leftMs) {
+        var arrival = ask.arrival;
+        StringBuilder body = new StringBuilder(64 + 48 * arrival.shards().length + arrival.textBytes());
+        body.append("{\"segments\":[");
+        double rest = 1;
+        for (int i = 0; i < arrival.shards().length; i++) {
+            // Rounded weights still sum up to one: the last takes the rest.
+            double weight = i == arrival.shards().length - 1 ? Math.max(0, rest)
+                    : Math.round(arrival.weights()[i] * 1e6) / 1e6;
+            rest -= weight;
+            body.append(i == 0 ? "" : ",").append("{\"segment\":").append(arrival.shards()[i]).append(",\"boost\":")
+                    .append(Math.round(weight * 1e6) / 1e6);
+            if (arrival.hintMs() > 0) {
+                body.append(",\"work\":").append(Math.round(1000 * arrival.hintMs()));
+            }
+            body.append('}');
+        }
+        body.append("],\"text\":\"").append(arrival.text()).append("\"}");
+        byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+        String head = "POST /" + arrival.opType() + "/" + arrival.key() + " HTTP/1.1\r\nHost: " + conn.target
+                + "\r\nReq-Id: " + ask.id() + "\r\nReq-Kind: " + arrival.opType() + "\r\nReq-Deadline: "
+                + String.format(Locale.ROOT, "%.3f", Math.max(0.001, leftMs / 1000))
+                + (ask.tryNumber() > 1 ? "\r\nReq-Retry: 1" : "") + (conn.own ? "\r\nConnection: close" : "")
+                + "\r\nContent-Length: " + bytes.length + "\r\n\r\n";
+        byte[] headBytes = head.getBytes(StandardCharsets.US_ASCII);
+        return ByteBuffer.allocate(headBytes.length + bytes.length).put(headBytes).put(bytes).flip();
+    }
+
+    /** One client's connection. */
+    private final class Client extends Link {
+        private final Conn conn;
+        private final AnswerReader reader = new AnswerReader();
+
+        Client(Conn conn) {
+            super(HttpSockets.this.loop);
+            this.conn = conn;
+        }
+
+        @Override
+        protected void connected() {
+            generator.connected(conn, loop.nowMs());
+            plan();
+        }
+
+        @Override
+        protected void written() {
+            generator.written(conn, loop.nowMs());
+        }
+
+        @Override
+        protected void bytes(ByteBuffer in) {
+            try {
+                reader.take(in);
+                for (Answer answer = reader.next(); answer != null && isOpen(); answer = reader.next()) {
+                    generator.answered(conn, answer, loop.nowMs());
+                }
+                if (isOpen() && conn.ask == null && reader.begun()) {
+                    generator.extra(conn, loop.nowMs());
+                }
+            } catch (AnswerReader.Unusable e) {
+                generator.spoilt(conn, e.kind, loop.nowMs());
+            }
+            plan();
+        }
+
+        @Override
+        protected void ended(String why) {
+            Answer answer = reader.atEnd();
+            if (answer != null) {
+                generator.answered(conn, answer, loop.nowMs());
+            } else {
+                generator.broken(conn, reader.begun(), loop.nowMs());
+            }
+            plan();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/load/VirtualSockets.java
@@ -0,0 +1,76 @@
+package spartrail.lab.load;
+
+import java.nio.charset.StandardCharsets;
+import spartrail.lab.plan.Arrival;
+import spartrail.model.Timetable;
+
+/**
+ * The generator on a virtual clock, against a responder whose delays are a script: what a report must say then follows
+ * from arithmetic. Connections come up at once.
+ */
+public final class VirtualSockets implements Sockets {
+    /** When a request that came at a time is answered. */
+    public interface Responder {
+        double answeredMs(long number, double atMs);
+    }
+
+    private final Responder responder;
+    private final Timetable timetable = new Timetable();
+    private Generator generator;
+    private double nowMs;
+    private long count;
+
+    public VirtualSockets(Responder responder) {
+        this.responder = responder;
+    }
+
+    /** Plays the whole plan; the time at its end. */
+    public double play(Generator played) {
+        generator = played;
+        generator.start(0);
+        while (!generator.over()) {
+            nowMs = Math.min(generator.nextMs(), timetable.nextMs());
+            timetable.run(nowMs);
+            if (generator.nextMs() <= nowMs) {
+                generator.run(nowMs);
+            }
+        }
+        return nowMs;
+    }
+
+    @Override
+    public void open(Conn conn) {
+        timetable.add(nowMs, () -> generator.connected(conn, nowMs));
+    }
+
+    @Override
+    public void send(Conn conn, Ask ask, double leftMs) {
+        generator.written(conn, nowMs);
+        double answeredMs = responder.answeredMs(count++, nowMs);
+        if (!Double.isFinite(answeredMs)) {
+            return;
+        }
+        timetable.add(answeredMs, () -> {
+            if (!conn.gone) {
+                generator.answered(conn, new Answer(200, body(ask), 0, true, false), nowMs);
+            }
+        });
+    }
+
+    @Override
+    public void close(Conn conn) {
+        // Nothing is held for it.
+    }
+
+    /** What front nodes and servers would make of this request. */
+    static byte[] body(Ask ask) {
+        byte[] text = ask.arrival.text().getBytes(StandardCharsets.UTF_8);
+        StringBuilder body = new StringBuilder("{\"all_in\":true,\"matches\":[");
+        for (int i = 0; i < ask.arrival.shards().length; i++) {
+            int shard = ask.arrival.shards()[i];
+            body.append(i == 0 ? "" : ",").append("{\"segment\":").append(shard).append(",\"payload\":\"")
+                    .append(Arrival.value(ask.id() + '.' + shard, shard, text)).append("\"}");
+        }
+        return body.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/plan/LoadPlan.java
@@ -0,0 +1,232 @@
+package spartrail.lab.plan;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import spartrail.lab.file.BadInput;
+import spartrail.lab.file.Document;
+
+/**
+ * A plan of load as its file tells it; its arrivals follow from it alone.
+ *
+ * @param variation coefficient of variation of gamma gaps
+ * @param targets front nodes as host:port, loopback only
+ * @param connections most connections that are open at once
+ * @param lagBoundMs a run whose own lag at the 99th percentile is longer is unfit
+ * @param lingerMs how long an answer is still looked for after its client's time
+ */
+public record LoadPlan(long seed, List<Phase> phases, Gaps gaps, double variation, List<Stream> streams,
+        List<Crowd> crowds, List<Target> targets, int connections, double connectMs, double lagBoundMs,
+        double lingerMs) {
+    public record Phase(String name, double lastsMs, Rate rate) {
+    }
+
+    /** Clients who all come within a time, each on a connection of its own. */
+    public record Crowd(double atMs, double withinMs, int clients, int stream) {
+    }
+
+    public record Target(String host, int port, String zone) {
+        @Override
+        public String toString() {
+            return host + ":" + port;
+        }
+    }
+
+    public static LoadPlan read(Path file) {
+        return of(Document.read(file, "load"));
+    }
+
+    public static LoadPlan of(Document document) {
+        JsonNode tree = document.tree;
+        List<Phase> phases = new ArrayList<>();
+        for (JsonNode phase : tree.get("phases")) {
+            phases.add(new Phase(phase.path("name").asText("phase " + phases.size()), phase.get("lastsMs").asDouble(),
+                    rate(document, phase.get("rate"), "/phases/" + phases.size() + "/rate")));
+        }
+        List<Stream> streams = new ArrayList<>();
+        for (JsonNode stream : tree.get("streams")) {
+            streams.add(stream(document, stream, "/streams/" + streams.size(), phases));
+        }
+        for (int i = 0; i < phases.size(); i++) {
+            String name = phases.get(i).name();
+            if (streams.stream().noneMatch(stream -> stream.in(name))) {
+                throw document.wrong("/phases/" + i, "no stream plays in phase '" + name + "'");
+            }
+        }
+        List<Crowd> crowds = new ArrayList<>();
+        for (JsonNode crowd : tree.path("crowds")) {
+            String name = crowd.path("stream").asText(streams.get(0).name);
+            int at = streams.stream().map(stream -> stream.name).toList().indexOf(name);
+            if (at < 0) {
+                throw document.wrong("/crowds/" + crowds.size() + "/stream", "no stream is named '" + name + "'");
+            }
+            crowds.add(new Crowd(crowd.get("atMs").asDouble(), crowd.get("withinMs").asDouble(),
+                    crowd.get("clients").asInt(), at));
+        }
+        List<Target> targets = new ArrayList<>();
+        for (JsonNode target : tree.path("targets")) {
+            targets.add(target(document, target, "/targets/" + targets.size()));
+        }
+        JsonNode gaps = tree.path("gaps");
+        return new LoadPlan(tree.path("seed").asLong(1), phases,
+                Gaps.valueOf(gaps.path("kind").asText("poisson").toUpperCase()), gaps.path("variation").asDouble(1),
+                streams, crowds, targets, tree.path("connections").path("most").asInt(1000),
+                tree.path("connections").path("connectMs").asDouble(1000), tree.path("lagBoundMs").asDouble(5),
+                tree.path("lingerMs").asDouble(1000));
+    }
+
+    /** Loopback only: a load generator that can be aimed elsewhere is a weapon. */
+    public static Target target(Document document, JsonNode node, String place) {
+        String text = node.isTextual() ? node.asText() : node.path("address").asText();
+        int colon = text.lastIndexOf(':');
+        String host = text.substring(0, Math.max(0, colon));
+        int port = -1;
+        try {
+            port = Integer.parseInt(text.substring(colon + 1));
+        } catch (NumberFormatException e) {
+            // Said below.
+        }
+        if (!host.matches("127(\\.[0-9]{1,3}){3}") || port < 1 || port > 65_535) {
+            throw document.wrong(place, "found '" + text + "', an address of the loopback such as 127.0.0.1:3000"
+                    + " is expected");
+        }
+        return new Target(host, port, node.path("zone").asText(""));
+    }
+
+    private static Rate rate(Document document, JsonNode node, String place) {
+        if (node.has("sum")) {
+            List<Rate> parts = new ArrayList<>();
+            for (JsonNode part : node.get("sum")) {
+                parts.add(rate(document, part, place + "/sum/" + parts.size()));
+            }
+            return new Rate.Sum(parts);
+        }
+        switch (node.get("shape").asText()) {
+            case "steady":
+                return new Rate.Steady(node.get("perS").asDouble());
+            case "ramp":
+                return new Rate.Ramp(node.get("fromPerS").asDouble(), node.get("toPerS").asDouble());
+            case "step":
+                List<Double> levels = new ArrayList<>();
+                node.get("levelsPerS").forEach(level -> levels.add(level.asDouble()));
+                return new Rate.Step(levels);
+            case "burst":
+                return new Rate.Burst(node.get("onPerS").asDouble(), node.get("onMs").asDouble(),
+                        node.path("offPerS").asDouble(0), node.get("offMs").asDouble());
+            case "wave":
+                Rate.Wave wave = new Rate.Wave(node.get("meanPerS").asDouble(), node.get("swingPerS").asDouble(),
+                        node.get("periodMs").asDouble());
+                if (wave.swingPerS() > wave.meanPerS()) {
+                    throw document.wrong(place + "/swingPerS", "found " + wave.swingPerS()
+                            + ", at most the mean of " + wave.meanPerS() + " is expected, as no rate is below 0");
+                }
+                return wave;
+            default:
+                return new Rate.Spike(node.get("peakPerS").asDouble(), node.path("atMs").asDouble(0),
+                        node.get("halfLifeMs").asDouble());
+        }
+    }
+
+    private static Stream stream(Document document, JsonNode node, String place, List<Phase> known) {
+        List<String> phases = new ArrayList<>();
+        for (JsonNode name : node.path("phases")) {
+            if (known.stream().noneMatch(phase -> phase.name().equals(name.asText()))) {
+                throw document.wrong(place + "/phases/" + phases.size(), "no phase is named '" + name.asText() + "'");
+            }
+            phases.add(name.asText());
+        }
+        List<Stream.Share<String>> opTypes = new ArrayList<>();
+        node.get("opTypes").forEach(one -> opTypes.add(
+                new Stream.Share<>(one.get("name").asText(), one.path("share").asDouble(1))));
+        JsonNode shards = node.get("shards");
+        int of = shards.get("of").asInt();
+        int least = shards.path("least").asInt(1);
+        int most = shards.path("most").asInt(least);
+        if (least > most || most > of) {
+            throw document.wrong(place + "/shards", "least " + least + ", most " + most + ", of " + of
+                    + "; least <= most <= of is expected");
+        }
+        JsonNode work = node.path("work");
+        JsonNode keys = node.path("keys");
+        List<Stream.Share<Integer>> texts = new ArrayList<>();
+        node.path("texts").forEach(one -> texts.add(
+                new Stream.Share<>(one.get("bytes").asInt(), one.path("share").asDouble(1))));
+        if (texts.isEmpty()) {
+            texts.add(new Stream.Share<>(16, 1));
+        }
+        return new Stream(node.path("name").asText("stream"), node.path("share").asDouble(1), phases, opTypes,
+                new Stream.Touches(of, least, most, shards.path("exponent").asDouble(1.5),
+                        !"scattered".equals(shards.path("spread").asText("run"))),
+                !"drawn".equals(node.path("weights").asText("even")),
+                new Stream.Work(work.path("meanMs").asDouble(0), work.path("variation").asDouble(0),
+                        work.path("hintShare").asDouble(0), work.path("hintNoise").asDouble(0)),
+                new Stream.Keys(keys.path("count").asInt(1000), keys.path("zipf").asDouble(0.9),
+                        keys.path("hotMovesEveryMs").asDouble(0)),
+                texts, node.path("zone").asText(""), node.get("clientMs").asDouble(), habit(node.path("habit")));
+    }
+
+    private static Habit habit(JsonNode node) {
+        JsonNode leaves = node.path("leaves");
+        return new Habit(node.path("tries").asInt(1),
+                Habit.Wait.valueOf(node.path("wait").asText("none").toUpperCase()), node.path("waitMs").asDouble(0),
+                node.path("factor").asDouble(2), node.path("mostWaitMs").asDouble(60_000),
+                node.path("jitter").asDouble(0), node.path("heeds").asDouble(1), leaves.path("share").asDouble(0),
+                leaves.path("at").asDouble(0.5), node.path("ownConnection").asBoolean(false));
+    }
+
+    public double lastsMs() {
+        return phases.stream().mapToDouble(Phase::lastsMs).sum();
+    }
+
+    public int phaseAt(double ms) {
+        double fromMs = 0;
+        for (int i = 0; i < phases.size(); i++) {
+            fromMs += phases.get(i).lastsMs();
+            if (ms < fromMs) {
+                return i;
+            }
+        }
+        return phases.size() - 1;
+    }
+
+    /** All arrivals in order of time; each call begins anew and gives the same ones. */
+    public Iterator<Arrival> arrivals() {
+        return new Arrivals(this);
+    }
+
+    /** The same plan against these front nodes. */
+    public LoadPlan against(List<Target> nodes) {
+        if (nodes.isEmpty()) {
+            throw new BadInput("no front node to send to: give 'targets' in the plan");
+        }
+        return new LoadPlan(seed, phases, gaps, variation, streams, crowds, nodes, connections, connectMs, lagBoundMs,
+                lingerMs);
+    }
+
+    /** The same plan from another seed and with all rates times so much. */
+    public LoadPlan varied(long newSeed, double times) {
+        List<Phase> scaled = phases.stream().map(phase -> times == 1 ? phase
+                : new Phase(phase.name(), phase.lastsMs(), times(phase.rate(), times))).toList();
+        return new LoadPlan(newSeed, scaled, gaps, variation, streams, crowds, targets, connections, connectMs,
+                lagBoundMs, lingerMs);
+    }
+
+    private static Rate times(Rate rate, double times) {
+        if (rate instanceof Rate.Steady steady) {
+            return new Rate.Steady(steady.perS() * times);
+        }
+        return new Rate() {
+            @Override
+            public double perS(double ms, double lastsMs) {
+                return times * rate.perS(ms, lastsMs);
+            }
+
+            @Override
+            public double until(double ms, double lastsMs) {
+                return times * rate.until(ms, lastsMs);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/plan/Rate.java
@@ -0,0 +1,116 @@
+package spartrail.lab.plan;
+
+import java.util.List;
+
+/**
+ * How many multigets a second are meant to come, over the time of a phase. Each shape knows its own sum up to a time in
+ * closed form: arrivals are placed by inverting that sum, so that no shape is cut into steps.
+ */
+public interface Rate {
+    /** In a second, {@code ms} after the phase began. */
+    double perS(double ms, double lastsMs);
+
+    /** Expected from the phase's beginning until then. */
+    double until(double ms, double lastsMs);
+
+    record Steady(double perS) implements Rate {
+        @Override
+        public double perS(double ms, double lastsMs) {
+            return perS;
+        }
+
+        @Override
+        public double until(double ms, double lastsMs) {
+            return perS * ms / 1000;
+        }
+    }
+
+    record Ramp(double fromPerS, double toPerS) implements Rate {
+        @Override
+        public double perS(double ms, double lastsMs) {
+            return fromPerS + (toPerS - fromPerS) * ms / lastsMs;
+        }
+
+        @Override
+        public double until(double ms, double lastsMs) {
+            return (fromPerS * ms + (toPerS - fromPerS) * ms * ms / (2 * lastsMs)) / 1000;
+        }
+    }
+
+    /** Levels of equal length, one after the other. */
+    record Step(List<Double> levelsPerS) implements Rate {
+        @Override
+        public double perS(double ms, double lastsMs) {
+            return levelsPerS.get((int) Math.min(levelsPerS.size() - 1, ms * levelsPerS.size() / lastsMs));
+        }
+
+        @Override
+        public double until(double ms, double lastsMs) {
+            double eachMs = lastsMs / levelsPerS.size();
+            double sum = 0;
+            for (int i = 0; i < levelsPerS.size() && ms > i * eachMs; i++) {
+                sum += levelsPerS.get(i) * Math.min(eachMs, ms - i * eachMs) / 1000;
+            }
+            return sum;
+        }
+    }
+
+    /** On for a time, then off, again and again; begins with on. */
+    record Burst(double onPerS, double onMs, double offPerS, double offMs) implements Rate {
+        @Override
+        public double perS(double ms, double lastsMs) {
+            return ms % (onMs + offMs) < onMs ? onPerS : offPerS;
+        }
+
+        @Override
+        public double until(double ms, double lastsMs) {
+            double rounds = Math.floor(ms / (onMs + offMs));
+            double rest = ms - rounds * (onMs + offMs);
+            return (rounds * (onPerS * onMs + offPerS * offMs) + onPerS * Math.min(rest, onMs)
+                    + offPerS * Math.max(0, rest - onMs)) / 1000;
+        }
+    }
+
+    record Wave(double meanPerS, double swingPerS, double periodMs) implements Rate {
+        @Override
+        public double perS(double ms, double lastsMs) {
+            return meanPerS + swingPerS * Math.sin(2 * Math.PI * ms / periodMs);
+        }
+
+        @Override
+        public double until(double ms, double lastsMs) {
+            double turn = 2 * Math.PI / periodMs;
+            return (meanPerS * ms + swingPerS / turn * (1 - Math.cos(turn * ms))) / 1000;
+        }
+    }
+
+    /** Nothing before, its peak at once, then half as much after each half-life. */
+    record Spike(double peakPerS, double atMs, double halfLifeMs) implements Rate {
+        @Override
+        public double perS(double ms, double lastsMs) {
+            return ms < atMs ? 0 : peakPerS * Math.pow(0.5, (ms - atMs) / halfLifeMs);
+        }
+
+        @Override
+        public double until(double ms, double lastsMs) {
+            return ms < atMs ? 0
+                    : peakPerS * halfLifeMs / Math.log(2) * (1 - Math.pow(0.5, (ms - atMs) / halfLifeMs)) / 1000;
+        }
+    }
+
+    record Sum(List<Rate> of) implements Rate {
+        @Override
+        public double perS(double ms, double lastsMs) {
+            return of.stream().mapToDouble(rate -> rate.perS(ms, lastsMs)).sum();
+        }
+
+        @Override
+        public double until(double ms, double lastsMs) {
+            double sum = 0;
+            for (Rate rate : of) {
+                sum += rate.until(ms, lastsMs);
+            }
+            return sum;
+        }
+    }
+}
