Command line of the lab: load, fleet, experiment, drill; traces, store, charts, four drills

Need: the generator, fleet and checker had no way to be used, and nothing showed that they can be trusted.

Change: bin/spartrail load run|plan|import|replay, fleet run, experiment run|list|show|compare|prune, drill list|run, completion. Traces with stated rules for what is odd; H2 store; XChart charts; bootstrap intervals; a generator rehearses before it measures.

A server model that made steps too small for its clock looped for ever: fixed.

--- a/lab/src/main/java/spartrail/lab/Main.java
+++ b/lab/src/main/java/spartrail/lab/Main.java
@@ -1,11 +1,13 @@
 package spartrail.lab;
 
-/** The lab's program. */
+import spartrail.lab.cli.LabCommandLine;
+
+/** The lab's program: see {@link LabCommandLine} for its sub-commands. */
 public final class Main {
     private Main() {
     }
 
     public static void main(String[] args) {
-        System.exit(2);
+        System.exit(LabCommandLine.run(args, System.out, System.err));
     }
 }
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/cli/DrillList.java
@@ -0,0 +1,33 @@
+package spartrail.lab.cli;
+
+import java.io.PrintStream;
+import org.kohsuke.args4j.Option;
+import spartrail.lab.drill.Drill;
+import spartrail.lab.drill.Drills;
+import spartrail.lab.file.Document;
+
+/** Lists the drills. */
+final class DrillList extends Command {
+    @Option(name = "--json", usage = "as JSON")
+    private boolean json;
+
+    @Override
+    String summary() {
+        return "lists the drills: scenarios that say themselves whether all went as it should";
+    }
+
+    @Override
+    int run(PrintStream out, PrintStream err) throws Exception {
+        var list = Document.JSON.createArrayNode();
+        for (Drill drill : Drills.all()) {
+            list.addObject().put("name", drill.name()).put("about", drill.about()).put("summary", drill.summary());
+            if (!json) {
+                out.printf("%-20s %-18s %s%n", drill.name(), drill.about(), drill.summary());
+            }
+        }
+        if (json) {
+            out.println(Document.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(list));
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/cli/ExperimentList.java
@@ -0,0 +1,31 @@
+package spartrail.lab.cli;
+
+import java.io.PrintStream;
+import org.kohsuke.args4j.Option;
+import spartrail.lab.experiment.Store;
+import spartrail.lab.file.Document;
+
+/** Lists the store. */
+final class ExperimentList extends Stored {
+    @Option(name = "--json", usage = "as JSON")
+    private boolean json;
+
+    @Override
+    String summary() {
+        return "lists the experiments of a store";
+    }
+
+    @Override
+    int run(PrintStream out, PrintStream err) throws Exception {
+        try (Store store = store()) {
+            if (json) {
+                out.println(Document.JSON.writeValueAsString(store.list()));
+                return 0;
+            }
+            out.printf("%6s %-24s %-22s %6s %6s%n", "id", "name", "started", "runs", "done");
+            store.list().forEach(kept -> out.printf("%6d %-24s %-22s %6d %6d%n", kept.id(), kept.name(),
+                    kept.startedAt(), kept.runs(), kept.done()));
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/cli/ExperimentPrune.java
@@ -0,0 +1,28 @@
+package spartrail.lab.cli;
+
+import java.io.PrintStream;
+import org.kohsuke.args4j.Option;
+import spartrail.lab.file.BadInput;
+import spartrail.lab.experiment.Store;
+
+/** Bounds the store. */
+final class ExperimentPrune extends Stored {
+    @Option(name = "--keep", metaVar = "N", required = true, usage = "keep the newest so many experiments")
+    private int keep;
+
+    @Override
+    String summary() {
+        return "forgets all but the newest experiments of a store";
+    }
+
+    @Override
+    int run(PrintStream out, PrintStream err) throws Exception {
+        if (keep < 0) {
+            throw new BadInput("--keep: found " + keep + ", 0 or more is expected");
+        }
+        try (Store store = store()) {
+            out.println(store.prune(keep) + " forgotten");
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/cli/ExperimentRun.java
@@ -0,0 +1,64 @@
+package spartrail.lab.cli;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import spartrail.lab.experiment.ExperimentPlan;
+import spartrail.lab.experiment.Runner;
+import spartrail.lab.experiment.Showing;
+import spartrail.lab.experiment.Store;
+import sun.misc.Signal;
+
+/** Plays a matrix of runs into the store. */
+final class ExperimentRun extends Stored {
+    @Argument(required = true, metaVar = "FILE", usage = "the experiment")
+    private Path file;
+
+    @Option(name = "--report", metaVar = "FOLDER", usage = "write tables, charts and a page there at the end")
+    private Path folder;
+
+    @Override
+    String summary() {
+        return "plays fleet, front nodes and load for each cell of a matrix and keeps the results";
+    }
+
+    @Override
+    int run(PrintStream out, PrintStream err) throws Exception {
+        ExperimentPlan plan = ExperimentPlan.read(file);
+        AtomicBoolean stopped = new AtomicBoolean();
+        boolean good = true;
+        try (Store store = store(); Live live = new Live(err, List::of)) {
+            Signal.handle(new Signal("INT"), signal -> stopped.set(true));
+            long experiment = store.begin(plan);
+            Runner runner = new Runner(plan, live::show, stopped::get);
+            List<ExperimentPlan.Cell> cells = plan.cells();
+            for (int i = 0; i < cells.size() && !stopped.get(); i++) {
+                ExperimentPlan.Cell cell = cells.get(i);
+                long run = store.begin(experiment, cell);
+                ObjectNode report = runner.play(cell);
+                if (!stopped.get()) {
+                    store.complete(run, report);
+                }
+                boolean kept = report.at("/rules/kept").asBoolean();
+                good &= kept;
+                out.printf(Locale.ROOT, "%d of %d: %s, seed %d: served %d of %d tries, p99 %.1f ms, rules %s%s%n", i + 1,
+                        cells.size(), cell.group(), cell.seed(), report.at("/served/count").asLong(),
+                        report.get("tries").asLong(), report.at("/served/latencyMs/p99").asDouble(),
+                        kept ? "kept" : "BROKEN " + report.at("/rules/verdicts"),
+                        report.get("fit").asBoolean() ? "" : ", UNFIT: " + report.get("unfitWhy").asText());
+            }
+            List<Store.Run> runs = store.runs(experiment);
+            out.print(Showing.tables(runs));
+            if (folder != null) {
+                Showing.folder(folder, plan.name(), runs);
+                out.println("report: " + folder.resolve("index.html"));
+            }
+        }
+        return good && !stopped.get() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
@@ -0,0 +1,80 @@
+package spartrail.lab.cli;
+
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.ParserProperties;
+import spartrail.lab.file.BadInput;
+
+/** Finds the sub-command that the first words name, reads its options, runs it. */
+public final class LabCommandLine {
+    static final Map<String, Supplier<Command>> COMMANDS = new LinkedHashMap<>();
+
+    static {
+        COMMANDS.put("load run", LoadRun::new);
+        COMMANDS.put("load plan", LoadPlanned::new);
+        COMMANDS.put("load import", LoadImport::new);
+        COMMANDS.put("load replay", LoadReplay::new);
+        COMMANDS.put("fleet run", FleetRun::new);
+        COMMANDS.put("experiment run", ExperimentRun::new);
+        COMMANDS.put("experiment list", ExperimentList::new);
+        COMMANDS.put("experiment show", ExperimentShow::new);
+        COMMANDS.put("experiment compare", ExperimentCompare::new);
+        COMMANDS.put("experiment prune", ExperimentPrune::new);
+        COMMANDS.put("drill list", DrillList::new);
+        COMMANDS.put("drill run", DrillRun::new);
+        COMMANDS.put("completion", Completion::new);
+    }
+
+    private LabCommandLine() {
+    }
+
+    public static int run(String[] args, PrintStream out, PrintStream err) {
+        if (args.length == 0 || args[0].equals("--help") || args[0].equals("help")) {
+            usage(args.length == 0 ? err : out);
+            return args.length == 0 ? 2 : 0;
+        }
+        int words = args.length > 1 && COMMANDS.containsKey(args[0] + " " + args[1]) ? 2 : 1;
+        String name = words == 2 ? args[0] + " " + args[1] : args[0];
+        if (!COMMANDS.containsKey(name)) {
+            boolean group = COMMANDS.keySet().stream().anyMatch(known -> known.startsWith(args[0] + " "));
+            err.println("spartrail: " + (group ? "'" + args[0] + "' wants one of "
+                    + COMMANDS.keySet().stream().filter(known -> known.startsWith(args[0] + " ")).toList()
+                    : "no command is named '" + args[0] + "'; spartrail --help lists them"));
+            return 2;
+        }
+        Command command = COMMANDS.get(name).get();
+        CmdLineParser parser = new CmdLineParser(command, ParserProperties.defaults().withUsageWidth(110));
+        try {
+            parser.parseArgument(java.util.Arrays.copyOfRange(args, words, args.length));
+            if (command.help) {
+                out.print("spartrail " + name);
+                parser.printSingleLineUsage(out);
+                out.println("\n" + command.summary());
+                parser.printUsage(out);
+                return 0;
+            }
+            Logs.set(command.log);
+            return command.run(out, err);
+        } catch (CmdLineException | BadInput e) {
+            err.println("spartrail: " + e.getMessage());
+            return 2;
+        } catch (Exception e) {
+            err.println("spartrail: " + (e.getMessage() == null ? e : e.getMessage()));
+            return 1;
+        }
+    }
+
+    private static void usage(PrintStream out) {
+        out.println("spartrail COMMAND [OPTION ...]; --help behind a command says what it takes\n");
+        String[][] node = {{"serve", "a front node, until SIGTERM"}, {"check", "says whether a node could start with a configuration"},
+            {"simhost", "hosts nodes' decisions on the simulator's wire"}, {"version", "says which version this is"}};
+        for (String[] line : node) {
+            out.printf("  %-20s %s%n", line[0], line[1]);
+        }
+        COMMANDS.forEach((name, command) -> out.printf("  %-20s %s%n", name, command.get().summary()));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/cli/Live.java
@@ -0,0 +1,70 @@
+package spartrail.lab.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Supplier;
+import org.jline.terminal.Size;
+import org.jline.terminal.Terminal;
+import org.jline.terminal.TerminalBuilder;
+import org.jline.utils.AttributedString;
+import org.jline.utils.Display;
+import spartrail.lab.load.LoadSession;
+
+/** What a run looks like while it goes: redrawn on a terminal, a line in ten seconds elsewhere. */
+final class Live implements AutoCloseable {
+    private static final double PLAIN_EVERY_MS = 10_000;
+
+    private final PrintStream err;
+    private final Supplier<List<String>> more;
+    private Terminal terminal;
+    private Display display;
+    private double plainMs;
+
+    /** The further lines are asked each time: rules, say. */
+    Live(PrintStream err, Supplier<List<String>> more) {
+        this.err = err;
+        this.more = more;
+        if (System.console() != null) {
+            try {
+                terminal = TerminalBuilder.builder().system(true).nativeSignals(false).build();
+                if (!Terminal.TYPE_DUMB.equals(terminal.getType())
+                        && !Terminal.TYPE_DUMB_COLOR.equals(terminal.getType())) {
+                    display = new Display(terminal, false);
+                }
+            } catch (IOException e) {
+                terminal = null;
+            }
+        }
+    }
+
+    void show(LoadSession.Glance glance) {
+        String line = String.format(Locale.ROOT, "%6.1f of %.0f s  %d tries (%.0f a second)  %d in flight on %d connections"
+                + "  p50 %.1f p99 %.1f ms  own lag p99 %.3f ms", glance.ms() / 1000, glance.lastsMs() / 1000,
+                glance.tries(), glance.tries() * 1000 / Math.max(1, glance.ms()), glance.inFlight(),
+                glance.connections(), glance.p50Ms(), glance.p99Ms(), glance.lagP99Ms());
+        if (display != null) {
+            Size size = terminal.getSize();
+            display.resize(Math.max(6, size.getRows()), Math.max(40, size.getColumns()));
+            List<AttributedString> lines = new java.util.ArrayList<>();
+            lines.add(new AttributedString(line));
+            lines.add(new AttributedString(glance.kinds().toString()));
+            more.get().forEach(text -> lines.add(new AttributedString(text)));
+            display.update(lines, 0);
+        } else if (glance.ms() >= plainMs + PLAIN_EVERY_MS) {
+            plainMs = glance.ms();
+            err.println(line + "  " + glance.kinds());
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (terminal != null) {
+            if (display != null) {
+                display.update(List.of(), 0);
+            }
+            terminal.close();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/cli/LoadReplay.java
@@ -0,0 +1,79 @@
+package spartrail.lab.cli;
+
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import spartrail.lab.file.BadInput;
+import spartrail.lab.file.Document;
+import spartrail.lab.plan.Gaps;
+import spartrail.lab.plan.Habit;
+import spartrail.lab.plan.LoadPlan;
+import spartrail.lab.plan.Rate;
+import spartrail.lab.trace.TraceReplay;
+
+/** Sends what a trace holds, when it says. */
+final class LoadReplay extends Command {
+    @Argument(required = true, metaVar = "TRACE", usage = "a trace, or a front node's record as it is")
+    private Path file;
+
+    @Option(name = "--target", metaVar = "HOST:PORT", required = true, usage = "a front node; may be repeated")
+    private List<String> targets = new ArrayList<>();
+
+    @Option(name = "--speed", metaVar = "X", usage = "so many times as fast (default 1)")
+    private double speed = 1;
+
+    @Option(name = "--loops", metaVar = "N", usage = "play it so many times (default 1)")
+    private int loops = 1;
+
+    @Option(name = "--share", metaVar = "S", usage = "send only this share of it (default 1)")
+    private double share = 1;
+
+    @Option(name = "--copies", metaVar = "N", usage = "send each so many times, with keys of their own (default 1)")
+    private int copies = 1;
+
+    @Option(name = "--connections", metaVar = "N", usage = "most connections (default 1000)")
+    private int connections = 1000;
+
+    @Option(name = "--seed", metaVar = "N", usage = "what is drawn by chance follows from it (default 1)")
+    private long seed = 1;
+
+    @Option(name = "--json", usage = "print the report as JSON")
+    private boolean json;
+
+    @Option(name = "--out", metaVar = "FILE", usage = "write the report as JSON to this file too")
+    private Path report;
+
+    @Override
+    String summary() {
+        return "sends a trace to front nodes, open loop: faster, looped, thinned or multiplied";
+    }
+
+    @Override
+    int run(PrintStream out, PrintStream err) throws Exception {
+        if (!(speed > 0) || loops < 1 || !(share > 0 && share <= 1) || copies < 1 || connections < 1) {
+            throw new BadInput("--speed is above 0, --loops, --copies and --connections at least 1, --share above 0 to 1");
+        }
+        if (!Files.isReadable(file)) {
+            throw new BadInput(file + ": cannot be read");
+        }
+        Document named = Document.of("--target", Document.JSON.createObjectNode(), "columns");
+        List<LoadPlan.Target> nodes = new ArrayList<>();
+        for (String target : targets) {
+            nodes.add(LoadPlan.target(named, TextNode.valueOf(target), "--target"));
+        }
+        Path scratch = Files.createTempFile("spartrail", ".trace");
+        try (TraceReplay replay = new TraceReplay(TraceReplay.trace(file, scratch), speed, loops, share, copies, seed,
+                Habit.ONCE)) {
+            LoadPlan plan = new LoadPlan(seed, List.of(new LoadPlan.Phase("trace", 1e12, new Rate.Steady(1))),
+                    Gaps.POISSON, 1, List.of(replay.stream()), List.of(), nodes, connections, 1000, 5, 1000);
+            return Running.run(plan, replay, Double.NaN, json, report, out, err);
+        } finally {
+            Files.deleteIfExists(scratch);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/drill/Drills.java
@@ -0,0 +1,24 @@
+package spartrail.lab.drill;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.ServiceLoader;
+import spartrail.lab.file.BadInput;
+
+/** All drills: those of the lab and those that other subsystems register as services. */
+public final class Drills {
+    private Drills() {
+    }
+
+    public static List<Drill> all() {
+        List<Drill> drills = new ArrayList<>(List.of(new LoadDelay(), new LoadStall(), new LoadTraceOrder(),
+                new RulesPlanted()));
+        ServiceLoader.load(Drill.class).forEach(drills::add);
+        return drills;
+    }
+
+    public static Drill named(String name) {
+        return all().stream().filter(drill -> drill.name().equals(name)).findFirst().orElseThrow(() ->
+                new BadInput("no drill is named '" + name + "'; there are " + all().stream().map(Drill::name).toList()));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/drill/Plans.java
@@ -0,0 +1,30 @@
+package spartrail.lab.drill;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import spartrail.lab.file.Document;
+import spartrail.lab.plan.LoadPlan;
+
+/** Small plans for drills. */
+public final class Plans {
+    private Plans() {
+    }
+
+    /** One op type, evenly spaced, one shard. */
+    public static LoadPlan even(double perS, double lastsMs, double clientMs, int connections, long seed) {
+        return parse("{'seed':" + seed + ",'gaps':{'kind':'even'},'lagBoundMs':50,'connections':{'most':" + connections
+                + "},'phases':[{'name':'all','lastsMs':" + lastsMs + ",'rate':{'shape':'steady','perS':" + perS
+                + "}}],'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8,'least':2},'clientMs':" + clientMs
+                + "}]}");
+    }
+
+    public static LoadPlan parse(String text) {
+        return LoadPlan.of(Document.parse("plan", text.replace('\'', '"').getBytes(StandardCharsets.UTF_8), "load"));
+    }
+
+    public static LoadPlan at(LoadPlan plan, String address) {
+        int colon = address.lastIndexOf(':');
+        return plan.against(List.of(new LoadPlan.Target(address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1)), "")));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/experiment/ExperimentPlan.java
@@ -0,0 +1,86 @@
+package spartrail.lab.experiment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import spartrail.lab.file.BadInput;
+import spartrail.lab.file.Document;
+import spartrail.lab.fleet.FleetPlan;
+import spartrail.lab.plan.LoadPlan;
+
+/** A matrix of runs: versions of the node, numbers of nodes, multiples of the load, seeds. */
+public record ExperimentPlan(String name, FleetPlan fleet, LoadPlan load, NodeSettings node, Map<String, Path> versions,
+        List<Integer> nodes, List<Double> times, List<Long> seeds, JsonNode tree) {
+    /** One cell of the matrix. */
+    public record Cell(String version, int nodes, double times, long seed) {
+        public String group() {
+            return version + ", " + nodes + " nodes, load x " + times;
+        }
+    }
+
+    public static ExperimentPlan read(Path file) {
+        Document document = Document.read(file, "experiment");
+        JsonNode tree = document.tree;
+        Document fleet = part(document, file, "fleet", "fleet");
+        Document load = part(document, file, "load", "load");
+        Map<String, Path> versions = new LinkedHashMap<>();
+        JsonNode matrix = tree.path("matrix");
+        matrix.path("versions").fields().forEachRemaining(version -> {
+            String jar = version.getValue().asText();
+            Path path = jar.equals("this") ? NodeProcess.ownJar() : file.toAbsolutePath().resolveSibling(jar).normalize();
+            if (!Files.isReadable(path)) {
+                throw document.wrong("/matrix/versions/" + version.getKey(), "found '" + jar + "', a readable jar or"
+                        + " \"this\" is expected");
+            }
+            versions.put(version.getKey(), path);
+        });
+        if (versions.isEmpty()) {
+            versions.put("this", NodeProcess.ownJar());
+        }
+        List<Integer> nodes = new ArrayList<>();
+        matrix.path("nodes").forEach(one -> nodes.add(one.asInt()));
+        List<Double> times = new ArrayList<>();
+        matrix.path("times").forEach(one -> times.add(one.asDouble()));
+        List<Long> seeds = new ArrayList<>();
+        matrix.path("seeds").forEach(one -> seeds.add(one.asLong()));
+        ObjectNode whole = tree.deepCopy();
+        whole.set("fleet", fleet.tree);
+        whole.set("load", load.tree);
+        return new ExperimentPlan(tree.get("name").asText(), FleetPlan.of(fleet), LoadPlan.of(load),
+                new NodeSettings(tree.get("node")), versions, nodes.isEmpty() ? List.of(1) : nodes,
+                times.isEmpty() ? List.of(1.0) : times, seeds.isEmpty() ? List.of(1L) : seeds, whole);
+    }
+
+    /** A part that stands in the file, or in one that it names. */
+    private static Document part(Document document, Path file, String name, String schema) {
+        JsonNode node = document.tree.get(name);
+        if (node.isTextual()) {
+            return Document.read(file.toAbsolutePath().resolveSibling(node.asText()).normalize(), schema);
+        }
+        try {
+            return Document.of(document.name + ": /" + name, node, schema);
+        } catch (BadInput e) {
+            throw new BadInput(e.getMessage().replace(": /" + name + ": /", ": /" + name + "/"));
+        }
+    }
+
+    /** Versions of one seed are played one after the other, so that a machine that drifts hurts them alike. */
+    public List<Cell> cells() {
+        List<Cell> cells = new ArrayList<>();
+        for (long seed : seeds) {
+            for (double times : this.times) {
+                for (int count : nodes) {
+                    for (String version : versions.keySet()) {
+                        cells.add(new Cell(version, count, times, seed));
+                    }
+                }
+            }
+        }
+        return cells;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/experiment/Runner.java
@@ -0,0 +1,136 @@
+package spartrail.lab.experiment;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import spartrail.lab.file.Document;
+import spartrail.lab.fleet.Fleet;
+import spartrail.lab.fleet.FleetPlan;
+import spartrail.lab.fleet.FleetWatcher;
+import spartrail.lab.load.LoadSession;
+import spartrail.lab.plan.LoadPlan;
+import spartrail.lab.rules.RuleChecker;
+
+/** Plays one cell of a matrix: a fleet, front nodes, load, rules. */
+public final class Runner {
+    /** What was done by the script, and when. */
+    private record Event(double atMs, String what) {
+    }
+
+    private final ExperimentPlan plan;
+    private final Consumer<LoadSession.Glance> progress;
+    private final BooleanSupplier stopped;
+
+    public Runner(ExperimentPlan plan, Consumer<LoadSession.Glance> progress, BooleanSupplier stopped) {
+        this.plan = plan;
+        this.progress = progress;
+        this.stopped = stopped;
+    }
+
+    /** The run's report, with rules, servers, nodes and events. */
+    public ObjectNode play(ExperimentPlan.Cell cell) throws IOException, InterruptedException {
+        FleetPlan fleetPlan = plan.fleet().varied(plan.fleet().seed() * 31 + cell.seed(), cell.nodes());
+        RuleChecker checker = new RuleChecker(plan.node().terms());
+        List<Event> events = java.util.Collections.synchronizedList(new ArrayList<>());
+        Path folder = Files.createTempDirectory("spartrail-run");
+        List<NodeProcess> nodes = new ArrayList<>();
+        try (Fleet fleet = new Fleet(fleetPlan, watching(checker, events))) {
+            List<LoadPlan.Target> targets = new ArrayList<>();
+            for (int node = 0; node < cell.nodes(); node++) {
+                int port = NodeProcess.freePort();
+                ObjectNode config = plan.node().config(node, cell.nodes(), "127.0.0.1:" + port, fleet, cell.seed());
+                nodes.add(NodeProcess.start(plan.versions().get(cell.version()), config, folder, "n" + node,
+                        plan.node().memoryMb()));
+                List<String> zones = NodeSettings.zones(fleetPlan);
+                targets.add(new LoadPlan.Target("127.0.0.1", port, zones.get(node % zones.size())));
+            }
+            LoadPlan load = plan.load().varied(plan.load().seed() * 31 + cell.seed(), cell.times()).against(targets);
+            double[] cpuMs = nodes.stream().mapToDouble(NodeProcess::cpuMs).toArray();
+            try (LoadSession session = new LoadSession(load, load.arrivals(), load.lastsMs(), checker)) {
+                double startMs = fleet.loop().nowMs();
+                fleet.play();
+                while (!session.await(500)) {
+                    progress.accept(session.glance());
+                    if (stopped.getAsBoolean()) {
+                        session.stop("ended by SIGINT before the plan was through");
+                    }
+                }
+                ObjectNode report = session.report();
+                ObjectNode servers = fleet.figures();
+                servers.forEach(server -> checker.cold(server.path("worstColdLoad").asDouble()));
+                report.set("servers", servers);
+                ArrayNode processes = report.putArray("nodes");
+                for (int i = 0; i < nodes.size(); i++) {
+                    processes.addObject().put("cpuMs", Math.round(nodes.get(i).cpuMs() - cpuMs[i]))
+                            .put("memoryMb", Math.round(nodes.get(i).memoryMb())).put("alive", nodes.get(i).handle().isAlive());
+                }
+                ArrayNode deeds = report.putArray("events");
+                List.copyOf(events).forEach(event -> deeds.addObject().put("atMs", Math.round(event.atMs() - startMs))
+                        .put("what", event.what()));
+                report.set("rules", rules(checker));
+                return report;
+            }
+        } finally {
+            nodes.forEach(NodeProcess::close);
+            try (var files = Files.list(folder)) {
+                files.forEach(file -> file.toFile().delete());
+            }
+            Files.deleteIfExists(folder);
+        }
+    }
+
+    private static ObjectNode rules(RuleChecker checker) {
+        ObjectNode tree = Document.JSON.createObjectNode();
+        tree.put("kept", checker.kept());
+        ArrayNode verdicts = tree.putArray("verdicts");
+        checker.verdicts().forEach(verdict -> {
+            ObjectNode line = verdicts.addObject().put("rule", verdict.rule().name()).put("asked", verdict.asked())
+                    .put("broken", verdict.broken());
+            ArrayNode examples = line.putArray("examples");
+            verdict.examples().forEach(examples::add);
+        });
+        return tree;
+    }
+
+    private static FleetWatcher watching(RuleChecker checker, List<Event> events) {
+        return new FleetWatcher() {
+            @Override
+            public void part(int node, String server, String partId, double atMs) {
+                checker.part(node, server, partId, atMs);
+            }
+
+            @Override
+            public void ended(int node, String server, String partId,
+                    spartrail.lab.fleet.ServerModel.End end, double atMs) {
+                checker.ended(node, server, partId, end, atMs);
+            }
+
+            @Override
+            public void told(int node, String server, String state, double bornMs, double changedMs, double atMs) {
+                checker.told(node, server, state, bornMs, changedMs, atMs);
+            }
+
+            @Override
+            public void changed(int node, String server, String state, double atMs) {
+                checker.changed(node, server, state, atMs);
+            }
+
+            @Override
+            public void fell(String server, double load, double atMs) {
+                checker.fell(server, load, atMs);
+                events.add(new Event(atMs, server + " fell over"));
+            }
+
+            @Override
+            public void deed(String what, double atMs) {
+                events.add(new Event(atMs, what));
+            }
+        };
+    }
+}
--- a/lab/src/main/java/spartrail/lab/fleet/ServerModel.java
+++ b/lab/src/main/java/spartrail/lab/fleet/ServerModel.java
@@ -44,6 +44,8 @@
     }
 
     private static final double WARMTH_STEP_MS = 50;
+    /** Danger: a step below what a time in milliseconds since 1970 can hold would never end. */
+    private static final double LEAST_STEP_MS = 0.001;
 
     private final Traits traits;
     private final RandomGenerator chance;
@@ -238,7 +240,7 @@
             for (Job job : running) {
                 least = Math.min(least, job.leftMs);
             }
-            next = Math.min(next, nowMs + least / pace);
+            next = Math.min(next, nowMs + Math.max(LEAST_STEP_MS, least / pace));
             next = cold() ? Math.min(next, nowMs + WARMTH_STEP_MS) : next;
         }
         return next;
@@ -256,18 +258,17 @@
                 drawPause();
                 continue;
             }
-            double step = Math.max(0, Math.min(toMs, nextMs()) - nowMs);
-            double done = step * pace();
-            nowMs += step;
+            double untilMs = Math.min(toMs, nextMs());
+            double done = (untilMs - nowMs) * pace();
+            nowMs = untilMs;
             for (Job job : running) {
                 job.leftMs -= done;
                 busyMs += done;
             }
-            // What is left of rounding would otherwise be worked off in steps of no length.
             Iterator<Job> jobs = running.iterator();
             while (jobs.hasNext()) {
                 Job job = jobs.next();
-                if (job.leftMs <= 1e-6) {
+                if (job.leftMs <= LEAST_STEP_MS) {
                     jobs.remove();
                     job.end = errorShare > 0 && chance.nextDouble() < errorShare ? End.ERROR : End.OK;
                     if (job.carrier != null) {
--- a/lab/src/main/java/spartrail/lab/load/Generator.java
+++ b/lab/src/main/java/spartrail/lab/load/Generator.java
@@ -191,7 +191,7 @@
         }
     }
 
-    /** Front nodes in turn: ready ones of the client's zone first, then ready ones, then any. */
+    /** Front nodes in turn, none where the plan names none: ready ones of the client's zone first, then ready ones, then any. */
     private LoadPlan.Target target(String zone) {
         List<LoadPlan.Target> fit = new ArrayList<>();
         for (LoadPlan.Target target : plan.targets()) {
@@ -205,7 +205,7 @@
         if (fit.isEmpty()) {
             fit = plan.targets();
         }
-        return fit.get((int) (turn++ % fit.size()));
+        return fit.isEmpty() ? null : fit.get((int) (turn++ % fit.size()));
     }
 
     private void send(Conn conn, Ask ask) {
@@ -325,11 +325,11 @@
     }
 
     private boolean fits(String zone, Conn conn) {
-        return zone.isEmpty() || zone.equals(conn.target.zone());
+        return zone.isEmpty() || conn.target != null && zone.equals(conn.target.zone());
     }
 
     private String zoneOf(Conn conn) {
-        boolean zoned = plan.streams().stream().anyMatch(stream -> stream.zone.equals(conn.target.zone()));
+        boolean zoned = conn.target != null && plan.streams().stream().anyMatch(stream -> stream.zone.equals(conn.target.zone()));
         return zoned ? conn.target.zone() : "";
     }
 
--- a/lab/src/main/java/spartrail/lab/load/HttpSockets.java
+++ b/lab/src/main/java/spartrail/lab/load/HttpSockets.java
@@ -125,7 +125,7 @@
         }
     }
 
-    private static ByteBuffer request(Conn conn, Ask ask, double leftMs) {
+    static ByteBuffer request(Conn conn, Ask ask, double leftMs) {
         var arrival = ask.arrival;
         StringBuilder body = new StringBuilder(64 + 48 * arrival.shards().length + arrival.textBytes());
         body.append("{\"segments\":[");
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/load/LoadSession.java
@@ -0,0 +1,120 @@
+package spartrail.lab.load;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.EnumMap;
+import java.util.Iterator;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import spartrail.lab.net.SocketLoop;
+import spartrail.lab.plan.Arrival;
+import spartrail.lab.plan.LoadPlan;
+
+/** One run of a plan against front nodes, from its start to its report. */
+public final class LoadSession implements AutoCloseable {
+    /** What a run looks like while it goes. */
+    public record Glance(double ms, double lastsMs, long tries, int inFlight, int connections, double p50Ms,
+            double p99Ms, double lagP99Ms, Map<Kind, Long> kinds) {
+    }
+
+    private static final long REHEARSED_NS = 400_000_000;
+    private static final int REHEARSED = 2000;
+
+    private final LoadPlan plan;
+    private final SocketLoop loop = new SocketLoop("spartrail-load");
+    private final HttpSockets sockets = new HttpSockets(loop);
+    private final Recorder recorder = new Recorder();
+    private final Generator generator;
+    private final double lastsMs;
+    private final double startMs;
+
+    /** Starts at once; {@code lastsMs} is only for showing how far it is. */
+    public LoadSession(LoadPlan plan, Iterator<Arrival> arrivals, double lastsMs, Watcher watcher) {
+        this.plan = plan;
+        this.lastsMs = lastsMs;
+        this.generator = new Generator(plan, arrivals, sockets, recorder, watcher);
+        rehearse(plan);
+        this.startMs = loop.nowMs();
+        sockets.drive(generator, plan);
+    }
+
+    /**
+     * Plays the plan's beginning on a virtual clock first. Danger: a generator that still compiles is tens of
+     * milliseconds late in its first second, which would make a short run unfit.
+     */
+    private static void rehearse(LoadPlan plan) {
+        long untilNs = System.nanoTime() + REHEARSED_NS;
+        while (System.nanoTime() < untilNs) {
+            Iterator<Arrival> all = plan.arrivals();
+            Iterator<Arrival> some = new Iterator<>() {
+                private int left = REHEARSED;
+
+                @Override
+                public boolean hasNext() {
+                    return left > 0 && all.hasNext();
+                }
+
+                @Override
+                public Arrival next() {
+                    left--;
+                    return all.next();
+                }
+            };
+            VirtualSockets virtual = new VirtualSockets((number, atMs) -> atMs + 1);
+            virtual.play(new Generator(plan, some, virtual, new Recorder(), Watcher.NONE));
+        }
+    }
+
+    /** Waits until all is over, at most so long; whether it is. */
+    public boolean await(double ms) throws InterruptedException {
+        double untilMs = loop.nowMs() + ms;
+        while (true) {
+            boolean[] over = new boolean[1];
+            loop.call(() -> over[0] = generator.over());
+            if (over[0]) {
+                return true;
+            }
+            if (loop.nowMs() >= untilMs) {
+                return false;
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    /** Nothing further is sent; the report will say why. */
+    public void stop(String why) {
+        loop.execute(() -> generator.stop(why));
+    }
+
+    public Glance glance() {
+        Glance[] glance = new Glance[1];
+        loop.call(() -> {
+            Histogram all = recorder.total(kind -> true, true);
+            Map<Kind, Long> kinds = new EnumMap<>(Kind.class);
+            for (Kind kind : Kind.values()) {
+                if (recorder.count(kind) > 0) {
+                    kinds.put(kind, recorder.count(kind));
+                }
+            }
+            glance[0] = new Glance(loop.nowMs() - startMs, lastsMs, recorder.all(), generator.inFlight(),
+                    generator.connections(), all.getValueAtPercentile(50) / 1000.0,
+                    all.getValueAtPercentile(99) / 1000.0, recorder.lag.getValueAtPercentile(99) / 1000.0, kinds);
+        });
+        return glance[0];
+    }
+
+    public ObjectNode report() {
+        ObjectNode[] tree = new ObjectNode[1];
+        loop.call(() -> tree[0] = Report.tree(plan, recorder, generator.fault(), loop.nowMs() - startMs));
+        return tree[0];
+    }
+
+    public Recorder recorder() {
+        return recorder;
+    }
+
+    @Override
+    public void close() {
+        sockets.close();
+        loop.close();
+    }
+}
--- a/lab/src/main/java/spartrail/lab/load/VirtualSockets.java
+++ b/lab/src/main/java/spartrail/lab/load/VirtualSockets.java
@@ -1,5 +1,6 @@
 package spartrail.lab.load;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import spartrail.lab.plan.Arrival;
 import spartrail.model.Timetable;
@@ -19,6 +20,7 @@
     private Generator generator;
     private double nowMs;
     private long count;
+    private long encoded;
 
     public VirtualSockets(Responder responder) {
         this.responder = responder;
@@ -45,6 +47,7 @@
 
     @Override
     public void send(Conn conn, Ask ask, double leftMs) {
+        encoded += HttpSockets.request(conn, ask, leftMs).remaining();
         generator.written(conn, nowMs);
         double answeredMs = responder.answeredMs(count++, nowMs);
         if (!Double.isFinite(answeredMs)) {
@@ -52,7 +55,7 @@
         }
         timetable.add(answeredMs, () -> {
             if (!conn.gone) {
-                generator.answered(conn, new Answer(200, body(ask), 0, true, false), nowMs);
+                generator.answered(conn, decoded(body(ask)), nowMs);
             }
         });
     }
@@ -62,6 +65,24 @@
         // Nothing is held for it.
     }
 
+    /** By way of its bytes, so that a virtual run goes through all that a real one does but sockets. */
+    private static Answer decoded(byte[] body) {
+        byte[] head = ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
+        AnswerReader reader = new AnswerReader();
+        try {
+            reader.take(ByteBuffer.allocate(head.length + body.length).put(head).put(body).flip());
+            return reader.next();
+        } catch (AnswerReader.Unusable e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Bytes of requests so far. */
+    public long encoded() {
+        return encoded;
+    }
+
     /** What front nodes and servers would make of this request. */
     static byte[] body(Ask ask) {
         byte[] text = ask.arrival.text().getBytes(StandardCharsets.UTF_8);
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/trace/TraceImport.java
@@ -0,0 +1,308 @@
+package spartrail.lab.trace;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.zip.GZIPInputStream;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVParser;
+import org.apache.commons.csv.CSVRecord;
+import spartrail.lab.file.BadInput;
+import spartrail.lab.file.Document;
+
+/** Reads a recorded trace, line by line, into a {@link TraceFile}. */
+public final class TraceImport {
+    /**
+     * What the columns are called and what is known.
+     *
+     * @param unit of the time: ms, s, us, ns or iso
+     * @param opTypes known ones; empty takes any
+     * @param shards how many there are; 0 takes any
+     * @param skipUnknown leaves out what is unknown instead of refusing the trace
+     */
+    public record Columns(String at, String unit, String opType, String key, String shardList, String weights,
+            String workMs, String textBytes, String clientMs, List<String> opTypes, int shards, boolean skipUnknown,
+            double clientDefaultMs) {
+        public static Columns of(Document document) {
+            JsonNode tree = document.tree;
+            JsonNode names = tree.path("columns");
+            List<String> known = new ArrayList<>();
+            tree.path("opTypes").forEach(one -> known.add(one.asText()));
+            return new Columns(names.path("at").asText("atMs"), tree.path("unit").asText("ms"),
+                    names.path("opType").asText("opType"), names.path("key").asText("key"),
+                    names.path("shards").asText("shards"), names.path("weights").asText("weights"),
+                    names.path("workMs").asText("workMs"), names.path("textBytes").asText("textBytes"),
+                    names.path("clientMs").asText("clientMs"), known, tree.path("shards").asInt(0),
+                    tree.path("unknown").asText("refuse").equals("skip"), tree.path("clientMs").asDouble(2000));
+        }
+
+        /** Our own names, as a front node's record has them. */
+        public static Columns usual() {
+            return of(Document.of("columns", Document.JSON.createObjectNode(), "columns"));
+        }
+    }
+
+    private static final ObjectMapper LINES = new ObjectMapper();
+
+    private final Columns columns;
+    private final Reorder reorder;
+    private final String name;
+    private long unknown;
+    private long torn;
+    private long lines;
+
+    private TraceImport(Columns columns, Reorder reorder, String name) {
+        this.columns = columns;
+        this.reorder = reorder;
+        this.name = name;
+    }
+
+    /** Imports a file; what was odd about it comes back as counts. */
+    public static ObjectNode run(Path from, Path to, Columns columns, double reorderMs, boolean clamp, double squeezeMs,
+            boolean keepDuplicates) throws IOException {
+        if (!Files.isReadable(from)) {
+            throw new BadInput(from + ": cannot be read");
+        }
+        Path part = to.resolveSibling(to.getFileName() + ".part");
+        try (TraceFile.Writer writer = new TraceFile.Writer(part)) {
+            Reorder reorder = new Reorder(reorderMs, clamp, squeezeMs, keepDuplicates, line -> {
+                try {
+                    writer.write(line);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            TraceImport run = new TraceImport(columns, reorder, from.toString());
+            run.read(from);
+            reorder.end();
+            writer.end();
+            Files.move(part, to, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            return run.counts();
+        } finally {
+            Files.deleteIfExists(part);
+        }
+    }
+
+    private ObjectNode counts() {
+        return Document.JSON.createObjectNode().put("lines", lines).put("multigets", reorder.count)
+                .put("putIntoOrder", reorder.sorted).put("clamped", reorder.clamped)
+                .put("clockSteps", reorder.steps).put("duplicates", reorder.duplicates)
+                .put("gapsSqueezed", reorder.squeezed).put("unknownLeftOut", unknown).put("tornLastLine", torn);
+    }
+
+    private void read(Path from) throws IOException {
+        try (var raw = Files.newInputStream(from);
+                var in = from.toString().endsWith(".gz") ? new GZIPInputStream(raw) : raw;
+                BufferedReader reader = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16)) {
+            reader.mark(4);
+            int first = reader.read();
+            if (first != 0xFEFF) {
+                reader.reset();
+            }
+            reader.mark(4);
+            first = reader.read();
+            reader.reset();
+            if (first < 0) {
+                throw new BadInput(name + ": is empty");
+            }
+            if (first == '{') {
+                json(reader);
+            } else {
+                csv(reader);
+            }
+        } catch (UncheckedIOException e) {
+            throw e.getCause();
+        }
+    }
+
+    /** Danger: a record that is being written ends anywhere; its last line may be half there. */
+    private void json(BufferedReader reader) throws IOException {
+        String line = reader.readLine();
+        for (long number = 1; line != null; number++) {
+            String next = reader.readLine();
+            if (!line.isBlank()) {
+                JsonNode tree;
+                try {
+                    tree = LINES.readTree(line);
+                } catch (JsonProcessingException e) {
+                    if (next == null) {
+                        torn++;
+                        return;
+                    }
+                    throw new BadInput(name + ":" + number + ": no JSON object");
+                }
+                take(number, line, column -> {
+                    JsonNode value = tree.path(column);
+                    if (value.isMissingNode() || value.isNull()) {
+                        return "";
+                    }
+                    return value.isArray() ? join(value) : value.asText();
+                });
+            }
+            line = next;
+        }
+    }
+
+    private static String join(JsonNode array) {
+        StringBuilder text = new StringBuilder();
+        array.forEach(value -> text.append(text.length() == 0 ? "" : ";").append(value.asText()));
+        return text.toString();
+    }
+
+    private void csv(BufferedReader reader) throws IOException {
+        CSVFormat format = CSVFormat.DEFAULT.builder().setHeader().setSkipHeaderRecord(true).setTrim(true).get();
+        try (CSVParser parser = CSVParser.builder().setReader(reader).setFormat(format).get()) {
+            if (!parser.getHeaderMap().containsKey(columns.at())) {
+                throw new BadInput(name + ":1: no column '" + columns.at() + "', found " + parser.getHeaderNames());
+            }
+            CSVRecord before = null;
+            long beforeLine = 0;
+            var records = parser.iterator();
+            while (true) {
+                boolean more;
+                CSVRecord record = null;
+                try {
+                    more = records.hasNext();
+                    record = more ? records.next() : null;
+                } catch (UncheckedIOException | IllegalStateException e) {
+                    // An open quote at the end of the file.
+                    more = false;
+                    torn++;
+                }
+                if (before != null) {
+                    boolean last = record == null;
+                    if (!before.isConsistent()) {
+                        if (!last) {
+                            throw new BadInput(name + ":" + beforeLine + ": " + before.size() + " columns, "
+                                    + parser.getHeaderNames().size() + " are expected");
+                        }
+                        torn++;
+                    } else {
+                        CSVRecord line = before;
+                        take(beforeLine, String.join(",", line.values()),
+                                column -> line.isMapped(column) ? line.get(column) : "");
+                    }
+                }
+                if (!more) {
+                    return;
+                }
+                before = record;
+                beforeLine = parser.getCurrentLineNumber();
+            }
+        }
+    }
+
+    private interface Row {
+        String get(String column);
+    }
+
+    private void take(long number, String raw, Row row) {
+        lines++;
+        double atMs = time(number, row.get(columns.at()));
+        String opType = row.get(columns.opType());
+        if (opType.isEmpty()) {
+            throw wrong(number, columns.opType(), "is missing");
+        }
+        if (!columns.opTypes().isEmpty() && !columns.opTypes().contains(opType)) {
+            leaveOut(number, "unknown op type '" + opType + "', known are " + columns.opTypes());
+            return;
+        }
+        String[] list = row.get(columns.shardList()).split("[;\\s]+");
+        int[] shards = new int[list.length];
+        for (int i = 0; i < list.length; i++) {
+            try {
+                shards[i] = Integer.parseInt(list[i]);
+            } catch (NumberFormatException e) {
+                throw wrong(number, columns.shardList(), "found '" + row.get(columns.shardList())
+                        + "', numbers with ; between them are expected");
+            }
+            if (shards[i] < 0 || columns.shards() > 0 && shards[i] >= columns.shards()) {
+                leaveOut(number, "unknown shard " + shards[i] + ", there are 0 to " + (columns.shards() - 1));
+                return;
+            }
+        }
+        double[] weights = null;
+        String weightList = row.get(columns.weights());
+        if (!weightList.isEmpty()) {
+            String[] words = weightList.split("[;\\s]+");
+            if (words.length != shards.length) {
+                throw wrong(number, columns.weights(), words.length + " weights for " + shards.length + " shards");
+            }
+            weights = new double[words.length];
+            for (int i = 0; i < words.length; i++) {
+                weights[i] = number(number, columns.weights(), words[i], 0);
+            }
+        }
+        String work = row.get(columns.workMs());
+        int semicolon = work.indexOf(';');
+        reorder.take(new TraceLine(atMs, opType, row.get(columns.key()), shards, weights,
+                number(number, columns.workMs(), semicolon < 0 ? work : work.substring(0, semicolon), 0),
+                (int) number(number, columns.textBytes(), row.get(columns.textBytes()), 16),
+                number(number, columns.clientMs(), row.get(columns.clientMs()), columns.clientDefaultMs())),
+                number, hash(raw), name);
+    }
+
+    private void leaveOut(long number, String why) {
+        if (!columns.skipUnknown()) {
+            throw new BadInput(name + ":" + number + ": " + why + "; \"unknown\": \"skip\" in the columns leaves it out");
+        }
+        unknown++;
+    }
+
+    private BadInput wrong(long number, String column, String what) {
+        return new BadInput(name + ":" + number + ": column '" + column + "': " + what);
+    }
+
+    private double time(long number, String text) {
+        if (columns.unit().equals("iso")) {
+            try {
+                Instant at = Instant.parse(text);
+                return at.getEpochSecond() * 1000.0 + at.getNano() / 1e6;
+            } catch (DateTimeParseException e) {
+                throw wrong(number, columns.at(), "found '" + text + "', a time such as 2026-06-24T18:00:00Z is expected");
+            }
+        }
+        double value = number(number, columns.at(), text, Double.NaN);
+        if (!Double.isFinite(value)) {
+            throw wrong(number, columns.at(), "found '" + text + "', a time in " + columns.unit() + " is expected");
+        }
+        return switch (columns.unit()) {
+            case "s" -> value * 1000;
+            case "us" -> value / 1000;
+            case "ns" -> value / 1e6;
+            default -> value;
+        };
+    }
+
+    private double number(long line, String column, String text, double otherwise) {
+        if (text.isEmpty()) {
+            return otherwise;
+        }
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            throw wrong(line, column, String.format(Locale.ROOT, "found '%s', a number is expected", text));
+        }
+    }
+
+    private static long hash(String text) {
+        long hash = 0xCBF29CE484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * 0x100000001B3L;
+        }
+        return hash;
+    }
+}
