Tests of the lab, a record of the multigets that a node takes, precise places in plan mistakes

Found by them and mended: a part could reach a server before the checker knew of its multiget; a second answer could pass for the next one's; a store lost what was completed half a second before a kill; arrivals were put where the rate is 0.

--- a/lab/src/main/java/spartrail/lab/experiment/Store.java
+++ b/lab/src/main/java/spartrail/lab/experiment/Store.java
@@ -37,8 +37,8 @@
         if (file.toAbsolutePath().getParent() == null || !Files.isDirectory(file.toAbsolutePath().getParent())) {
             throw new BadInput(file + ": there is no such folder");
         }
-        // Danger: the database would look for its file anywhere but here without a path.
-        connection = DriverManager.getConnection("jdbc:h2:file:" + file.toAbsolutePath() + ";DB_CLOSE_ON_EXIT=FALSE", "", "");
+        // Danger: with its usual delay a run that was completed half a second before a kill would be lost.
+        connection = DriverManager.getConnection("jdbc:h2:file:" + file.toAbsolutePath() + ";DB_CLOSE_ON_EXIT=FALSE;WRITE_DELAY=0", "", "");
         try (Statement statement = connection.createStatement()) {
             statement.execute("create table if not exists form (version int primary key)");
             ResultSet found = statement.executeQuery("select max(version) from form");
--- a/lab/src/main/java/spartrail/lab/file/Document.java
+++ b/lab/src/main/java/spartrail/lab/file/Document.java
@@ -51,7 +51,7 @@
             tree = JSON.readTree(bytes);
         } catch (JsonProcessingException e) {
             throw new BadInput(name + ":" + e.getLocation().getLineNr() + ": no JSON: " + e.getOriginalMessage()
-                    .lines().findFirst().orElse("").trim());
+                    .lines().findFirst().orElse("").replaceAll(" \\(for .*", "").trim());
         } catch (IOException e) {
             throw new BadInput(name + ": no JSON");
         }
--- a/lab/src/main/java/spartrail/lab/fleet/CrookedFront.java
+++ b/lab/src/main/java/spartrail/lab/fleet/CrookedFront.java
@@ -176,8 +176,9 @@
         asked.values.forEach((shard, text) -> body.append(body.charAt(body.length() - 1) == '[' ? "" : ",")
                 .append("{\"segment\":").append(shard).append(",\"payload\":\"").append(text).append("\"}"));
         byte[] bytes = body.append("]}").toString().getBytes(StandardCharsets.UTF_8);
-        asked.request.answer(200, "", bytes);
         if (fault == Fault.ANSWERS_TWICE) {
+            asked.request.answerTwice(bytes);
+        } else {
             asked.request.answer(200, "", bytes);
         }
     }
--- a/lab/src/main/java/spartrail/lab/fleet/HttpStand.java
+++ b/lab/src/main/java/spartrail/lab/fleet/HttpStand.java
@@ -32,9 +32,22 @@
         }
 
         void answer(int status, String headers, byte[] body) {
-            String head = "HTTP/1.1 " + status + " -\r\n" + headers + "Content-Length: " + body.length + "\r\n\r\n";
-            byte[] bytes = head.getBytes(StandardCharsets.US_ASCII);
-            from.write(ByteBuffer.allocate(bytes.length + body.length).put(bytes).put(body).flip());
+            from.write(bytes(status, headers, body, 1));
+        }
+
+        /** In one piece, or the second one could be taken for the answer to the client's next request. */
+        void answerTwice(byte[] body) {
+            from.write(bytes(200, "", body, 2));
+        }
+
+        private static ByteBuffer bytes(int status, String headers, byte[] body, int times) {
+            byte[] head = ("HTTP/1.1 " + status + " -\r\n" + headers + "Content-Length: " + body.length + "\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII);
+            ByteBuffer bytes = ByteBuffer.allocate(times * (head.length + body.length));
+            for (int i = 0; i < times; i++) {
+                bytes.put(head).put(body);
+            }
+            return bytes.flip();
         }
     }
 
--- a/lab/src/main/java/spartrail/lab/fleet/NullResponder.java
+++ b/lab/src/main/java/spartrail/lab/fleet/NullResponder.java
@@ -68,10 +68,7 @@
     private void answer(HttpStand.Request request) {
         byte[] body = body(request, manner == Manner.WRONG_VALUE);
         switch (manner) {
-            case TWICE -> {
-                request.answer(200, "", body);
-                request.answer(200, "", body);
-            }
+            case TWICE -> request.answerTwice(body);
             case CUT -> {
                 raw(request, "HTTP/1.1 200 OK\r\nContent-Length: " + (body.length + 10) + "\r\n\r\n", body);
                 request.from.close();
--- a/lab/src/main/java/spartrail/lab/load/Generator.java
+++ b/lab/src/main/java/spartrail/lab/load/Generator.java
@@ -212,8 +212,9 @@
         conn.ask = ask;
         ask.conn = conn;
         ask.sentMs = nowMs;
-        sockets.send(conn, ask, ask.leftMs(nowMs));
+        // Danger: on sockets its parts can reach servers before the next line here is run.
         watcher.sent(ask, nowMs);
+        sockets.send(conn, ask, ask.leftMs(nowMs));
     }
 
     // ---- What the host's sockets saw ----
--- a/lab/src/main/java/spartrail/lab/plan/Arrivals.java
+++ b/lab/src/main/java/spartrail/lab/plan/Arrivals.java
@@ -74,7 +74,7 @@
         nextMs = Double.POSITIVE_INFINITY;
     }
 
-    /** The time at which the sum reaches this much. */
+    /** The time at which the sum passes this much: where the rate is 0 for a while, the end of that. */
     private static double invert(Rate rate, double lastsMs, double sum, double fromMs) {
         if (rate instanceof Rate.Steady steady) {
             return 1000 * sum / steady.perS();
@@ -82,14 +82,14 @@
         double low = fromMs;
         double step = 1;
         double high = Math.min(lastsMs, low + step);
-        while (high < lastsMs && rate.until(high, lastsMs) < sum) {
+        while (high < lastsMs && rate.until(high, lastsMs) <= sum) {
             low = high;
             step *= 2;
             high = Math.min(lastsMs, low + step);
         }
         for (int i = 0; i < 60 && high - low > 1e-7; i++) {
             double middle = (low + high) / 2;
-            if (rate.until(middle, lastsMs) < sum) {
+            if (rate.until(middle, lastsMs) <= sum) {
                 low = middle;
             } else {
                 high = middle;
--- /dev/null
+++ b/lab/src/test/java/spartrail/lab/load/GeneratorTest.java
@@ -0,0 +1,128 @@
+package spartrail.lab.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import spartrail.lab.Table;
+import spartrail.lab.drill.Plans;
+import spartrail.lab.fleet.NullResponder;
+import spartrail.lab.plan.LoadPlan;
+
+class GeneratorTest {
+    private static Recorder virtual(LoadPlan plan, VirtualSockets.Responder responder) {
+        Recorder recorder = new Recorder();
+        VirtualSockets sockets = new VirtualSockets(responder);
+        sockets.play(new Generator(plan, plan.arrivals(), sockets, recorder, Watcher.NONE));
+        return recorder;
+    }
+
+    private static String kinds(Recorder recorder) {
+        StringBuilder text = new StringBuilder();
+        for (Kind kind : Kind.values()) {
+            if (recorder.count(kind) > 0) {
+                text.append(' ').append(kind).append(' ').append(recorder.count(kind));
+            }
+        }
+        return text + ", twice " + recorder.twice + ", sent once more " + recorder.resent + ", clients "
+                + recorder.served.getTotalCount() + " served " + recorder.unserved + " not";
+    }
+
+    /** With one connection and answers of 100 ms, the n-th of arrivals 50 ms apart waits n times 50 ms for it. */
+    @Test
+    void waitingForAConnectionIsCharged() {
+        Recorder recorder = virtual(Plans.even(20, 1000, 60_000, 1, 1), (number, atMs) -> atMs + 100);
+        assertThat(kinds(recorder)).startsWith(" WHOLE 20,");
+        assertThat(recorder.total(kind -> true, true).getMaxValue() / 1000).isEqualTo(100 + 19 * 50);
+        assertThat(recorder.total(kind -> true, false).getMaxValue() / 1000).isEqualTo(100);
+        assertThat(recorder.opened).isEqualTo(1);
+        assertThat(recorder.lag.getMaxValue()).isZero();
+    }
+
+    /**
+     * Clients wait 255 ms. The first four are answered after 100, 150, 200, 250 ms; from then on the one that gets the
+     * connection in its last 5 ms is answered late, the one after it never gets it.
+     */
+    @Test
+    void aWaitThatIsLongerThanTheClientsTimeIsNotSent() {
+        assertThat(kinds(virtual(Plans.even(20, 1000, 255, 1, 1), (number, atMs) -> atMs + 100)))
+                .isEqualTo(" WHOLE 4 LATE 9 NOT_SENT 7, twice 0, sent once more 0, clients 4 served 16 not");
+    }
+
+    @Test
+    void answersAfterTheClientsTimeAndNoneAtAllAreToldApart() {
+        assertThat(kinds(virtual(Plans.even(10, 1000, 200, 100, 1), (number, atMs) ->
+                number % 3 == 0 ? atMs + 100 : number % 3 == 1 ? atMs + 300 : Double.POSITIVE_INFINITY)))
+                .isEqualTo(" WHOLE 4 NONE 3 LATE 3, twice 0, sent once more 0, clients 4 served 6 not");
+    }
+
+    @Test
+    void habitsPlayOut() throws Exception {
+        StringBuilder seen = new StringBuilder();
+        for (String habit : new String[] {"{}", "{'tries':3}", "{'tries':3,'wait':'fixed','waitMs':100}",
+            "{'leaves':{'share':1,'at':0.25}}", "{'ownConnection':true}"}) {
+            LoadPlan plan = Plans.parse("{'gaps':{'kind':'even'},'lingerMs':100,'phases':[{'lastsMs':1000,'rate':"
+                    + "{'shape':'steady','perS':10}}],'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8},"
+                    + "'clientMs':200,'habit':" + habit + "}]}");
+            // Each request that is a multiple of three is answered at once, others never.
+            Recorder recorder = virtual(plan, (number, atMs) -> number % 3 == 0 ? atMs + 60 : Double.POSITIVE_INFINITY);
+            seen.append(String.format(Locale.ROOT, "%s:%s, opened %d, most tries %d%n", habit, kinds(recorder),
+                    recorder.opened, recorder.tries.getMaxValue()));
+        }
+        Table.same("habits-played", seen.toString());
+    }
+
+    /** Each way in which an answer goes wrong is counted once, under its own name. */
+    @Test
+    void oddAnswersAreCountedOnceUnderTheirOwnNames() throws Exception {
+        StringBuilder seen = new StringBuilder();
+        for (NullResponder.Manner manner : NullResponder.Manner.values()) {
+            LoadPlan plan = Plans.parse("{'gaps':{'kind':'even'},'lingerMs':100,'lagBoundMs':10000,'phases':[{'lastsMs':200,"
+                    + "'rate':{'shape':'steady','perS':25}}],'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8},"
+                    + "'clientMs':" + (manner == NullResponder.Manner.SILENT ? 100 : 30_000) + "}]}");
+            try (NullResponder responder = new NullResponder(0, (number, atMs) -> atMs)) {
+                responder.behave(manner);
+                try (LoadSession session = new LoadSession(Plans.at(plan, responder.address()), plan.arrivals(), 200,
+                        Watcher.NONE)) {
+                    assertThat(session.await(60_000)).isTrue();
+                    seen.append(manner).append(':').append(kinds(session.recorder()).replaceAll(", clients.*", "")).append('\n');
+                }
+            }
+        }
+        Table.same("odd-answers", seen.toString());
+    }
+
+    @Test
+    void aFrontNodeThatIsNotThereIsNoConnection() throws Exception {
+        LoadPlan plan = Plans.even(50, 100, 5000, 10, 1);
+        int port;
+        try (NullResponder responder = new NullResponder(0, (number, atMs) -> atMs)) {
+            port = Integer.parseInt(responder.address().split(":")[1]);
+        }
+        try (LoadSession session = new LoadSession(Plans.at(plan, "127.0.0.1:" + port), plan.arrivals(), 100, Watcher.NONE)) {
+            assertThat(session.await(60_000)).isTrue();
+            assertThat(kinds(session.recorder())).startsWith(" NO_CONNECTION 5,");
+        }
+    }
+
+    /** A run whose own lag passes its bound says so in its report. */
+    @Test
+    void lagMakesARunUnfit() {
+        LoadPlan plan = Plans.even(100, 100, 1000, 10, 1);
+        Recorder recorder = new Recorder();
+        for (int i = 0; i < 100; i++) {
+            recorder.lag(i < 98 ? 0.1 : 60);
+        }
+        var tree = Report.tree(plan, recorder, null, 1000);
+        assertThat(tree.get("fit").asBoolean()).isFalse();
+        assertThat(Report.text(tree)).startsWith("UNFIT: the generator itself was 60.");
+    }
+
+    @Test
+    void manySecondsBecomeWiderSlices() {
+        Recorder recorder = virtual(Plans.even(1, 4_000_000, 1000, 10, 1), (number, atMs) -> atMs + 1);
+        assertThat(recorder.slices().size()).isLessThanOrEqualTo(1200);
+        assertThat(recorder.slices().stream().mapToLong(slice -> slice.intended).sum()).isEqualTo(4000);
+        assertThat(recorder.sliceMs()).isEqualTo(4000);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/spartrail/lab/trace/TraceTest.java
@@ -0,0 +1,101 @@
+package spartrail.lab.trace;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import spartrail.lab.Table;
+import spartrail.lab.file.BadInput;
+import spartrail.lab.file.Document;
+import spartrail.lab.plan.Habit;
+
+class TraceTest {
+    @TempDir
+    private Path folder;
+
+    private String run(String text, String columns, double windowMs, boolean clamp, double squeezeMs) throws Exception {
+        Path from = folder.resolve("in");
+        Files.writeString(from, text);
+        TraceImport.Columns named = TraceImport.Columns.of(Document.parse("columns.json",
+                columns.replace('\'', '"').getBytes(StandardCharsets.UTF_8), "columns"));
+        StringBuilder seen = new StringBuilder();
+        try {
+            TraceImport.run(from, folder.resolve("out"), named, windowMs, clamp, squeezeMs, false).fields()
+                    .forEachRemaining(field -> seen.append(field.getValue().asLong() == 0 ? ""
+                            : " " + field.getKey() + " " + field.getValue()));
+            return seen + ":" + replay(1, 1, 1, 1);
+        } catch (BadInput e) {
+            assertThat(Files.exists(folder.resolve("out.part"))).isFalse();
+            return " refused: " + e.getMessage().replace(folder + "/", "");
+        }
+    }
+
+    private String replay(double speed, int loops, double share, int copies) throws Exception {
+        StringBuilder seen = new StringBuilder();
+        try (TraceReplay replay = new TraceReplay(folder.resolve("out"), speed, loops, share, copies, 1, Habit.ONCE)) {
+            replay.forEachRemaining(one -> seen.append(String.format(Locale.ROOT, " %s@%.0f", one.key(), one.atMs())));
+        }
+        return seen.toString();
+    }
+
+    @Test
+    void eachOddityHasItsRule() throws Exception {
+        String head = "atMs,opType,key,shards\n";
+        StringBuilder seen = new StringBuilder();
+        for (Object[] line : new Object[][] {
+            {"in order", head + "0,o,a,1\n10,o,b,1;2\n", "{}", 5.0, false, 0.0},
+            {"out of order within the window", head + "0,o,a,1\n10,o,b,1\n6,o,c,1\n", "{}", 5.0, false, 0.0},
+            {"beyond the window", head + "0,o,a,1\n10,o,b,1\n4,o,c,1\n", "{}", 5.0, false, 0.0},
+            {"beyond it, clamped", head + "0,o,a,1\n10,o,b,1\n4,o,c,1\n", "{}", 5.0, true, 0.0},
+            {"doubled", head + "0,o,a,1\n0,o,a,1\n3,o,b,1\n", "{}", 5.0, false, 0.0},
+            {"a gap of days", head + "0,o,a,1\n172800000,o,b,1\n", "{}", 5.0, false, 0.0},
+            {"a gap of days, squeezed", head + "0,o,a,1\n172800000,o,b,1\n", "{}", 5.0, false, 100.0},
+            {"an unknown op type", head + "0,o,a,1\n5,x,b,1\n", "{'opTypes':['o']}", 5.0, false, 0.0},
+            {"an unknown op type, skipped", head + "0,o,a,1\n5,x,b,1\n", "{'opTypes':['o'],'unknown':'skip'}", 5.0, false, 0.0},
+            {"an unknown shard", head + "0,o,a,9\n", "{'shards':4}", 5.0, false, 0.0},
+            {"a torn last line", head + "0,o,a,1\n5,o", "{}", 5.0, false, 0.0},
+            {"a torn line within", head + "0,o\n5,o,b,1\n", "{}", 5.0, false, 0.0},
+            {"no time", head + "noon,o,a,1\n", "{}", 5.0, false, 0.0},
+            {"no such column", "when,opType\n0,o\n", "{}", 5.0, false, 0.0},
+            {"seconds", "t,opType,key,shards\n1.5,o,a,1\n1.75,o,b,1\n", "{'unit':'s','columns':{'at':'t'}}", 5.0, false, 0.0},
+            {"times of day", head + "2026-06-24T18:00:00Z,o,a,1\n2026-06-24T18:00:00.250Z,o,b,1\n", "{'unit':'iso'}", 5.0, false, 0.0},
+            {"JSON lines", "{\"atMs\":1,\"opType\":\"o\",\"key\":\"a\",\"shards\":[1,2],\"weights\":[0.2,0.8]}\n"
+                + "{\"atMs\":4,\"opType\":\"o\",\"key\":\"b\",\"shards\":[1]}\n", "{}", 5.0, false, 0.0},
+            {"JSON lines, the last one torn", "{\"atMs\":1,\"opType\":\"o\",\"key\":\"a\",\"shards\":[1]}\n{\"atMs\":4,\"opT", "{}",
+                5.0, false, 0.0},
+            {"JSON lines, one in the middle spoilt", "{\"atMs\":1,\"opT\n{\"atMs\":1,\"opType\":\"o\",\"key\":\"a\",\"shards\":[1]}\n",
+                "{}", 5.0, false, 0.0},
+            {"nothing", "", "{}", 5.0, false, 0.0}}) {
+            seen.append(line[0]).append(':').append(run((String) line[1], (String) line[2], (double) line[3],
+                    (boolean) line[4], (double) line[5])).append('\n');
+        }
+        Table.same("trace-rules", seen.toString());
+    }
+
+    @Test
+    void aTraceIsPlayedFasterLoopedThinnedMultiplied() throws Exception {
+        run("atMs,opType,key,shards\n0,o,a,1\n100,o,b,1\n200,o,c,1\n", "{}", 5, false, 0);
+        assertThat(replay(2, 1, 1, 1)).isEqualTo(" a@0 b@50 c@100");
+        assertThat(replay(1, 2, 1, 1)).isEqualTo(" a@0 b@100 c@200 a@200 b@300 c@400");
+        assertThat(replay(1, 1, 0.5, 1)).isEqualTo(replay(1, 1, 0.5, 1)).hasSizeLessThan(" a@0 b@100 c@200".length());
+        assertThat(replay(1, 1, 1, 2).replaceAll("@[0-9]+", "")).isEqualTo(" a a~1 b b~1 c c~1");
+    }
+
+    @Test
+    void aCutTraceIsKnownForOne() throws Exception {
+        StringBuilder text = new StringBuilder("atMs,opType,key,shards\n");
+        for (int i = 0; i < 20_000; i++) {
+            text.append(i).append(",o,k").append(i * 7919 % 10_007).append(",1\n");
+        }
+        run(text.toString(), "{}", 5, false, 0);
+        Path out = folder.resolve("out");
+        byte[] bytes = Files.readAllBytes(out);
+        Files.write(out, java.util.Arrays.copyOf(bytes, bytes.length / 2));
+        assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> replay(1, 1, 1, 1))).isInstanceOf(BadInput.class)
+                .hasMessageMatching(".*out: is cut after [0-9]+ multigets");
+    }
+}
--- a/node/src/main/java/spartrail/cli/ServeCommand.java
+++ b/node/src/main/java/spartrail/cli/ServeCommand.java
@@ -9,6 +9,7 @@
 import org.kohsuke.args4j.Option;
 import spartrail.front.FrontNode;
 import spartrail.provisioning.DeploymentFile;
+import spartrail.record.MultigetRecord;
 import sun.misc.Signal;
 
 /** Serves clients as a front node, until it is told to end; then it drains. */
@@ -20,6 +21,12 @@
     @Option(name = "--config", metaVar = "FILE", usage = "the node's configuration; else BALANCER_CONFIG names it")
     private Path config;
 
+    @Option(name = "--record", metaVar = "FILE", usage = "keep a line for each multiget taken, to replay it elsewhere")
+    private Path record;
+
+    @Option(name = "--record-mb", metaVar = "N", usage = "the record ends at so many megabytes (default 64)")
+    private int recordMb = 64;
+
     @Override
     public int run(PrintStream out, PrintStream err) throws Exception {
         String named = System.getenv("BALANCER_CONFIG");
@@ -30,6 +37,8 @@
         quiet.setLevel(Level.WARNING);
         Path path = config == null ? Path.of(named) : config;
         FrontNode node = new FrontNode(DeploymentFile.read(path));
+        MultigetRecord kept = record == null ? null : record();
+        node.record(kept);
         synchronized (ServeCommand.class) {
             // Danger: a JVM that nobody told otherwise ends on SIGHUP, with all that it has in hand.
             Signal.handle(new Signal("HUP"), signal -> reload(node, path));
@@ -40,6 +49,9 @@
             try {
                 node.drain();
                 node.close();
+                if (kept != null) {
+                    kept.close();
+                }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } finally {
@@ -50,6 +62,17 @@
         return 0;
     }
 
+    private MultigetRecord record() {
+        if (recordMb < 1) {
+            throw new IllegalArgumentException("--record-mb: found " + recordMb + ", 1 or more is expected");
+        }
+        try {
+            return new MultigetRecord(record, recordMb * 1024L * 1024);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("cannot write the record " + record, e);
+        }
+    }
+
     /** One at a time and none before the start, so that of two signals the later one's reading counts. */
     private static synchronized void reload(FrontNode node, Path path) {
         try {
--- a/node/src/main/java/spartrail/front/FrontNode.java
+++ b/node/src/main/java/spartrail/front/FrontNode.java
@@ -14,7 +14,9 @@
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
+import spartrail.client.Ask;
 import spartrail.client.ClientDoor;
+import spartrail.client.ClientRequest;
 import spartrail.coordination.Coordinator;
 import spartrail.discovery.HostList;
 import spartrail.discovery.HostWatch;
@@ -22,6 +24,7 @@
 import spartrail.model.NodeClock;
 import spartrail.model.OpType;
 import spartrail.provisioning.DeploymentFile;
+import spartrail.record.MultigetRecord;
 import spartrail.shard.ShardPool;
 
 /**
@@ -54,6 +57,7 @@
     private Thread thread;
     private double killedMs;
     private NodeClock clock;
+    private MultigetRecord record;
 
     public FrontNode(DeploymentFile deployment) {
         this(deployment, deployment.listen());
@@ -71,6 +75,29 @@
         this.wrapping = wrapping;
     }
 
+    /** Before the start: keeps a record of the multigets taken. */
+    public void record(MultigetRecord kept) {
+        record = kept;
+    }
+
+    /** What takes the clients' requests: the loop, by way of the record where there is one. */
+    private ClientDoor.Taker taker() {
+        MultigetRecord kept = record;
+        NodeLoop taken = loop;
+        return kept == null ? taken : new ClientDoor.Taker() {
+            @Override
+            public void asked(Ask ask, ClientRequest request) {
+                kept.taken(ask, request.arrivedMs);
+                taken.asked(ask, request);
+            }
+
+            @Override
+            public void gone(ClientRequest request) {
+                taken.gone(request);
+            }
+        };
+    }
+
     /** Listens and serves from here on. */
     public void start() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
@@ -90,7 +117,7 @@
         watch = new HostWatch(io, buffers, deployment.discovery(), deployment.listAsked(), loop);
         door = new ClientDoor(worker, buffers, listen, clock,
                 opTypes.stream().map(op -> op.name).collect(Collectors.toSet()),
-                deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), loop);
+                deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), taker());
         loop.tie(servers, watch, known);
         thread = new Thread(loop, "spartrail-node");
         thread.start();
