--- a/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
+++ b/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
@@ -18,6 +18,7 @@
         COMMANDS.put("load plan", LoadPlanned::new);
         COMMANDS.put("load import", LoadImport::new);
         COMMANDS.put("load replay", LoadReplay::new);
+        COMMANDS.put("load speed", LoadSpeed::new);
         COMMANDS.put("fleet run", FleetRun::new);
         COMMANDS.put("experiment run", ExperimentRun::new);
         COMMANDS.put("experiment list", ExperimentList::new);
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/cli/LoadSpeed.java
@@ -0,0 +1,77 @@
+package spartrail.lab.cli;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryUsage;
+import java.util.List;
+import java.util.Locale;
+import org.kohsuke.args4j.Option;
+import spartrail.lab.drill.Plans;
+import spartrail.lab.file.Document;
+import spartrail.lab.fleet.NullResponder;
+import spartrail.lab.load.LoadSession;
+import spartrail.lab.load.Report;
+import spartrail.lab.load.Watcher;
+import spartrail.lab.plan.LoadPlan;
+
+/** How fast the generator itself is: it sends to a responder in the same process that has nothing to do. */
+final class LoadSpeed extends Command {
+    @Option(name = "--per-s", metaVar = "N", usage = "multigets a second (default 20000)")
+    private double perS = 20_000;
+
+    @Option(name = "--seconds", metaVar = "S", usage = "for so long (default 10)")
+    private double seconds = 10;
+
+    @Option(name = "--answer-ms", metaVar = "MS", usage = "the responder answers so much later; with it connections pile up")
+    private double answerMs;
+
+    @Option(name = "--connections", metaVar = "N", usage = "most connections (default 12000)")
+    private int connections = 12_000;
+
+    @Option(name = "--json", usage = "print the report as JSON")
+    private boolean json;
+
+    @Override
+    String summary() {
+        return "measures the generator itself against a null responder: rate, own lag, connections, heap";
+    }
+
+    @Override
+    int run(PrintStream out, PrintStream err) throws Exception {
+        LoadPlan plan = Plans.parse(String.format(Locale.ROOT, "{'gaps':{'kind':'poisson'},'lagBoundMs':1,'connections':"
+                + "{'most':%d},'phases':[{'lastsMs':%.0f,'rate':{'shape':'steady','perS':%.3f}}],'streams':[{'opTypes':"
+                + "[{'name':'orders'}],'shards':{'of':16,'least':2},'clientMs':60000}]}", connections, 1000 * seconds, perS));
+        long[] heapMb = new long[4];
+        int mostConnections = 0;
+        try (NullResponder responder = new NullResponder(0, (number, atMs) -> atMs + answerMs);
+                LoadSession session = new LoadSession(Plans.at(plan, responder.address()), plan.arrivals(), plan.lastsMs(),
+                        Watcher.NONE);
+                Live live = new Live(err, List::of)) {
+            while (!session.await(250)) {
+                LoadSession.Glance glance = session.glance();
+                live.show(glance);
+                mostConnections = Math.max(mostConnections, glance.connections());
+                int quarter = (int) Math.min(3, 4 * glance.ms() / (1000 * seconds));
+                heapMb[quarter] = afterCollection() >> 20;
+            }
+            ObjectNode tree = session.report();
+            tree.put("mostConnections", mostConnections);
+            tree.set("heapAfterCollectionMb", Document.JSON.valueToTree(heapMb));
+            if (json) {
+                out.println(Document.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(tree));
+            } else {
+                out.print(Report.text(tree));
+                out.printf("most connections %d, heap after collections by quarters of the run %d, %d, %d, %d MB%n",
+                        mostConnections, heapMb[0], heapMb[1], heapMb[2], heapMb[3]);
+            }
+            return tree.get("fit").asBoolean() ? 0 : 1;
+        }
+    }
+
+    /** What the last collections left; what is used in between says nothing. */
+    private static long afterCollection() {
+        return ManagementFactory.getMemoryPoolMXBeans().stream().map(pool -> pool.getCollectionUsage())
+                .filter(usage -> usage != null).mapToLong(MemoryUsage::getUsed).sum();
+    }
+}
