--- a/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
+++ b/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
@@ -20,6 +20,7 @@
         COMMANDS.put("load replay", LoadReplay::new);
         COMMANDS.put("load speed", LoadSpeed::new);
         COMMANDS.put("fleet run", FleetRun::new);
+        COMMANDS.put("fleet front", FleetFront::new);
         COMMANDS.put("experiment run", ExperimentRun::new);
         COMMANDS.put("experiment list", ExperimentList::new);
         COMMANDS.put("experiment show", ExperimentShow::new);
--- a/lab/src/main/java/spartrail/lab/experiment/Charts.java
+++ b/lab/src/main/java/spartrail/lab/experiment/Charts.java
@@ -139,7 +139,7 @@
                 + escaped(title) + "</title>\n<style>body{font-family:sans-serif;max-width:60em;margin:2em auto}"
                 + "pre{overflow-x:auto}img{max-width:100%}</style>\n<h1>" + escaped(title) + "</h1>\n<pre>"
                 + escaped(tables) + "</pre>\n");
-        charts.forEach(chart -> page.append(String.format(Locale.ROOT, "<p><img src=\"%s.svg\" alt=\"%s\"></p>%n", chart,
+        charts.forEach(chart -> page.append(String.format(Locale.ROOT, "<p><img src=\"%s.png\" alt=\"%s\"></p>%n", chart,
                 chart)));
         Files.writeString(folder.resolve("index.html"), page.append("</html>\n"));
     }
--- a/lab/src/main/java/spartrail/lab/load/VirtualSockets.java
+++ b/lab/src/main/java/spartrail/lab/load/VirtualSockets.java
@@ -9,7 +9,7 @@
  * The generator on a virtual clock, against a responder whose delays are a script: what a report must say then follows
  * from arithmetic. Connections come up at once.
  */
-public final class VirtualSockets implements Sockets {
+public class VirtualSockets implements Sockets {
     /** When a request that came at a time is answered. */
     public interface Responder {
         double answeredMs(long number, double atMs);
@@ -27,7 +27,7 @@
     }
 
     /** Plays the whole plan; the time at its end. */
-    public double play(Generator played) {
+    public final double play(Generator played) {
         generator = played;
         generator.start(0);
         while (!generator.over()) {
--- a/lab/src/test/java/spartrail/lab/load/GeneratorTest.java
+++ b/lab/src/test/java/spartrail/lab/load/GeneratorTest.java
@@ -118,6 +118,65 @@
         assertThat(Report.text(tree)).startsWith("UNFIT: the generator itself was 60.");
     }
 
+    /** A generator that stands still for 300 ms itself is late by that, and its target is not charged with it. */
+    @Test
+    void theGeneratorsOwnDelayIsLagNotServiceTime() {
+        LoadPlan plan = Plans.even(100, 1000, 5000, 100, 1);
+        Recorder recorder = new Recorder();
+        double[] nowMs = new double[1];
+        Generator[] generator = new Generator[1];
+        Sockets sockets = new Sockets() {
+            @Override
+            public void open(Conn conn) {
+                generator[0].connected(conn, nowMs[0]);
+            }
+
+            @Override
+            public void send(Conn conn, Ask ask, double leftMs) {
+                generator[0].written(conn, nowMs[0]);
+                generator[0].answered(conn, new Answer(200, VirtualSockets.body(ask), 0, true, false), nowMs[0]);
+            }
+
+            @Override
+            public void close(Conn conn) {
+                // Nothing is held for it.
+            }
+        };
+        generator[0] = new Generator(plan, plan.arrivals(), sockets, recorder, Watcher.NONE);
+        generator[0].start(0);
+        while (!generator[0].over()) {
+            double dueMs = generator[0].nextMs();
+            nowMs[0] = dueMs >= 500 && dueMs < 800 ? 800 : dueMs;
+            generator[0].run(nowMs[0]);
+        }
+        assertThat(recorder.lag.getMaxValue() / 1000).isEqualTo(300);
+        assertThat(recorder.total(kind -> true, false).getMaxValue()).isZero();
+        assertThat(Report.tree(plan, recorder, null, 1000).get("fit").asBoolean()).isFalse();
+    }
+
+    /** Descriptors run out: what is out is still waited for, nothing further is sent, the report says why. */
+    @Test
+    void withoutSocketsTheRunEndsInOrder() {
+        LoadPlan plan = Plans.even(100, 1000, 5000, 1000, 1);
+        Recorder recorder = new Recorder();
+        VirtualSockets virtual = new VirtualSockets((number, atMs) -> atMs + 500) {
+            private int open;
+
+            @Override
+            public void open(Conn conn) {
+                if (++open > 7) {
+                    throw new IllegalStateException("Too many open files");
+                }
+                super.open(conn);
+            }
+        };
+        Generator generator = new Generator(plan, plan.arrivals(), virtual, recorder, Watcher.NONE);
+        virtual.play(generator);
+        assertThat(generator.fault()).isEqualTo("no socket is to be had with 7 open: Too many open files");
+        assertThat(kinds(recorder)).startsWith(" WHOLE 7 NO_CONNECTION 1,");
+        assertThat(Report.text(Report.tree(plan, recorder, generator.fault(), 1000))).startsWith("UNFIT: no socket");
+    }
+
     @Test
     void manySecondsBecomeWiderSlices() {
         Recorder recorder = virtual(Plans.even(1, 4_000_000, 1000, 10, 1), (number, atMs) -> atMs + 1);
