--- a/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
+++ b/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
@@ -26,6 +26,8 @@
         COMMANDS.put("experiment show", ExperimentShow::new);
         COMMANDS.put("experiment compare", ExperimentCompare::new);
         COMMANDS.put("experiment prune", ExperimentPrune::new);
+        COMMANDS.put("dns ask", () -> new DnsAsk(false));
+        COMMANDS.put("dns watch", () -> new DnsAsk(true));
         COMMANDS.put("drill list", DrillList::new);
         COMMANDS.put("drill run", DrillRun::new);
         COMMANDS.put("completion", Completion::new);
--- a/lab/src/main/java/spartrail/lab/drill/Drills.java
+++ b/lab/src/main/java/spartrail/lab/drill/Drills.java
@@ -12,7 +12,7 @@
 
     public static List<Drill> all() {
         List<Drill> drills = new ArrayList<>(List.of(new LoadDelay(), new LoadStall(), new LoadTraceOrder(),
-                new RulesPlanted()));
+                new RulesPlanted(), new DnsResolver()));
         ServiceLoader.load(Drill.class).forEach(drills::add);
         return drills;
     }
