--- /dev/null
+++ b/core/src/main/java/spartrail/membership/ServerSources.java
@@ -0,0 +1,21 @@
+package spartrail.membership;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+
+/** A kind of source beside the roll, found by the service loader; on the class path only where it is asked for. */
+public interface ServerSources {
+    /** Where a started source tells what it hears; from any thread. */
+    interface Words {
+        void said(String source, Source.Kind kind, boolean whole, List<Said> lines, double lifetimeMs);
+
+        void out(String source, Source.Kind kind);
+    }
+
+    /** The part of the members' file that it takes. */
+    String section();
+
+    /** Starts it with that part; an IllegalArgumentException says in one line what is wrong with it. */
+    AutoCloseable start(Map<?, ?> settings, Words words) throws IOException;
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/drill/DnsNode.java
@@ -0,0 +1,138 @@
+package spartrail.lab.drill;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import spartrail.lab.dns.NameServerStand;
+import spartrail.lab.experiment.NodeProcess;
+import spartrail.lab.experiment.NodeSettings;
+import spartrail.lab.file.Document;
+import spartrail.lab.fleet.Fleet;
+import spartrail.lab.fleet.FleetPlan;
+import spartrail.lab.load.Kind;
+import spartrail.lab.load.LoadSession;
+import spartrail.lab.plan.LoadPlan;
+import spartrail.lab.rules.RuleChecker;
+
+/**
+ * A real front node under load whose servers come from the roll and from DNS. Where they contradict each other: the roll
+ * drains a server that DNS goes on naming, then falls silent. In the outage: the roll is silent from the start and nothing is
+ * known, so that all servers come from DNS; later the name servers truncate and refuse TCP, then fall silent.
+ */
+final class DnsNode implements Drill {
+    private static final int SERVERS = 4;
+    private final boolean contradict;
+
+    DnsNode(boolean contradict) {
+        this.contradict = contradict;
+    }
+
+    @Override
+    public String name() {
+        return contradict ? "dns-contradict" : "dns-outage";
+    }
+
+    @Override
+    public String summary() {
+        return contradict ? "DNS goes on naming a server that the roll drains, and the roll falls silent: no work to it after the grace"
+                : "the roll is silent and all servers come from DNS, whose servers then truncate and fall silent: service goes on";
+    }
+
+    @Override
+    public String about() {
+        return "membership";
+    }
+
+    private static Document parse(String text, String schema) {
+        return Document.parse(schema, text.replace('\'', '"').getBytes(StandardCharsets.UTF_8), schema);
+    }
+
+    @Override
+    public void run(long seed, Findings findings) throws Exception {
+        String script = contradict ? "[{'atMs':1500,'do':'drain','servers':['s-1']},{'atMs':3500,'do':'roll-silent','lastsMs':60000}]"
+                : "[{'atMs':0,'do':'roll-silent','lastsMs':600000}]";
+        FleetPlan plan = FleetPlan.of(parse("{'seed':" + seed + ",'layout':{'shards':4,'cells':2,'reach':2},'kinds':{'std':{'cores':2,"
+                + "'workMs':1,'warmMs':1000,'tipMultiple':1000}},'servers':[{'kind':'std','count':" + SERVERS + "}],'script':"
+                + script + "}", "fleet"));
+        NodeSettings settings = new NodeSettings(Document.JSON.readTree(
+                "{\"opTypes\":[{\"name\":\"orders\",\"budgetMs\":3000,\"timeoutMs\":5000,\"floor\":0.9}]}"));
+        RuleChecker checker = new RuleChecker(settings.terms());
+        LoadPlan load = Plans.parse("{'seed':" + seed + ",'lagBoundMs':60000,'phases':[{'lastsMs':9000,'rate':{'shape':'steady',"
+                + "'perS':60}}],'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':4,'least':2},'clientMs':5000}]}");
+        Path folder = Files.createTempDirectory("spartrail-drill");
+        try (Fleet fleet = new Fleet(plan, checker); NameServerStand names = new NameServerStand(seed)) {
+            members(fleet, names, folder);
+            if (!contradict) {
+                fleet.play();
+            }
+            String listen = "127.0.0.1:" + NodeProcess.freePort();
+            ObjectNode config = settings.config(0, 1, listen, fleet, seed);
+            if (!contradict) {
+                config.set("known", Document.JSON.readTree("{\"rev\":0,\"all\":true,\"targets\":[]}"));
+            }
+            try (NodeProcess node = NodeProcess.start(NodeProcess.ownJar(), config, folder, "n0", settings.memoryMb(),
+                    folder.resolve("members.json"))) {
+                // Lifetimes are a second: by then it has heard of all.
+                long asked = names.asked() + 2L * (SERVERS + 2);
+                for (int i = 0; names.asked() < asked && i < 6000; i++) {
+                    Thread.sleep(5);
+                }
+                try (LoadSession session = new LoadSession(Plans.at(load, node.address()), load.arrivals(), load.lastsMs(),
+                        checker)) {
+                    if (contradict) {
+                        fleet.play();
+                    }
+                    for (int i = 0; !session.await(1000) && i < 60; i++) {
+                        if (!contradict && i == 2) {
+                            names.behave(NameServerStand.Manner.TRUNCATE_AND_REFUSE_TCP);
+                        } else if (!contradict && i == 5) {
+                            names.behave(NameServerStand.Manner.SILENT);
+                        }
+                    }
+                    judge(findings, session, checker, fleet, node);
+                }
+            }
+        } finally {
+            try (var files = Files.list(folder)) {
+                files.forEach(file -> file.toFile().delete());
+            }
+            Files.delete(folder);
+        }
+    }
+
+    private void judge(Findings findings, LoadSession session, RuleChecker checker, Fleet fleet, NodeProcess node) {
+        long whole = session.recorder().count(Kind.WHOLE);
+        long all = session.recorder().all();
+        checker.verdicts().forEach(verdict -> findings.equal("broken: " + verdict.rule().text, 0L, verdict.broken()));
+        findings.least("tries served whole, share", 0.95, whole / (double) Math.max(1, all));
+        int used = 0;
+        for (var server : fleet.figures()) {
+            used += server.path("parts").asLong() > 0 ? 1 : 0;
+        }
+        findings.equal("servers that were sent parts", SERVERS, used);
+        findings.equal("the node is alive", true, node.handle().isAlive());
+    }
+
+    /** Every server in DNS, a name for each cell, and the file that tells the node so. */
+    private static void members(Fleet fleet, NameServerStand names, Path folder) throws java.io.IOException {
+        StringBuilder list = new StringBuilder();
+        for (int cell = 0; cell < fleet.plan().cells(); cell++) {
+            String name = "_books._tcp.c" + cell + ".books.example.org.";
+            List<String> lines = new ArrayList<>();
+            for (FleetPlan.ServerLine server : fleet.plan().servers()) {
+                if (server.cell() == cell) {
+                    String[] address = fleet.serverAddress(0, server.id()).split(":");
+                    lines.add("1 SRV 0 5 " + address[1] + " " + server.id() + ".books.example.org.");
+                    names.set("A", server.id() + ".books.example.org.", List.of("1 A " + address[0]));
+                }
+            }
+            names.set("SRV", name, lines);
+            list.append(cell == 0 ? "" : ",").append("{\"name\":\"").append(name).append("\",\"cell\":").append(cell).append('}');
+        }
+        Files.writeString(folder.resolve("members.json"), "{\"allow\":[\"127.0.0.0/8\"],\"dns\":{\"servers\":[\"127.0.0.1:"
+                + names.address().getPort() + "\"],\"bailiwick\":\"books.example.org\",\"names\":[" + list + "]}}");
+    }
+}
--- a/lab/src/main/java/spartrail/lab/drill/Drills.java
+++ b/lab/src/main/java/spartrail/lab/drill/Drills.java
@@ -12,7 +12,8 @@
 
     public static List<Drill> all() {
         List<Drill> drills = new ArrayList<>(List.of(new LoadDelay(), new LoadStall(), new LoadTraceOrder(),
-                new RulesPlanted(), new DnsResolver()));
+                new RulesPlanted(), new DnsResolver(),
+                new DnsNode(true), new DnsNode(false)));
         ServiceLoader.load(Drill.class).forEach(drills::add);
         return drills;
     }
--- a/lab/src/main/java/spartrail/lab/experiment/NodeProcess.java
+++ b/lab/src/main/java/spartrail/lab/experiment/NodeProcess.java
@@ -8,6 +8,7 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import spartrail.lab.file.BadInput;
 import spartrail.lab.file.Document;
@@ -25,12 +26,15 @@
     /** CPU of processes of this node that have ended. */
     private double cpuBeforeMs;
 
-    private NodeProcess(Path jar, Path config, Path log, int memoryMb, String address) {
+    private final Path members;
+
+    private NodeProcess(Path jar, Path config, Path log, int memoryMb, String address, Path members) {
         this.jar = jar;
         this.config = config;
         this.log = log;
         this.memoryMb = memoryMb;
         this.address = address;
+        this.members = members;
     }
 
     /** The jar of this version. */
@@ -52,10 +56,16 @@
 
     public static NodeProcess start(Path jar, ObjectNode config, Path folder, String name, int memoryMb)
             throws IOException, InterruptedException {
+        return start(jar, config, folder, name, memoryMb, null);
+    }
+
+    /** With a members' file: servers come from DNS, too. */
+    public static NodeProcess start(Path jar, ObjectNode config, Path folder, String name, int memoryMb, Path members)
+            throws IOException, InterruptedException {
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, Document.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(config));
         NodeProcess node = new NodeProcess(jar, file, folder.resolve(name + ".log"), memoryMb,
-                config.get("listen").asText());
+                config.get("listen").asText(), members);
         node.launch();
         node.awaitReady();
         return node;
@@ -63,10 +73,17 @@
 
     private void launch() throws IOException {
         int heapMb = Math.max(10, Math.min(48, (memoryMb - 48) / 2));
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        ProcessBuilder builder = new ProcessBuilder(new java.util.ArrayList<>());
+        builder.command().addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms" + heapMb + "m", "-Xmx" + heapMb + "m", "-Xss512k",
-                "-XX:MaxDirectMemorySize=12m", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=16m", "-jar",
-                jar.toString(), "serve", "--config", config.toString());
+                "-XX:MaxDirectMemorySize=12m", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=16m"));
+        if (members == null) {
+            builder.command().addAll(List.of("-jar", jar.toString(), "serve", "--config", config.toString()));
+        } else {
+            Path dns = jar.resolveSibling("../../dns/target/spartrail-dns.jar").normalize();
+            builder.command().addAll(List.of("-cp", jar + ":" + dns, "spartrail.Main", "serve", "--config", config.toString(),
+                    "--members", members.toString()));
+        }
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         process = builder.start();
     }
--- a/node/src/main/java/spartrail/cli/ServeCommand.java
+++ b/node/src/main/java/spartrail/cli/ServeCommand.java
@@ -8,6 +8,7 @@
 import java.util.logging.Logger;
 import org.kohsuke.args4j.Option;
 import spartrail.front.FrontNode;
+import spartrail.members.MembersFile;
 import spartrail.provisioning.DeploymentFile;
 import spartrail.record.MultigetRecord;
 import sun.misc.Signal;
@@ -21,6 +22,9 @@
     @Option(name = "--config", metaVar = "FILE", usage = "the node's configuration; else BALANCER_CONFIG names it")
     private Path config;
 
+    @Option(name = "--members", metaVar = "FILE", usage = "servers also from the sources that this file names")
+    private Path members;
+
     @Option(name = "--record", metaVar = "FILE", usage = "keep a line for each multiget taken, to replay it elsewhere")
     private Path record;
 
@@ -37,6 +41,9 @@
         quiet.setLevel(Level.WARNING);
         Path path = config == null ? Path.of(named) : config;
         FrontNode node = new FrontNode(DeploymentFile.read(path));
+        if (members != null) {
+            node.members(MembersFile.read(members));
+        }
         MultigetRecord kept = record == null ? null : record();
         node.record(kept);
         synchronized (ServeCommand.class) {
--- a/node/src/main/java/spartrail/front/FrontNode.java
+++ b/node/src/main/java/spartrail/front/FrontNode.java
@@ -20,6 +20,8 @@
 import spartrail.coordination.Coordinator;
 import spartrail.discovery.HostList;
 import spartrail.discovery.HostWatch;
+import spartrail.members.MembersFile;
+import spartrail.members.MembersHost;
 import spartrail.model.Invariants;
 import spartrail.model.NodeClock;
 import spartrail.model.OpType;
@@ -58,6 +60,8 @@
     private double killedMs;
     private NodeClock clock;
     private MultigetRecord record;
+    private MembersFile members;
+    private MembersHost host;
 
     public FrontNode(DeploymentFile deployment) {
         this(deployment, deployment.listen());
@@ -80,6 +84,11 @@
         record = kept;
     }
 
+    /** Before the start: servers come from further sources, too, as this file says. */
+    public void members(MembersFile file) {
+        members = file;
+    }
+
     /** What takes the clients' requests: the loop, by way of the record where there is one. */
     private ClientDoor.Taker taker() {
         MultigetRecord kept = record;
@@ -114,13 +123,19 @@
                 deployment.openCap(), deployment.mostSends(), invariants);
         servers = new ShardPool(io, clock, deployment.callsPerConnection(), deployment.connectTimeoutMs(),
                 deployment.keepAliveMs(), deployment.cancelling(), loop, invariants);
-        watch = new HostWatch(io, buffers, deployment.discovery(), deployment.listAsked(), loop);
+        if (members != null) {
+            host = new MembersHost(members, deployment.cells(), deployment.reach(), clock, known, loop);
+        }
+        watch = new HostWatch(io, buffers, deployment.discovery(), deployment.listAsked(), host == null ? loop : host);
         door = new ClientDoor(worker, buffers, listen, clock,
                 opTypes.stream().map(op -> op.name).collect(Collectors.toSet()),
                 deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), taker());
         loop.tie(servers, watch, known);
         thread = new Thread(loop, "spartrail-node");
         thread.start();
+        if (host != null) {
+            host.start(members);
+        }
         io.execute(() -> {
             if (!deployment.listAsked()) {
                 watch.start();
@@ -186,6 +201,9 @@
 
     @Override
     public void close() throws InterruptedException {
+        if (host != null) {
+            host.close();
+        }
         // The loop first: it would ask an I/O thread that is no more.
         loop.end();
         thread.join();
--- /dev/null
+++ b/node/src/main/java/spartrail/members/MembersFile.java
@@ -0,0 +1,116 @@
+package spartrail.members;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import spartrail.json.JsonTree;
+import spartrail.membership.Bounds;
+
+/**
+ * The file that names further sources and how they are merged; its form is {@code deploy/members.schema.json}. Times are
+ * milliseconds.
+ */
+public final class MembersFile {
+    private static final Set<String> BOUNDS = Set.of("floor", "freezeMs", "suspectMs", "rollConfirmMs", "confirmMs",
+            "confirmAnswers", "flapMs", "flapMostMs", "flapForgetMs", "keptMs", "mostMembers");
+
+    private final Map<?, ?> tree;
+
+    private MembersFile(Map<?, ?> tree) {
+        this.tree = tree;
+    }
+
+    public static MembersFile read(Path path) throws IOException {
+        String text;
+        try {
+            text = Files.readString(path);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("cannot read " + path, e);
+        }
+        try (JsonParser parser = new JsonFactory().createParser(text)) {
+            if (parser.nextToken() == null || !(JsonTree.value(parser) instanceof Map<?, ?> tree)) {
+                throw new IllegalArgumentException(path + ": a JSON object is expected");
+            }
+            MembersFile file = new MembersFile(tree);
+            file.bounds();
+            file.allowed();
+            return file;
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(path + ":" + e.getLocation().getLineNr() + ": no JSON: "
+                    + JsonTree.fault(e), e);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(e.getMessage().startsWith(path.toString()) ? e.getMessage()
+                    : path + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** The part of a kind of source, or null. */
+    Map<?, ?> section(String name) {
+        return tree.get(name) instanceof Map<?, ?> section ? section : null;
+    }
+
+    Bounds bounds() {
+        Map<?, ?> merge = tree.get("merge") instanceof Map<?, ?> given ? given : Map.of();
+        for (Object name : merge.keySet()) {
+            if (!BOUNDS.contains(name)) {
+                throw new IllegalArgumentException("/merge/" + name + ": is unknown, one of " + BOUNDS.stream().sorted().toList()
+                        + " is expected");
+            }
+        }
+        Bounds usual = Bounds.USUAL;
+        return new Bounds((int) number(merge, "floor", usual.floor()), number(merge, "freezeMs", usual.freezeMs()),
+                number(merge, "suspectMs", usual.suspectMs()), number(merge, "rollConfirmMs", usual.rollConfirmMs()),
+                number(merge, "confirmMs", usual.confirmMs()), (int) number(merge, "confirmAnswers", usual.confirmAnswers()),
+                number(merge, "flapMs", usual.flapMs()), number(merge, "flapMostMs", usual.flapMostMs()),
+                number(merge, "flapForgetMs", usual.flapForgetMs()), number(merge, "keptMs", usual.keptMs()),
+                (int) number(merge, "mostMembers", usual.mostMembers()));
+    }
+
+    private static double number(Map<?, ?> merge, String name, double usual) {
+        Object value = merge.get(name);
+        if (value == null) {
+            return usual;
+        }
+        if (!(value instanceof Number number) || number.doubleValue() < 0) {
+            throw new IllegalArgumentException("/merge/" + name + ": found " + value + ", a number of 0 or more is expected");
+        }
+        return number.doubleValue();
+    }
+
+    /** Which endpoints may be connected to: IPv4 ranges such as 10.0.0.0/8; without them nothing that DNS names. */
+    Predicate<String> allowed() {
+        List<long[]> ranges = new ArrayList<>();
+        for (Object range : tree.get("allow") instanceof List<?> list ? list : List.of()) {
+            String[] parts = String.valueOf(range).split("/");
+            long address = parts.length == 2 ? address(parts[0]) : -1;
+            if (address < 0 || !parts[1].matches("[0-9]|[12][0-9]|3[0-2]")) {
+                throw new IllegalArgumentException("/allow: found '" + range + "', a range such as 10.0.0.0/8 is expected");
+            }
+            long mask = Integer.parseInt(parts[1]) == 0 ? 0 : 0xffffffffL << 32 - Integer.parseInt(parts[1]) & 0xffffffffL;
+            ranges.add(new long[] {address & mask, mask});
+        }
+        return endpoint -> {
+            long address = address(endpoint.substring(0, Math.max(0, endpoint.lastIndexOf(':'))));
+            return address >= 0 && ranges.stream().anyMatch(range -> (address & range[1]) == range[0]);
+        };
+    }
+
+    private static long address(String text) {
+        if (!text.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}")) {
+            return -1;
+        }
+        long address = 0;
+        for (String octet : text.split("\\.")) {
+            address = address << 8 | Math.min(255, Integer.parseInt(octet));
+        }
+        return address;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/spartrail/members/MembersHost.java
@@ -0,0 +1,168 @@
+package spartrail.members;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.ServiceLoader;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import spartrail.discovery.HostList;
+import spartrail.discovery.HostWatch;
+import spartrail.membership.Membership;
+import spartrail.membership.Said;
+import spartrail.membership.ServerSources;
+import spartrail.membership.Source;
+import spartrail.model.NodeClock;
+
+/**
+ * Stands between the roll's watch and the loop: what sources say goes into the view, and the lines that change come out as
+ * changes of the list. One thread owns the view.
+ */
+public final class MembersHost implements HostWatch.Listener, ServerSources.Words, AutoCloseable {
+    private static final System.Logger LOG = System.getLogger("spartrail.members");
+
+    private final Membership view;
+    private final NodeClock clock;
+    private final HostWatch.Listener loop;
+    private final Source roll;
+    private final List<AutoCloseable> sources = new ArrayList<>();
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread made = new Thread(task, "spartrail-members");
+        made.setDaemon(true);
+        return made;
+    });
+    private ScheduledFuture<?> due;
+    /** The line in hand comes from the roll. */
+    private boolean fromRoll;
+    private long version;
+
+    /** The list as it was last had is known to the loop already; it counts as the roll's word until the roll answers. */
+    public MembersHost(MembersFile file, int cells, int reach, NodeClock clock, HostList known, HostWatch.Listener loop) {
+        this.clock = clock;
+        this.loop = loop;
+        var allowed = file.allowed();
+        List<String> rolled = known.lines().stream().map(line -> text(line.address())).toList();
+        // What the roll names is allowed: its word is law. Ranges bound what others may name.
+        this.view = new Membership(cells, reach, file.bounds(), endpoint -> allowed.test(endpoint) || rolled.contains(endpoint)
+                || fromRoll);
+        this.roll = view.source("roll", Source.Kind.ROLL, clock.nowMs());
+        byRoll(() -> view.said(roll, true, lines(known), 0, clock.nowMs()));
+        view.changes();
+    }
+
+    private void byRoll(Runnable what) {
+        fromRoll = true;
+        what.run();
+        fromRoll = false;
+    }
+
+    /** Starts the sources that the file names; each is found by the service loader. */
+    public void start(MembersFile file) throws IOException {
+        for (ServerSources kind : ServiceLoader.load(ServerSources.class)) {
+            Map<?, ?> settings = file.section(kind.section());
+            if (settings != null) {
+                sources.add(kind.start(settings, this));
+                LOG.log(System.Logger.Level.INFO, "servers also from " + kind.section());
+            }
+        }
+        if (file.section("dns") != null && sources.isEmpty()) {
+            throw new IllegalArgumentException("the members' file has 'dns', but no jar on the class path follows DNS");
+        }
+    }
+
+    @Override
+    public void listed(HostList list) {
+        thread.execute(() -> {
+            byRoll(() -> view.said(roll, list.all(), lines(list), 0, clock.nowMs()));
+            // Also where nothing changed: who asks for the list waits for its answer.
+            hand(true);
+        });
+    }
+
+    @Override
+    public void unlisted() {
+        thread.execute(() -> {
+            view.out(roll, clock.nowMs());
+            hand(false);
+        });
+        loop.unlisted();
+    }
+
+    @Override
+    public void said(String source, Source.Kind kind, boolean whole, List<Said> lines, double lifetimeMs) {
+        thread.execute(() -> {
+            double nowMs = clock.nowMs();
+            view.said(view.source(source, kind, nowMs), whole, lines, lifetimeMs, nowMs);
+            hand(false);
+        });
+    }
+
+    @Override
+    public void out(String source, Source.Kind kind) {
+        thread.execute(() -> {
+            double nowMs = clock.nowMs();
+            view.out(view.source(source, kind, nowMs), nowMs);
+            hand(false);
+        });
+    }
+
+    private List<Said> lines(HostList list) {
+        List<Said> lines = new ArrayList<>();
+        for (HostList.Line line : list.lines()) {
+            lines.add(new Said(line.id(), line.address() == null ? null : text(line.address()), line.zone(), line.kind(),
+                    line.cell(), line.state(), line.rating(), line.bootMs() > 0 ? clock.at(line.bootMs()) : -1, 0));
+        }
+        return lines;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /** Hands on what has changed, and comes back when time alone changes something. */
+    private void hand(boolean always) {
+        view.advance(clock.nowMs());
+        List<HostList.Line> lines = new ArrayList<>();
+        for (Said said : view.changes()) {
+            lines.add(new HostList.Line(said.id(), HostList.address(said.endpoint()), said.zone(), said.kind(), said.cell(),
+                    said.state(), said.rating(), said.bornMs() > 0 ? unix(said.bornMs()) : 0));
+            LOG.log(System.Logger.Level.INFO, said.id() + " at " + said.endpoint() + " is " + said.state() + ": "
+                    + view.find(said.id()).rule());
+        }
+        if (always || !lines.isEmpty()) {
+            loop.listed(new HostList(++version, false, lines));
+        }
+        if (due != null) {
+            due.cancel(false);
+        }
+        double waitMs = view.nextMs() - clock.nowMs();
+        due = waitMs > 1e9 ? null : thread.schedule(() -> hand(false), Math.max(1, (long) Math.ceil(waitMs)), TimeUnit.MILLISECONDS);
+    }
+
+    /** A time of the node's clock as Unix time. */
+    private long unix(double ms) {
+        return System.currentTimeMillis() - Math.round(clock.nowMs() - ms);
+    }
+
+    /** What the view says of a server, by id or endpoint. */
+    public String explain(String server) throws Exception {
+        return thread.submit(() -> view.find(server) == null ? server + ": nobody knows it\n"
+                : view.explain(view.find(server), clock.nowMs())).get(5, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        for (AutoCloseable source : sources) {
+            try {
+                source.close();
+            } catch (Exception e) {
+                LOG.log(System.Logger.Level.WARNING, "a source did not end: " + e.getMessage());
+            }
+        }
+        thread.shutdownNow();
+    }
+}
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -147,6 +147,15 @@
         return (int) number(map(info, "family-info"), "slabs", 0);
     }
 
+    public int cells() {
+        return (int) number(map(info, "family-info"), "sets", 1);
+    }
+
+    /** Consecutive cells that hold a shard. */
+    public int reach() {
+        return (int) number(map(info, "family-info"), "width", 1);
+    }
+
     /** The shortest time between two turns. */
     public double turnMs() {
         return 1000 * number(info, "tick", 0);
