--- a/node/src/main/java/spartrail/cli/CheckCommand.java
+++ b/node/src/main/java/spartrail/cli/CheckCommand.java
@@ -11,6 +11,7 @@
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 import spartrail.front.FrontNode;
+import spartrail.members.MembersFile;
 import spartrail.provisioning.DeploymentFile;
 
 /** Reads a configuration and says whether a node could start with it. */
@@ -21,9 +22,15 @@
     @Option(name = "--start", usage = "start such a node on a free port of the loopback and ask it a multiget")
     private boolean start;
 
+    @Option(name = "--members", metaVar = "FILE", usage = "check this members' file, too")
+    private Path members;
+
     @Override
     public int run(PrintStream out, PrintStream err) throws Exception {
         DeploymentFile deployment = DeploymentFile.read(config);
+        if (members != null) {
+            MembersFile.read(members);
+        }
         out.println("usable: node " + deployment.name() + " on " + deployment.listen() + ", op types "
                 + deployment.opTypes().stream().map(op -> op.name).toList() + ", " + deployment.known().lines().size()
                 + " servers known");
--- a/node/src/main/java/spartrail/cli/CommandLine.java
+++ b/node/src/main/java/spartrail/cli/CommandLine.java
@@ -30,7 +30,7 @@
         } catch (CmdLineException | IllegalArgumentException e) {
             err.println("spartrail: " + e.getMessage());
             if (e instanceof CmdLineException) {
-                err.println("usage: spartrail serve [--config FILE] [--record FILE] [--members FILE] | check [--start] FILE | simhost | version");
+                err.println("usage: spartrail serve [--config FILE] [--record FILE] [--members FILE] | check [--start] [--members FILE] FILE | simhost | version");
             }
             return 2;
         } catch (Exception e) {
--- a/node/src/main/java/spartrail/members/MembersFile.java
+++ b/node/src/main/java/spartrail/members/MembersFile.java
@@ -40,6 +40,7 @@
                 throw new IllegalArgumentException(path + ": a JSON object is expected");
             }
             MembersFile file = new MembersFile(tree);
+            file.known();
             file.bounds();
             file.allowed();
             return file;
@@ -57,6 +58,14 @@
         return tree.get(name) instanceof Map<?, ?> section ? section : null;
     }
 
+    private void known() {
+        for (Object name : tree.keySet()) {
+            if (!Set.of("allow", "merge", "dns").contains(name)) {
+                throw new IllegalArgumentException("/" + name + ": is unknown, one of [allow, dns, merge] is expected");
+            }
+        }
+    }
+
     Bounds bounds() {
         Map<?, ?> merge = tree.get("merge") instanceof Map<?, ?> given ? given : Map.of();
         for (Object name : merge.keySet()) {
--- /dev/null
+++ b/node/src/test/java/spartrail/members/MembersFileTest.java
@@ -0,0 +1,42 @@
+package spartrail.members;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class MembersFileTest {
+    @TempDir
+    private Path folder;
+
+    private String read(String text) throws Exception {
+        Path file = folder.resolve("members.json");
+        Files.writeString(file, text.replace('\'', '"'));
+        try {
+            MembersFile read = MembersFile.read(file);
+            return "floor " + read.bounds().floor() + ", 10.1.2.3 " + read.allowed().test("10.1.2.3:80") + ", 10.2.0.1 "
+                    + read.allowed().test("10.2.0.1:80") + ", a name " + read.allowed().test("books.example.org:80");
+        } catch (IllegalArgumentException e) {
+            return e.getMessage().replace(folder.toString(), "FOLDER");
+        }
+    }
+
+    @Test
+    void whatIsWrongIsOneLineWithItsPlace() throws Exception {
+        assertThat(String.join("\n", read("{}"), read("{'allow':['10.1.0.0/16'],'merge':{'floor':3}}"), read("{'allow':['0.0.0.0/0']}"),
+                read("{'allow':['ten/8']}"), read("{'merge':{'flor':3}}"), read("{'merge':{'floor':-1}}"), read("{'roll':{}}"),
+                read("{\n'allow':"), read("[]"))).isEqualTo("""
+                floor 1, 10.1.2.3 false, 10.2.0.1 false, a name false
+                floor 3, 10.1.2.3 true, 10.2.0.1 false, a name false
+                floor 1, 10.1.2.3 true, 10.2.0.1 true, a name false
+                FOLDER/members.json: /allow: found 'ten/8', a range such as 10.0.0.0/8 is expected
+                FOLDER/members.json: /merge/flor: is unknown, one of [confirmAnswers, confirmMs, flapForgetMs, flapMostMs, \
+                flapMs, floor, freezeMs, keptMs, mostMembers, rollConfirmMs, suspectMs] is expected
+                FOLDER/members.json: /merge/floor: found -1, a number of 0 or more is expected
+                FOLDER/members.json: /roll: is unknown, one of [allow, dns, merge] is expected
+                FOLDER/members.json:2: no JSON: Unexpected end-of-input within/between Object entries
+                FOLDER/members.json: a JSON object is expected""");
+    }
+}
