--- a/lab/src/main/java/spartrail/lab/cli/LoadSpeed.java
+++ b/lab/src/main/java/spartrail/lab/cli/LoadSpeed.java
@@ -1,11 +1,16 @@
 package spartrail.lab.cli;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.management.GcInfo;
 import java.io.PrintStream;
+import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
-import java.lang.management.MemoryUsage;
+import java.lang.management.MemoryPoolMXBean;
+import java.lang.management.MemoryType;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.kohsuke.args4j.Option;
 import spartrail.lab.drill.Plans;
 import spartrail.lab.file.Document;
@@ -17,6 +22,9 @@
 
 /** How fast the generator itself is: it sends to a responder in the same process that has nothing to do. */
 final class LoadSpeed extends Command {
+    private static final Set<String> HEAP = ManagementFactory.getMemoryPoolMXBeans().stream()
+            .filter(pool -> pool.getType() == MemoryType.HEAP).map(MemoryPoolMXBean::getName).collect(Collectors.toSet());
+
     @Option(name = "--per-s", metaVar = "N", usage = "multigets a second (default 20000)")
     private double perS = 20_000;
 
@@ -82,9 +90,18 @@
         }
     }
 
-    /** What the last collections left; what is used in between says nothing. */
+    /** What the last collection of any kind left in the whole heap; what is used in between says nothing. */
     private static long afterCollection() {
-        return ManagementFactory.getMemoryPoolMXBeans().stream().map(pool -> pool.getCollectionUsage())
-                .filter(usage -> usage != null).mapToLong(MemoryUsage::getUsed).sum();
+        long newestMs = -1;
+        long left = 0;
+        for (GarbageCollectorMXBean bean : ManagementFactory.getGarbageCollectorMXBeans()) {
+            GcInfo info = bean instanceof com.sun.management.GarbageCollectorMXBean known ? known.getLastGcInfo() : null;
+            if (info != null && info.getEndTime() > newestMs) {
+                newestMs = info.getEndTime();
+                left = info.getMemoryUsageAfterGc().entrySet().stream().filter(pool -> HEAP.contains(pool.getKey()))
+                        .mapToLong(pool -> pool.getValue().getUsed()).sum();
+            }
+        }
+        return left;
     }
 }
--- a/node/src/main/java/spartrail/members/MembersHost.java
+++ b/node/src/main/java/spartrail/members/MembersHost.java
@@ -51,6 +51,7 @@
                 || fromRoll);
         this.roll = view.source("roll", Source.Kind.ROLL, clock.nowMs());
         byRoll(() -> view.said(roll, true, lines(known), 0, clock.nowMs()));
+        view.out(roll, clock.nowMs());
         view.changes();
     }
 
