--- a/lab/src/main/java/spartrail/lab/cli/Live.java
+++ b/lab/src/main/java/spartrail/lab/cli/Live.java
@@ -40,8 +40,9 @@
     }
 
     void show(LoadSession.Glance glance) {
-        String line = String.format(Locale.ROOT, "%6.1f of %.0f s  %d tries (%.0f a second)  %d in flight on %d connections"
-                + "  p50 %.1f p99 %.1f ms  own lag p99 %.3f ms", glance.ms() / 1000, glance.lastsMs() / 1000,
+        String lasts = Double.isNaN(glance.lastsMs()) ? "?" : Long.toString(Math.round(glance.lastsMs() / 1000));
+        String line = String.format(Locale.ROOT, "%6.1f of %s s  %d tries (%.0f a second)  %d in flight on %d connections"
+                + "  p50 %.1f p99 %.1f ms  own lag p99 %.3f ms", glance.ms() / 1000, lasts,
                 glance.tries(), glance.tries() * 1000 / Math.max(1, glance.ms()), glance.inFlight(),
                 glance.connections(), glance.p50Ms(), glance.p99Ms(), glance.lagP99Ms());
         if (display != null) {
