--- a/dns/src/main/java/spartrail/dns/Resolver.java
+++ b/dns/src/main/java/spartrail/dns/Resolver.java
@@ -61,7 +61,6 @@
         private final Set<Srv> users = new LinkedHashSet<>();
         /** Null while nothing was ever answered; empty where there is none. */
         private List<Record> records;
-        /** Addresses that came along with the records. */
         private double endsMs = Double.NEGATIVE_INFINITY;
         private double lifetimeMs;
         private Question asking;
--- a/lab/src/main/java/spartrail/lab/cli/LoadReplay.java
+++ b/lab/src/main/java/spartrail/lab/cli/LoadReplay.java
@@ -1,10 +1,8 @@
 package spartrail.lab.cli;
 
-import com.fasterxml.jackson.databind.node.TextNode;
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
@@ -17,13 +15,10 @@
 import spartrail.lab.trace.TraceReplay;
 
 /** Sends what a trace holds, when it says. */
-final class LoadReplay extends Command {
+final class LoadReplay extends Sending {
     @Argument(required = true, metaVar = "TRACE", usage = "a trace, or a front node's record as it is")
     private Path file;
 
-    @Option(name = "--target", metaVar = "HOST:PORT", required = true, usage = "a front node; may be repeated")
-    private List<String> targets = new ArrayList<>();
-
     @Option(name = "--speed", metaVar = "X", usage = "so many times as fast (default 1)")
     private double speed = 1;
 
@@ -42,12 +37,6 @@
     @Option(name = "--seed", metaVar = "N", usage = "what is drawn by chance follows from it (default 1)")
     private long seed = 1;
 
-    @Option(name = "--json", usage = "print the report as JSON")
-    private boolean json;
-
-    @Option(name = "--out", metaVar = "FILE", usage = "write the report as JSON to this file too")
-    private Path report;
-
     @Override
     String summary() {
         return "sends a trace to front nodes, open loop: faster, looped, thinned or multiplied";
@@ -62,9 +51,9 @@
             throw new BadInput(file + ": cannot be read");
         }
         Document named = Document.of("--target", Document.JSON.createObjectNode(), "columns");
-        List<LoadPlan.Target> nodes = new ArrayList<>();
-        for (String target : targets) {
-            nodes.add(LoadPlan.target(named, TextNode.valueOf(target), "--target"));
+        List<LoadPlan.Target> nodes = targets(named);
+        if (nodes.isEmpty()) {
+            throw new BadInput("no front node to send to: give --target");
         }
         Path scratch = Files.createTempFile("spartrail", ".trace");
         try (TraceReplay replay = new TraceReplay(TraceReplay.trace(file, scratch), speed, loops, share, copies, seed,
