--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,7 +1,25 @@
 #!/bin/sh
 # Starts a front node, from the repository's root, in a JVM that fits into the memory that its configuration states.
 # Danger: a heap that grows into its bound by and by looks like a leak; it has its whole size from the start.
-memory_mb=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9]*\).*/\1/p' "${BALANCER_CONFIG:-/dev/null}" | head -n 1)
+# The shell reads the file itself. Danger: where starting other programs is refused, as on some operators' machines, a
+# limit that is read through a pipe of them is not read at all, and the JVM is sized for a limit that does not hold.
+memory_mb=
+if [ -f "${BALANCER_CONFIG:-}" ] && [ -r "$BALANCER_CONFIG" ]; then
+    while [ -z "$memory_mb" ] && { IFS= read -r line || [ -n "$line" ]; }; do
+        case $line in
+        *'"memory_mb"'*)
+            line=${line#*'"memory_mb"'}
+            line=${line#"${line%%[0-9]*}"}
+            memory_mb=${line%%[!0-9]*}
+            ;;
+        esac
+    done < "$BALANCER_CONFIG"
+fi
+# Danger: a JVM that has no room to start in dies in its own words, or hangs.
+if [ -n "$memory_mb" ] && [ "$memory_mb" -lt 16 ]; then
+    echo "limits.memory_mb: found $memory_mb, 16 or more is expected for a JVM to start in" >&2
+    exit 2
+fi
 # About 40 MB go into the JVM itself, code, classes and buffers; half of the rest stays free.
 heap_mb=$(( (${memory_mb:-144} - 48) / 2 ))
 [ "$heap_mb" -le 48 ] || heap_mb=48
