--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -122,12 +122,18 @@
             }
             timetable.add(mg.budgetAtMs - 3 * turnMs, mg.dues, () -> budgetEnds(mg));
             timetable.add(mg.clientAtMs - 2 * turnMs, mg.dues, () -> clientEnds(mg));
+            double tasteMs = usualMs(mg.opType) + mg.opType.deviationMs;
+            mg.tasting = mg.parts.size() > 1 && (deaths.since(now - DEATHS_MS) >= DEATHS
+                    || mg.parts.size() >= Math.max(WIDE_PARTS, WIDE * servers.size()));
+            timetable.add(now + tasteMs, mg.dues, () -> resume(mg));
         }
         mg.betweenSteps = false;
         for (Part part : mg.parts) {
             mg.openParts++;
             mg.openWeight += part.weight;
-            hold(part);
+            if (!mg.tasting || part == mg.parts.get(0)) {
+                hold(part);
+            }
         }
         release(shardsOf(mg));
         return decisions;
@@ -313,12 +319,13 @@
                 if (outcome == Send.Outcome.RESET) {
                     brokeAt(part.multiget, send.server);
                 }
-                if (!part.multiget.tasting) {
+                if (!part.multiget.tasting || part.multiget.brokeAt.size() < BREAKS) {
                     sendFurther(part);
                 }
             }
-            if (part.multiget.tasting && part.multiget.sendsOut == 0) {
-                giveUp(part.multiget);
+            Multiget mg = part.multiget;
+            if (mg.tasting && !mg.over && mg.sendsOut == 0 && mg.heldAt.isEmpty()) {
+                giveUp(mg);
             }
         }
         release(send.server.shards);
@@ -377,7 +384,7 @@
 
     /** The least important op types may use this share of their budget, the most important all. */
     private static final double LEAST_PATIENCE = 0.4;
-    private static final double EVIDENCE_MS = 10_000;
+    private static final double EVIDENCE_MS = 3000;
 
     /** How long parts wait at servers beyond the light time, its mean deviation, and when that was seen. */
     private double waitMs;
@@ -458,6 +465,13 @@
     private double budgetFree;
     private double budgetShare;
     private double furtherFund = FUND_MOST / 2;
+    private static final int BREAKS = 2;
+    private static final double WIDE = 0.25;
+    private static final int WIDE_PARTS = 32;
+    private static final double DEATHS_MS = 20_000;
+    private static final int DEATHS = 3;
+    /** Servers that died unannounced. */
+    private final Tally deaths = new Tally();
     private final Tally furtherSends = new Tally();
     private final Tally taken = new Tally();
 
@@ -538,7 +552,7 @@
      */
     private void brokeAt(Multiget mg, Server server) {
         mg.brokeAt.add(server);
-        if (mg.step == 1 && mg.answeredWeight == 0 && mg.brokeAt.size() >= 2 && !mg.tasting) {
+        if (mg.step == 1 && mg.answeredWeight == 0 && mg.brokeAt.size() >= BREAKS) {
             mg.tasting = true;
             mg.parts.forEach(this::unhold);
         }
@@ -546,6 +560,10 @@
 
     /** All that waited for a first answer goes on. */
     private void resume(Multiget mg) {
+        if (mg.over || mg.tasting && !mg.brokeAt.isEmpty()) {
+            return;
+        }
+        mg.tasting = false;
         for (Part part : mg.parts) {
             if (!mg.over && part.open() && !part.held && !part.sendOut()) {
                 if (part.sends.isEmpty()) {
@@ -581,7 +599,7 @@
         // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is
         // due its turn.
         boolean funded = !justBack() && furtherFund >= 1 && pick(part) != null;
-        if (!part.multiget.tasting && lost && (send.server.ill || funded)) {
+        if (part.multiget.brokeAt.size() < BREAKS && lost && (send.server.ill || funded)) {
             furtherFund -= send.server.ill ? 0 : 1;
             hold(part);
             release(List.of(part.shard));
@@ -929,6 +947,10 @@
         }
         for (Server line : lines) {
             Server server = servers.computeIfAbsent(line.id, Server::new);
+            if (server.state == Server.State.LIVE && server.limit > 0
+                    && (line.state == Server.State.GONE || line.bornMs > server.bornMs)) {
+                deaths.add(now, 1);
+            }
             server.zone = line.zone;
             server.kind = line.kind;
             server.cell = line.cell;
