--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -124,7 +124,7 @@
             timetable.add(mg.clientAtMs - 2 * turnMs, mg.dues, () -> clientEnds(mg));
             double tasteMs = usualMs(mg.opType) + mg.opType.deviationMs;
             mg.tasting = mg.parts.size() > 1 && (deaths.since(now - DEATHS_MS) >= DEATHS
-                    || mg.parts.size() >= Math.max(WIDE_PARTS, WIDE * servers.size()));
+                    || mg.parts.size() >= Math.max(WIDE_PARTS, WIDE * servers.size() * partsPerCall));
             timetable.add(now + tasteMs, mg.dues, () -> resume(mg));
         }
         mg.betweenSteps = false;
@@ -404,9 +404,10 @@
     /** Under overload work is turned away before it costs anything, or all of it would be served too late. */
     private boolean admitted(Multiget mg) {
         OpType op = mg.opType;
-        // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing. That a
-        // client gives little time does not tell that it has tried before, unless it says so.
-        boolean spent = mg.clientRetry && op.lateShare == 0 && mg.clientLeftMs <= op.timeoutMs - op.budgetMs;
+        // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing, or little
+        // once its latency budget is over. That a client gives little time does not tell that it has tried
+        // before, unless it says so.
+        boolean spent = mg.clientRetry && mg.clientLeftMs <= op.timeoutMs - op.budgetMs;
         if (spent || mg.clientLeftMs < known(op) * (usualMs(op) + op.deviationMs)) {
             return false;
         }
@@ -630,8 +631,12 @@
      * low limit.
      */
     private static final double FADE_MS = 4000;
+    private static final double ZONE_FADE_MS = 12_000;
     private static final double ANSWERING_MS = 1000;
 
+    /** The pace of each zone's servers together. */
+    private final Map<String, Double> zonePaces = new LinkedHashMap<>();
+
     private boolean sound(Server server) {
         return server.state == Server.State.LIVE && !server.ill;
     }
@@ -662,7 +667,8 @@
             case ANSWERED -> {
                 notePace(server, pace);
                 learnedMs = now;
-                double waitedMs = tookMs - Math.min(tookMs, op.lightMs);
+                // Danger: what an ill server takes, or a cold one by its age, looks like queues everywhere.
+                double waitedMs = (server.ill ? 0 : warmth(server)) * (tookMs - Math.min(tookMs, op.lightMs));
                 waitDeviationMs += (Math.abs(waitedMs - waitMs) - waitDeviationMs) * LEARN;
                 waitMs += (waitedMs - waitMs) * LEARN;
                 double learn = Math.max(LEARN, 1 - known(op));
@@ -693,8 +699,10 @@
         server.garbledMs = outcome == Send.Outcome.GARBLED ? now : server.garbledMs;
     }
 
-    private static void notePace(Server server, double pace) {
-        server.pace += (Math.min(pace, 2 * FAILURE_PACE) - server.pace) * PACE_LEARN;
+    private void notePace(Server server, double pace) {
+        double noted = Math.min(pace, 2 * FAILURE_PACE);
+        server.pace += (noted - server.pace) * PACE_LEARN;
+        zonePaces.merge(server.zone, noted, (before, sample) -> before + (sample - before) * LEARN);
     }
 
     /** The pace, or what silence says: how long the oldest send waits where nothing was answered since. */
@@ -714,8 +722,12 @@
                 .filter(server -> server.state == Server.State.LIVE).toList();
         double[] paces = live.stream().mapToDouble(this::paceNow).sorted().toArray();
         double middle = paces.length == 0 ? 1 : Math.max(1, paces[paces.length / 2]);
+        // Danger: a bad way to half of the servers makes its slowness the middle. Zones are judged first, against
+        // the best of them; there are samples enough of a zone where each server is met seldom.
+        double best = zonePaces.values().stream().mapToDouble(pace -> pace).min().orElse(1);
+        zonePaces.replaceAll((zone, pace) -> pace + (1 - pace) * BEAT_MS / ZONE_FADE_MS);
         for (Server server : live) {
-            boolean ill = paceNow(server) > ILL * middle;
+            boolean ill = paceNow(server) > ILL * middle || zonePaces.getOrDefault(server.zone, 1.0) > ILL * best;
             if (ill && !server.ill) {
                 server.limit = 1;
             }
@@ -856,11 +868,16 @@
 
     /** The final answer of a multiget that is given up: pushed back only where a new try is harmless. */
     private void giveUp(Multiget mg) {
-        boolean harmless = mg.opType.repeat == OpType.Repeat.RETRIABLE || mg.step == 1 && mg.parts.stream()
-                .flatMap(part -> part.sends.stream()).allMatch(Send::neverRan);
+        OpType op = mg.opType;
+        double comebackMs = comebackMs(mg);
+        // A deduped one that may have run is pushed back where its client, told when, comes within the time.
+        boolean harmless = op.repeat == OpType.Repeat.RETRIABLE || mg.step == 1 && mg.parts.stream()
+                .flatMap(part -> part.sends.stream()).allMatch(send -> send.neverRan()
+                        || op.repeat == OpType.Repeat.DEDUPED && comebackAllowed
+                        && now + 2 * comebackMs < send.sentMs + op.dedupMs);
         mg.over = true;
         mg.answer = harmless ? Multiget.Answer.PUSHED_BACK : Multiget.Answer.FAILED;
-        mg.comebackMs = harmless ? comebackMs(mg) : 0;
+        mg.comebackMs = harmless ? comebackMs : 0;
         decisions.answers.add(mg);
         drop(mg);
     }
--- a/core/src/test/java/spartrail/coordination/Script.java
+++ b/core/src/test/java/spartrail/coordination/Script.java
@@ -25,6 +25,8 @@
     final List<OpType> opTypes = new ArrayList<>(List.of(opType));
     Coordinator coordinator;
     double now = 1000;
+    /** Whether multigets placed from here on are repeats by their clients. */
+    boolean clientRetry;
     private final StringBuilder trace = new StringBuilder();
     private final Map<Long, Multiget> multigets = new LinkedHashMap<>();
     private final Map<String, Send> sends = new LinkedHashMap<>();
@@ -73,6 +75,12 @@
         return server;
     }
 
+    static Server zoned(String id, int cell, String zone) {
+        Server server = line(id, cell, Server.State.LIVE, -1);
+        server.zone = zone;
+        return server;
+    }
+
     Script listed(boolean all, boolean fresh, Server... lines) {
         return print("list", coordinator.listed(List.of(lines), all, fresh, now));
     }
@@ -88,6 +96,7 @@
             mg.id = id;
             mg.opType = of;
             mg.clientLeftMs = leftMs;
+            mg.clientRetry = clientRetry;
             mg.arrivedMs = now;
             multigets.put(id, mg);
         } else {
--- a/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static spartrail.coordination.Script.line;
+import static spartrail.coordination.Script.zoned;
 
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -275,6 +276,35 @@
         script.place(1, 0, 1, 2).pass(50).after("1.0#0", Outcome.ANSWERED).pass(20_000).place(2, 0, 1, 2).matches("deaths");
     }
 
+    @Test
+    void aBadWayToHalfOfTheServersIsToldFromASlownessOfAll() {
+        Script script = new Script().fleet(1, 4, 4, 1);
+        script.coordinator.sends(1, false, false);
+        script.listed(true, true, zoned("s0", 0, "a"), zoned("s1", 1, "a"), zoned("s2", 2, "b"), zoned("s3", 3, "b"));
+        for (int i = 0; i < 16; i += 4) {
+            script.place(i + 1, 0).place(i + 2, 0).place(i + 3, 0).place(i + 4, 0).pass(60).afterAt("s0", Outcome.ANSWERED)
+                    .afterAt("s1", Outcome.ANSWERED).pass(740).afterAt("s2", Outcome.ANSWERED)
+                    .afterAt("s3", Outcome.ANSWERED).pass(100);
+        }
+        script.place(21, 0).place(22, 0).place(23, 0).place(24, 0).matches("zones");
+    }
+
+    @Test
+    void aRetryWhoseLatencyBudgetIsOverIsTurnedAwayAndToldWhenToComeBack() {
+        Script script = new Script().fleet(1, 1, 1, 1);
+        script.clientRetry = true;
+        script.place(script.opType, 1, 1100, 0).place(script.opType, 2, 1000, 0).matches("spent");
+    }
+
+    @Test
+    void aDedupedMultigetIsPushedBackOnlyWhereItsClientComesWithinTheTime() {
+        Script script = new Script();
+        script.opType.repeat = OpType.Repeat.DEDUPED;
+        script.opType.dedupMs = 1000;
+        script.fleet(1, 1, 1, 1).place(1, 0).place(2, 0).pass(100).after("1.0#0", Outcome.ERROR).pass(750)
+                .after("2.0#0", Outcome.ERROR).matches("deduped-back");
+    }
+
     @Test
     void theLastOfManyPartsIsCopiedEarly() {
         Script script = new Script().fleet(10, 10, 2, 1);
