--- a/core/src/main/java/spartrail/coordination/Coordinator.java
+++ b/core/src/main/java/spartrail/coordination/Coordinator.java
@@ -51,7 +51,7 @@
 
     // The three calls.
 
-    /** Where to send this multiget, or its second step: now, not yet, or never. */
+    /** Where to send this multiget: now, not yet, or never. */
     Decisions place(Multiget mg, double nowMs);
 
     /** What to do after this outcome of a send, so long after it was sent. */
@@ -64,9 +64,6 @@
 
     Decisions waited(double nowMs);
 
-    /** The answer of a streamed send has started. */
-    Decisions started(Send send, double nowMs);
-
     Decisions clientGone(Multiget mg, double nowMs);
 
     /** Lines of the list: all of it or changes only, fresh or as last held before a restart. */
--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import spartrail.model.Call;
@@ -25,9 +26,9 @@
  * All decisions of a front node.
  *
  * <p>How it is reached: through {@link Coordinator}, in this package. A caller says once what it read at
- * start, then {@link #place} for each multiget (and its second step), {@link #after} for each outcome, {@link
- * #waitMs} for the time until {@link #waited}; news come by the other calls. Each returns {@link Decisions}:
- * plain lists of what to do now.
+ * start, then {@link #place} for each multiget, {@link #after} for each outcome, {@link #waitMs} for the
+ * time until {@link #waited}; news come by the other calls. Each returns {@link Decisions}: plain lists of
+ * what to do now.
  *
  * <p>The ordinary path is {@link #place} and {@link #release}: every part joins its shard's queue under the
  * key of its multiget (deadline window, then rank hashed from the id), and leaves in key order as soon as a
@@ -109,25 +110,22 @@
     public Decisions place(Multiget mg, double nowMs) {
         begin(nowMs);
         taken.forget(now - budgetSpanMs);
-        taken.add(now, mg.parts.size() + (mg.step == 1 ? 1 : 0));
-        if (mg.step == 1) {
-            mg.clientAtMs = now + mg.clientLeftMs;
-            mg.budgetAtMs = now + mg.opType.budgetMs;
-            mg.window = (long) Math.floor(mg.budgetAtMs / WINDOW_MS);
-            mg.rank = rank(mg.id);
-            if (!admitted(mg)) {
-                mg.opType.barredMs = Math.min(mg.opType.barredMs, now);
-                giveUp(mg);
-                return decisions;
-            }
-            timetable.add(mg.budgetAtMs - 3 * turnMs, mg.dues, () -> budgetEnds(mg));
-            timetable.add(mg.clientAtMs - 2 * turnMs, mg.dues, () -> clientEnds(mg));
-            double tasteMs = usualMs(mg.opType) + mg.opType.deviationMs;
-            mg.tasting = mg.parts.size() > 1 && (deaths.since(now - DEATHS_MS) >= DEATHS
-                    || mg.parts.size() >= Math.max(WIDE_PARTS, WIDE * servers.size() * partsPerCall));
-            timetable.add(now + tasteMs, mg.dues, () -> resume(mg));
+        taken.add(now, mg.parts.size() + 1);
+        mg.clientAtMs = now + mg.clientLeftMs;
+        mg.budgetAtMs = now + mg.opType.budgetMs;
+        mg.window = (long) Math.floor(mg.budgetAtMs / WINDOW_MS);
+        mg.rank = rank(mg.id);
+        if (!admitted(mg)) {
+            mg.opType.barredMs = Math.min(mg.opType.barredMs, now);
+            giveUp(mg);
+            return decisions;
+        }
+        timetable.add(mg.budgetAtMs - 3 * turnMs, mg.dues, () -> budgetEnds(mg));
+        timetable.add(mg.clientAtMs - 2 * turnMs, mg.dues, () -> clientEnds(mg));
+        mg.tasting = mg.parts.size() > 1 && couldKill(mg);
+        if (mg.tasting) {
+            timetable.add(now + usualMs(mg.opType) + mg.opType.deviationMs, mg.dues, () -> resume(mg));
         }
-        mg.betweenSteps = false;
         for (Part part : mg.parts) {
             mg.openParts++;
             mg.openWeight += part.weight;
@@ -307,19 +305,16 @@
                 close(part);
                 part.answered = true;
                 part.multiget.answeredWeight += part.weight;
-                boolean cleared = part.multiget.tasting;
-                part.multiget.tasting = false;
+                part.multiget.brokeAt.clear();
                 unhold(part);
                 cancelSends(part);
                 answerIfDone(part.multiget);
-                if (cleared && !part.multiget.over) {
-                    resume(part.multiget);
-                }
+                resume(part.multiget);
             } else if (!part.held && !part.sendOut()) {
                 if (outcome == Send.Outcome.RESET) {
                     brokeAt(part.multiget, send.server);
                 }
-                if (!part.multiget.tasting || part.multiget.brokeAt.size() < BREAKS) {
+                if (!condemned(part.multiget)) {
                     sendFurther(part);
                 }
             }
@@ -404,8 +399,8 @@
     /** Under overload work is turned away before it costs anything, or all of it would be served too late. */
     private boolean admitted(Multiget mg) {
         OpType op = mg.opType;
-        // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing, or little
-        // once its latency budget is over. That a client gives little time does not tell that it has tried
+        // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing, or
+        // little once its budget is over. That a client gives little time does not tell that it has tried
         // before, unless it says so.
         boolean spent = mg.clientRetry && mg.clientLeftMs <= op.timeoutMs - op.budgetMs;
         if (spent || mg.clientLeftMs < known(op) * (usualMs(op) + op.deviationMs)) {
@@ -466,13 +461,6 @@
     private double budgetFree;
     private double budgetShare;
     private double furtherFund = FUND_MOST / 2;
-    private static final int BREAKS = 2;
-    private static final double WIDE = 0.25;
-    private static final int WIDE_PARTS = 32;
-    private static final double DEATHS_MS = 20_000;
-    private static final int DEATHS = 3;
-    /** Servers that died unannounced. */
-    private final Tally deaths = new Tally();
     private final Tally furtherSends = new Tally();
     private final Tally taken = new Tally();
 
@@ -546,14 +534,34 @@
         }
     }
 
+    /** Connections broken at so many servers, with nothing answered, tell of a multiget that kills them. */
+    private static final int BREAKS = 2;
+    /** One that could reach this share of the servers, by so many parts, is wide. */
+    private static final double WIDE = 0.25;
+    private static final int WIDE_PARTS = 32;
+    /** So many servers that died unannounced, in so long, tell of killers. */
+    private static final int DEATHS = 3;
+    private static final double DEATHS_MS = 20_000;
+    private final Tally deaths = new Tally();
+
     /**
-     * Danger: a multiget whose parts bring servers down, one after another, and each further send one more.
-     * Where connections broke at two servers and nothing of it is answered, what is out must tell: the first
-     * answer clears it, and with nothing out any more it is given up.
+     * Danger: a multiget whose parts bring servers down does so with its first sends, and a wide one takes
+     * the fleet along at once. A wide one, and any while servers die unannounced, sends one part first: the
+     * others follow with its answer, or after the usual time where nothing broke.
      */
+    private boolean couldKill(Multiget mg) {
+        return deaths.since(now - DEATHS_MS) >= DEATHS
+                || mg.parts.size() >= Math.max(WIDE_PARTS, WIDE * servers.size() * partsPerCall);
+    }
+
+    /** Nothing further of it is sent: what is out must tell, and with nothing out any more it is given up. */
+    private static boolean condemned(Multiget mg) {
+        return mg.tasting && mg.brokeAt.size() >= BREAKS;
+    }
+
     private void brokeAt(Multiget mg, Server server) {
         mg.brokeAt.add(server);
-        if (mg.step == 1 && mg.answeredWeight == 0 && mg.brokeAt.size() >= BREAKS) {
+        if (mg.answeredWeight == 0 && mg.brokeAt.size() >= BREAKS) {
             mg.tasting = true;
             mg.parts.forEach(this::unhold);
         }
@@ -561,7 +569,7 @@
 
     /** All that waited for a first answer goes on. */
     private void resume(Multiget mg) {
-        if (mg.over || mg.tasting && !mg.brokeAt.isEmpty()) {
+        if (mg.over || !mg.tasting || !mg.brokeAt.isEmpty()) {
             return;
         }
         mg.tasting = false;
@@ -589,8 +597,8 @@
      */
     private void overdue(Send send) {
         Part part = send.part;
-        if (!send.out() || send.streaming || part.multiget.over || !part.open()
-                || part.held || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
+        if (!send.out() || part.multiget.over || !part.open() || part.held
+                || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
             return;
         }
         // Danger: the last few parts decide when all the others are answered; there are few of them to copy.
@@ -600,7 +608,7 @@
         // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is
         // due its turn.
         boolean funded = !justBack() && furtherFund >= 1 && pick(part) != null;
-        if (part.multiget.brokeAt.size() < BREAKS && lost && (send.server.ill || funded)) {
+        if (!condemned(part.multiget) && lost && (send.server.ill || funded)) {
             furtherFund -= send.server.ill ? 0 : 1;
             hold(part);
             release(List.of(part.shard));
@@ -612,7 +620,7 @@
 
     private void cancelSends(Part part) {
         for (Send send : part.sends) {
-            if (cancelling && send.out() && !send.cancelled && !send.streaming) {
+            if (cancelling && send.out() && !send.cancelled) {
                 send.cancelled = true;
                 decisions.cancels.add(send);
             }
@@ -631,8 +639,9 @@
      * low limit.
      */
     private static final double FADE_MS = 4000;
-    private static final double ZONE_FADE_MS = 12_000;
     private static final double ANSWERING_MS = 1000;
+    /** Longer where all of a zone would be tried again at once. */
+    private static final double ZONE_FADE_MS = 12_000;
 
     /** The pace of each zone's servers together. */
     private final Map<String, Double> zonePaces = new LinkedHashMap<>();
@@ -668,7 +677,7 @@
                 notePace(server, pace);
                 learnedMs = now;
                 // Danger: what an ill server takes, or a cold one by its age, looks like queues everywhere.
-                double waitedMs = (server.ill ? 0 : warmth(server)) * (tookMs - Math.min(tookMs, op.lightMs));
+                double waitedMs = server.ill ? 0 : warmth(server) * Math.max(0, tookMs - op.lightMs);
                 waitDeviationMs += (Math.abs(waitedMs - waitMs) - waitDeviationMs) * LEARN;
                 waitMs += (waitedMs - waitMs) * LEARN;
                 double learn = Math.max(LEARN, 1 - known(op));
@@ -677,8 +686,8 @@
                 op.deviationMs = op.usualMs == 0 ? tookMs / 2
                         : op.deviationMs + (Math.abs(tookMs - op.usualMs) - op.deviationMs) * learn;
                 op.usualMs += (tookMs - op.usualMs) * step;
-                // Danger: under overload no server is idle; the figure falls quickly and rises slowly. Danger: a
-                // slow first answer would stand for it until servers are idle again.
+                // Danger: under overload no server is idle; the figure falls quickly and rises slowly. Danger:
+                // a slow first answer would stand for it until servers are idle again.
                 double lightStep = op.lightMs == 0 ? 1 : tookMs < op.lightMs ? learn : LEARN / 40;
                 op.lightMs += send.alone ? (tookMs - op.lightMs) * lightStep : 0;
                 op.lightMs = Math.min(op.lightMs, op.usualMs);
@@ -722,12 +731,13 @@
                 .filter(server -> server.state == Server.State.LIVE).toList();
         double[] paces = live.stream().mapToDouble(this::paceNow).sorted().toArray();
         double middle = paces.length == 0 ? 1 : Math.max(1, paces[paces.length / 2]);
-        // Danger: a bad way to half of the servers makes its slowness the middle. Zones are judged first, against
+        // Danger: a bad way to half of the servers makes its slowness the middle. Zones are judged against
         // the best of them; there are samples enough of a zone where each server is met seldom.
         double best = zonePaces.values().stream().mapToDouble(pace -> pace).min().orElse(1);
         zonePaces.replaceAll((zone, pace) -> pace + (1 - pace) * BEAT_MS / ZONE_FADE_MS);
         for (Server server : live) {
-            boolean ill = paceNow(server) > ILL * middle || zonePaces.getOrDefault(server.zone, 1.0) > ILL * best;
+            boolean ill = paceNow(server) > ILL * middle
+                    || zonePaces.getOrDefault(server.zone, 1.0) > ILL * best;
             if (ill && !server.ill) {
                 server.limit = 1;
             }
@@ -811,13 +821,9 @@
 
     // ---- 5. When to answer, partly answer or give up ----
 
-    private double needed(Multiget mg) {
-        return mg.step == 1 ? mg.opType.need : 1;
-    }
-
     /** The least weight that an answer may be given from. */
-    private double least(Multiget mg) {
-        return mg.opType.floor < mg.opType.need ? mg.opType.floor : needed(mg);
+    private static double least(Multiget mg) {
+        return Math.min(mg.opType.floor, mg.opType.need);
     }
 
     private boolean has(Multiget mg, double weight) {
@@ -825,45 +831,34 @@
     }
 
     private void answerIfDone(Multiget mg) {
-        if (mg.over || mg.betweenSteps) {
+        if (mg.over) {
             return;
         }
         boolean open = mg.openParts > 0;
-        if (has(mg, needed(mg)) && (mg.step == 1 || !open)) {
-            boolean whole = mg.step == 1
-                    || mg.firstStepWhole && mg.parts.stream().allMatch(part -> part.answered);
-            answer(mg, whole ? Multiget.Answer.WHOLE : Multiget.Answer.PARTIAL);
+        if (has(mg, mg.opType.need)) {
+            answer(mg, Multiget.Answer.WHOLE);
         } else if (has(mg, least(mg)) && (!open || now >= mg.budgetAtMs - 3 * turnMs)) {
             answer(mg, Multiget.Answer.PARTIAL);
-        } else {
+        } else if (mg.answeredWeight + mg.openWeight < least(mg) - ROUNDING / 2) {
             // What can still come is not enough: given up at once.
-            if (mg.answeredWeight + mg.openWeight < least(mg) - ROUNDING / 2) {
-                giveUp(mg);
-            }
+            giveUp(mg);
         }
     }
 
     private void answer(Multiget mg, Multiget.Answer answer) {
         mg.answer = answer;
         decisions.answers.add(mg);
-        if (mg.step == 1 && mg.opType.secondStepParts > 0 && mg.answeredWeight > 0) {
-            mg.firstStepWhole = answer == Multiget.Answer.WHOLE;
-            mg.betweenSteps = true;
-        } else {
-            mg.over = true;
-        }
         drop(mg);
     }
 
     /** Nothing of it is sent any more, and what is out is called back where that may be. */
     private void drop(Multiget mg) {
+        mg.over = true;
         for (Part part : mg.parts) {
             abandon(part);
             cancelSends(part);
         }
-        if (mg.over) {
-            timetable.removeAll(mg.dues);
-        }
+        timetable.removeAll(mg.dues);
     }
 
     /** The final answer of a multiget that is given up: pushed back only where a new try is harmless. */
@@ -871,11 +866,10 @@
         OpType op = mg.opType;
         double comebackMs = comebackMs(mg);
         // A deduped one that may have run is pushed back where its client, told when, comes within the time.
-        boolean harmless = op.repeat == OpType.Repeat.RETRIABLE || mg.step == 1 && mg.parts.stream()
+        boolean harmless = op.repeat == OpType.Repeat.RETRIABLE || mg.parts.stream()
                 .flatMap(part -> part.sends.stream()).allMatch(send -> send.neverRan()
                         || op.repeat == OpType.Repeat.DEDUPED && comebackAllowed
                         && now + 2 * comebackMs < send.sentMs + op.dedupMs);
-        mg.over = true;
         mg.answer = harmless ? Multiget.Answer.PUSHED_BACK : Multiget.Answer.FAILED;
         mg.comebackMs = harmless ? comebackMs : 0;
         decisions.answers.add(mg);
@@ -895,10 +889,7 @@
             return;
         }
         OpType op = mg.opType;
-        // Danger: an answer between the steps would be the final one, before the second step's parts are
-        // there.
-        if (!mg.betweenSteps && has(mg, least(mg))
-                && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
+        if (has(mg, least(mg)) && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
             answer(mg, Multiget.Answer.PARTIAL);
         } else if (op.lateShare == 0 || op.lateShare < mg.parts.stream()
                 .filter(part -> part.open() && !part.sendOut()).mapToDouble(part -> part.weight).sum()) {
@@ -913,10 +904,9 @@
         if (mg.over) {
             return;
         }
-        if (!mg.betweenSteps && has(mg, least(mg))) {
+        if (has(mg, least(mg))) {
             answer(mg, Multiget.Answer.PARTIAL);
-        }
-        if (!mg.over) {
+        } else {
             giveUp(mg);
         }
     }
@@ -925,19 +915,11 @@
     public Decisions clientGone(Multiget mg, double nowMs) {
         begin(nowMs);
         if (!mg.over) {
-            mg.over = true;
             drop(mg);
         }
         return decisions;
     }
 
-    @Override
-    public Decisions started(Send send, double nowMs) {
-        begin(nowMs);
-        send.streaming = true;
-        return decisions;
-    }
-
     // ---- 6. Following the list ----
 
     private static final double FIRST_ASK_MS = 200;
@@ -1021,6 +1003,8 @@
         }
         double keptMs = Math.max(FADE_MS, fallMs);
         servers.values().removeIf(server -> server.goneBeats * BEAT_MS > keptMs && server.out.isEmpty());
+        zonePaces.keySet().removeIf(zone -> servers.values().stream()
+                .noneMatch(server -> Objects.equals(server.zone, zone)));
     }
 
     private void follow() {
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -67,11 +67,7 @@
     }
 
     private void check() {
-        List<OpType> opTypes = opTypes();
-        coordinator(opTypes);
-        if (opTypes.stream().anyMatch(op -> op.secondStepParts > 0 || op.streamed)) {
-            throw new IllegalArgumentException("an op type with a second step or a stream has no form on these sockets");
-        }
+        coordinator(opTypes());
         if (openCap() <= 0 || sockets() <= 0 || callsPerConnection() <= 0) {
             throw new IllegalArgumentException("open-cap, sockets and streams-per-conn are above 0");
         }
--- a/node/src/main/java/spartrail/provisioning/Provisioning.java
+++ b/node/src/main/java/spartrail/provisioning/Provisioning.java
@@ -27,11 +27,12 @@
             op.lateShare = number(line, "late-share", 0);
             op.repeat = repeat(need(line, "effect", " of class " + op.name), op.name);
             op.dedupMs = 1000 * number(line, "key-ttl", 0);
-            op.streamed = Boolean.TRUE.equals(line.get("stream"));
             op.need = at(layout, "class-need", at, 1);
             op.floor = at(layout, "class-floor", at, op.need);
             op.partialShare = at(layout, "class-partial", at, 1);
-            op.secondStepParts = (int) at(layout, "fetch-parts", at, 0);
+            if (at(layout, "fetch-parts", at, 0) > 0 || flag(line, "stream")) {
+                throw new IllegalArgumentException("class " + op.name + " has a second step or a stream, which is not served");
+            }
             opTypes.add(op);
         }
         return opTypes;
