Settings are switched by SIGHUP with what was learned kept; wrong settings are one clear line

Before: SIGHUP took `discovery` only, and a number or flag of the wrong kind fell back to its default without a word. Now: settings go to the running module on its own thread; op types keep what was learned by name, servers by id, the tallies of the budget and of cold servers stay; a budget of a longer span waits until it has seen its own. Another layout, other op types or another way of discovery wait for a restart, said in one line. Tests: `switch` (module), FrontNodeTest on the loopback with stand-ins, CommandLineTest.

--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -458,6 +458,7 @@
     private boolean parallel;
     private boolean cancelling;
     private double budgetSpanMs;
+    private double budgetFromMs;
     private double budgetFree;
     private double budgetShare;
     private double furtherFund = FUND_MOST / 2;
@@ -474,6 +475,8 @@
 
     @Override
     public Coordinator furtherSendBudget(double spanMs, double free, double share) {
+        // Danger: what was sent before the old span is forgotten; a longer one waits until it has seen its own.
+        budgetFromMs = turns > 0 && spanMs > budgetSpanMs ? now + spanMs - budgetSpanMs : budgetFromMs;
         budgetSpanMs = spanMs;
         budgetFree = free;
         budgetShare = share;
@@ -484,7 +487,7 @@
     private boolean inBudget() {
         int made = furtherSends.since(now - budgetSpanMs - turnMs) + 1;
         int had = taken.since(now - budgetSpanMs + 2 * turnMs);
-        return budgetSpanMs <= 0 || made <= budgetFree + budgetShare * had;
+        return budgetSpanMs <= 0 || now >= budgetFromMs && made <= budgetFree + budgetShare * had;
     }
 
     /** Sends that a part may have by the importance of its op type against the others'. */
--- a/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -321,6 +321,19 @@
                 .pass(100).place(2, 0, 1).matches("own-gap");
     }
 
+    @Test
+    void aSwitchOfSettingsKeepsWhatIsLearnedAndWaitsForALongerBudgetSpan() {
+        Script script = new Script().fleet(1, 3, 3, 1);
+        script.coordinator.sends(4, false, true).furtherSendBudget(1000, 1, 0);
+        script.listed(false, true, line("s2", 2, Server.State.LIVE, 990));
+        // s0 cannot be reached, and the repeat at the cold s2 is its share there for the first second.
+        script.place(1, 0).after("1.0#0", Outcome.CONNECT_FAILED).pass(150);
+        script.opType.budgetMs = 1500;
+        script.coordinator.sends(4, false, true).furtherSendBudget(2000, 1, 0).coldStart(0.2, 10_000, 2, 1000);
+        script.place(2, 0).place(3, 0).place(4, 0).pass(900).after("2.0#0", Outcome.ERROR).pass(100)
+                .after("3.0#0", Outcome.ERROR).matches("switch");
+    }
+
     // ---- Odd but legal ----
 
     @Test
--- a/node/src/main/java/spartrail/cli/ServeCommand.java
+++ b/node/src/main/java/spartrail/cli/ServeCommand.java
@@ -83,8 +83,9 @@
     /** One at a time and none before the start, so that of two signals the later one's reading counts. */
     private static synchronized void reload(FrontNode node, Path path) {
         try {
-            node.reload(DeploymentFile.read(path));
-            LOG.log(System.Logger.Level.INFO, "configuration read again");
+            String waiting = node.reload(DeploymentFile.read(path));
+            LOG.log(waiting.isEmpty() ? System.Logger.Level.INFO : System.Logger.Level.WARNING, "configuration read again"
+                    + (waiting.isEmpty() ? "" : ", its settings wait for the next start: " + waiting));
         } catch (IOException | RuntimeException e) {
             LOG.log(System.Logger.Level.WARNING, "configuration not taken, the one before stays: " + e.getMessage());
         }
--- a/node/src/main/java/spartrail/front/Counters.java
+++ b/node/src/main/java/spartrail/front/Counters.java
@@ -12,6 +12,8 @@
     long overCap;
     long gone;
     volatile long lists;
+    /** Times that it went on by other settings. */
+    volatile long switches;
     final LongAdder exceptions = new LongAdder();
     final Map<Multiget.Answer, Long> answers = new EnumMap<>(Multiget.Answer.class);
     final Map<Send.Outcome, Long> outcomes = new EnumMap<>(Send.Outcome.class);
@@ -19,6 +21,6 @@
     @Override
     public String toString() {
         return "taken " + taken + ", over cap " + overCap + ", clients gone " + gone + ", answers " + answers
-                + ", outcomes " + outcomes + ", lists " + lists + ", exceptions " + exceptions;
+                + ", outcomes " + outcomes + ", lists " + lists + ", switches " + switches + ", exceptions " + exceptions;
     }
 }
--- a/node/src/main/java/spartrail/front/FrontNode.java
+++ b/node/src/main/java/spartrail/front/FrontNode.java
@@ -158,16 +158,28 @@
         return loop.counters().lists;
     }
 
+    /** How often it went on by other settings since its start. */
+    public long switchesTaken() {
+        return loop.counters().switches;
+    }
+
     public InetSocketAddress address() {
         return door.address();
     }
 
     /**
      * Goes by this configuration from now on, as far as a node that serves can: discovery moves to the address
-     * that it names. All else in it is for the next start.
+     * that it names, and the module goes on by its settings with all that it has learned of servers and op types.
+     * What the shape of the deployment rests on waits for the next start, and so do the settings then: they are
+     * those of one shape. Returns what waits; empty if all is taken.
      */
-    public void reload(DeploymentFile changed) {
+    public String reload(DeploymentFile changed) {
         io.execute(() -> watch.move(changed.discovery()));
+        String waiting = changed.waitingForAStart(deployment);
+        if (waiting.isEmpty()) {
+            loop.renew(changed);
+        }
+        return waiting;
     }
 
     /**
--- a/node/src/main/java/spartrail/front/NodeLoop.java
+++ b/node/src/main/java/spartrail/front/NodeLoop.java
@@ -29,6 +29,7 @@
 import spartrail.model.Send;
 import spartrail.model.Server;
 import spartrail.model.Timetable;
+import spartrail.provisioning.DeploymentFile;
 import spartrail.shard.PartRequest;
 import spartrail.shard.ShardPool;
 
@@ -48,8 +49,8 @@
     private final XnioIoThread io;
     private final Invariants invariants;
     private final double turnMs;
-    private final int openCap;
-    private final int mostSends;
+    private int openCap;
+    private int mostSends;
 
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final Map<String, ClientMultiget> inHand = new HashMap<>();
@@ -118,6 +119,17 @@
         queue.add(() -> answerByMs = ms);
     }
 
+    /** The module goes by these settings from the next turn on; multigets in hand keep the times they were given. */
+    void renew(DeploymentFile changed) {
+        queue.add(() -> {
+            changed.renew(coordinator, List.copyOf(opTypes.values()));
+            openCap = changed.openCap();
+            mostSends = changed.mostSends();
+            counters.switches++;
+            LOG.log(System.Logger.Level.INFO, "settings switched: " + counters + ", in hand " + inHand.size());
+        });
+    }
+
     Counters counters() {
         return counters;
     }
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -11,8 +11,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import spartrail.coordination.Coordinator;
 import spartrail.discovery.HostList;
 import spartrail.json.JsonTree;
@@ -108,6 +110,38 @@
         return Provisioning.coordinator(seed(), info, opTypes);
     }
 
+    /**
+     * What of this file a node that serves by another one cannot take before its next start: what the shape of its
+     * queues, its door and its connections rests on; empty if it can take all.
+     */
+    public String waitingForAStart(DeploymentFile running) {
+        List<String> waiting = new ArrayList<>();
+        if (!names().equals(running.names())) {
+            waiting.add("classes: found " + names() + ", served " + running.names());
+        }
+        for (String name : List.of("slabs", "sets", "width", "batch")) {
+            Object found = map(info, "family-info").get(name);
+            Object served = map(running.info, "family-info").get(name);
+            if (!Objects.equals(found, served)) {
+                waiting.add(name + ": found " + found + ", served " + served);
+            }
+        }
+        if (listAsked() != running.listAsked()) {
+            waiting.add("discovery: found " + info.get("discovery") + ", served " + running.info.get("discovery"));
+        }
+        return String.join("; ", waiting);
+    }
+
+    private List<String> names() {
+        return opTypes().stream().map(op -> op.name).toList();
+    }
+
+    /** Tells a coordinator in use, and its op types, what this file states; what they have learned stays. */
+    public void renew(Coordinator coordinator, List<OpType> opTypes) {
+        Provisioning.renew(opTypes, opTypes());
+        Provisioning.state(coordinator, info);
+    }
+
     /** Most file descriptors that the process may hold. */
     public int sockets() {
         return (int) number(map(tree, "limits"), "sockets", 1024);
--- a/node/src/main/java/spartrail/provisioning/Provisioning.java
+++ b/node/src/main/java/spartrail/provisioning/Provisioning.java
@@ -22,15 +22,20 @@
             OpType op = new OpType();
             op.name = String.valueOf(need(line, "name", " of classes"));
             op.importance = number(line, "worth", 1);
-            op.budgetMs = 1000 * number(need(line, "aim", " of class " + op.name));
-            op.timeoutMs = 1000 * number(need(line, "deadline", " of class " + op.name));
-            op.lateShare = number(line, "late-share", 0);
+            op.budgetMs = 1000 * needed(line, "aim", " of class " + op.name);
+            op.timeoutMs = 1000 * needed(line, "deadline", " of class " + op.name);
+            if (op.budgetMs > op.timeoutMs) {
+                throw new IllegalArgumentException("class " + op.name + ": found aim " + line.get("aim") + " over deadline "
+                        + line.get("deadline") + ", an aim of no more is expected");
+            }
+            op.lateShare = share(line, "late-share", 0);
             op.repeat = repeat(need(line, "effect", " of class " + op.name), op.name);
             op.dedupMs = 1000 * number(line, "key-ttl", 0);
             op.need = at(layout, "class-need", at, 1);
             op.floor = at(layout, "class-floor", at, op.need);
             op.partialShare = at(layout, "class-partial", at, 1);
-            if (at(layout, "fetch-parts", at, 0) > 0 || flag(line, "stream")) {
+            List<?> fetched = list(layout.get("fetch-parts"));
+            if (at < fetched.size() && number("fetch-parts", fetched.get(at)) > 0 || flag(line, "stream")) {
                 throw new IllegalArgumentException("class " + op.name + " has a second step or a stream, which is not served");
             }
             opTypes.add(op);
@@ -40,23 +45,50 @@
 
     public static Coordinator coordinator(long seed, Map<?, ?> info, List<OpType> opTypes) {
         Map<?, ?> layout = map(info, "family-info");
+        return state(new WindowCoordinator(new Random(seed), opTypes)
+                .layout((int) needed(layout, "slabs", " of family-info"), (int) needed(layout, "sets", " of family-info"),
+                        (int) needed(layout, "width", " of family-info"), (int) number(layout, "batch", 1)), info);
+    }
+
+    /** Tells a coordinator all that may change while it serves. */
+    static Coordinator state(Coordinator coordinator, Map<?, ?> info) {
         Map<?, ?> bounds = map(info, "bounds");
         Map<?, ?> rules = map(info, "rules");
-        return new WindowCoordinator(new Random(seed), opTypes)
-                .nodes((int) number(info, "peers-total", 1), 1000 * number(need(info, "tick", "")))
-                .layout((int) number(need(layout, "slabs", " of family-info")),
-                        (int) number(need(layout, "sets", " of family-info")),
-                        (int) number(need(layout, "width", " of family-info")), (int) number(layout, "batch", 1))
+        double spanS = number(rules, "budget-window", 0);
+        if (spanS == 0 && (rules.get("min-extra") != null || rules.get("further-ratio") != null)) {
+            throw new IllegalArgumentException("min-extra or further-ratio is there, so 'budget-window' is to be above 0;"
+                    + " found " + rules.get("budget-window"));
+        }
+        return coordinator
+                .nodes((int) number(info, "peers-total", 1), 1000 * needed(info, "tick", ""))
                 .sends((int) number(bounds, "try-limit", Integer.MAX_VALUE), flag(bounds, "parallel-tries"),
                         flag(bounds, "cancelling"))
-                .furtherSendBudget(1000 * number(rules, "budget-window", 0), number(rules, "min-extra", 0),
-                        number(rules, "further-ratio", 0))
-                .coldStart(number(rules, "cold-share", 1), 1000 * number(rules, "warm-within", 0),
+                .furtherSendBudget(1000 * spanS, number(rules, "min-extra", 0), number(rules, "further-ratio", 0))
+                .coldStart(share(rules, "cold-share", 1), 1000 * number(rules, "warm-within", 0),
                         number(rules, "tip-multiple", 1), 1000 * number(rules, "fall", 0))
                 .comeback(flag(bounds, "retry-after"), 1000 * number(bounds, "max-retry-after", 0))
                 .list("ask".equals(info.get("discovery")), 1000 * number(rules, "ask-within", 0));
     }
 
+    /**
+     * Gives op types in use what is stated of those of the same name. What was learned of them, the times of their
+     * answers, still means the same and stays.
+     */
+    static void renew(List<OpType> inUse, List<OpType> stated) {
+        for (OpType op : inUse) {
+            OpType now = stated.stream().filter(other -> other.name.equals(op.name)).findFirst().orElseThrow();
+            op.importance = now.importance;
+            op.budgetMs = now.budgetMs;
+            op.timeoutMs = now.timeoutMs;
+            op.lateShare = now.lateShare;
+            op.repeat = now.repeat;
+            op.dedupMs = now.dedupMs;
+            op.need = now.need;
+            op.floor = now.floor;
+            op.partialShare = now.partialShare;
+        }
+    }
+
     private static OpType.Repeat repeat(Object effect, String opType) {
         return switch (String.valueOf(effect)) {
             case "free" -> OpType.Repeat.RETRIABLE;
@@ -84,18 +116,42 @@
 
     private static double at(Map<?, ?> map, String name, int index, double otherwise) {
         List<?> values = list(map.get(name));
-        return index < values.size() ? number(values.get(index)) : otherwise;
+        return index < values.size() ? share(name, values.get(index)) : otherwise;
     }
 
     static boolean flag(Map<?, ?> map, String name) {
-        return Boolean.TRUE.equals(map.get(name));
+        Object value = map.get(name);
+        if (value != null && !(value instanceof Boolean)) {
+            throw new IllegalArgumentException("'" + name + "': found " + value + ", true or false is expected");
+        }
+        return Boolean.TRUE.equals(value);
     }
 
+    /** A missing number is the default; one that is there and none, or below 0, is a mistake. */
     static double number(Map<?, ?> map, String name, double otherwise) {
-        return map.get(name) instanceof Number number ? number.doubleValue() : otherwise;
+        return map.get(name) == null ? otherwise : number(name, map.get(name));
     }
 
-    private static double number(Object value) {
-        return ((Number) value).doubleValue();
+    private static double needed(Map<?, ?> map, String name, String of) {
+        return number(name + of, need(map, name, of));
+    }
+
+    private static double share(Map<?, ?> map, String name, double otherwise) {
+        return map.get(name) == null ? otherwise : share(name, map.get(name));
+    }
+
+    private static double share(String name, Object value) {
+        if (number(name, value) > 1) {
+            throw new IllegalArgumentException("'" + name + "': found " + value + ", a share of 0 to 1 is expected");
+        }
+        return number(name, value);
+    }
+
+    private static double number(String name, Object value) {
+        if (!(value instanceof Number number) || !(number.doubleValue() >= 0)) {
+            String found = value instanceof String text ? '"' + text + '"' : String.valueOf(value);
+            throw new IllegalArgumentException("'" + name + "': found " + found + ", a number of 0 or more is expected");
+        }
+        return number.doubleValue();
     }
 }
--- a/node/src/test/java/spartrail/cli/CommandLineTest.java
+++ b/node/src/test/java/spartrail/cli/CommandLineTest.java
@@ -41,7 +41,10 @@
                 check(good.replace("127.0.0.1:3000", "front:3000")), check(good.replace("\"discovery\": \"127", "\"d\": \"127")),
                 check(good.replace("\"uid\": \"s-2\"", "\"uid\": 2")), check(good.replace("\"aim\": 2.0,", "")),
                 check(good.replace("\"effect\": \"free\"", "\"effect\": \"odd\"")), check(good.replace("\"fetch-parts\": [0]", "\"fetch-parts\": [3]")),
-                check(good.replace("\"slabs\": 4", "\"slabs\": \"4\"")), run("check", folder.resolve("none").toString()))).isEqualTo("""
+                check(good.replace("\"slabs\": 4", "\"slabs\": \"4\"")),
+                check(good.replace("\"fall\": 1.0", "\"fall\": 1.0, \"further-ratio\": 0.1")),
+                check(good.replace("\"aim\": 2.0", "\"aim\": 5.0")), check(good.replace("\"late-share\": 0.3", "\"late-share\": 3")),
+                check(good.replace("\"try-limit\": 4", "\"try-limit\": -4")), check(good.replace("\"cancelling\": true", "\"cancelling\": 1")), run("check", folder.resolve("none").toString()))).isEqualTo("""
                 0 usable: node n0 on /127.0.0.1:3000, op types [orders], 4 servers known
                 2 spartrail: no JSON: Unexpected end-of-input: expected close marker for Object in line 1
                 2 spartrail: a JSON object is expected
@@ -52,7 +55,12 @@
                 2 spartrail: the settings lack 'aim' of class orders
                 2 spartrail: unknown effect 'odd' of class orders
                 2 spartrail: class orders has a second step or a stream, which is not served
-                2 spartrail: a setting is of the wrong kind
+                2 spartrail: 'slabs of family-info': found "4", a number of 0 or more is expected
+                2 spartrail: min-extra or further-ratio is there, so 'budget-window' is to be above 0; found null
+                2 spartrail: class orders: found aim 5.0 over deadline 4.0, an aim of no more is expected
+                2 spartrail: 'late-share': found 3, a share of 0 to 1 is expected
+                2 spartrail: 'try-limit': found -4, a number of 0 or more is expected
+                2 spartrail: 'cancelling': found 1, true or false is expected
                 2 spartrail: cannot read FOLDER/none""");
     }
 
--- a/node/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeTest.java
@@ -43,6 +43,12 @@
 
     /** The example's configuration on the ports of this fleet; each change is a text and what replaces it. */
     private void start(String... changes) throws IOException {
+        DeploymentFile deployment = deployment(changes);
+        node = new FrontNode(deployment, deployment.listen(), wrapping);
+        node.start();
+    }
+
+    private DeploymentFile deployment(String... changes) throws IOException {
         String text = Files.readString(Path.of("example/config.json")).replace("127.0.0.1:3000", "127.0.0.1:0")
                 .replace("127.0.0.1:8500", fleet.discoveryEndpoint());
         for (int i = 0; i < 4; i++) {
@@ -52,9 +58,7 @@
             assertThat(text).contains(changes[i]);
             text = text.replace(changes[i], changes[i + 1]);
         }
-        DeploymentFile deployment = DeploymentFile.parse(text);
-        node = new FrontNode(deployment, deployment.listen(), wrapping);
-        node.start();
+        return DeploymentFile.parse(text);
     }
 
     @AfterEach
@@ -174,6 +178,25 @@
         assertThat(client.send(UP).answer()).isEqualTo("200 ");
     }
 
+    @Test
+    void goesOnByOtherSettingsWithAllThatItHasInHandAndHasLearned() throws Exception {
+        start();
+        tell("b");
+        Client inHand = new Client().ask("a", 0);
+        assertThat(next()).isEqualTo("part a.0");
+        tell("a", "b", "c");
+        assertThat(node.reload(deployment("\"open-cap\": 187", "\"open-cap\": 3", "\"fall\": 1.0",
+                "\"fall\": 1.0, \"budget-window\": 0.1, \"min-extra\": 1, \"further-ratio\": 0.1"))).isEmpty();
+        assertThat(new Client().ask("b", 1).answer()).startsWith("503");
+        // Its copy leaves by the new budget, and what is in hand is answered.
+        assertThat(inHand.answer()).startsWith("200 {\"all_in\":true");
+        assertThat(new Client().ask("c", 1).answer()).startsWith("200 {\"all_in\":true");
+        assertThat(node.reload(deployment("\"slabs\": 4", "\"slabs\": 5", "\"open-cap\": 187", "\"open-cap\": 1")))
+                .isEqualTo("slabs: found 5, served 4");
+        assertThat(new Client().ask("c", 1).answer()).startsWith("200 {\"all_in\":true");
+        assertThat(node.switchesTaken()).isEqualTo(1);
+    }
+
     @Test
     void whatIsNoRequestGetsOnePlainRefusalAndIsTheLastOfItsConnection() throws Exception {
         // Before the start, so that a rehearsal that reached servers would be seen.
