--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -441,7 +441,7 @@
     // ---- 2. Further sends ----
 
     /** A send is overdue after the usual time and so many of its mean deviations. */
-    private static final double OVERDUE_DEVIATIONS = 3;
+    private static final double OVERDUE_DEVIATIONS = 4;
     /** Where no second copy may race, a send is given this many times longer before it is timed out. */
     private static final double LONE_PATIENCE = 2;
     /**
