--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -537,7 +537,10 @@
         }
     }
 
-    /** Connections broken at so many servers, with nothing answered, tell of a multiget that kills them. */
+    /**
+     * Connections broken at so many servers, with nothing answered, tell of a multiget that kills them; that of
+     * its first part alone does.
+     */
     private static final int BREAKS = 2;
     /** One that could reach this share of the servers, by so many parts, is wide. */
     private static final double WIDE = 0.25;
@@ -559,7 +562,7 @@
 
     /** Nothing further of it is sent: what is out must tell, and with nothing out any more it is given up. */
     private static boolean condemned(Multiget mg) {
-        return mg.tasting && mg.brokeAt.size() >= BREAKS;
+        return mg.tasting && !mg.brokeAt.isEmpty();
     }
 
     private void brokeAt(Multiget mg, Server server) {
