--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -475,7 +475,7 @@
 
     @Override
     public Coordinator furtherSendBudget(double spanMs, double free, double share) {
-        // Danger: what was sent before the old span is forgotten; a longer one waits until it has seen its own.
+        // Danger: what was sent before the old span is forgotten; a longer one waits for its own.
         budgetFromMs = turns > 0 && spanMs > budgetSpanMs ? now + spanMs - budgetSpanMs : budgetFromMs;
         budgetSpanMs = spanMs;
         budgetFree = free;
@@ -538,8 +538,8 @@
     }
 
     /**
-     * Connections broken at so many servers, with nothing answered, tell of a multiget that kills them; that of
-     * its first part alone does.
+     * Connections broken at so many servers, with nothing answered, tell of a multiget that kills them; that
+     * of its first part alone does, too.
      */
     private static final int BREAKS = 2;
     /** One that could reach this share of the servers, by so many parts, is wide. */
@@ -692,8 +692,8 @@
                 op.deviationMs = op.usualMs == 0 ? tookMs / 2
                         : op.deviationMs + (Math.abs(tookMs - op.usualMs) - op.deviationMs) * learn;
                 op.usualMs += (tookMs - op.usualMs) * step;
-                // Danger: under overload no server is idle; the figure falls quickly and rises slowly. Danger:
-                // a slow first answer would stand for it until servers are idle again.
+                // Danger: under overload no server is idle; the figure falls quickly and rises slowly.
+                // Danger: a slow first answer would stand for it until servers are idle again.
                 double lightStep = op.lightMs == 0 ? 1 : tookMs < op.lightMs ? learn : LEARN / 40;
                 op.lightMs += send.alone ? (tookMs - op.lightMs) * lightStep : 0;
                 op.lightMs = Math.min(op.lightMs, op.usualMs);
