--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -954,6 +954,7 @@
             Server server = servers.computeIfAbsent(line.id, Server::new);
             if (server.state == Server.State.LIVE && server.limit > 0
                     && (line.state == Server.State.GONE || line.bornMs > server.bornMs)) {
+                deaths.forget(now - DEATHS_MS);
                 deaths.add(now, 1);
             }
             server.zone = line.zone;
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -11,10 +11,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
+import java.util.stream.Collectors;
 import spartrail.coordination.Coordinator;
 import spartrail.discovery.HostList;
 import spartrail.json.JsonTree;
@@ -115,25 +115,24 @@
      * queues, its door and its connections rests on; empty if it can take all.
      */
     public String waitingForAStart(DeploymentFile running) {
-        List<String> waiting = new ArrayList<>();
-        if (!names().equals(running.names())) {
-            waiting.add("classes: found " + names() + ", served " + running.names());
-        }
-        for (String name : List.of("slabs", "sets", "width", "batch")) {
-            Object found = map(info, "family-info").get(name);
-            Object served = map(running.info, "family-info").get(name);
-            if (!Objects.equals(found, served)) {
-                waiting.add(name + ": found " + found + ", served " + served);
-            }
-        }
-        if (listAsked() != running.listAsked()) {
-            waiting.add("discovery: found " + info.get("discovery") + ", served " + running.info.get("discovery"));
-        }
-        return String.join("; ", waiting);
-    }
-
-    private List<String> names() {
-        return opTypes().stream().map(op -> op.name).toList();
+        Map<String, Object> found = shape();
+        Map<String, Object> served = running.shape();
+        return found.keySet().stream().filter(name -> !found.get(name).equals(served.get(name)))
+                .map(name -> name + ": found " + found.get(name) + ", served " + served.get(name))
+                .collect(Collectors.joining("; "));
+    }
+
+    private Map<String, Object> shape() {
+        Map<String, Object> shape = new LinkedHashMap<>();
+        shape.put("classes", opTypes().stream().map(op -> op.name).toList());
+        shape.put("slabs", shards());
+        shape.put("sets", cells());
+        shape.put("width", reach());
+        shape.put("batch", (int) number(map(info, "family-info"), "batch", 1));
+        // Danger: the module's margins go by the turns of the loop, which stay as they are.
+        shape.put("tick in ms", turnMs());
+        shape.put("discovery asked for", listAsked());
+        return shape;
     }
 
     /** Tells a coordinator in use, and its op types, what this file states; what they have learned stays. */
--- a/node/src/main/java/spartrail/provisioning/Provisioning.java
+++ b/node/src/main/java/spartrail/provisioning/Provisioning.java
@@ -107,7 +107,11 @@
     }
 
     static Map<?, ?> map(Map<?, ?> map, String name) {
-        return map.get(name) instanceof Map<?, ?> inner ? inner : Map.of();
+        Object value = map.get(name);
+        if (value != null && !(value instanceof Map<?, ?>)) {
+            throw new IllegalArgumentException("'" + name + "': found " + value + ", an object is expected");
+        }
+        return value == null ? Map.of() : (Map<?, ?>) value;
     }
 
     private static List<?> list(Object value) {
