--- a/core/src/main/java/spartrail/json/JsonTree.java
+++ b/core/src/main/java/spartrail/json/JsonTree.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Reads a JSON value whose form is not known beforehand: maps, lists, numbers, text, flags. */
+/** Reads a JSON value whose form is not known beforehand: maps, lists, numbers, text, flags; where the form has them, bytes. */
 public final class JsonTree {
     private JsonTree() {
     }
@@ -42,6 +42,7 @@
             case VALUE_TRUE -> true;
             case VALUE_FALSE -> false;
             case VALUE_NULL -> null;
+            case VALUE_EMBEDDED_OBJECT -> parser.getEmbeddedObject();
             default -> parser.getText();
         };
     }
--- a/core/src/main/java/spartrail/model/NodeClock.java
+++ b/core/src/main/java/spartrail/model/NodeClock.java
@@ -4,17 +4,28 @@
  * The clock of a node: Unix time in milliseconds with fractions, as it was at the start, moved on by a clock
  * that never steps. Danger: with a clock that begins at the node's start, a server that started shortly
  * before would have a negative time of birth and be taken for warm.
+ *
+ * <p>Drills let the machine's clock stand ahead or behind (property {@code spartrail.clock.aheadMs}, milliseconds) and this one
+ * run fast or slow ({@code spartrail.clock.pace}, 1 is right).
  */
 public final class NodeClock {
-    private final double startMs = System.currentTimeMillis();
+    private static final long AHEAD_MS = Long.getLong("spartrail.clock.aheadMs", 0);
+    private static final double PACE = Double.parseDouble(System.getProperty("spartrail.clock.pace", "1"));
+
+    private final double startMs = unixMs();
     private final long startNs = System.nanoTime();
 
     public double nowMs() {
-        return startMs + (System.nanoTime() - startNs) / 1e6;
+        return startMs + (System.nanoTime() - startNs) / 1e6 * PACE;
     }
 
     /** The time on this clock of a Unix time on the machine's. */
     public double at(long unixMs) {
-        return nowMs() - (System.currentTimeMillis() - unixMs);
+        return nowMs() - (unixMs() - unixMs);
+    }
+
+    /** The Unix time by the machine's clock, which may step. */
+    public static long unixMs() {
+        return System.currentTimeMillis() + AHEAD_MS;
     }
 }
--- a/core/src/main/java/spartrail/peers/PeerTalk.java
+++ b/core/src/main/java/spartrail/peers/PeerTalk.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -17,8 +18,9 @@
      *
      * @param history where a JSON line is written for each change of the view, bounded; null for nowhere
      * @param historyBytes it ends at so many bytes
+     * @param lanes whose messages travel along
      */
-    Running start(Path file, Path history, long historyBytes, Consumer<PeersView> views) throws IOException;
+    Running start(Path file, Path history, long historyBytes, Consumer<PeersView> views, List<PeerLane> lanes) throws IOException;
 
     /** Talk that has begun. */
     interface Running extends AutoCloseable {
--- a/core/src/main/java/spartrail/peers/Peers.java
+++ b/core/src/main/java/spartrail/peers/Peers.java
@@ -174,7 +174,7 @@
         this.answersMs = nowMs;
         this.answers = times.answersPerS();
         this.answersToUnknown = times.answersPerS() / 2.0;
-        this.digest = hash(self);
+        this.digest = hash(self, standing);
         seeds(seeds);
         timetable.add(nowMs, this::round);
         timetable.add(nowMs + times.roundMs() * chance.nextDouble(), this::askSuspects);
@@ -190,7 +190,9 @@
                 contacts.put(address, new Contact(address, true));
             }
         }
-        standing = addresses.stream().allMatch(self.address()::equals) && members.isEmpty() ? Standing.ALIVE : standing;
+        if (addresses.stream().allMatch(self.address()::equals) && members.isEmpty()) {
+            become(Standing.ALIVE);
+        }
     }
 
     /** The version of the settings that this node goes by has changed; others hear of it. */
@@ -673,7 +675,7 @@
             health = Math.max(0, health - 1);
         }
         if (standing == Standing.JOINING) {
-            standing = Standing.ALIVE;
+            become(Standing.ALIVE);
             event(self, Standing.JOINING, Standing.ALIVE, self.name(), "it has heard from " + member.card.name());
         }
     }
@@ -805,7 +807,7 @@
         tell(member, 0);
         member.aged(ageMs, nowMs);
         digest ^= member.hash;
-        member.hash = is.there() ? hash(card) : 0;
+        member.hash = is.there() ? hash(card, is) : 0;
         digest ^= member.hash;
         if (!is.there()) {
             Member kept = member;
@@ -969,9 +971,15 @@
     }
 
     private void reborn(Card card) {
-        digest ^= hash(self);
+        digest ^= hash(self, standing);
         self = card;
-        digest ^= hash(self);
+        digest ^= hash(self, standing);
+    }
+
+    private void become(Standing is) {
+        digest ^= hash(self, standing);
+        standing = is;
+        digest ^= hash(self, standing);
     }
 
     /** Says at once that this node ends, to as many as pass it on. */
@@ -1122,9 +1130,15 @@
         return new PeersView(self.name(), standing, doubt, atMs, there(), least, most, List.copyOf(seen), Map.copyOf(counts));
     }
 
-    private static long hash(Card card) {
+    /**
+     * Who is there, in which life and turn, and whether it has heard from anybody yet. Danger: where hundreds start at once the
+     * news that one of them has may miss a node, which would hold it for joining until the two happen to talk. Suspicions are
+     * left out, they end by themselves.
+     */
+    private static long hash(Card card, Standing standing) {
         long hash = card.name().hashCode() * 0x9E3779B97F4A7C15L ^ card.life().startMs() * 0xC2B2AE3D27D4EB4FL
-                ^ card.life().nonce() * 0x165667B19E3779F9L ^ card.turn() * 0xD6E8FEB86659FD93L;
+                ^ card.life().nonce() * 0x165667B19E3779F9L ^ card.turn() * 0xD6E8FEB86659FD93L
+                ^ (standing == Standing.JOINING ? 0x2545F4914F6CDD1DL : 0);
         hash ^= hash >>> 32;
         hash *= 0x9FB21C651E98DF25L;
         return hash ^ hash >>> 28;
--- a/lab/src/main/java/spartrail/lab/rules/PeersRules.java
+++ b/lab/src/main/java/spartrail/lab/rules/PeersRules.java
@@ -70,6 +70,12 @@
         lives[node] = null;
     }
 
+    /** A process that ran all along takes part again; it holds this. */
+    public void resumed(int node, Map<Integer, Held> holds) {
+        started(node);
+        held.get(node).putAll(holds);
+    }
+
     /** The life by which it goes. */
     public void lives(int node, Life life) {
         lives[node] = life;
--- a/lab/src/main/java/spartrail/lab/virtual/PeersScene.java
+++ b/lab/src/main/java/spartrail/lab/virtual/PeersScene.java
@@ -1,8 +1,10 @@
 package spartrail.lab.virtual;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import spartrail.lab.rules.PeersRules;
@@ -13,6 +15,8 @@
 import spartrail.peers.PeerEvent;
 import spartrail.peers.PeerTimes;
 import spartrail.peers.Peers;
+import spartrail.peers.PeersView;
+import spartrail.peers.Standing;
 
 /** Front nodes that know who of them is there, and what must hold of that; the numbers are those of {@link Peers}. */
 public class PeersScene implements World.Scene<Message> {
@@ -62,6 +66,10 @@
         }
     }
 
+    /** A node asks so many suspects a round; and each of few at least once in so many rounds. */
+    private static final int FEW_SUSPECTS = 4;
+    private static final double SUSPECT_ROUNDS = 3;
+
     private final int size;
     private final PeerTimes times;
     private final UnaryOperator<Message> planted;
@@ -75,6 +83,9 @@
     private long words;
     private long calmMessages;
     private long calmWords;
+    /** Whom each node suspects by its own verdict, since when; and whom it asked when. */
+    private final List<Map<String, Double>> suspectedMs = new ArrayList<>();
+    private final List<Map<String, Double>> askedMs = new ArrayList<>();
 
     /** What is planted may change each message that a node takes in, or drop it (null), to see whether a fault is caught. */
     public PeersScene(int size, PeerTimes times, UnaryOperator<Message> planted) {
@@ -84,6 +95,10 @@
         this.rules = new PeersRules(size);
         this.sentThisSecond = new int[size];
         this.second = new long[size];
+        for (int i = 0; i < size; i++) {
+            suspectedMs.add(new HashMap<>());
+            askedMs.add(new HashMap<>());
+        }
     }
 
     public void seedsEach(int count) {
@@ -107,6 +122,8 @@
     public Guest<Message> start(int node, int startNumber, String address, double nodeMs, RandomGenerator chance) {
         Life life = new Life(Math.round(nodeMs), chance.nextInt());
         rules.started(node);
+        suspectedMs.get(node).clear();
+        askedMs.get(node).clear();
         rules.lives(node, life);
         List<String> addresses = new ArrayList<>();
         for (int i = 0; i < Math.min(seeds, size); i++) {
@@ -124,6 +141,9 @@
     @Override
     public void sent(int node, Message message, double worldMs) {
         words += message.words().size();
+        if (message.kind() == Message.Kind.PING && !message.to().isEmpty()) {
+            askedMs.get(node).put(message.to(), worldMs);
+        }
         long now = (long) (worldMs / 1000);
         if (second[node] != now) {
             second[node] = now;
@@ -163,6 +183,11 @@
                         + event.card().turn() + "), by " + event.by() + ": " + event.why());
             }
             int other = Integer.parseInt(event.card().name().substring(1));
+            if (event.is() == Standing.SUSPECT && event.by().equals("n" + node)) {
+                suspectedMs.get(node).put(event.card().name(), worldMs);
+            } else {
+                suspectedMs.get(node).remove(event.card().name());
+            }
             if (other != node && event.is() == null) {
                 rules.forgotten(node, other);
             } else if (other != node) {
@@ -171,6 +196,23 @@
                         event.by().equals("n" + node), event.doubt()));
             }
         }
+        if (!suspectedMs.get(node).isEmpty() && peers.nextMs() > nodeMs) {
+            PeersView view = peers.view(nodeMs);
+            if (view.standing() != Standing.LEFT && view.peers().stream().filter(seen -> seen.standing() == Standing.SUSPECT).count() <= FEW_SUSPECTS) {
+                suspectsAsked(node, worldMs);
+            }
+        }
+    }
+
+    /** Danger: a suspect that is asked by nobody hears of the suspicion too late to refute it. */
+    private void suspectsAsked(int node, double worldMs) {
+        suspectedMs.get(node).forEach((other, sinceMs) -> {
+            double silentMs = worldMs - Math.max(sinceMs, askedMs.get(node).getOrDefault(other, 0.0));
+            if (silentMs > SUSPECT_ROUNDS * times.roundMs()) {
+                rules.breach(worldMs, "suspects are asked", "n" + node + " suspects " + other + " and has not asked it for "
+                        + Math.round(silentMs) + " ms");
+            }
+        });
     }
 
     /** From now on nothing is wrong and all is known. */
--- a/peers/src/main/java/spartrail/peering/DatagramTalk.java
+++ b/peers/src/main/java/spartrail/peering/DatagramTalk.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.function.Consumer;
+import spartrail.peers.PeerLane;
 import spartrail.peers.PeerTalk;
 import spartrail.peers.PeersView;
 
@@ -14,7 +16,8 @@
     }
 
     @Override
-    public Running start(Path file, Path history, long historyBytes, Consumer<PeersView> views) throws IOException {
-        return new TalkingNode(PeersFile.read(file), history == null ? null : new History(history, historyBytes), views);
+    public Running start(Path file, Path history, long historyBytes, Consumer<PeersView> views, List<PeerLane> lanes)
+            throws IOException {
+        return new TalkingNode(PeersFile.read(file), history == null ? null : new History(history, historyBytes), views, lanes);
     }
 }
--- a/peers/src/main/java/spartrail/peering/Frames.java
+++ b/peers/src/main/java/spartrail/peering/Frames.java
@@ -24,6 +24,9 @@
  *
  * <pre>
  *  frame    [version, fleet, lane, ...] crc
+ *  lane 1   text, a question of an operator
+ *  lane 2   text, a page of the reply to it
+ *  lane 3   bytes of policy, see spartrail.governing
  *  lane 0   [kind, card, standing, ageMs, to, nonce, digest, card or null, [word ...]]
  *  card     [name, address, zone, weight, program, settings, startMs, nonce, turn]
  *  word     [card, standing, ageMs, by]
@@ -55,6 +58,14 @@
 
     /** What a frame holds. */
     public record Frame(int lane, List<?> values) {
+        /** The bytes in it, where its lane has such. */
+        public byte[] bytes() throws Unusable {
+            if (values.get(3) instanceof byte[] bytes) {
+                return bytes;
+            }
+            throw new Unusable("unreadable frames");
+        }
+
         /** The peers' message in it. */
         public Message message() throws Unusable {
             try {
@@ -123,6 +134,11 @@
         return frame(fleet, lane, out -> out.writeString(text));
     }
 
+    /** Bytes of another subsystem's lane. */
+    public static byte[] bytes(String fleet, int lane, byte[] bytes) {
+        return frame(fleet, lane, out -> out.writeBinary(bytes));
+    }
+
     private interface Writing {
         void to(JsonGenerator out) throws IOException;
     }
--- a/peers/src/main/java/spartrail/peering/History.java
+++ b/peers/src/main/java/spartrail/peering/History.java
@@ -7,6 +7,7 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -79,6 +80,15 @@
         });
     }
 
+    /** A line of another subsystem's. */
+    void note(String what, String node, Map<String, ?> values) {
+        line(what, node, line -> {
+            for (Map.Entry<String, ?> value : values.entrySet()) {
+                line.writeObjectField(value.getKey(), value.getValue());
+            }
+        });
+    }
+
     private void line(String what, String node, Fields fields) {
         StringWriter text = new StringWriter();
         try (JsonGenerator line = json.createGenerator(text)) {
--- a/peers/src/main/java/spartrail/peering/PeersFile.java
+++ b/peers/src/main/java/spartrail/peering/PeersFile.java
@@ -20,7 +20,7 @@
 /** The file that tells a node how to talk to the others; its form is {@code deploy/peers.schema.json}. */
 final class PeersFile {
     private static final Set<String> NAMES = new TreeSet<>(Set.of("fleet", "name", "listen", "advertise", "seeds", "allow",
-            "operators", "zone", "weight", "settings", "times"));
+            "operators", "zone", "weight", "settings", "times", "policy"));
     private static final Set<String> TIMES = new TreeSet<>(Set.of("roundMs", "answerMs", "suspectRounds", "stoodMs", "staleMs",
             "keptMs", "mostPeers", "wordBytes", "answersPerS"));
     private static final List<String> LOOPBACK = List.of("127.0.0.0/8");
@@ -36,9 +36,14 @@
     final double weight;
     final String settings;
     final PeerTimes times;
+    private final Map<?, ?> tree;
 
     private PeersFile(Map<?, ?> tree) {
         only(tree, NAMES, "");
+        this.tree = tree;
+        if (tree.get("policy") != null && !(tree.get("policy") instanceof Map<?, ?>)) {
+            throw new IllegalArgumentException("/policy: found " + tree.get("policy") + ", an object is expected");
+        }
         fleet = named(tree, "fleet");
         name = named(tree, "name");
         listen = socket(address(text(tree, "listen"), "/listen"));
@@ -62,6 +67,11 @@
         times = times(tree.get("times") instanceof Map<?, ?> given ? given : Map.of());
     }
 
+    /** What is said to another subsystem, which reads it itself; empty where there is nothing. */
+    Map<?, ?> part(String part) {
+        return tree.get(part) instanceof Map<?, ?> said ? said : Map.of();
+    }
+
     static PeersFile read(Path path) {
         String text;
         try {
--- a/peers/src/main/java/spartrail/peering/TalkingNode.java
+++ b/peers/src/main/java/spartrail/peering/TalkingNode.java
@@ -8,11 +8,13 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import spartrail.model.NodeClock;
@@ -20,6 +22,7 @@
 import spartrail.peers.Life;
 import spartrail.peers.Outgoing;
 import spartrail.peers.PeerEvent;
+import spartrail.peers.PeerLane;
 import spartrail.peers.PeerTalk;
 import spartrail.peers.Peers;
 import spartrail.peers.PeersView;
@@ -42,6 +45,7 @@
     private final PeersFile file;
     private final History history;
     private final Consumer<PeersView> views;
+    private final List<PeerLane> lanes;
     private final NodeClock clock = new NodeClock();
     private final DatagramChannel channel;
     private final Selector selector;
@@ -52,17 +56,19 @@
     private final ByteBuffer in = ByteBuffer.allocate(LONGEST);
     private PeersView last;
     private Card told;
-    private long sentBytes;
-    private long sent;
+    private final AtomicLong sentBytes = new AtomicLong();
+    private final AtomicLong sent = new AtomicLong();
+    private final AtomicLong unsent = new AtomicLong();
     private long received;
     private int lines;
     private double linesFromMs;
     private volatile boolean ended;
 
-    TalkingNode(PeersFile file, History history, Consumer<PeersView> views) throws IOException {
+    TalkingNode(PeersFile file, History history, Consumer<PeersView> views, List<PeerLane> lanes) throws IOException {
         this.file = file;
         this.history = history;
         this.views = views;
+        this.lanes = lanes;
         this.selector = Selector.open();
         this.channel = DatagramChannel.open();
         try {
@@ -78,13 +84,62 @@
         RandomGenerator chance = RandomGenerator.of("L64X128MixRandom");
         String program = TalkingNode.class.getPackage().getImplementationVersion();
         Card self = new Card(file.name, file.advertise, file.zone, file.weight, program == null ? "" : program, file.settings,
-                new Life(System.currentTimeMillis(), chance.nextInt()), 0);
+                new Life(NodeClock.unixMs(), chance.nextInt()), 0);
         this.peers = new Peers(self, file.seeds, file.times, chance, clock.nowMs());
+        lanes.forEach(lane -> lane.begin(carrier(lane.number())));
         this.thread = new Thread(this, "spartrail-peers");
         thread.setDaemon(true);
         thread.start();
     }
 
+    /** Called on other threads, too. */
+    private PeerLane.Carrier carrier(int lane) {
+        return new PeerLane.Carrier() {
+            @Override
+            public String name() {
+                return file.name;
+            }
+
+            @Override
+            public String fleet() {
+                return file.fleet;
+            }
+
+            @Override
+            public boolean operator(String address) {
+                return file.operators.test(address);
+            }
+
+            @Override
+            public Map<?, ?> told(String part) {
+                return file.part(part);
+            }
+
+            @Override
+            public void send(String address, byte[] bytes) {
+                if (file.allowed.test(address) || file.operators.test(address)) {
+                    write(Frames.bytes(file.fleet, lane, bytes), PeersFile.socket(address));
+                }
+            }
+
+            @Override
+            public void note(String what, Map<String, ?> fields) {
+                if (history != null) {
+                    history.note(what, file.name, fields);
+                }
+            }
+        };
+    }
+
+    private PeerLane lane(int number) {
+        for (PeerLane lane : lanes) {
+            if (lane.number() == number) {
+                return lane;
+            }
+        }
+        return null;
+    }
+
     @Override
     public void run() {
         LOG.log(System.Logger.Level.INFO, "talks to other nodes as " + file.name + " on " + file.listen + ", "
@@ -143,6 +198,8 @@
                 if (frame.values().get(3) instanceof String question) {
                     Replies.to(question, peers.view(clock.nowMs()), counts(), file.fleet, page -> write(page, sender));
                 }
+            } else if (lane(frame.lane()) != null) {
+                lane(frame.lane()).heard(source, frame.bytes());
             } else {
                 count("frames of unknown lanes");
             }
@@ -155,10 +212,10 @@
     private void write(byte[] bytes, InetSocketAddress to) {
         try {
             channel.send(ByteBuffer.wrap(bytes), to);
-            sent++;
-            sentBytes += bytes.length;
+            sent.incrementAndGet();
+            sentBytes.addAndGet(bytes.length);
         } catch (IOException e) {
-            count("datagrams not sent");
+            unsent.incrementAndGet();
         }
     }
 
@@ -196,6 +253,7 @@
             LOG.log(System.Logger.Level.INFO, view.doubt().isEmpty() ? "no longer in doubt of itself" : "in doubt: " + view.doubt());
         }
         last = view;
+        lanes.forEach(lane -> lane.seen(view));
         if (changed) {
             views.accept(view);
         }
@@ -224,8 +282,9 @@
     private Map<String, Long> counts() {
         Map<String, Long> counts = new TreeMap<>(dropped);
         counts.put("datagrams received", received);
-        counts.put("datagrams sent", sent);
-        counts.put("bytes sent", sentBytes);
+        counts.put("datagrams sent", sent.get());
+        counts.put("datagrams not sent", unsent.get());
+        counts.put("bytes sent", sentBytes.get());
         if (history != null) {
             counts.put("history lines left out", history.leftOut());
         }
