--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -116,7 +116,7 @@
         mg.window = (long) Math.floor(mg.budgetAtMs / WINDOW_MS);
         mg.rank = rank(mg.id);
         if (!admitted(mg)) {
-            mg.opType.barredMs = Math.min(mg.opType.barredMs, now);
+            mg.opType.learned.barredMs = Math.min(mg.opType.learned.barredMs, now);
             giveUp(mg);
             return decisions;
         }
@@ -124,7 +124,8 @@
         timetable.add(mg.clientAtMs - 2 * turnMs, mg.dues, () -> clientEnds(mg));
         mg.tasting = mg.parts.size() > 1 && couldKill(mg);
         if (mg.tasting) {
-            timetable.add(now + usualMs(mg.opType) + mg.opType.deviationMs, mg.dues, () -> resume(mg));
+            double usuallyMs = usualMs(mg.opType) + mg.opType.learned.deviationMs;
+            timetable.add(now + usuallyMs, mg.dues, () -> resume(mg));
         }
         for (Part part : mg.parts) {
             mg.openParts++;
@@ -283,7 +284,7 @@
         }
         part.sends.add(send);
         decisions.sends.add(send);
-        timetable.add(now + usualMs(mg.opType) + mg.opType.deviationMs, mg.dues, () -> overdue(send));
+        timetable.add(now + usualMs(mg.opType) + mg.opType.learned.deviationMs, mg.dues, () -> overdue(send));
     }
 
     @Override
@@ -342,7 +343,7 @@
         if ((outcome == Send.Outcome.FULL || timedOut) && send.sentMs >= server.halvedMs) {
             server.limit = Math.max(1, server.limit / 2);
             server.halvedMs = now;
-        } else if (outcome == Send.Outcome.ANSWERED && tookMs <= USUAL * op.lightMs
+        } else if (outcome == Send.Outcome.ANSWERED && tookMs <= USUAL * op.learned.lightMs
                 && server.out.size() + 1 >= server.limit) {
             server.limit++;
         }
@@ -403,7 +404,7 @@
         // little once its budget is over. That a client gives little time does not tell that it has tried
         // before, unless it says so.
         boolean spent = mg.clientRetry && mg.clientLeftMs <= op.timeoutMs - op.budgetMs;
-        if (spent || mg.clientLeftMs < known(op) * (usualMs(op) + op.deviationMs)) {
+        if (spent || mg.clientLeftMs < known(op) * (usualMs(op) + op.learned.deviationMs)) {
             return false;
         }
         double delayMs = 0;
@@ -412,20 +413,20 @@
         }
         double patience = LEAST_PATIENCE + (1 - LEAST_PATIENCE) * standing(op);
         if (delayMs > 0) {
-            return delayMs + known(op) * (usualMs(op) + 2 * op.deviationMs)
+            return delayMs + known(op) * (usualMs(op) + 2 * op.learned.deviationMs)
                     <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
         }
         // Danger: of many nodes none holds anything, and the queues that all of them make at the servers turn
         // nobody away. What answers of any op type take beyond the light time tells of those queues. Danger:
         // where nothing is admitted nothing is learned; what was seen fades with its age.
         double fresh = 1 - Math.min(1, (now - learnedMs) / EVIDENCE_MS);
-        return known(op) * op.lightMs + (waitMs + waitDeviationMs) * fresh
+        return known(op) * op.learned.lightMs + (waitMs + waitDeviationMs) * fresh
                 <= Math.min(patience * op.budgetMs, mg.clientLeftMs);
     }
 
     // Danger: an op type turned away teaches nothing of itself; what was seen of it fades meanwhile.
     private double known(OpType op) {
-        return 1 - Math.min(1, Math.max(0, now - op.barredMs) / FADE_MS);
+        return 1 - Math.min(1, Math.max(0, now - op.learned.barredMs) / FADE_MS);
     }
 
     private double delayOf(Shard shard) {
@@ -520,12 +521,13 @@
     }
 
     private double usualMs(OpType op) {
-        return op.usualMs > 0 ? op.usualMs : op.budgetMs / 8;
+        return op.learned.usualMs > 0 ? op.learned.usualMs : op.budgetMs / 8;
     }
 
     private double patienceMs(Part part) {
         OpType op = part.multiget.opType;
-        return usualMs(op) + OVERDUE_DEVIATIONS * (op.usualMs > 0 ? op.deviationMs : op.budgetMs / 16);
+        return usualMs(op)
+                + OVERDUE_DEVIATIONS * (op.learned.usualMs > 0 ? op.learned.deviationMs : op.budgetMs / 16);
     }
 
     /** A part with no send out goes back to its place in the queue, or is lost to its multiget. */
@@ -683,20 +685,21 @@
                 notePace(server, pace);
                 learnedMs = now;
                 // Danger: what an ill server takes, or a cold one by its age, looks like queues everywhere.
-                double waitedMs = server.ill ? 0 : warmth(server) * Math.max(0, tookMs - op.lightMs);
+                double waitedMs = server.ill ? 0 : warmth(server) * Math.max(0, tookMs - op.learned.lightMs);
                 waitDeviationMs += (Math.abs(waitedMs - waitMs) - waitDeviationMs) * LEARN;
                 waitMs += (waitedMs - waitMs) * LEARN;
                 double learn = Math.max(LEARN, 1 - known(op));
-                op.barredMs = Double.MAX_VALUE;
-                double step = op.usualMs == 0 ? 1 : learn;
-                op.deviationMs = op.usualMs == 0 ? tookMs / 2
-                        : op.deviationMs + (Math.abs(tookMs - op.usualMs) - op.deviationMs) * learn;
-                op.usualMs += (tookMs - op.usualMs) * step;
+                OpType.Learned of = op.learned;
+                of.barredMs = Double.MAX_VALUE;
+                double step = of.usualMs == 0 ? 1 : learn;
+                of.deviationMs = of.usualMs == 0 ? tookMs / 2
+                        : of.deviationMs + (Math.abs(tookMs - of.usualMs) - of.deviationMs) * learn;
+                of.usualMs += (tookMs - of.usualMs) * step;
                 // Danger: under overload no server is idle; the figure falls quickly and rises slowly.
                 // Danger: a slow first answer would stand for it until servers are idle again.
-                double lightStep = op.lightMs == 0 ? 1 : tookMs < op.lightMs ? learn : LEARN / 40;
-                op.lightMs += send.alone ? (tookMs - op.lightMs) * lightStep : 0;
-                op.lightMs = Math.min(op.lightMs, op.usualMs);
+                double lightStep = of.lightMs == 0 ? 1 : tookMs < of.lightMs ? learn : LEARN / 40;
+                of.lightMs += send.alone ? (tookMs - of.lightMs) * lightStep : 0;
+                of.lightMs = Math.min(of.lightMs, of.usualMs);
             }
             // Danger: a server that loses half of its parts and answers the rest quickly looks well by its
             // answers.
@@ -728,7 +731,7 @@
         Send oldest = server.out.iterator().next();
         double silentMs = now - Math.max(oldest.sentMs, server.lastAnswerMs);
         OpType op = oldest.part.multiget.opType;
-        return Math.max(server.pace, silentMs / (usualMs(op) + op.deviationMs));
+        return Math.max(server.pace, silentMs / (usualMs(op) + op.learned.deviationMs));
     }
 
     /** Judged against the middle server: a slowdown of all is no outage of some. */
@@ -816,8 +819,8 @@
      * busiest is so by chance.
      */
     private void learnWarmParts() {
-        coreParts = 1 / opTypes.stream().mapToDouble(op -> op.lightMs > 0 ? op.lightMs : usualMs(op)).max()
-                .orElse(1);
+        coreParts = 1 / opTypes.stream()
+                .mapToDouble(op -> op.learned.lightMs > 0 ? op.learned.lightMs : usualMs(op)).max().orElse(1);
         DoubleSummaryStatistics rates = servers.values().stream()
                 .filter(server -> sound(server) && !cold(server)).mapToDouble(server -> server.answerRate)
                 .summaryStatistics();
--- /dev/null
+++ b/core/src/main/java/spartrail/policy/PolicyLeader.java
@@ -0,0 +1,125 @@
+package spartrail.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import spartrail.policy.PolicyLog.Entry;
+import spartrail.policy.PolicyLog.Stage;
+
+/**
+ * What the leading one of the deciding nodes does: it gathers what nodes say of the open proposal, and moves the log on.
+ *
+ * <p>A node is told what holds only by a read of the log that a majority has confirmed after it asked. So whoever was told of
+ * the version before alone had asked before {@code DECIDE} was applied here, and its lease is over {@link PolicyTimes#overMs}
+ * later: no list of leases is needed, none can be lost with a leader. A new leader counts from when it leads.
+ *
+ * <ol>
+ * <li>{@code DECIDE} is asked for only once everybody that is there, and everybody that may still hold a lease, has said that
+ *     it can apply the version; one no refuses it.
+ * <li>{@code HOLD} is asked for only when {@code overMs} have passed since this node, as the leader, knew of {@code DECIDE}.
+ * </ol>
+ */
+public final class PolicyLeader {
+    private static final int MOST_NODES = 1024;
+
+    private record Vote(long number, String no) {
+    }
+
+    private final PolicyTimes times;
+    private final Map<String, Vote> votes = new HashMap<>();
+    private final Map<String, Double> leaseMs = new HashMap<>();
+    private boolean leads;
+    private long knownNumber;
+    private Stage known;
+    private double knownMs;
+    private long askedFor;
+    private double askedForMs;
+
+    public PolicyLeader(PolicyTimes times) {
+        this.times = times;
+    }
+
+    /** Whether this node leads now; whoever begins to has heard nobody yet. */
+    public void leads(boolean leading) {
+        if (leading != leads) {
+            leads = leading;
+            known = null;
+            votes.clear();
+            leaseMs.clear();
+        }
+    }
+
+    /** A node has asked; the lease that it is about to get may last so long at the most. */
+    public void asked(Ask ask, double nowMs) {
+        if (leads && (leaseMs.containsKey(ask.name()) || leaseMs.size() < MOST_NODES)) {
+            leaseMs.put(ask.name(), nowMs + times.overMs());
+            votes.put(ask.name(), new Vote(ask.vote(), ask.no()));
+        }
+    }
+
+    /** What is to be appended to the log now, if anything; {@code there} names the nodes that are there. */
+    public Op due(PolicyLog log, Collection<String> there, double nowMs) {
+        Entry open = log.open();
+        if (!leads || open == null) {
+            known = null;
+            return null;
+        }
+        if (known != open.stage() || knownNumber != open.number()) {
+            known = open.stage();
+            knownNumber = open.number();
+            knownMs = nowMs;
+            askedFor = -1;
+        }
+        if (askedFor == log.applied() && nowMs - askedForMs < times.askMs()) {
+            return null;
+        }
+        Op op = open.stage() == Stage.DECIDED ? held(open, nowMs) : decided(open, there, nowMs);
+        if (op != null) {
+            askedFor = log.applied();
+            askedForMs = nowMs;
+        }
+        return op;
+    }
+
+    private Op held(Entry open, double nowMs) {
+        return nowMs - knownMs < times.overMs() ? null : new Op(Op.Kind.HOLD, open.number(), "", "", "");
+    }
+
+    private Op decided(Entry open, Collection<String> there, double nowMs) {
+        TreeSet<String> missing = new TreeSet<>(there);
+        leaseMs.forEach((name, untilMs) -> {
+            if (untilMs > nowMs) {
+                missing.add(name);
+            }
+        });
+        for (String name : new ArrayList<>(missing)) {
+            Vote vote = votes.get(name);
+            if (vote != null && vote.number() == open.number()) {
+                if (!vote.no().isEmpty()) {
+                    return new Op(Op.Kind.REFUSE, open.number(), vote.no(), name, "");
+                }
+                missing.remove(name);
+            }
+        }
+        // Danger: a leader of a moment ago has heard of nobody yet, and would decide for nodes that cannot apply it.
+        if (missing.isEmpty() && nowMs - knownMs >= times.askMs()) {
+            return new Op(Op.Kind.DECIDE, open.number(), "", "", "");
+        }
+        return nowMs - knownMs < times.prepareMs() ? null : new Op(Op.Kind.REFUSE, open.number(), "said nothing in "
+                + Math.round(times.prepareMs()) + " ms", String.join(", ", new ArrayList<>(missing).subList(0, Math.min(5, missing.size()))), "");
+    }
+
+    /** Until when it still counts a node's lease, by name, and what the node last said: for operators. */
+    public List<String> asking(double nowMs) {
+        List<String> names = new ArrayList<>();
+        leaseMs.forEach((name, untilMs) -> {
+            if (untilMs > nowMs) {
+                names.add(name);
+            }
+        });
+        return names.stream().sorted().toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/spartrail/policy/PolicyTalk.java
@@ -0,0 +1,44 @@
+package spartrail.policy;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import spartrail.peers.PeerLane;
+
+/**
+ * How a node takes part in versions of policy, found by the service loader; on the class path only where it is asked for.
+ */
+public interface PolicyTalk {
+    /**
+     * Begins to take part on a thread of its own.
+     *
+     * @param state the folder of what a deciding node must not forget
+     */
+    Running start(Path state, Host host) throws IOException;
+
+    /** What it needs of the node. Called on its thread; none of these may wait for long. */
+    interface Host {
+        /** The clock by which the node decides. */
+        double nowMs();
+
+        /** What of the node's own settings policy may change. */
+        Terms own();
+
+        /** Tries these terms out of the way of all that is served; why they cannot be gone by, or empty. */
+        String rehearse(Terms terms);
+
+        /** The node goes by this from now on. */
+        void rule(Ruling ruling);
+    }
+
+    /** A part that has been begun. */
+    interface Running extends PeerLane, AutoCloseable {
+        /** The node's own settings are others now. */
+        void own(Terms changed);
+
+        /** Waits until the node knows by what to decide. */
+        void awaitRuling() throws InterruptedException;
+
+        @Override
+        void close();
+    }
+}
--- a/core/src/test/java/spartrail/coordination/Script.java
+++ b/core/src/test/java/spartrail/coordination/Script.java
@@ -41,9 +41,9 @@
         opType.need = 1;
         opType.floor = 1;
         opType.partialShare = 0.9;
-        opType.usualMs = 100;
-        opType.lightMs = 100;
-        opType.deviationMs = 20;
+        opType.learned.usualMs = 100;
+        opType.learned.lightMs = 100;
+        opType.learned.deviationMs = 20;
     }
 
     /** A further op type, of three times the importance. */
--- a/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -366,8 +366,8 @@
     @Test
     void whatFirstAnswersTookDoesNotTurnAnOpTypeAwayForGood() {
         Script script = new Script();
-        script.opType.usualMs = 1990;
-        script.opType.lightMs = 1100;
+        script.opType.learned.usualMs = 1990;
+        script.opType.learned.lightMs = 1100;
         script.fleet(1, 2, 2, 1).place(1, 0).pass(1500).place(2, 0).pass(100).after("2.0#0", Outcome.ANSWERED)
                 .place(3, 0).pass(100).after("3.0#0", Outcome.ANSWERED).pass(800).place(4, 0).pass(100)
                 .after("4.0#0", Outcome.ANSWERED).place(5, 0).matches("barred");
@@ -376,7 +376,7 @@
     @Test
     void theLightTimeFallsWithTheUsualTimeWhereNoServerIsIdle() {
         Script script = new Script();
-        script.opType.lightMs = 1100;
+        script.opType.learned.lightMs = 1100;
         script.fleet(1, 1, 1, 1).place(1, 0).pass(500).place(2, 0).place(3, 0).pass(100).after("3.0#0", Outcome.ANSWERED)
                 .place(4, 0).matches("light");
     }
--- a/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
+++ b/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
@@ -34,9 +34,18 @@
         COMMANDS.put("nodes replay", NodesReplay::new);
         COMMANDS.put("nodes planted", NodesPlanted::new);
         COMMANDS.put("nodes figures", NodesFigures::new);
+        COMMANDS.put("nodes model", NodesModel::new);
         COMMANDS.put("peers show", () -> new PeersShow(PeersShow.What.SHOW));
         COMMANDS.put("peers watch", () -> new PeersShow(PeersShow.What.WATCH));
         COMMANDS.put("peers explain", PeersExplain::new);
+        COMMANDS.put("policy found", PolicyFound::new);
+        COMMANDS.put("policy propose", PolicyPropose::new);
+        COMMANDS.put("policy abort", () -> new PolicyOrder(PolicyOrder.What.ABORT));
+        COMMANDS.put("policy rollback", () -> new PolicyOrder(PolicyOrder.What.ROLLBACK));
+        COMMANDS.put("policy show", () -> new PolicyShow(PolicyShow.What.SHOW));
+        COMMANDS.put("policy history", () -> new PolicyShow(PolicyShow.What.HISTORY));
+        COMMANDS.put("policy who", () -> new PolicyShow(PolicyShow.What.WHO));
+        COMMANDS.put("policy diff", PolicyDiff::new);
         COMMANDS.put("drill list", DrillList::new);
         COMMANDS.put("drill run", DrillRun::new);
         COMMANDS.put("completion", Completion::new);
--- a/lab/src/main/java/spartrail/lab/cli/NodesExplore.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesExplore.java
@@ -4,6 +4,7 @@
 import org.kohsuke.args4j.Option;
 import spartrail.lab.virtual.Exploration;
 import spartrail.lab.virtual.PeersTrial;
+import spartrail.lab.virtual.PolicyTrial;
 
 /** Plays many seeds on the virtual network and shows what broke. */
 final class NodesExplore extends Command {
@@ -24,8 +25,31 @@
         return "plays many seeds of nodes and faults on a virtual network; status 1 where a rule of peers was broken";
     }
 
+    @Option(name = "--policy", usage = "nodes that go by versions of policy")
+    private boolean policy;
+
+    private int policy(PrintStream out, PrintStream err) {
+        long startNs = System.nanoTime();
+        PolicyTrial.Result result = PolicyTrial.explore(from, seeds, most, done -> {
+            if (done % 1000 == 0) {
+                err.println(done + " of " + seeds + " seeds");
+            }
+        });
+        out.printf("seeds %d to %d, 3 to %d nodes: %d messages, %d versions that took hold, %d changes of what a node goes by, hash %016x, "
+                + "%.0f s%n", from, from + seeds - 1, most, result.messages(), result.versions(), result.changes(), result.hash(),
+                (System.nanoTime() - startNs) / 1e9);
+        out.println(result.found().size() + " seeds broke a rule");
+        result.found().entrySet().stream().limit(20).forEach(found -> out.println("  seed " + found.getKey() + ", " + found.getValue()));
+        result.found().keySet().stream().findFirst().ifPresent(seed -> out.print("the shortest script found for the first: "
+                + PolicyTrial.drawn(seed, most).shrunk().script()));
+        return result.found().isEmpty() ? 0 : 1;
+    }
+
     @Override
     int run(PrintStream out, PrintStream err) {
+        if (policy) {
+            return policy(out, err);
+        }
         long startNs = System.nanoTime();
         long[] toldNs = {startNs};
         Exploration.Result result = Exploration.of(from, seeds, least, most, done -> {
--- a/lab/src/main/java/spartrail/lab/cli/NodesPlanted.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesPlanted.java
@@ -10,12 +10,15 @@
     @Option(name = "--seeds", metaVar = "N", usage = "seeds 1 to N, until one finds the fault (default 300)")
     private long seeds = 300;
 
-    @Option(name = "--most", metaVar = "NODES", usage = "3 to so many nodes (default 30)")
-    private int most = 30;
+    @Option(name = "--most", metaVar = "NODES", usage = "3 to so many nodes (default 60)")
+    private int most = 60;
+
+    @Option(name = "--policy", usage = "in the source of versions of policy")
+    private boolean policy;
 
     @Override
     String summary() {
-        return "plants faults in the peers' source, one at a time, and shows which seed and rule finds each; status 1 if one is missed";
+        return "plants faults in the source, one at a time, and shows which seed and rule finds each; status 1 if one is missed";
     }
 
     @Override
@@ -24,7 +27,8 @@
         out.printf("| %-50s | %5s | %5s | %-24s |%n|%s|%n", "planted", "seed", "nodes", "rule that found it",
                 "-".repeat(52) + "|" + "-".repeat(7) + "|" + "-".repeat(7) + "|" + "-".repeat(26));
         boolean all = true;
-        for (Plants.Caught caught : Plants.play(Path.of(root == null ? "." : root), 1, seeds, most)) {
+        for (Plants.Caught caught : Plants.play(Path.of(root == null ? "." : root), policy ? Plants.POLICY : Plants.ALL, 1, seeds,
+                most)) {
             all &= caught.caught();
             out.printf("| %-50s | %5s | %5s | %-24s |%n", caught.plant().name(), caught.seed(), caught.size(),
                     caught.caught() ? caught.rule() : "NOT FOUND");
--- a/lab/src/main/java/spartrail/lab/cli/NodesReplay.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesReplay.java
@@ -5,6 +5,7 @@
 import org.kohsuke.args4j.Option;
 import spartrail.lab.virtual.Exploration;
 import spartrail.lab.virtual.PeersTrial;
+import spartrail.lab.virtual.PolicyTrial;
 import spartrail.peers.PeerTimes;
 
 /** Shows all that happens in a seed, shrunk where it breaks a rule. */
@@ -26,8 +27,19 @@
         return "plays one seed of the virtual network and shows each fault and each change of a view";
     }
 
+    @Option(name = "--policy", usage = "a seed of nodes that go by versions of policy")
+    private boolean policy;
+
     @Override
     int run(PrintStream out, PrintStream err) {
+        if (policy) {
+            PolicyTrial trial = whole ? PolicyTrial.drawn(seed, most) : PolicyTrial.drawn(seed, most).shrunk();
+            out.print(trial.script());
+            PolicyTrial.Outcome outcome = trial.play(true);
+            outcome.log().forEach(out::println);
+            out.printf("hash %016x, %d messages%n", outcome.hash(), outcome.messages());
+            return outcome.breaches().isEmpty() ? 0 : 1;
+        }
         PeersTrial trial = whole ? PeersTrial.drawn(seed, least, most) : Exploration.shrunk(seed, least, most);
         out.print(trial.script());
         PeersTrial.Outcome outcome = trial.play(PeerTimes.USUAL, true);
--- a/lab/src/main/java/spartrail/lab/cli/NodesRun.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesRun.java
@@ -68,10 +68,9 @@
             return broken.isEmpty() ? 0 : 1;
         } finally {
             if (folder == null) {
-                try (var files = Files.list(work)) {
-                    files.forEach(each -> each.toFile().delete());
+                try (var files = Files.walk(work)) {
+                    files.sorted(java.util.Comparator.reverseOrder()).forEach(each -> each.toFile().delete());
                 }
-                Files.deleteIfExists(work);
             }
         }
     }
@@ -90,13 +89,7 @@
     }
 
     private void keep(List<History.Line> lines, Rig.Outcome outcome, NodesPlan plan) throws IOException {
-        StringBuilder text = new StringBuilder();
-        for (History.Line line : lines) {
-            ObjectNode tree = line.node() < 0 ? Document.JSON.createObjectNode().put("ns", line.ns()).put("what", line.what())
-                    .put("node", "rig").setAll((ObjectNode) line.tree()) : (ObjectNode) line.tree();
-            text.append(Document.JSON.writeValueAsString(tree)).append('\n');
-        }
-        Files.writeString(folder.resolve("history.jsonl"), text);
+        Files.writeString(folder.resolve("history.jsonl"), outcome.history().text());
         JsonNode report = outcome.load() == null ? Document.JSON.createObjectNode() : outcome.load();
         Files.writeString(folder.resolve("report.json"), report.toPrettyString());
         Files.writeString(folder.resolve("nodes.svg"), Picture.of(lines, plan.nodes()));
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/cli/PolicyPropose.java
@@ -0,0 +1,69 @@
+package spartrail.lab.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import spartrail.governing.Operator;
+import spartrail.lab.file.BadInput;
+import spartrail.policy.Op;
+import spartrail.policy.Terms;
+
+/** Proposes a version of policy, or asks every node what it would change there. */
+final class PolicyPropose extends PolicyAt {
+    @Argument(required = true, metaVar = "FILE", usage = "the version; deploy/policy.schema.json has its form")
+    private Path file;
+
+    @Option(name = "--dry-run", usage = "propose nothing: ask every node whether it could apply it, and what would change")
+    private boolean dryRun;
+
+    @Option(name = "--wait", usage = "until it holds or is refused; status 0 only if it holds")
+    private boolean wait;
+
+    @Option(name = "--who", metaVar = "NAME", usage = "who proposes it, for the history (default: the user's name)")
+    private String who = System.getProperty("user.name");
+
+    @Option(name = "--json", usage = "one JSON object")
+    private boolean json;
+
+    @Override
+    String summary() {
+        return "proposes a version of policy: it takes hold at all nodes, or at none";
+    }
+
+    @Override
+    int run(PrintStream out, PrintStream err) throws Exception {
+        String settings;
+        try {
+            settings = Terms.parse(Files.readString(file)).json();
+        } catch (IOException e) {
+            throw new BadInput("cannot read " + file);
+        } catch (IllegalArgumentException e) {
+            throw new BadInput(file + ": " + e.getMessage());
+        }
+        try (Operator operator = operator()) {
+            return dryRun ? tried(operator, settings, out) : ordered(operator, Op.Kind.PROPOSE, 0, settings, who, wait, json, out, err);
+        }
+    }
+
+    private int tried(Operator operator, String settings, PrintStream out) throws IOException {
+        boolean good = true;
+        for (Map.Entry<String, String> node : nodes().entrySet()) {
+            String said;
+            try {
+                said = operator.check(node.getValue(), settings);
+            } catch (IOException e) {
+                said = "!" + e.getMessage();
+            }
+            good &= !said.startsWith("!");
+            out.println(node.getKey() + (said.startsWith("!") ? ": NO, " + said.substring(1) : said.isEmpty() ? ": nothing would change" : ":"));
+            if (!said.startsWith("!")) {
+                said.lines().forEach(line -> out.println("  " + line));
+            }
+        }
+        return good ? 0 : 1;
+    }
+}
--- a/lab/src/main/java/spartrail/lab/drill/Drills.java
+++ b/lab/src/main/java/spartrail/lab/drill/Drills.java
@@ -15,6 +15,7 @@
                 new RulesPlanted(), new DnsResolver(),
                 new DnsNode(true), new DnsNode(false)));
         drills.addAll(PeersDrill.all());
+        drills.addAll(PolicyDrill.all());
         ServiceLoader.load(Drill.class).forEach(drills::add);
         return drills;
     }
--- a/lab/src/main/java/spartrail/lab/drill/PeersDrill.java
+++ b/lab/src/main/java/spartrail/lab/drill/PeersDrill.java
@@ -28,6 +28,8 @@
 final class PeersDrill implements Drill {
     private static final int USUAL_NODES = 7;
     private static final String SEVEN = "['n0','n1','n3','n4','n5','n7','n8']";
+    /** A folder where drills leave logs, histories and records; null for none. */
+    private static final String KEEP = System.getenv("SPARTRAIL_DRILL_FOLDER");
     /** Service may differ by so much from the day without talk. */
     private static final double SERVICE = 0.01;
 
@@ -111,6 +113,27 @@
                             findings.equal("ends told of lives that ran", "{}", rules.falseEnds().toString());
                             findings.most("time until all nine others knew that n2 leaves, in ms", 2000, leftMs(lines, "n2", 9));
                         }),
+                new PeersDrill("peers-names", "two machines swap names, two processes bear one name, clocks are set back and run wrong",
+                        75_000, "{'name':'swapped','when':{'atMs':2000},'do':'kill','nodes':['n1','n4']},"
+                        + "{'name':'swap','when':{'step':'swapped','afterMs':300},'do':'start','nodes':['n1','n4'],'as':['n4','n1']},"
+                        + "{'name':'n2','when':{'atMs':12000},'do':'kill','nodes':['n2']},"
+                        + "{'name':'second','when':{'step':'n2','afterMs':300},'do':'start','nodes':['n2'],'as':['n3']},"
+                        + "{'name':'clocks','when':{'atMs':24000},'do':'kill','nodes':['n5','n6']},"
+                        + "{'name':'back','when':{'step':'clocks','afterMs':300},'do':'start','nodes':['n5'],"
+                        + "'clock':{'aheadMs':-3600000,'pace':0.99}},"
+                        + "{'name':'ahead','when':{'step':'clocks','afterMs':300},'do':'start','nodes':['n6'],"
+                        + "'clock':{'aheadMs':60000,'pace':1.02}},"
+                        + "{'name':'alone','when':{'atMs':36000},'do':'kill','nodes':['n2']}",
+                        (findings, lines, rules, outcome) -> {
+                            findings.equal("ends told of lives that ran", "{}", rules.falseEnds().toString());
+                            findings.least("times that the earlier of two processes said that it takes no part", 1,
+                                    steppedBack(lines, 3).size());
+                            findings.equal("its own verdicts while it took no part", 0L, steppedBackVerdicts(lines, 3));
+                            findings.least("nodes that held the earlier one for there again once the later one was killed (of 5)", 5,
+                                    lines.stream().filter(line -> line.ns() - startNs(lines) > 36_000e6 && line.what().equals("standing")
+                                            && line.tree().get("of").asText().equals("n3")
+                                            && line.tree().get("is").asText().equals("ALIVE")).map(Line::node).distinct().count());
+                        }),
                 new PeersDrill("peers-flood", "4,000 datagrams a second from a stranger, and links that cut, flip, double and mix up",
                         35_000, "{'name':'flood','when':{'atMs':2000},'do':'flood','nodes':['n0','n1','n2','n3','n4','n5','n6'],"
                         + "'perS':4000,'manner':'all','lastsMs':15000},"
@@ -189,26 +212,30 @@
         return held.getMin() + " and " + held.getMax();
     }
 
-    private interface Seen {
+    interface Seen {
         void of(Rig.Outcome outcome);
     }
 
-    private static ObjectNode played(NodesPlan plan, Seen seen) throws IOException, InterruptedException {
-        Path folder = Files.createTempDirectory("spartrail-nodes");
+    static ObjectNode played(NodesPlan plan, Seen seen) throws IOException, InterruptedException {
+        Path folder = KEEP == null ? Files.createTempDirectory("spartrail-nodes") : Files.createTempDirectory(Path.of(KEEP), "nodes");
         System.Logger log = System.getLogger("spartrail.lab.drill");
         try (Rig rig = new Rig(plan, folder, line -> log.log(System.Logger.Level.DEBUG, line))) {
             Rig.Outcome outcome = rig.play();
+            if (KEEP != null) {
+                Files.writeString(folder.resolve("history.jsonl"), outcome.history().text());
+            }
             seen.of(outcome);
             return outcome.load();
         } finally {
-            try (Stream<Path> files = Files.list(folder)) {
-                files.forEach(file -> file.toFile().delete());
+            if (KEEP == null) {
+                try (Stream<Path> files = Files.walk(folder)) {
+                    files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+                }
             }
-            Files.deleteIfExists(folder);
         }
     }
 
-    private static double served(JsonNode report) {
+    static double served(JsonNode report) {
         double whole = 0;
         double all = 0;
         for (var kinds = report.get("kinds").fields(); kinds.hasNext();) {
@@ -263,6 +290,31 @@
                 && !line.tree().get("doubt").asText().isEmpty()).count();
     }
 
+    /** From when to when the process on this machine said that another one has its name. */
+    private static List<double[]> steppedBack(List<Line> lines, int machine) {
+        List<double[]> spans = new ArrayList<>();
+        double since = Double.NaN;
+        for (Line line : lines) {
+            if (line.node() != machine || !line.what().equals("view")) {
+                continue;
+            }
+            boolean back = line.tree().get("doubt").asText().startsWith("another process has the name");
+            if (back && Double.isNaN(since)) {
+                since = line.ns();
+            } else if (!back && !Double.isNaN(since)) {
+                spans.add(new double[] {since, line.ns()});
+                since = Double.NaN;
+            }
+        }
+        return spans;
+    }
+
+    private static long steppedBackVerdicts(List<Line> lines, int machine) {
+        List<double[]> spans = steppedBack(lines, machine);
+        return lines.stream().filter(line -> line.node() == machine && (own(line, "GONE") || own(line, "SUSPECT"))
+                && spans.stream().anyMatch(span -> line.ns() > span[0] && line.ns() < span[1])).count();
+    }
+
     private static long holders(List<Line> lines, double fromMs, double toMs) {
         double startNs = startNs(lines);
         return lines.stream().filter(line -> line.what().equals("standing") && "GONE".equals(line.tree().get("is").asText())
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/drill/PushedDrill.java
@@ -0,0 +1,83 @@
+package spartrail.lab.drill;
+
+import java.util.List;
+import java.util.Map;
+import spartrail.lab.nodes.History.Line;
+import spartrail.lab.nodes.NodesPlan;
+import spartrail.lab.nodes.PolicyJudge;
+import spartrail.lab.rules.PolicyRules;
+
+/**
+ * The easy way to change policy, which the rules of policy must catch: new files and SIGHUP, node after node, while some are down,
+ * stand still or are cut off; and some pushes are given up halfway.
+ */
+final class PushedDrill implements Drill {
+    private static final int NODES = 9;
+    private static final int PUSHES = 20;
+    private static final double LASTS_MS = 110_000;
+
+    @Override
+    public String name() {
+        return "policy-pushed";
+    }
+
+    @Override
+    public String summary() {
+        return "versions pushed by files and SIGHUP, one node after the other: breaks what policy promises, and the rules catch it";
+    }
+
+    @Override
+    public String about() {
+        return "policy";
+    }
+
+    private static String steps() {
+        StringBuilder steps = new StringBuilder();
+        for (int i = 0; i < PUSHES; i++) {
+            double atMs = 2000 + 5000.0 * i;
+            int number = i + 1;
+            boolean halfway = i % 5 == 4;
+            steps.append("{'when':{'atMs':").append(atMs).append("},'do':'push','nodes':[").append(names(halfway ? 4 : NODES))
+                    .append("],'number':").append(number).append(",'gapMs':80,'settings':{'opTypes':{'orders':{'budgetMs':")
+                    .append(1500 + 20 * i).append("}}}},");
+            if (halfway) {
+                steps.append("{'when':{'atMs':").append(atMs + 600).append("},'do':'abandon','number':").append(number).append("},");
+            }
+            int node = 3 + i % 6;
+            switch (i % 4) {
+                case 0 -> steps.append("{'when':{'atMs':").append(atMs - 500).append("},'do':'kill','nodes':['n").append(node)
+                        .append("']},{'when':{'atMs':").append(atMs + 1500).append("},'do':'start','nodes':['n").append(node).append("']},");
+                case 1 -> steps.append("{'when':{'atMs':").append(atMs - 200).append("},'do':'stop','nodes':['n").append(node)
+                        .append("'],'lastsMs':2500},");
+                default -> steps.append("{'when':{'atMs':").append(atMs - 4000).append("},'do':'cut','nodes':['n").append(node)
+                        .append("'],'lastsMs':8000},");
+            }
+        }
+        return steps.append("{'name':'last','when':{'atMs':").append(LASTS_MS - 3000).append("},'do':'heal'}").toString();
+    }
+
+    private static String names(int count) {
+        StringBuilder names = new StringBuilder();
+        for (int node = 0; node < count; node++) {
+            names.append(node == 0 ? "'n" : ",'n").append(node).append('\'');
+        }
+        return names.toString();
+    }
+
+    @Override
+    public void run(long seed, Findings findings) throws Exception {
+        NodesPlan plan = PolicyDrill.plan(seed, name(), LASTS_MS, "", "{}", steps());
+        PeersDrill.played(plan, outcome -> {
+            List<Line> lines = outcome.history().inOrder();
+            PolicyRules rules = new PolicyJudge(NODES, List.of(0, 1, 2), PolicyDrill.USUAL_BOUNDS).read(lines, outcome.taken());
+            findings.equal("steps that were not taken", "[]", outcome.notTaken().toString());
+            findings.least("multigets that were judged", 1000, rules.judged());
+            Map<String, Integer> counts = rules.counts();
+            for (String rule : List.of("(b) refused is never", "(c) one version at an instant", "(e) out of touch it stops")) {
+                findings.least("caught: " + rule, 1, counts.getOrDefault(rule, 0));
+            }
+            findings.note("multigets and pairs of versions that broke a rule", counts.toString());
+            rules.breaches().forEach(breach -> findings.note("example", breach.toString()));
+        });
+    }
+}
--- a/lab/src/main/java/spartrail/lab/experiment/NodeProcess.java
+++ b/lab/src/main/java/spartrail/lab/experiment/NodeProcess.java
@@ -2,8 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.DatagramSocket;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
@@ -11,14 +14,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import spartrail.governing.CrashPoint;
 import spartrail.lab.file.BadInput;
 import spartrail.lab.file.Document;
 
 /** A front node as a process of its own, sized as operators start it. */
 public final class NodeProcess implements AutoCloseable {
     private static final double READY_MS = 30_000;
+    private static final int PORTS_FROM = 12_000;
+    private static final int PORTS = 20_000;
+    private static final int PORT_TRIES = 1000;
 
     private final Path jar;
     private final Path config;
@@ -29,12 +37,13 @@
     /** A shell that ends the node when this process has ended, however that came: its standard input then ends. */
     private Process guard;
     private ProcessHandle handle;
+    private int starts;
     /** CPU of processes of this node that have ended. */
     private double cpuBeforeMs;
 
     /** What a node is started with beside its configuration; null for what it is not. */
-    public record Extras(Path members, Path peers, Path history) {
-        public static final Extras NONE = new Extras(null, null, null);
+    public record Extras(Path members, Path peers, Path history, Path state, Path record) {
+        public static final Extras NONE = new Extras(null, null, null, null, null);
     }
 
     private NodeProcess(Path jar, Path config, Path log, int memoryMb, String address, Extras extras) {
@@ -56,11 +65,21 @@
         return jar.toAbsolutePath();
     }
 
-    /** A port that is free now. */
+    /**
+     * A port that is free now. Danger: one that the system gives to whoever connects may be taken while its node is down; these are
+     * below those.
+     */
     public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < PORT_TRIES; i++) {
+            int port = PORTS_FROM + ThreadLocalRandom.current().nextInt(PORTS);
+            try (ServerSocket tcp = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
+                    DatagramSocket udp = new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port))) {
+                return port;
+            } catch (BindException e) {
+                // Another one.
+            }
         }
+        throw new IOException("no port from " + PORTS_FROM + " to " + (PORTS_FROM + PORTS) + " is free");
     }
 
     public static NodeProcess start(Path jar, ObjectNode config, Path folder, String name, int memoryMb)
@@ -73,7 +92,7 @@
     /** With a members' file: servers come from DNS, too. */
     public static NodeProcess start(Path jar, ObjectNode config, Path folder, String name, int memoryMb, Path members)
             throws IOException, InterruptedException {
-        NodeProcess node = launched(jar, config, folder, name, memoryMb, new Extras(members, null, null));
+        NodeProcess node = launched(jar, config, folder, name, memoryMb, new Extras(members, null, null, null, null));
         node.awaitReady();
         return node;
     }
@@ -91,6 +110,11 @@
 
     /** Starts the process again after it has ended; it need not be ready yet. */
     public void launch() throws IOException {
+        launch(List.of());
+    }
+
+    /** The same with further options of the JVM, for this start only. */
+    public void launch(List<String> options) throws IOException {
         int heapMb = Math.max(10, Math.min(48, (memoryMb - 48) / 2));
         List<String> command = new ArrayList<>(List.of("sh", "-c",
                 "\"$@\" </dev/null >>\"$LOG\" 2>&1 & echo $!; cat >/dev/null; kill -9 $! 2>/dev/null", "node",
@@ -104,10 +128,22 @@
         if (extras.peers() != null) {
             path.append(':').append(jar.resolveSibling("../../peers/target/spartrail-peers.jar").normalize());
         }
+        if (extras.state() != null) {
+            path.append(':').append(jar.resolveSibling("../../policy/target/spartrail-policy.jar").normalize());
+        }
+        command.addAll(options);
+        if (extras.state() != null && options.isEmpty()) {
+            command.add("-D" + CrashPoint.ALLOWED + "=true");
+        }
         command.addAll(List.of("-cp", path.toString(), "spartrail.Main", "serve", "--config", config.toString()));
         option(command, "--members", extras.members());
         option(command, "--peers", extras.peers());
         option(command, "--history", extras.history());
+        option(command, "--state", extras.state());
+        // A record is of one life of a process.
+        option(command, "--record", extras.record() == null ? null
+                : extras.record().resolveSibling(extras.record().getFileName() + "." + starts));
+        starts++;
         if (guard != null) {
             guard.outputWriter().close();
         }
@@ -171,6 +207,16 @@
         handle.destroy();
     }
 
+    /** Reads its configuration again. */
+    public void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", Long.toString(handle.pid())).start().waitFor(5, TimeUnit.SECONDS);
+    }
+
+    /** The file of its configuration, which it reads at each start and when asked to. */
+    public Path config() {
+        return config;
+    }
+
     /** It stands still as a machine does that is out of breath, until it goes on. */
     public void stop(boolean stands) throws IOException, InterruptedException {
         new ProcessBuilder("kill", stands ? "-STOP" : "-CONT", Long.toString(handle.pid())).start().waitFor(5, TimeUnit.SECONDS);
--- a/lab/src/main/java/spartrail/lab/experiment/NodeSettings.java
+++ b/lab/src/main/java/spartrail/lab/experiment/NodeSettings.java
@@ -51,7 +51,7 @@
     public ObjectNode config(int node, int nodes, String listen, Fleet fleet, long seed) throws java.io.IOException {
         FleetPlan plan = fleet.plan();
         ObjectNode config = Document.JSON.createObjectNode();
-        config.put("name", "n" + node).put("listen", listen).put("discovery", fleet.rollAddress(node))
+        config.put("name", "n" + node).put("version", "0").put("listen", listen).put("discovery", fleet.rollAddress(node))
                 .put("seed", Long.toHexString(seed * 1_000_003 + node));
         config.putObject("limits").put("cores", tree.path("cores").asDouble(1)).put("memory_mb", memoryMb())
                 .put("sockets", tree.path("sockets").asInt(1024));
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/nodes/Harm.java
@@ -0,0 +1,48 @@
+package spartrail.lab.nodes;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+
+/** What a disk does to a log of policy while its node is down. */
+final class Harm {
+    private static final String LOG = "policy.log";
+
+    private Harm() {
+    }
+
+    static void to(Path folder, int node, String harm) throws IOException {
+        Path state = folder.resolve("n" + node + ".state");
+        Path log = state.resolve(LOG);
+        Path kept = state.resolve(LOG + ".kept");
+        switch (harm) {
+            case "full" -> { }
+            // What a crash in the middle of a write leaves: the beginning of a record that was never synced.
+            case "torn" -> Files.write(log, new byte[] {0, 0, 0, 100, 1, 2, 3, 4, 5, 6, 7}, StandardOpenOption.APPEND);
+            case "flipped" -> {
+                Files.copy(log, kept, StandardCopyOption.REPLACE_EXISTING);
+                byte[] bytes = Files.readAllBytes(log);
+                bytes[bytes.length / 2] ^= 0x10;
+                Files.write(log, bytes);
+            }
+            case "lost" -> Files.move(log, kept, StandardCopyOption.REPLACE_EXISTING);
+            case "swapped" -> {
+                Files.copy(log, kept, StandardCopyOption.REPLACE_EXISTING);
+                Files.copy(folder.resolve("n" + (node + 1) % 3 + ".state").resolve(LOG), log, StandardCopyOption.REPLACE_EXISTING);
+            }
+            case "mended" -> {
+                // Only where the node refused to use what it found, so that nothing was added meanwhile.
+                if (Files.exists(kept)) {
+                    Files.move(kept, log, StandardCopyOption.REPLACE_EXISTING);
+                    try (FileChannel synced = FileChannel.open(log, StandardOpenOption.WRITE)) {
+                        synced.force(true);
+                    }
+                }
+            }
+            default -> throw new IllegalArgumentException(harm);
+        }
+    }
+}
--- a/lab/src/main/java/spartrail/lab/nodes/History.java
+++ b/lab/src/main/java/spartrail/lab/nodes/History.java
@@ -38,6 +38,7 @@
     }
 
     private final List<Line> lines = new ArrayList<>();
+    private final List<Line> own = new ArrayList<>();
     private final List<Tail> tails = new ArrayList<>();
     private long unreadable;
 
@@ -59,12 +60,14 @@
     }
 
     /** What the rig did, or saw. */
-    public void done(String what, JsonNode tree) {
-        lines.add(new Line(System.nanoTime(), -1, what, tree));
+    public synchronized void done(String what, JsonNode tree) {
+        Line line = new Line(System.nanoTime(), -1, what, tree);
+        lines.add(line);
+        own.add(line);
     }
 
-    /** Reads what has been written since; the new lines. */
-    public List<Line> more() throws IOException {
+    /** Reads what has been written since; the new lines, and then those of the rig itself. */
+    public synchronized List<Line> more() throws IOException {
         List<Line> fresh = new ArrayList<>();
         for (Tail tail : tails) {
             if (!Files.exists(tail.file)) {
@@ -86,6 +89,8 @@
             }
         }
         lines.addAll(fresh);
+        fresh.addAll(own);
+        own.clear();
         return fresh;
     }
 
@@ -100,12 +105,23 @@
     }
 
     /** All lines in order of time. */
-    public List<Line> inOrder() {
+    public synchronized List<Line> inOrder() {
         List<Line> sorted = new ArrayList<>(lines);
         sorted.sort(Comparator.comparingLong(Line::ns));
         return sorted;
     }
 
+    /** As it is kept, a JSON line each; lines of the rig have {@code node} "rig". */
+    public String text() throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (Line line : inOrder()) {
+            JsonNode tree = line.node() < 0 ? Document.JSON.createObjectNode().put("ns", line.ns()).put("what", line.what())
+                    .put("node", "rig").setAll((com.fasterxml.jackson.databind.node.ObjectNode) line.tree()) : line.tree();
+            text.append(Document.JSON.writeValueAsString(tree)).append('\n');
+        }
+        return text.toString();
+    }
+
     public long unreadable() {
         return unreadable;
     }
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/nodes/Pushed.java
@@ -0,0 +1,34 @@
+package spartrail.lab.nodes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import spartrail.lab.file.Document;
+
+/** The easy way to change policy: another file, and SIGHUP. What the drills of policy are measured against. */
+final class Pushed {
+    private Pushed() {
+    }
+
+    /** Times of op types, in a node's configuration. */
+    static void change(ObjectNode config, JsonNode settings) {
+        for (JsonNode line : config.get("settings").get("classes")) {
+            JsonNode changed = settings.path("opTypes").path(line.get("name").asText());
+            changed.fields().forEachRemaining(field -> ((ObjectNode) line).put(field.getKey().equals("budgetMs") ? "aim" : "deadline",
+                    field.getValue().asDouble() / 1000));
+        }
+    }
+
+    /** Budgets of op types are all that it changes; the version is what the record names. */
+    static void write(Path config, JsonNode settings, long version) throws IOException {
+        ObjectNode tree = (ObjectNode) Document.JSON.readTree(Files.readString(config));
+        tree.put("version", Long.toString(version));
+        change(tree, settings);
+        Path fresh = config.resolveSibling(config.getFileName() + ".new");
+        Files.writeString(fresh, tree.toPrettyString());
+        Files.move(fresh, config, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+}
--- a/lab/src/main/java/spartrail/lab/nodes/Rig.java
+++ b/lab/src/main/java/spartrail/lab/nodes/Rig.java
@@ -3,9 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -16,6 +13,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import spartrail.governing.CrashPoint;
+import spartrail.governing.Operator;
 import spartrail.lab.experiment.NodeProcess;
 import spartrail.lab.experiment.NodeSettings;
 import spartrail.lab.experiment.Runner;
@@ -27,6 +26,7 @@
 import spartrail.lab.nodes.History.Line;
 import spartrail.lab.nodes.NodesPlan.Step;
 import spartrail.lab.plan.LoadPlan;
+import spartrail.lab.rules.PolicyRules;
 import spartrail.lab.rules.RuleChecker;
 
 /**
@@ -37,7 +37,7 @@
 public final class Rig implements AutoCloseable {
     /** What was seen of a run, beside the history. */
     public record Outcome(History history, RuleChecker rules, ObjectNode load, ObjectNode servers, List<ObjectNode> nodes,
-            List<String> notTaken, double lastedMs) {
+            List<String> notTaken, List<Step> done, List<PolicyRules.Taken> taken, double lastedMs) {
     }
 
     private static final double LOOK_MS = 5;
@@ -49,6 +49,7 @@
     private static final class Pending {
         final Step step;
         int seen;
+        int who = -1;
         double dueMs;
 
         Pending(Step step) {
@@ -73,6 +74,14 @@
     private final Map<String, Double> taken = new HashMap<>();
     private final Set<Integer> slowed = new HashSet<>();
     private final List<Flood> floods = new ArrayList<>();
+    private final List<Integer> talkPorts = new ArrayList<>();
+    private Orders orders;
+    /** Steps as they were taken: when, and whom they concerned. */
+    private final List<Step> steps = new ArrayList<>();
+    private final Set<Integer> over = new HashSet<>();
+    private int leader = -1;
+    /** All that are not known to be over ran then. */
+    private double aliveMs;
     private double startMs;
 
     /** Starts servers, links and processes; returns when all nodes serve, and, where they talk, know each other. */
@@ -85,12 +94,11 @@
                 (what, atMs) -> progress.accept("servers: " + what)));
         Links made = null;
         try {
-            List<Integer> talkPorts = new ArrayList<>();
             for (int node = 0; node < plan.nodes(); node++) {
-                talkPorts.add(freeDatagramPort());
+                talkPorts.add(NodeProcess.freePort());
             }
             made = new Links(talkPorts, "rig", plan.seed());
-            launch(made, talkPorts);
+            launch(made);
         } catch (IOException | InterruptedException | RuntimeException e) {
             nodes.forEach(NodeProcess::close);
             fleet.close();
@@ -105,7 +113,7 @@
         startMs = now();
     }
 
-    private void launch(Links made, List<Integer> talkPorts) throws IOException, InterruptedException {
+    private void launch(Links made) throws IOException, InterruptedException {
         List<String> zones = NodeSettings.zones(plan.fleet());
         List<String> seeds = Stream.iterate(0, node -> node + 1).limit(Math.min(plan.seeds(), plan.nodes())).map(made::address).toList();
         for (int node = 0; node < plan.nodes(); node++) {
@@ -113,6 +121,13 @@
             targets.add(new LoadPlan.Target("127.0.0.1", port, zones.get(node % zones.size())));
             Path peers = null;
             Path kept = null;
+            Path state = null;
+            if (plan.policy()) {
+                state = folder.resolve("n" + node + ".state");
+                if (plan.deciders().contains("n" + node)) {
+                    Operator.found(state, "rig", "n" + node, plan.deciders());
+                }
+            }
             if (plan.peers() != null) {
                 peers = folder.resolve("n" + node + ".peers.json");
                 kept = folder.resolve("n" + node + ".history");
@@ -121,20 +136,27 @@
                 history.follow(node, kept);
             }
             history.done("started", whom(node));
-            nodes.add(NodeProcess.launched(NodeProcess.ownJar(), plan.settings().config(node, plan.nodes(), "127.0.0.1:" + port,
-                    fleet, plan.seed()), folder, "n" + node, plan.settings().memoryMb(),
-                    new NodeProcess.Extras(null, peers, kept)));
+            ObjectNode config = plan.settings().config(node, plan.nodes(), "127.0.0.1:" + port, fleet, plan.seed());
+            if (plan.own().has("n" + node)) {
+                Pushed.change(config, plan.own().get("n" + node));
+            }
+            nodes.add(NodeProcess.launched(NodeProcess.ownJar(), config, folder, "n" + node, plan.settings().memoryMb(),
+                    new NodeProcess.Extras(null, peers, kept, state, folder.resolve("n" + node + ".record"))));
         }
         for (NodeProcess node : nodes) {
             node.awaitReady();
         }
-        progress.accept(plan.nodes() + " nodes serve");
-    }
-
-    private static int freeDatagramPort() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0))) {
-            return socket.getLocalPort();
+        if (plan.policy()) {
+            orders = new Orders(history, talkPorts, address -> {
+                for (int node = 0; node < plan.nodes(); node++) {
+                    if (made.address(node).equals(address)) {
+                        return "127.0.0.1:" + talkPorts.get(node);
+                    }
+                }
+                return address;
+            });
         }
+        progress.accept(plan.nodes() + " nodes serve");
     }
 
     private static ObjectNode whom(int node) {
@@ -159,6 +181,7 @@
         Set<Integer> knowing = new HashSet<>();
         while (knowing.size() < plan.nodes()) {
             for (Line line : history.more()) {
+                leads(line);
                 if (line.what().equals("view")) {
                     if (line.tree().get("there").asInt() == plan.nodes() && line.tree().get("doubt").asText().isEmpty()) {
                         knowing.add(line.node());
@@ -176,6 +199,12 @@
         progress.accept("all nodes know each other after " + Math.round(sinceMs()) + " ms");
     }
 
+    private void leads(Line line) {
+        if (line.what().equals("leads")) {
+            leader = line.tree().get("on").asBoolean() ? line.node() : leader == line.node() ? -1 : leader;
+        }
+    }
+
     private static void pause() throws InterruptedException {
         Thread.sleep((long) LOOK_MS);
     }
@@ -219,16 +248,39 @@
         ObjectNode servers = fleet.figures();
         servers.forEach(server -> checker.cold(server.path("worstColdLoad").asDouble()));
         return new Outcome(history, checker, session == null ? null : session.report(), servers, figures,
-                pending.stream().map(each -> each.step.name()).toList(), sinceMs());
+                pending.stream().map(each -> each.step.name()).toList(), List.copyOf(steps), records(), sinceMs());
+    }
+
+    /** By what every life of every node decided its multigets. */
+    private List<PolicyRules.Taken> records() {
+        List<PolicyRules.Taken> all = new ArrayList<>();
+        for (int node = 0; node < nodes.size(); node++) {
+            for (int life = 0; Files.exists(folder.resolve("n" + node + ".record." + life)); life++) {
+                try {
+                    for (String line : Files.readAllLines(folder.resolve("n" + node + ".record." + life))) {
+                        // A line torn by a kill is none.
+                        if (line.endsWith("}") && line.contains("\"policy\"")) {
+                            JsonNode tree = Document.JSON.readTree(line);
+                            all.add(new PolicyRules.Taken(tree.get("ns").asLong(), node, life, tree.get("policy").asText()));
+                        }
+                    }
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+            }
+        }
+        return all;
     }
 
     /** Reads what nodes have written and takes the steps whose time has come. */
     private void look(List<Pending> pending) throws IOException, InterruptedException {
         for (Line line : history.more()) {
+            leads(line);
             for (Pending each : pending) {
                 saw(each, line);
             }
         }
+        lost();
         for (Due due : List.copyOf(dues)) {
             if (due.atMs <= sinceMs()) {
                 dues.remove(due);
@@ -243,20 +295,82 @@
             if (each.dueMs <= sinceMs()) {
                 pending.remove(each);
                 taken.put(each.step.name(), sinceMs());
-                take(each.step);
+                take(whom(each));
+            }
+        }
+    }
+
+    /** Whom a step concerns, now that it is taken. */
+    private Step whom(Pending each) {
+        List<Integer> whom = new ArrayList<>();
+        for (int node : each.step.nodes()) {
+            if (node >= 0) {
+                whom.add(node);
+            } else if (node == NodesPlan.LEADER || node == NodesPlan.FOLLOWER) {
+                plan.deciders().stream().map(name -> Integer.parseInt(name.substring(1))).filter(decider -> (decider == leader)
+                        == (node == NodesPlan.LEADER)).filter(decider -> nodes.get(decider).handle().isAlive()).findFirst()
+                        .ifPresent(whom::add);
+            } else if (node == NodesPlan.SEEN && each.who >= 0) {
+                whom.add(each.who);
+            } else if (node == NodesPlan.DOWN) {
+                for (int down = 0; down < nodes.size(); down++) {
+                    if (!nodes.get(down).handle().isAlive()) {
+                        whom.add(down);
+                    }
+                }
+            }
+        }
+        Step step = each.step;
+        return new Step(step.name(), step.when(), step.what(), whom, step.others(), step.lastsMs(), step.how());
+    }
+
+    private static boolean has(Line line, JsonNode values) {
+        for (var fields = values.fields(); fields.hasNext();) {
+            var field = fields.next();
+            JsonNode found = field.getKey().equals("what") ? com.fasterxml.jackson.databind.node.TextNode.valueOf(line.what())
+                    : line.tree().path(field.getKey());
+            if (!found.asText().equals(field.getValue().asText())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Processes that are gone though nobody here ended them: a point that was armed has been reached. */
+    private void lost() {
+        double sinceMs = aliveMs;
+        aliveMs = fleet.loop().nowMs();
+        for (int node = 0; node < nodes.size(); node++) {
+            if (!over.contains(node) && !nodes.get(node).handle().isAlive()) {
+                over.add(node);
+                double nowMs = fleet.loop().nowMs();
+                checker.excuse(targets.get(node).toString(), sinceMs - LOOK_MS, nowMs + EXCUSED_MS);
+                history.done("killed", whom(node));
             }
         }
     }
 
     private void saw(Pending each, Line line) {
         NodesPlan.When when = each.step.when();
-        if (!when.seen() || !Double.isNaN(each.dueMs) || when.step() != null && !taken.containsKey(when.step()) || !line.what().equals("standing")
+        if (!when.seen() || !Double.isNaN(each.dueMs) || when.step() != null && !taken.containsKey(when.step())) {
+            return;
+        }
+        if (when.line() != null) {
+            String of = line.node() < 0 ? "rig" : "n" + line.node();
+            if ((when.node().equals("any") || when.node().equals(of)) && has(line, when.line()) && ++each.seen >= when.times()) {
+                each.who = line.node();
+                each.dueMs = sinceMs() + when.afterMs();
+            }
+            return;
+        }
+        if (!line.what().equals("standing") || line.node() < 0
                 || !when.node().equals("any") && !when.node().equals(line.tree().get("node").asText())
                 || when.of() != null && !when.of().equals(line.tree().get("of").asText())
                 || when.is() != null && !when.is().equals(line.tree().get("is").asText())) {
             return;
         }
         if (++each.seen >= when.times()) {
+            each.who = line.node();
             each.dueMs = sinceMs() + when.afterMs();
         }
     }
@@ -264,11 +378,14 @@
     // ---- Steps ----
 
     private void take(Step step) throws IOException, InterruptedException {
+        steps.add(new Step(step.name(), new NodesPlan.When(sinceMs(), null, null, null, null, 1, null, 0), step.what(), step.nodes(),
+                step.others(), step.lastsMs(), step.how()));
         progress.accept(step.what() + " " + step.nodes().stream().map(node -> "n" + node).toList()
                 + (step.others().isEmpty() ? "" : " and " + step.others().stream().map(node -> "n" + node).toList()));
         switch (step.what()) {
             case "kill" -> {
                 excuse(step, 0);
+                over.addAll(step.nodes());
                 for (int node : step.nodes()) {
                     nodes.get(node).handle().destroyForcibly();
                 }
@@ -279,12 +396,18 @@
             }
             case "terminate" -> {
                 done(step, "asked to end");
+                over.addAll(step.nodes());
                 step.nodes().forEach(node -> nodes.get(node).terminate());
             }
             case "start" -> {
                 done(step, "started");
-                for (int node : step.nodes()) {
-                    nodes.get(node).launch();
+                for (int i = 0; i < step.nodes().size(); i++) {
+                    int node = step.nodes().get(i);
+                    if (plan.peers() != null && step.how().has("as")) {
+                        named(node, step.how().get("as").get(i).asText());
+                    }
+                    nodes.get(node).launch(machine(step.how()));
+                    over.remove(node);
                 }
             }
             case "stop" -> {
@@ -311,6 +434,17 @@
                 floods.add(flood);
                 later(step, "flood ends", flood::close);
             }
+            case "propose" -> orders.propose(step.name(), step.nodes().isEmpty() ? 0 : step.nodes().get(0), step.how().get("settings"));
+            case "abort" -> orders.abort(step.name(), step.nodes().isEmpty() ? 0 : step.nodes().get(0), step.how().path("number").asLong());
+            case "push" -> push(step);
+            case "abandon" -> done(step, "abandoned");
+            case "harm" -> {
+                for (int node : step.nodes()) {
+                    Harm.to(folder, node, step.how().path("harm").asText());
+                }
+                done(step, "harmed");
+            }
+            case "crash" -> orders.arm(step.name(), step.nodes().isEmpty() ? leader : step.nodes().get(0), step.how().path("point").asText());
             case "heal" -> {
                 links.setAll(node -> true, node -> true, () -> null);
                 done(step, "healed");
@@ -319,6 +453,23 @@
         }
     }
 
+    /** The easy way to another policy: files and SIGHUP, node after node. Who is down is passed over, as a script would. */
+    private void push(Step step) throws IOException {
+        done(step, "pushed");
+        List<Integer> all = step.nodes();
+        double atMs = 0;
+        for (int node : all) {
+            dues.add(new Due(sinceMs() + atMs, () -> each(new Step(step.name(), step.when(), "push", List.of(node), List.of(), 0,
+                    step.how()), one -> {
+                        if (nodes.get(one).handle().isAlive()) {
+                            Pushed.write(nodes.get(one).config(), step.how().get("settings"), step.how().path("number").asLong());
+                            nodes.get(one).hangUp();
+                        }
+                    })));
+            atMs += step.how().path("gapMs").asDouble(0);
+        }
+    }
+
     private static final java.util.function.Function<String, Integer> PORT_OF =
             address -> Integer.parseInt(address.substring(address.indexOf(':') + 1));
 
@@ -402,10 +553,38 @@
         }
     }
 
+    /** The process on this machine bears another name from its next start on. */
+    private void named(int node, String name) throws IOException {
+        Path file = folder.resolve("n" + node + ".peers.json");
+        Files.writeString(file, ((ObjectNode) Document.JSON.readTree(Files.readString(file))).put("name", name).toPrettyString());
+    }
+
+    /** How far the machine's clock is from the right time, how fast the node's own one runs, and what room its disk has. */
+    private static List<String> machine(JsonNode how) {
+        List<String> options = new ArrayList<>(List.of("-D" + CrashPoint.ALLOWED + "=true"));
+        if (how.has("clock")) {
+            options.add("-Dspartrail.clock.aheadMs=" + how.get("clock").path("aheadMs").asLong(0));
+            options.add("-Dspartrail.clock.pace=" + how.get("clock").path("pace").asDouble(1));
+        }
+        if (how.has("point")) {
+            options.add("-Dspartrail.crash.at=" + how.get("point").asText());
+        }
+        if (how.has("disk")) {
+            options.add("-Dspartrail.disk.mostBytes=" + how.get("disk").path("mostBytes").asLong());
+        }
+        return options;
+    }
+
     private void done(Step step, String what) {
         ObjectNode tree = Document.JSON.createObjectNode().put("step", step.name());
         var names = tree.putArray("nodes");
         step.nodes().forEach(node -> names.add("n" + node));
+        if (step.how().has("number")) {
+            tree.set("number", step.how().get("number"));
+        }
+        if (step.how().has("as")) {
+            tree.set("as", step.how().get("as"));
+        }
         var others = tree.putArray("others");
         step.others().forEach(node -> others.add("n" + node));
         history.done(what, tree);
@@ -430,6 +609,9 @@
     public void close() {
         slowed.clear();
         floods.forEach(Flood::close);
+        if (orders != null) {
+            orders.close();
+        }
         // Those that stand still cannot end by themselves.
         for (NodeProcess node : nodes) {
             node.handle().destroyForcibly();
--- a/lab/src/main/java/spartrail/lab/virtual/World.java
+++ b/lab/src/main/java/spartrail/lab/virtual/World.java
@@ -153,6 +153,32 @@
         return nodes.get(node).guest;
     }
 
+    /** What reaches one of them from the other, reaches the other one from it. */
+    public boolean linked(int one, int other) {
+        return one == other || barred[one][other] == 0 && barred[other][one] == 0;
+    }
+
+    /** It stands still now. */
+    public boolean stands(int node) {
+        return nodes.get(node).stalledUntilMs > nowMs;
+    }
+
+    /** What the scene itself does, so many milliseconds later. */
+    public void later(double ms, Runnable what) {
+        at(nowMs + ms, what);
+    }
+
+    /** The guest of a node may want its turn sooner than it said. */
+    public void wake(int node) {
+        if (nodes.get(node).guest != null) {
+            plan(nodes.get(node));
+        }
+    }
+
+    public RandomGenerator chance() {
+        return chance;
+    }
+
     public double clock(int node) {
         return nodes.get(node).clock(nowMs);
     }
--- a/lab/src/test/java/spartrail/lab/nodes/SeveralProcessesTest.java
+++ b/lab/src/test/java/spartrail/lab/nodes/SeveralProcessesTest.java
@@ -14,6 +14,7 @@
 import spartrail.lab.experiment.NodeProcess;
 import spartrail.lab.file.Document;
 import spartrail.lab.rules.PeersRules;
+import spartrail.lab.rules.PolicyRules;
 
 /** Processes of the program with faults between them. What is waited for is seen, not slept for. */
 class SeveralProcessesTest {
@@ -54,6 +55,29 @@
         assertThat(new Judge(5).read(outcome.history().inOrder(), false).breaches()).isEmpty();
     }
 
+    /** The leader is lost the moment it knows of the decision; the version holds all the same, and nobody decides by two at once. */
+    @Test
+    void aVersionOfPolicyTakesHoldThoughTheLeaderIsLost() throws Exception {
+        NodesPlan plan = NodesPlan.of(Document.parse("plan", (PLAN.replace("'peers':{}", "'peers':{'policy':{'deciders':['n0','n1','n2'],"
+                + "'leaseMs':2000,'askMs':300,'prepareMs':15000}},'load':{'phases':[{'lastsMs':60000,'rate':{'shape':'steady','perS':60}}],"
+                + "'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':4,'least':2},'clientMs':6000}]}")
+                + "{'name':'p','when':{'atMs':200},'do':'propose','nodes':['n4'],'settings':{'opTypes':{'orders':{'budgetMs':1500}}}},"
+                + "{'name':'lost','when':{'step':'p','seen':{'node':'any','line':{'what':'log','stage':'DECIDED','leading':true}}},"
+                + "'do':'kill','nodes':['seen']},"
+                + "{'name':'again','when':{'step':'lost','afterMs':100},'do':'start','nodes':['down']},"
+                + "{'name':'last','when':{'step':'lost','seen':{'node':'any','line':{'what':'policy','by':'1'},'times':5}},'do':'heal'}]}")
+                .replace('\'', '"').getBytes(StandardCharsets.UTF_8), "nodes"));
+        try (Rig rig = new Rig(plan, folder, line -> { })) {
+            Rig.Outcome outcome = rig.play();
+            PolicyRules rules = new PolicyJudge(5, List.of(0, 1, 2), new PolicyRules.Bounds(2000, 60_000, 90_000))
+                    .read(outcome.history().inOrder(), outcome.taken());
+            assertThat(outcome.notTaken()).isEmpty();
+            assertThat(rules.breaches()).isEmpty();
+            assertThat(rules.judged()).isPositive();
+            assertThat(outcome.taken()).extracting(PolicyRules.Taken::by).contains("0", "0|1");
+        }
+    }
+
     @Test
     void whenTheRigIsKilledEveryProcessEnds() throws Exception {
         Path plan = folder.resolve("plan.json");
--- a/lab/src/test/java/spartrail/lab/virtual/ExplorationTest.java
+++ b/lab/src/test/java/spartrail/lab/virtual/ExplorationTest.java
@@ -18,7 +18,7 @@
 
     @Test
     void eachPlantedFaultIsFound() throws Exception {
-        assertThat(Plants.play(Path.of("."), 1, 120, 30)).allMatch(Plants.Caught::caught).hasSize(Plants.ALL.size());
+        assertThat(Plants.play(Path.of("."), Plants.ALL, 1, 120, 60)).allMatch(Plants.Caught::caught).hasSize(Plants.ALL.size());
     }
 
     /** Scripts that broke a rule in the peers' first version, as they were shrunk then: seeds draw other scripts since. */
--- a/node/src/main/java/spartrail/cli/ServeCommand.java
+++ b/node/src/main/java/spartrail/cli/ServeCommand.java
@@ -31,6 +31,9 @@
     @Option(name = "--history", metaVar = "FILE", usage = "with --peers: a line for each change of what it knows of them")
     private Path history;
 
+    @Option(name = "--state", metaVar = "FOLDER", usage = "with --peers: go by versions of policy, and keep there what must not be forgotten")
+    private Path state;
+
     @Option(name = "--record", metaVar = "FILE", usage = "keep a line for each multiget taken, to replay it elsewhere")
     private Path record;
 
@@ -53,6 +56,9 @@
         if (peers != null) {
             node.peers(peers, history, recordMb * 1024L * 1024);
         }
+        if (state != null) {
+            node.policy(state);
+        }
         MultigetRecord kept = record == null ? null : record();
         node.record(kept);
         synchronized (ServeCommand.class) {
--- a/node/src/main/java/spartrail/front/FrontNode.java
+++ b/node/src/main/java/spartrail/front/FrontNode.java
@@ -17,9 +17,7 @@
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
-import spartrail.client.Ask;
 import spartrail.client.ClientDoor;
-import spartrail.client.ClientRequest;
 import spartrail.coordination.Coordinator;
 import spartrail.discovery.HostList;
 import spartrail.discovery.HostWatch;
@@ -28,6 +26,7 @@
 import spartrail.model.Invariants;
 import spartrail.model.NodeClock;
 import spartrail.model.OpType;
+import spartrail.peers.PeerLane;
 import spartrail.peers.PeerTalk;
 import spartrail.provisioning.DeploymentFile;
 import spartrail.record.MultigetRecord;
@@ -70,6 +69,8 @@
     private Path history;
     private long historyBytes;
     private PeerTalk.Running talk;
+    private Path state;
+    private PolicyNode policy;
 
     public FrontNode(DeploymentFile deployment) {
         this(deployment, deployment.listen());
@@ -111,22 +112,13 @@
                 "--peers is given, but no jar on the class path talks to other nodes; bin/spartrail puts it there"));
     }
 
-    /** What takes the clients' requests: the loop, by way of the record where there is one. */
-    private ClientDoor.Taker taker() {
-        MultigetRecord kept = record;
-        NodeLoop taken = loop;
-        return kept == null ? taken : new ClientDoor.Taker() {
-            @Override
-            public void asked(Ask ask, ClientRequest request) {
-                kept.taken(ask, request.arrivedMs);
-                taken.asked(ask, request);
-            }
-
-            @Override
-            public void gone(ClientRequest request) {
-                taken.gone(request);
-            }
-        };
+    /** Before the start: it goes by versions of policy, of which it keeps what it must not forget in this folder; needs peers. */
+    public void policy(Path folder) {
+        if (peersFile == null) {
+            throw new IllegalArgumentException("--state is given without --peers: versions of policy need talk among nodes");
+        }
+        PolicyNode.policyTalk();
+        state = folder;
     }
 
     /** Listens and serves from here on. */
@@ -151,8 +143,9 @@
         watch = new HostWatch(io, buffers, deployment.discovery(), deployment.listAsked(), host == null ? loop : host);
         door = new ClientDoor(worker, buffers, listen, clock,
                 opTypes.stream().map(op -> op.name).collect(Collectors.toSet()),
-                deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), taker());
+                deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), loop);
         loop.tie(servers, watch, known);
+        loop.record(record, deployment.version());
         thread = new Thread(loop, "spartrail-node");
         thread.start();
         if (host != null) {
@@ -164,7 +157,15 @@
             }
             door.open();
         });
+        if (state != null) {
+            policy = new PolicyNode(deployment, clock, loop);
+            talk = peerTalk().start(peersFile, history, historyBytes, view -> loop.fleet(view.word()), List.of(policy.start(state)));
+        }
         new Rehearsal(clock).play(deployment, door.address());
+        if (policy != null) {
+            // Danger: a node that comes back would decide by what held before it went.
+            policy.awaitRuling();
+        }
         // Danger: the I/O thread accepts and reads in the same round, and a round that had begun came before the word that
         // the node is up: whoever asked right after the start was told 503.
         CountDownLatch up = new CountDownLatch(1);
@@ -173,8 +174,8 @@
             up.countDown();
         });
         awaitUp(up);
-        if (peersFile != null) {
-            talk = peerTalk().start(peersFile, history, historyBytes, view -> loop.fleet(view.word()));
+        if (peersFile != null && talk == null) {
+            talk = peerTalk().start(peersFile, history, historyBytes, view -> loop.fleet(view.word()), PeerLane.NONE);
         }
         LOG.log(System.Logger.Level.INFO, "serving on " + door.address() + ", " + known.lines().size()
                 + " servers known");
@@ -221,7 +222,9 @@
         }
         io.execute(() -> watch.move(changed.discovery()));
         String waiting = changed.waitingForAStart(deployment);
-        if (waiting.isEmpty()) {
+        if (waiting.isEmpty() && policy != null) {
+            policy.own(changed);
+        } else if (waiting.isEmpty()) {
             loop.renew(changed);
         }
         if (talk != null) {
@@ -268,6 +271,9 @@
         if (host != null) {
             host.close();
         }
+        if (policy != null) {
+            policy.close();
+        }
         if (talk != null) {
             talk.close();
         }
--- a/node/src/main/java/spartrail/front/NodeLoop.java
+++ b/node/src/main/java/spartrail/front/NodeLoop.java
@@ -31,6 +31,7 @@
 import spartrail.model.Server;
 import spartrail.model.Timetable;
 import spartrail.provisioning.DeploymentFile;
+import spartrail.record.MultigetRecord;
 import spartrail.shard.PartRequest;
 import spartrail.shard.ShardPool;
 
@@ -45,7 +46,9 @@
     private static final double COUNTED_MS = 60_000;
 
     private final Coordinator coordinator;
-    private final Map<String, OpType> opTypes = new HashMap<>();
+    /** Shared with the module: where settings change, others take their places in it. */
+    private final List<OpType> opTypes;
+    private final Map<String, OpType> byName = new HashMap<>();
     private final NodeClock clock;
     private final XnioIoThread io;
     private final Invariants invariants;
@@ -55,6 +58,12 @@
     /** How many front nodes the settings tell of, and what is known of the fleet. */
     private int toldNodes;
     private FleetWord fleet;
+    /** By whose word it goes, if by any, and the settings that this one means. */
+    private Ruled ruled;
+    private DeploymentFile goesBy;
+    private String version = "";
+    private MultigetRecord record;
+    private long turnNs;
 
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final Map<String, ClientMultiget> inHand = new HashMap<>();
@@ -88,7 +97,8 @@
     NodeLoop(Coordinator coordinator, List<OpType> opTypes, NodeClock clock, XnioIoThread io, double turnMs,
             int openCap, int mostSends, int toldNodes, Invariants invariants) {
         this.coordinator = coordinator;
-        opTypes.forEach(op -> this.opTypes.put(op.name, op));
+        this.opTypes = opTypes;
+        opTypes.forEach(op -> byName.put(op.name, op));
         this.clock = clock;
         this.io = io;
         this.turnMs = turnMs;
@@ -127,18 +137,50 @@
 
     /** The module goes by these settings from the next turn on; multigets in hand keep the times they were given. */
     void renew(DeploymentFile changed) {
+        queue.add(() -> renewNow(changed));
+    }
+
+    private void renewNow(DeploymentFile changed) {
+        changed.renew(coordinator, opTypes);
+        opTypes.forEach(op -> byName.put(op.name, op));
+        openCap = changed.openCap();
+        mostSends = changed.mostSends();
+        fleet = fleet.heard() ? fleet : FleetWord.told(changed.nodes());
+        toldNodes = changed.nodes();
+        tellFleet();
+        version = changed.version();
+        counters.switches++;
+        LOG.log(System.Logger.Level.INFO, "settings switched: " + counters + ", in hand " + inHand.size());
+    }
+
+    /** It goes by this from now on, and by what comes next as soon as that is over. */
+    void rule(Ruled given) {
         queue.add(() -> {
-            changed.renew(coordinator, List.copyOf(opTypes.values()));
-            openCap = changed.openCap();
-            mostSends = changed.mostSends();
-            fleet = fleet.heard() ? fleet : FleetWord.told(changed.nodes());
-            toldNodes = changed.nodes();
-            tellFleet();
-            counters.switches++;
-            LOG.log(System.Logger.Level.INFO, "settings switched: " + counters + ", in hand " + inHand.size());
+            ruled = given;
+            rule();
         });
     }
 
+    /**
+     * Settings that are over decide nothing. Danger: a process that stood still wakes with a full queue; so this comes first in
+     * each turn, before anything that waits.
+     */
+    private void rule() {
+        while (ruled != null && nowMs >= ruled.untilMs()) {
+            ruled = ruled.next();
+        }
+        if (ruled != null && ruled.deployment() != goesBy) {
+            goesBy = ruled.deployment();
+            renewNow(goesBy);
+        }
+    }
+
+    /** Before the loop starts: keeps a record of the multigets taken. */
+    void record(MultigetRecord kept, String startedBy) {
+        record = kept;
+        version = startedBy;
+    }
+
     /** What is known of the fleet has changed; the module goes by it from the next turn on. */
     void fleet(FleetWord word) {
         queue.add(() -> {
@@ -215,8 +257,10 @@
                 if (earlyMs > 0) {
                     TimeUnit.NANOSECONDS.sleep((long) (1e6 * earlyMs));
                 }
+                turnNs = System.nanoTime();
                 nowMs = clock.nowMs();
                 lastTurnMs = nowMs;
+                guarded(this::rule);
                 standstill.woke(nowMs);
                 for (Runnable next = first; next != null; next = queue.poll()) {
                     guarded(next);
@@ -261,6 +305,9 @@
 
     private void place(Ask ask, ClientRequest request) {
         counters.taken++;
+        if (record != null) {
+            record.taken(ask, request.arrivedMs, turnNs, ruled == null ? version : ruled.name());
+        }
         if (inHand.containsKey(ask.id()) || open + 1 + ask.parts().size() > openCap) {
             counters.overCap++;
             io.execute(() -> request.answer(Reply.pushedBack(0)));
@@ -268,7 +315,7 @@
         }
         ClientMultiget mg = new ClientMultiget(ask, request);
         mg.id = hash(ask.id());
-        mg.opType = opTypes.get(ask.opType());
+        mg.opType = byName.get(ask.opType());
         mg.key = ask.key();
         mg.clientRetry = ask.retry();
         mg.arrivedMs = request.arrivedMs - standstill.gapMs();
--- a/node/src/main/java/spartrail/front/Rehearsal.java
+++ b/node/src/main/java/spartrail/front/Rehearsal.java
@@ -35,6 +35,11 @@
         this.endMs = clock.nowMs() + LONGEST_MS;
     }
 
+    /** Decisions only. */
+    void decide(DeploymentFile deployment) {
+        play(deployment, null);
+    }
+
     /** Requests and decisions by turns, so that neither takes the time of both. */
     void play(DeploymentFile deployment, InetSocketAddress door) {
         List<OpType> opTypes = deployment.opTypes();
@@ -54,7 +59,7 @@
             }
             Decisions due = coordinator.waitMs(nowMs) <= 0 ? coordinator.waited(nowMs) : new Decisions();
             out.addAll(due.sends);
-            if (i % (MULTIGETS / REQUESTS) == 0) {
+            if (door != null && i % (MULTIGETS / REQUESTS) == 0) {
                 ask(door, opType, i);
             }
         }
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -83,6 +83,11 @@
         return String.valueOf(tree.get("name"));
     }
 
+    /** What operators call this version of the settings; empty where they do not say. */
+    public String version() {
+        return tree.get("version") == null ? "" : String.valueOf(tree.get("version"));
+    }
+
     public InetSocketAddress listen() {
         return listen;
     }
@@ -139,7 +144,21 @@
         return shape;
     }
 
-    /** Tells a coordinator in use, and its op types, what this file states; what they have learned stays. */
+    /** The settings as they were read. */
+    Map<?, ?> settings() {
+        return info;
+    }
+
+    /** The same with other settings, checked. */
+    DeploymentFile with(Map<String, Object> settings) {
+        Map<Object, Object> changed = new LinkedHashMap<>(tree);
+        changed.put("settings", settings);
+        DeploymentFile file = new DeploymentFile(changed);
+        file.check();
+        return file;
+    }
+
+    /** Tells a coordinator in use, and the list of its op types, what this file states; what they have learned stays. */
     public void renew(Coordinator coordinator, List<OpType> opTypes) {
         Provisioning.renew(opTypes, opTypes());
         Provisioning.state(coordinator, info);
--- /dev/null
+++ b/node/src/main/java/spartrail/provisioning/PolicyFields.java
@@ -0,0 +1,94 @@
+package spartrail.provisioning;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import spartrail.model.OpType;
+import spartrail.policy.Terms;
+
+/** Which setting of the file is which field of policy, both ways. Times are seconds there and milliseconds here. */
+public final class PolicyFields {
+    private record Field(String field, String part, String name, double factor, Object otherwise) {
+    }
+
+    private static final List<Field> FIELDS = List.of(
+            new Field("/sends/most", "bounds", "try-limit", 1, (double) Integer.MAX_VALUE),
+            new Field("/sends/parallel", "bounds", "parallel-tries", 0, false),
+            new Field("/furtherSends/spanMs", "rules", "budget-window", 1000, 0.0),
+            new Field("/furtherSends/free", "rules", "min-extra", 1, 0.0),
+            new Field("/furtherSends/share", "rules", "further-ratio", 1, 0.0),
+            new Field("/cold/leastShare", "rules", "cold-share", 1, 1.0),
+            new Field("/cold/warmMs", "rules", "warm-within", 1000, 0.0),
+            new Field("/cold/tipMultiple", "rules", "tip-multiple", 1, 1.0),
+            new Field("/cold/fallMs", "rules", "fall", 1000, 0.0),
+            new Field("/comeback/told", "bounds", "retry-after", 0, false),
+            new Field("/comeback/longestMs", "bounds", "max-retry-after", 1000, 0.0),
+            new Field("/inHand/most", "bounds", "open-cap", 1, (double) Integer.MAX_VALUE));
+    private static final Map<String, String> OF_CLASSES = Map.of("importance", "worth", "budgetMs", "aim", "timeoutMs", "deadline",
+            "lateShare", "late-share", "dedupMs", "key-ttl");
+    private static final Map<String, String> OF_LAYOUT = Map.of("need", "class-need", "floor", "class-floor", "partialShare",
+            "class-partial");
+    private static final Map<String, String> EFFECTS = Map.of("RETRIABLE", "free", "DEDUPED", "guarded", "NON_RETRIABLE", "single_shot");
+
+    private PolicyFields() {
+    }
+
+    /** What of a file's settings policy may change. */
+    public static Terms of(DeploymentFile file) {
+        Map<String, Object> values = new TreeMap<>();
+        for (OpType op : file.opTypes()) {
+            String at = "/opTypes/" + op.name + "/";
+            values.putAll(Map.of(at + "importance", op.importance, at + "budgetMs", op.budgetMs, at + "timeoutMs", op.timeoutMs,
+                    at + "lateShare", op.lateShare, at + "repeat", op.repeat.name(), at + "dedupMs", op.dedupMs, at + "need", op.need,
+                    at + "floor", op.floor, at + "partialShare", op.partialShare));
+        }
+        for (Field field : FIELDS) {
+            Object value = Provisioning.map(file.settings(), field.part).get(field.name);
+            values.put(field.field, value == null ? field.otherwise : value instanceof Number number
+                    ? (Object) (number.doubleValue() * field.factor) : value);
+        }
+        return Terms.of(values);
+    }
+
+    /** The file with these terms in the places of its own; an IllegalArgumentException where it would be no usable file. */
+    public static DeploymentFile with(DeploymentFile file, Terms terms) {
+        Terms own = of(file);
+        Map<String, Object> settings = copy(file.settings());
+        for (Field field : FIELDS) {
+            Object value = field.factor == 0 ? (Object) terms.flag(field.field) : terms.number(field.field) / field.factor;
+            boolean same = field.factor == 0 ? terms.flag(field.field) == own.flag(field.field)
+                    : terms.number(field.field) == own.number(field.field);
+            if (!same) {
+                part(settings, field.part).put(field.name, value);
+            }
+        }
+        List<Object> classes = new ArrayList<>();
+        Map<String, Object> layout = part(settings, "family-info");
+        List<OpType> opTypes = file.opTypes();
+        for (int i = 0; i < opTypes.size(); i++) {
+            String at = "/opTypes/" + opTypes.get(i).name + "/";
+            Map<String, Object> line = copy((Map<?, ?>) ((List<?>) file.settings().get("classes")).get(i));
+            OF_CLASSES.forEach((field, name) -> line.put(name, terms.number(at + field) / (field.endsWith("Ms") ? 1000 : 1)));
+            line.put("effect", EFFECTS.get(terms.text(at + "repeat")));
+            classes.add(line);
+        }
+        settings.put("classes", classes);
+        OF_LAYOUT.forEach((field, name) -> layout.put(name, opTypes.stream()
+                .map(op -> (Object) terms.number("/opTypes/" + op.name + "/" + field)).toList()));
+        return file.with(settings);
+    }
+
+    private static Map<String, Object> copy(Map<?, ?> map) {
+        Map<String, Object> copy = new LinkedHashMap<>();
+        map.forEach((name, value) -> copy.put(name.toString(), value));
+        return copy;
+    }
+
+    private static Map<String, Object> part(Map<String, Object> settings, String name) {
+        Map<String, Object> part = copy(Provisioning.map(settings, name));
+        settings.put(name, part);
+        return part;
+    }
+}
--- a/node/src/main/java/spartrail/provisioning/Provisioning.java
+++ b/node/src/main/java/spartrail/provisioning/Provisioning.java
@@ -71,22 +71,25 @@
     }
 
     /**
-     * Gives op types in use what is stated of those of the same name. What was learned of them, the times of their
-     * answers, still means the same and stays.
+     * In the place of each op type in use comes the one stated of the same name. What was learned, the times of its
+     * answers, still means the same and is shared; multigets in hand keep the one they were taken by.
      */
     static void renew(List<OpType> inUse, List<OpType> stated) {
-        for (OpType op : inUse) {
+        inUse.replaceAll(op -> {
             OpType now = stated.stream().filter(other -> other.name.equals(op.name)).findFirst().orElseThrow();
-            op.importance = now.importance;
-            op.budgetMs = now.budgetMs;
-            op.timeoutMs = now.timeoutMs;
-            op.lateShare = now.lateShare;
-            op.repeat = now.repeat;
-            op.dedupMs = now.dedupMs;
-            op.need = now.need;
-            op.floor = now.floor;
-            op.partialShare = now.partialShare;
-        }
+            OpType next = new OpType(op.learned);
+            next.name = now.name;
+            next.importance = now.importance;
+            next.budgetMs = now.budgetMs;
+            next.timeoutMs = now.timeoutMs;
+            next.lateShare = now.lateShare;
+            next.repeat = now.repeat;
+            next.dedupMs = now.dedupMs;
+            next.need = now.need;
+            next.floor = now.floor;
+            next.partialShare = now.partialShare;
+            return next;
+        });
     }
 
     private static OpType.Repeat repeat(Object effect, String opType) {
--- a/node/src/main/java/spartrail/record/MultigetRecord.java
+++ b/node/src/main/java/spartrail/record/MultigetRecord.java
@@ -14,11 +14,11 @@
 
 /**
  * Writes one JSON line for each multiget taken: its time (Unix milliseconds), op type, key, shards, weights, work, size of
- * its text and its client's time. Texts are not kept. What comes faster than the disk takes it is left out and counted;
+ * its text and its client's time; where policy has versions, also which one decided it, and when on the machine's monotonic clock. Texts are not kept. What comes faster than the disk takes it is left out and counted;
  * at the bound the record ends, with a whole last line.
  */
 public final class MultigetRecord implements AutoCloseable {
-    private record Taken(double atMs, Ask ask) {
+    private record Taken(double atMs, long ns, String policy, Ask ask) {
     }
 
     private static final System.Logger LOG = System.getLogger("spartrail.record");
@@ -46,9 +46,14 @@
         thread.start();
     }
 
-    /** A multiget has been taken. Never waits. */
-    public void taken(Ask ask, double atMs) {
-        if (!full && !waiting.offer(new Taken(atMs, ask))) {
+    /**
+     * A multiget that came at this time has been taken. Never waits.
+     *
+     * @param ns the machine's monotonic clock when it was decided by what it is decided
+     * @param policy by which version of policy; empty where there are none
+     */
+    public void taken(Ask ask, double atMs, long ns, String policy) {
+        if (!full && !waiting.offer(new Taken(atMs, ns, policy, ask))) {
             leftOut.incrementAndGet();
         }
     }
@@ -78,7 +83,11 @@
                 out.write(line);
                 bytes += line.length;
                 lines++;
-                unflushed = true;
+                unflushed = !waiting.isEmpty();
+                if (!unflushed) {
+                    // Danger: who is killed would lose what it had decided a moment before.
+                    out.flush();
+                }
             }
         } catch (IOException e) {
             full = true;
@@ -112,6 +121,10 @@
             generator.writeNumberField("textBytes", ask.text().length);
             generator.writeNumberField("clientMs", ask.clientLeftMs());
             generator.writeBooleanField("retry", ask.retry());
+            if (!taken.policy().isEmpty()) {
+                generator.writeStringField("policy", taken.policy());
+                generator.writeNumberField("ns", taken.ns());
+            }
             generator.writeEndObject();
         }
         text.write('\n');
--- a/node/src/test/java/spartrail/record/MultigetRecordTest.java
+++ b/node/src/test/java/spartrail/record/MultigetRecordTest.java
@@ -23,8 +23,8 @@
     void eachMultigetTakenIsALine() throws Exception {
         Path file = folder.resolve("record");
         try (MultigetRecord record = new MultigetRecord(file, 10_000)) {
-            record.taken(ask("k\"1"), 1_782_324_000_000.125);
-            record.taken(ask(null), 1_782_324_000_001.0);
+            record.taken(ask("k\"1"), 1_782_324_000_000.125, 0, "");
+            record.taken(ask(null), 1_782_324_000_001.0, 0, "");
         }
         assertThat(Files.readString(file)).isEqualTo("""
                 {"atMs":1.782324000000125E12,"opType":"orders","key":"k\\"1","shards":[3,0],"weights":[0.25,0.75],\
@@ -39,7 +39,7 @@
         Path file = folder.resolve("record");
         try (MultigetRecord record = new MultigetRecord(file, 1000)) {
             for (int i = 0; i < 100; i++) {
-                record.taken(ask("k" + i), i);
+                record.taken(ask("k" + i), i, 0, "");
             }
         }
         String text = Files.readString(file);
--- /dev/null
+++ b/policy/src/main/java/spartrail/governing/Deciding.java
@@ -0,0 +1,203 @@
+package spartrail.governing;
+
+import io.microraft.Ordered;
+import io.microraft.QueryPolicy;
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftNodeStatus;
+import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.statemachine.StateMachine;
+import io.microraft.transport.Transport;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import spartrail.policy.Ask;
+import spartrail.policy.Op;
+import spartrail.policy.PolicyLeader;
+import spartrail.policy.PolicyLog;
+import spartrail.policy.PolicyTimes;
+import spartrail.policy.Told;
+
+/**
+ * One of the nodes that agree on the log: the library, its state machine, and what the leading one does. All on the thread of
+ * policy.
+ *
+ * <p>A question is answered by a read of the log that a majority confirms after the question came: those that come while one is
+ * under way wait for the next.
+ */
+final class Deciding implements StateMachine, Transport {
+    /** Whole seconds, as the library has them: a new leader is there some five seconds after the old one was lost. */
+    private static final RaftConfig CONFIG = RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(3)
+            .setLeaderElectionTimeoutMillis(500).setCommitCountToTakeSnapshot(500).setRaftNodeReportPublishPeriodSecs(10).build();
+    private static final int MOST_WAITING = 4096;
+    private static final Object READ = "read";
+
+    private record Waiting(Ask ask, Consumer<Told> reply) {
+    }
+
+    private final RaftNode raft;
+    private final Journal journal;
+    private final PolicyLog log = new PolicyLog();
+    private final PolicyLeader leader;
+    private final BiConsumer<String, RaftMessage> sending;
+    private final Predicate<String> reachable;
+    private final Runnable changed;
+    private List<Waiting> waiting = new ArrayList<>();
+    private boolean reading;
+    private PolicyLog.Entry holds = PolicyLog.OWN;
+    private PolicyLog.Entry open;
+
+    /** What a deciding node uses of the thread it lives on. */
+    interface Place extends RaftNodeExecutor {
+        Clock clock();
+    }
+
+    Deciding(String name, String fleet, Journal journal, PolicyTimes times, Place place, Random chance,
+            BiConsumer<String, RaftMessage> sending, Predicate<String> reachable, Runnable changed) {
+        this.journal = journal;
+        this.leader = new PolicyLeader(times);
+        this.sending = sending;
+        this.reachable = reachable;
+        this.changed = changed;
+        var builder = RaftNode.newBuilder().setGroupId(fleet).setConfig(CONFIG).setExecutor(place).setTransport(this)
+                .setStateMachine(this).setStore(journal).setModelFactory(LogWire.MODEL).setRandom(chance).setClock(place.clock());
+        var restored = journal.restored();
+        if (restored != null) {
+            builder.setRestoredState(restored);
+        } else {
+            builder.setLocalEndpoint(new Decider(name)).setInitialGroupMembers(Decider.of(journal.deciders()));
+        }
+        raft = builder.build();
+        raft.start();
+    }
+
+    // ---- The library's ports ----
+
+    @Override
+    public Object runOperation(long index, Object operation) {
+        if (operation == READ) {
+            return new Told(0, log.applied(), log.holds(), log.open());
+        }
+        Op op = (Op) operation;
+        PolicyLog.Stage next = switch (op.kind()) {
+            case PROPOSE -> PolicyLog.Stage.PROPOSED;
+            case REFUSE -> PolicyLog.Stage.REFUSED;
+            case ABORT -> PolicyLog.Stage.ABORTED;
+            case DECIDE -> PolicyLog.Stage.DECIDED;
+            case HOLD -> PolicyLog.Stage.HOLDS;
+            default -> null;
+        };
+        CrashPoint.reached("before", "becoming", String.valueOf(next));
+        String came = log.apply(index, op);
+        if (log.holds() != holds || log.open() != open) {
+            holds = log.holds();
+            open = log.open();
+            changed.run();
+        }
+        CrashPoint.reached("after", "becoming", String.valueOf(next));
+        return came;
+    }
+
+    @Override
+    public void takeSnapshot(long index, Consumer<Object> chunks) {
+        chunks.accept(log.plain());
+    }
+
+    @Override
+    public void installSnapshot(long index, List<Object> chunks) {
+        log.restore(index, (List<?>) chunks.get(0));
+    }
+
+    @Override
+    public Object getNewTermOperation() {
+        return Op.LEADS;
+    }
+
+    @Override
+    public void send(RaftEndpoint to, RaftMessage message) {
+        sending.accept(Decider.name(to), message);
+    }
+
+    @Override
+    public boolean isReachable(RaftEndpoint endpoint) {
+        return reachable.test(Decider.name(endpoint));
+    }
+
+    void heard(RaftMessage message) {
+        raft.handle(message);
+    }
+
+    // ---- What is asked of it ----
+
+    /** Who leads, as far as this node knows; empty where it does not. */
+    String leads() {
+        return raft.getStatus() == RaftNodeStatus.TERMINATED ? "" : Decider.name(raft.getTerm().getLeaderEndpoint());
+    }
+
+    boolean leading() {
+        return leads().equals(Decider.name(raft.getLocalEndpoint()));
+    }
+
+    /** A node asks what holds; the reply is null where this node cannot say. */
+    void asked(Ask ask, double nowMs, Consumer<Told> reply) {
+        if (!leading() || waiting.size() >= MOST_WAITING) {
+            reply.accept(null);
+            return;
+        }
+        leader.leads(true);
+        leader.asked(ask, nowMs);
+        waiting.add(new Waiting(ask, reply));
+        read();
+    }
+
+    private void read() {
+        if (reading || waiting.isEmpty()) {
+            return;
+        }
+        reading = true;
+        List<Waiting> batch = waiting;
+        waiting = new ArrayList<>();
+        raft.<Told>query(READ, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()).whenComplete((answer, failure) -> {
+            reading = false;
+            Told told = failure == null ? answer.getResult() : null;
+            batch.forEach(each -> each.reply().accept(told == null ? null
+                    : new Told(each.ask().nonce(), told.index(), told.holds(), told.open())));
+            read();
+        });
+    }
+
+    /** An order of an operator; what came of it, or null where this node does not lead, or does not know. */
+    void order(Op op, Consumer<String> came) {
+        if (!leading()) {
+            came.accept(null);
+            return;
+        }
+        raft.<String>replicate(op).whenComplete((Ordered<String> answer, Throwable failure) ->
+                came.accept(failure == null ? answer.getResult() : null));
+    }
+
+    /** What the leading one has to do by now. */
+    void step(Collection<String> there, double nowMs) {
+        leader.leads(leading());
+        Op op = leader.due(log, there, nowMs);
+        if (op != null) {
+            raft.<String>replicate(op).whenComplete((answer, failure) -> { });
+        }
+    }
+
+    PolicyLog log() {
+        return log;
+    }
+
+    void close() {
+        raft.terminate();
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/spartrail/governing/GoverningNode.java
@@ -0,0 +1,462 @@
+package spartrail.governing;
+
+import io.microraft.model.message.RaftMessage;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import spartrail.peers.PeersView;
+import spartrail.peers.Standing;
+import spartrail.policy.Ask;
+import spartrail.policy.Op;
+import spartrail.policy.PolicyFollower;
+import spartrail.policy.PolicyLog;
+import spartrail.policy.PolicyTalk;
+import spartrail.policy.PolicyTimes;
+import spartrail.policy.Ruling;
+import spartrail.policy.Terms;
+import spartrail.policy.Told;
+
+/**
+ * A node's part in versions of policy and the thread that owns it: its {@link PolicyFollower}, where it is one of the deciding
+ * nodes its {@link Deciding}, and the messages of both. It decides nothing.
+ */
+final class GoverningNode implements PolicyTalk.Running, Deciding.Place, Runnable {
+    private static final System.Logger LOG = System.getLogger("spartrail.governing");
+    private static final double LONGEST_WAIT_MS = 50;
+    private static final int MOST_QUEUED = 10_000;
+
+    private record Scheduled(double atMs, long number, Runnable task) {
+    }
+
+    private final Path folder;
+    private final PolicyTalk.Host host;
+    private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+    private final PriorityQueue<Scheduled> later = new PriorityQueue<>(Comparator.comparingDouble(Scheduled::atMs)
+            .thenComparingLong(Scheduled::number));
+    private final Map<String, String> addresses = new HashMap<>();
+    private final List<String> there = new ArrayList<>();
+    private final CountDownLatch ruled = new CountDownLatch(1);
+    private final RandomGenerator chance = RandomGenerator.of("L64X128MixRandom");
+    private Carrier carrier;
+    private PolicyTimes times;
+    private List<String> deciders = List.of();
+    private PolicyFollower follower;
+    private Deciding deciding;
+    private Journal journal;
+    private Pieces pieces;
+    private Thread thread;
+    private Ruling given;
+    private String name = "";
+    private String told = "";
+    private long checking;
+    private boolean leading;
+    private boolean trying;
+    private long count;
+    private volatile boolean ended;
+
+    GoverningNode(Path folder, PolicyTalk.Host host) {
+        this.folder = folder;
+        this.host = host;
+    }
+
+    @Override
+    public int number() {
+        return Wire.LANE;
+    }
+
+    @Override
+    public void begin(Carrier by) {
+        carrier = by;
+        PolicySaid said = new PolicySaid(by.told("policy"));
+        times = said.times;
+        deciders = said.deciders;
+        pieces = new Pieces(Carrier.MOST_BYTES, chance.nextInt());
+        follower = new PolicyFollower(by.name(), deciders, host.own(), times, chance, host.nowMs());
+        thread = new Thread(this, "spartrail-policy");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    // ---- From other threads ----
+
+    @Override
+    public void heard(String from, byte[] piece) {
+        if (queue.size() < MOST_QUEUED) {
+            queue.add(() -> {
+                byte[] message = pieces.whole(from, piece);
+                if (message != null) {
+                    message(from, message);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void seen(PeersView view) {
+        Map<String, String> known = new HashMap<>();
+        List<String> names = new ArrayList<>();
+        for (PeersView.Seen seen : view.peers()) {
+            known.put(seen.card().name(), seen.card().address());
+            if (seen.standing().there() && seen.standing() != Standing.LEFT) {
+                names.add(seen.card().name());
+            }
+        }
+        queue.add(() -> {
+            boolean met = deciders.stream().anyMatch(decider -> known.containsKey(decider) && !addresses.containsKey(decider));
+            addresses.clear();
+            addresses.putAll(known);
+            there.clear();
+            there.addAll(names);
+            if (met) {
+                follower.news(host.nowMs());
+            }
+        });
+    }
+
+    @Override
+    public void own(Terms changed) {
+        queue.add(() -> follower.own(changed));
+    }
+
+    @Override
+    public void awaitRuling() throws InterruptedException {
+        while (!ruled.await(10, TimeUnit.SECONDS)) {
+            LOG.log(System.Logger.Level.WARNING, "not ready: " + (follower.unfit().isEmpty() ? "no deciding node has said yet what holds"
+                    : follower.unfit()));
+        }
+    }
+
+    // ---- The thread ----
+
+    @Override
+    public void execute(Runnable task) {
+        queue.add(task);
+    }
+
+    @Override
+    public void submit(Runnable task) {
+        queue.add(task);
+    }
+
+    @Override
+    public void schedule(Runnable task, long delay, TimeUnit unit) {
+        double atMs = host.nowMs() + unit.toNanos(delay) / 1e6;
+        queue.add(() -> later.add(new Scheduled(atMs, count++, task)));
+    }
+
+    /** The library's clock never steps. */
+    @Override
+    public Clock clock() {
+        return new Clock() {
+            @Override
+            public ZoneId getZone() {
+                return ZoneOffset.UTC;
+            }
+
+            @Override
+            public Clock withZone(ZoneId zone) {
+                return this;
+            }
+
+            @Override
+            public Instant instant() {
+                return Instant.ofEpochMilli((long) host.nowMs());
+            }
+        };
+    }
+
+    @Override
+    public void run() {
+        guarded(this::openLog);
+        while (!ended) {
+            try {
+                double dueMs = Math.min(later.isEmpty() ? Double.POSITIVE_INFINITY : later.peek().atMs, follower.nextMs());
+                double waitMs = Math.max(0, Math.min(LONGEST_WAIT_MS, dueMs - host.nowMs()));
+                Runnable task = queue.poll((long) (1e6 * waitMs), TimeUnit.NANOSECONDS);
+                for (; task != null; task = queue.poll()) {
+                    guarded(task);
+                }
+                while (!later.isEmpty() && later.peek().atMs <= host.nowMs()) {
+                    guarded(later.poll().task);
+                }
+                guarded(this::step);
+            } catch (InterruptedException e) {
+                ended = true;
+            }
+        }
+        if (deciding != null) {
+            deciding.close();
+        }
+        try {
+            if (journal != null) {
+                journal.close();
+            }
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.DEBUG, "closing", e);
+        }
+    }
+
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) {
+            LOG.log(System.Logger.Level.ERROR, "exception in the part in policy", e);
+        }
+    }
+
+    /** Danger: a deciding node that lost its disk would vote a second time; without its log it takes no part in deciding. */
+    private void openLog() {
+        if (!deciders.contains(carrier.name())) {
+            return;
+        }
+        try {
+            if (!Journal.there(folder)) {
+                throw new IOException(folder + ": holds no log of policy; 'spartrail policy found' makes those of a new set");
+            }
+            journal = new Journal(folder, carrier.fleet(), carrier.name());
+            deciding = new Deciding(carrier.name(), carrier.fleet(), journal, times, this, new Random(chance.nextLong()), this::carry,
+                    addresses::containsKey, this::changed);
+            carrier.note("decider", "on", true);
+        } catch (IOException e) {
+            journal = null;
+            LOG.log(System.Logger.Level.ERROR, "does not decide about policy: " + e.getMessage());
+            carrier.note("decider", "on", false, "why", e.getMessage());
+        }
+    }
+
+    private void step() {
+        double nowMs = host.nowMs();
+        if (deciding != null) {
+            deciding.step(there, nowMs);
+            if (leading != deciding.leading()) {
+                leading = !leading;
+                LOG.log(System.Logger.Level.INFO, leading ? "leads those that decide about policy" : "leads no longer");
+                carrier.note("leads", "on", leading);
+            }
+        }
+        Ask ask = follower.ask(nowMs);
+        if (ask != null) {
+            ask(ask, nowMs);
+        }
+        PolicyLog.Entry open = follower.toCheck();
+        if (open != null && checking != open.number()) {
+            checking = open.number();
+            check(open);
+        }
+        Ruling ruling = follower.ruling();
+        if (ruling != null && ruling != given) {
+            given = ruling;
+            CrashPoint.reached("before", "becoming", "RULING");
+            host.rule(ruling);
+            ruled.countDown();
+            CrashPoint.reached("after", "becoming", "RULING");
+        }
+        String by = ruling == null ? "" : ruling.at(nowMs).name();
+        if (!by.equals(name)) {
+            name = by;
+            LOG.log(System.Logger.Level.INFO, "goes by policy " + by);
+            carrier.note("policy", "by", by, "guarded", ruling != null && ruling.at(nowMs).guarded());
+        }
+    }
+
+    private void ask(Ask ask, double nowMs) {
+        if (deciding != null && deciding.leading()) {
+            deciding.asked(ask, nowMs, told -> {
+                if (told != null) {
+                    told(told);
+                }
+            });
+            return;
+        }
+        send(addresses.get(follower.whom()), Wire.ask(ask));
+    }
+
+    private void told(Told heard) {
+        follower.told(heard, host.nowMs());
+        String state = heard.holds().number() + (heard.open() == null ? "" : " " + heard.open().number() + " " + heard.open().stage());
+        if (!state.equals(told)) {
+            told = state;
+            carrier.note("told", "holds", heard.holds().number(), "open", heard.open() == null ? 0 : heard.open().number(),
+                    "stage", heard.open() == null ? "" : heard.open().stage().name());
+        }
+    }
+
+    /** Away from this thread: a version that hurts must not keep the node from asking. */
+    private void check(PolicyLog.Entry open) {
+        Thread checker = new Thread(() -> {
+            String no = no(open);
+            queue.add(() -> {
+                carrier.note("vote", "number", open.number(), "no", no);
+                LOG.log(System.Logger.Level.INFO, "proposal " + open.number() + ": " + (no.isEmpty() ? "can be applied" : no));
+                CrashPoint.reached("before", "becoming", "VOTE");
+                follower.checked(open.number(), no, host.nowMs());
+                CrashPoint.reached("after", "becoming", "VOTE");
+            });
+        }, "spartrail-policy-check");
+        checker.setDaemon(true);
+        checker.start();
+    }
+
+    private String no(PolicyLog.Entry open) {
+        try {
+            Terms terms = follower.applied(open);
+            String alone = host.rehearse(terms);
+            Told last = follower.last();
+            return !alone.isEmpty() ? alone : host.rehearse(follower.applied(last.holds()).stricter(terms));
+        } catch (RuntimeException | Error e) {
+            return String.valueOf(e.getMessage());
+        }
+    }
+
+    // ---- Messages ----
+
+    private void message(String from, byte[] bytes) {
+        try {
+            List<?> plain = Wire.plain(bytes);
+            switch (Wire.whole(plain, 0)) {
+                case Wire.ASK -> asked(from, Wire.ask(plain));
+                case Wire.TOLD -> told(Wire.told(plain));
+                case Wire.ELSEWHERE -> follower.elsewhere((String) plain.get(2), host.nowMs());
+                case Wire.NEWS -> follower.news(host.nowMs());
+                case Wire.LOG -> {
+                    if (deciding != null) {
+                        RaftMessage message = LogWire.message((List<?>) plain.get(1));
+                        deciding.heard(message);
+                    }
+                }
+                case Wire.ORDER -> {
+                    if (carrier.operator(from)) {
+                        order(from, plain);
+                    }
+                }
+                case Wire.QUESTION -> {
+                    if (carrier.operator(from)) {
+                        asked(from, plain.get(1), (String) plain.get(2));
+                    }
+                }
+                default -> { }
+            }
+        } catch (IOException | RuntimeException e) {
+            LOG.log(System.Logger.Level.DEBUG, "unreadable message about policy from " + from, e);
+        }
+    }
+
+    private void asked(String from, Ask ask) {
+        if (deciding == null) {
+            send(from, List.of(Wire.ELSEWHERE, ask.nonce(), ""));
+            return;
+        }
+        deciding.asked(ask, host.nowMs(), told -> {
+            if (told != null) {
+                send(from, Wire.told(told));
+            } else {
+                send(from, List.of(Wire.ELSEWHERE, ask.nonce(), deciding.leading() ? "" : deciding.leads()));
+            }
+        });
+    }
+
+    /** An operator's question. */
+    private void asked(String from, Object token, String what) {
+        if (what.startsWith(Wire.CHECK)) {
+            tryOut(from, token, what.substring(Wire.CHECK.length()));
+            return;
+        }
+        send(from, List.of(Wire.REPLY, token, what.equals("show") ? page()
+                : CrashPoint.all().contains(what) && CrashPoint.arm(what) ? "armed" : "unknown question"));
+    }
+
+    /** Whether this node could apply these settings, and what would change for it. One at a time: a rehearsal costs CPU. */
+    private void tryOut(String from, Object token, String settings) {
+        if (trying || follower.ruling() == null) {
+            send(from, List.of(Wire.REPLY, token, "!busy"));
+            return;
+        }
+        trying = true;
+        PolicyLog.Entry entry = new PolicyLog.Entry(0, settings, from, PolicyLog.Stage.PROPOSED, "", "");
+        Terms now = follower.ruling().terms();
+        Thread checker = new Thread(() -> {
+            String no = no(entry);
+            String said = no.isEmpty() ? String.join("\n", now.difference(follower.applied(entry))) : "!" + no;
+            queue.add(() -> {
+                trying = false;
+                send(from, List.of(Wire.REPLY, token, said));
+            });
+        }, "spartrail-policy-check");
+        checker.setDaemon(true);
+        checker.start();
+    }
+
+    private void order(String from, List<?> plain) {
+        Op op = new Op(Op.Kind.valueOf((String) plain.get(2)), Wire.number(plain, 3), (String) plain.get(4), (String) plain.get(5),
+                (String) plain.get(1));
+        if (op.kind() != Op.Kind.PROPOSE && op.kind() != Op.Kind.ABORT) {
+            return;
+        }
+        if (deciding == null) {
+            send(from, List.of(Wire.DONE, op.token(), "", addressOfLeader()));
+            return;
+        }
+        deciding.order(op, came -> send(from, List.of(Wire.DONE, op.token(), came == null ? "" : came, addressOfLeader())));
+    }
+
+    private String addressOfLeader() {
+        String leads = deciding != null ? deciding.leads() : follower.whom();
+        return addresses.getOrDefault(leads, "");
+    }
+
+    private String page() {
+        return Page.of(carrier.name(), given, follower, deciding, addressOfLeader(), host.nowMs());
+    }
+
+    private void carry(String to, RaftMessage message) {
+        send(addresses.get(to), List.of(Wire.LOG, LogWire.plain(message)));
+    }
+
+    /** The log has moved on: all that are there are to ask anew. */
+    private void changed() {
+        PolicyLog log = deciding.log();
+        carrier.note("log", "holds", log.holds().number(), "open", log.open() == null ? 0 : log.open().number(),
+                "stage", log.open() == null ? "" : log.open().stage().name(), "leading", deciding.leading(),
+                "last", log.entries().isEmpty() ? "" : log.entries().get(log.entries().size() - 1).number() + " "
+                        + log.entries().get(log.entries().size() - 1).stage() + " " + log.entries().get(log.entries().size() - 1).why());
+        if (deciding.leading()) {
+            there.forEach(node -> send(addresses.get(node), List.of(Wire.NEWS)));
+            follower.news(host.nowMs());
+        }
+    }
+
+    private void send(String address, List<?> plain) {
+        if (address == null || address.isEmpty()) {
+            return;
+        }
+        int kind = Wire.whole(plain, 0);
+        String called = kind == Wire.LOG ? LogWire.NAMES.get(Wire.whole((List<?>) plain.get(1), 0) - 1) : Wire.NAMES.get(kind);
+        CrashPoint.reached("before", "sending", called);
+        pieces.cut(Wire.bytes(plain)).forEach(piece -> carrier.send(address, piece));
+        CrashPoint.reached("after", "sending", called);
+    }
+
+    @Override
+    public void close() {
+        ended = true;
+        try {
+            thread.join(2000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/spartrail/governing/Page.java
@@ -0,0 +1,68 @@
+package spartrail.governing;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import spartrail.policy.PolicyFollower;
+import spartrail.policy.PolicyLog;
+import spartrail.policy.Ruling;
+import spartrail.policy.Told;
+
+/** What a running node tells its operators about policy: by what it goes, what it knows, and, where it decides, the log. */
+final class Page {
+    /** A page is one message; the latest so many proposals are in it. */
+    private static final int MOST_ENTRIES = 50;
+
+    private Page() {
+    }
+
+    static String of(String node, Ruling given, PolicyFollower follower, Deciding deciding, String leader, double nowMs) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = new JsonFactory().createGenerator(text)) {
+            out.writeStartObject();
+            out.writeStringField("node", node);
+            Ruling now = given == null ? null : given.at(nowMs);
+            out.writeStringField("by", now == null ? "" : now.name());
+            out.writeBooleanField("guarded", now != null && now.guarded());
+            out.writeNumberField("forMs", now == null || Double.isInfinite(now.untilMs()) ? -1 : Math.round(now.untilMs() - nowMs));
+            out.writeStringField("unfit", follower.unfit());
+            out.writeStringField("terms", now == null ? "{}" : now.terms().json());
+            out.writeBooleanField("decides", deciding != null);
+            out.writeBooleanField("leads", deciding != null && deciding.leading());
+            out.writeStringField("leader", leader);
+            Told last = follower.last();
+            if (last != null) {
+                entry(out, "holds", last.holds());
+                if (last.open() != null) {
+                    entry(out, "open", last.open());
+                }
+            }
+            out.writeArrayFieldStart("entries");
+            if (deciding != null) {
+                var entries = deciding.log().entries();
+                for (PolicyLog.Entry entry : entries.subList(Math.max(0, entries.size() - MOST_ENTRIES), entries.size())) {
+                    entry(out, null, entry);
+                }
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("text in memory", e);
+        }
+        return text.toString();
+    }
+
+    private static void entry(JsonGenerator out, String name, PolicyLog.Entry entry) throws IOException {
+        if (name != null) {
+            out.writeFieldName(name);
+        }
+        out.writeStartObject();
+        out.writeNumberField("number", entry.number());
+        out.writeStringField("stage", entry.stage().name());
+        out.writeStringField("by", entry.by());
+        out.writeStringField("why", entry.why());
+        out.writeStringField("settings", entry.settings());
+        out.writeEndObject();
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/spartrail/governing/Wire.java
@@ -0,0 +1,128 @@
+package spartrail.governing;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import spartrail.json.JsonTree;
+import spartrail.policy.Ask;
+import spartrail.policy.PolicyLog;
+import spartrail.policy.Told;
+
+/**
+ * The form of messages about policy: a CBOR array whose first value is the kind. Arrays may have more values at their end than
+ * a reader knows.
+ *
+ * <pre>
+ *  0 ASK        nonce, name, vote, no, by
+ *  1 TOLD       nonce, index, entry, entry or ""      entry: number, settings, by, stage, why, token
+ *  2 ELSEWHERE  nonce, name of who leads or ""
+ *  3 NEWS
+ *  4 LOG        a message of the agreed log, see LogWire
+ *  5 ORDER      token, kind, number, text, who         of an operator
+ *  6 DONE       token, what came of it, name of who leads or ""
+ *  7 QUESTION   token, what                            of an operator: show; check SETTINGS; in drills a point to crash at
+ *  8 REPLY      token, text
+ * </pre>
+ */
+public final class Wire {
+    public static final int ASK = 0;
+    public static final int TOLD = 1;
+    public static final int ELSEWHERE = 2;
+    public static final int NEWS = 3;
+    public static final int LOG = 4;
+    public static final int ORDER = 5;
+    public static final int DONE = 6;
+    public static final int QUESTION = 7;
+    public static final int REPLY = 8;
+    /** The lane of policy in the frames of talk. */
+    public static final int LANE = 3;
+
+    static final String CHECK = "check ";
+
+    static final List<String> NAMES = List.of("ASK", "TOLD", "ELSEWHERE", "NEWS", "LOG", "ORDER", "DONE", "QUESTION", "REPLY");
+
+    private static final CBORFactory CBOR = new CBORFactory();
+
+    private Wire() {
+    }
+
+    /** A list of lists, numbers, text and flags as bytes. */
+    public static byte[] bytes(List<?> plain) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+        try (JsonGenerator out = CBOR.createGenerator(bytes)) {
+            write(out, plain);
+        } catch (IOException e) {
+            throw new IllegalStateException("bytes in memory", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(JsonGenerator out, Object value) throws IOException {
+        if (value instanceof List<?> list) {
+            out.writeStartArray();
+            for (Object each : list) {
+                write(out, each);
+            }
+            out.writeEndArray();
+        } else {
+            out.writeObject(value);
+        }
+    }
+
+    /** The other way; an IOException where they are no list. */
+    public static List<?> plain(byte[] bytes) throws IOException {
+        try (JsonParser in = CBOR.createParser(bytes)) {
+            if (in.nextToken() == null || !(JsonTree.value(in) instanceof List<?> list)) {
+                throw new IOException("a list is expected");
+            }
+            return list;
+        } catch (RuntimeException e) {
+            throw new IOException("unreadable", e);
+        }
+    }
+
+    static List<?> ask(Ask ask) {
+        return List.of(ASK, ask.nonce(), ask.name(), ask.vote(), ask.no(), ask.by());
+    }
+
+    static Ask ask(List<?> plain) {
+        return new Ask(number(plain, 1), (String) plain.get(2), number(plain, 3), (String) plain.get(4), (String) plain.get(5));
+    }
+
+    static List<?> told(Told told) {
+        return List.of(TOLD, told.nonce(), told.index(), entry(told.holds()), told.open() == null ? "" : entry(told.open()));
+    }
+
+    static Told told(List<?> plain) {
+        return new Told(number(plain, 1), number(plain, 2), entry(plain.get(3)), plain.get(4) instanceof List<?> ? entry(plain.get(4)) : null);
+    }
+
+    private static List<?> entry(PolicyLog.Entry entry) {
+        return List.of(entry.number(), entry.settings(), entry.by(), entry.stage().name(), entry.why(), entry.token());
+    }
+
+    private static PolicyLog.Entry entry(Object plain) {
+        List<?> list = (List<?>) plain;
+        return new PolicyLog.Entry(number(list, 0), (String) list.get(1), (String) list.get(2),
+                PolicyLog.Stage.valueOf((String) list.get(3)), (String) list.get(4), (String) list.get(5));
+    }
+
+    static long number(List<?> plain, int at) {
+        return ((Number) plain.get(at)).longValue();
+    }
+
+    static int whole(List<?> plain, int at) {
+        return ((Number) plain.get(at)).intValue();
+    }
+
+    /** Names of a list. */
+    static List<String> names(Object plain) {
+        List<String> names = new ArrayList<>();
+        ((List<?>) plain).forEach(name -> names.add((String) name));
+        return names;
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/spartrail/governing/JournalTest.java
@@ -0,0 +1,134 @@
+package spartrail.governing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.microraft.model.log.LogEntry;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import spartrail.policy.Op;
+
+class JournalTest {
+    @TempDir
+    private Path folder;
+    private Path file;
+
+    private final Logger quiet = Logger.getLogger("spartrail.governing");
+
+    @BeforeEach
+    void found() throws IOException {
+        quiet.setLevel(Level.OFF);
+        Journal.found(folder, "recife", "n0", List.of("n0", "n1", "n2"));
+        file = folder.resolve("policy.log");
+    }
+
+    private static LogEntry entry(long index, String text) {
+        return LogWire.MODEL.createLogEntryBuilder().setIndex(index).setTerm(2).setOperation(new Op(Op.Kind.PROPOSE, 0, text, "ann", "t"))
+                .build();
+    }
+
+    private void fill() throws IOException {
+        try (Journal journal = new Journal(folder, "recife", "n0")) {
+            journal.persistAndFlushLocalEndpoint(LogWire.MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(new Decider("n0"))
+                    .setVoting(true).build());
+            journal.persistAndFlushInitialGroupMembers(LogWire.MODEL.createRaftGroupMembersViewBuilder().setLogIndex(0)
+                    .setMembers(Decider.of(journal.deciders())).setVotingMembers(Decider.of(journal.deciders())).build());
+            journal.persistAndFlushTerm(LogWire.MODEL.createRaftTermPersistentStateBuilder().setTerm(2).setVotedFor(new Decider("n1")).build());
+            journal.persistLogEntries(List.of(entry(1, "a"), entry(2, "b"), entry(3, "c")));
+            journal.truncateLogEntriesFrom(3);
+            journal.persistLogEntries(List.of(entry(3, "d")));
+            journal.flush();
+        }
+    }
+
+    private String read() throws IOException {
+        try (Journal journal = new Journal(folder, "recife", "n0")) {
+            RestoredRaftState state = journal.restored();
+            return state == null ? "nothing" : state.getTermPersistentState().getTerm() + " "
+                    + Decider.name(state.getTermPersistentState().getVotedFor()) + " " + state.getLogEntries().stream()
+                    .map(entry -> entry.getIndex() + ((Op) entry.getOperation()).text()).collect(Collectors.joining(" "));
+        }
+    }
+
+    @Test
+    void whatWasKeptIsThereAgain() throws IOException {
+        assertThat(read()).isEqualTo("nothing");
+        fill();
+        assertThat(read()).isEqualTo("2 n1 1a 2b 3d");
+    }
+
+    /** A crash in the middle of a write leaves the beginning of a record: it is cut off, and what came before is there. */
+    @Test
+    void cutAtEachByteItHoldsTheWholeRecordsBeforeAndNothingElse() throws IOException {
+        fill();
+        byte[] all = Files.readAllBytes(file);
+        String seen = "";
+        int changes = 0;
+        for (int length = 0; length < all.length; length++) {
+            Files.write(file, Arrays.copyOf(all, length));
+            String now;
+            try {
+                now = read();
+                assertThat(Files.size(file)).as("a torn tail is cut off").isLessThanOrEqualTo(length);
+            } catch (IOException e) {
+                now = "refused";
+            }
+            changes += now.equals(seen) ? 0 : 1;
+            seen = now;
+        }
+        // Refused without its head; nothing; and then one more at each entry, and one less where one was taken back.
+        assertThat(changes).isEqualTo(7);
+    }
+
+    /** It may have been synced, and a word given on it. */
+    @Test
+    void flippedAtAnyByteItIsRefused() throws IOException {
+        fill();
+        byte[] all = Files.readAllBytes(file);
+        for (int at = 0; at < all.length; at++) {
+            byte[] spoilt = all.clone();
+            spoilt[at] ^= 0x10;
+            Files.write(file, spoilt);
+            assertThatThrownBy(this::read).as("byte " + at).isInstanceOf(IOException.class).hasMessageContaining("is spoilt");
+            assertThat(file).as("what is refused stays as it was").hasBinaryContent(spoilt);
+        }
+    }
+
+    @Test
+    void aFolderOfAnotherNodeOrFleetOrInUseIsRefused() throws IOException {
+        assertThatThrownBy(() -> new Journal(folder, "recife", "n1")).hasMessage(file + ": is that of n0 in recife, found by n1 in recife");
+        assertThatThrownBy(() -> new Journal(folder, "macon", "n0")).hasMessage(file + ": is that of n0 in recife, found by n0 in macon");
+        assertThatThrownBy(() -> Journal.found(folder, "recife", "n0", List.of("n0"))).hasMessage(file + ": is there already");
+        Files.writeString(file, "{\"fleet\": \"recife\", \"what\": \"something else\"}");
+        assertThatThrownBy(() -> new Journal(folder, "recife", "n0")).hasMessageContaining("spoilt");
+    }
+
+    @Test
+    void piecesMakeTheMessageWholeInAnyOrderAndOnlyWhole() {
+        byte[] message = new byte[5000];
+        new java.util.Random(3).nextBytes(message);
+        Pieces from = new Pieces(1100, 7);
+        Pieces to = new Pieces(1100, 9);
+        List<byte[]> pieces = from.cut(message);
+        assertThat(pieces).hasSize(5);
+        for (int i : new int[] {3, 0, 4, 4, 1}) {
+            assertThat(to.whole("a", pieces.get(i))).isNull();
+        }
+        assertThat(to.whole("b", pieces.get(2))).isNull();
+        assertThat(to.whole("a", pieces.get(2))).isEqualTo(message);
+        for (int i = 0; i < 1000; i++) {
+            to.whole("a", from.cut(message).get(0));
+        }
+        assertThat(to.whole("a", new byte[] {1, 2})).isNull();
+    }
+}
