--- a/core/src/test/java/spartrail/policy/PolicyTest.java
+++ b/core/src/test/java/spartrail/policy/PolicyTest.java
@@ -22,23 +22,23 @@
     @Test
     void aProposalEndsOneWayAndOnlyThat() {
         List<String> trace = new ArrayList<>();
-        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "ann", "a"));
-        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "ann", "a"));
-        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "bob", "b"));
+        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "first", "a"));
+        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "first", "a"));
+        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "second", "b"));
         trace.add(apply(Op.Kind.HOLD, 1, "", "", ""));
         trace.add(apply(Op.Kind.REFUSE, 1, "cannot", "n3", ""));
         trace.add(apply(Op.Kind.DECIDE, 1, "", "", ""));
-        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "ann", "a"));
-        trace.add(apply(Op.Kind.PROPOSE, 0, "{\"sends\":{\"most\":-1}}", "bob", "c"));
-        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "bob", "d"));
+        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "first", "a"));
+        trace.add(apply(Op.Kind.PROPOSE, 0, "{\"sends\":{\"most\":-1}}", "second", "c"));
+        trace.add(apply(Op.Kind.PROPOSE, 0, QUICK, "second", "d"));
         trace.add(apply(Op.Kind.DECIDE, 2, "", "", ""));
-        trace.add(apply(Op.Kind.ABORT, 2, "", "bob", ""));
+        trace.add(apply(Op.Kind.ABORT, 2, "", "second", ""));
         trace.add(apply(Op.Kind.HOLD, 2, "", "", ""));
         trace.add(apply(Op.Kind.HOLD, 2, "", "", ""));
         assertThat(String.join("\n", trace)).isEqualTo("""
                 1
                 1
-                !proposal 1 by ann is still open
+                !proposal 1 by first is still open
                 !1 is not decided
                 1
                 !no proposal 1 is open
@@ -65,7 +65,7 @@
     void theLeaderWaitsForEverybodyThatIsThereOrHoldsALease() {
         PolicyLeader leader = new PolicyLeader(TIMES);
         leader.leads(true);
-        apply(Op.Kind.PROPOSE, 0, QUICK, "ann", "a");
+        apply(Op.Kind.PROPOSE, 0, QUICK, "first", "a");
         List<String> there = List.of("n0", "n1");
         leader.asked(new Ask(1, "n5", 0, "", ""), 500);
         assertThat(op(leader.due(log, there, 1000))).isEqualTo("-");
@@ -90,12 +90,12 @@
     void oneNoRefusesAndSoDoesSilence() {
         PolicyLeader leader = new PolicyLeader(TIMES);
         leader.leads(true);
-        apply(Op.Kind.PROPOSE, 0, QUICK, "ann", "a");
+        apply(Op.Kind.PROPOSE, 0, QUICK, "first", "a");
         leader.due(log, List.of("n0", "n1"), 0);
         leader.asked(new Ask(1, "n1", 1, "no such op type", ""), 100);
         assertThat(op(leader.due(log, List.of("n0", "n1"), 200))).isEqualTo("REFUSE n1: no such op type");
         apply(Op.Kind.REFUSE, 1, "", "", "");
-        apply(Op.Kind.PROPOSE, 0, QUICK, "ann", "b");
+        apply(Op.Kind.PROPOSE, 0, QUICK, "first", "b");
         leader.due(log, List.of("n0", "n1"), 1000);
         leader.asked(new Ask(1, "n1", 2, "", ""), 1100);
         assertThat(op(leader.due(log, List.of("n0", "n1"), 8900))).isEqualTo("-");
@@ -120,7 +120,7 @@
         assertThat(by(node, 2999)).isEqualTo("0 2000");
         // The lease counts from the question at 0, not from the answer.
         assertThat(by(node, 3000)).isEqualTo("0? guarded 2000");
-        apply(Op.Kind.PROPOSE, 0, QUICK, "ann", "a");
+        apply(Op.Kind.PROPOSE, 0, QUICK, "first", "a");
         node.told(told(node.ask(1200)), 1210);
         assertThat(node.toCheck().number()).isEqualTo(1);
         assertThat(by(node, 4199) + ", " + by(node, 4200)).isEqualTo("0 2000, 0|1? guarded 1000");
@@ -176,7 +176,7 @@
         PolicyFollower node = new PolicyFollower("n1", List.of("n0", "n1", "n2"), TermsTest.OWN, TIMES,
                 RandomGeneratorFactory.of("L64X128MixRandom").create(1), 0);
         node.told(told(node.ask(0)), 10);
-        apply(Op.Kind.PROPOSE, 0, "{\"opTypes\":{\"sales\":{\"budgetMs\":3}}}", "ann", "a");
+        apply(Op.Kind.PROPOSE, 0, "{\"opTypes\":{\"sales\":{\"budgetMs\":3}}}", "first", "a");
         apply(Op.Kind.DECIDE, 1, "", "", "");
         node.told(told(node.ask(1200)), 1210);
         assertThat(by(node, 1210)).isEqualTo("0? guarded 2000");
@@ -191,7 +191,7 @@
         assertThat(by(node, 4999)).isEqualTo("-");
         node.ask(5000);
         assertThat(by(node, 5000)).isEqualTo("0? guarded 2000");
-        apply(Op.Kind.PROPOSE, 0, "{\"opTypes\":{\"sales\":{\"budgetMs\":3}}}", "ann", "a");
+        apply(Op.Kind.PROPOSE, 0, "{\"opTypes\":{\"sales\":{\"budgetMs\":3}}}", "first", "a");
         apply(Op.Kind.DECIDE, 1, "", "", "");
         apply(Op.Kind.HOLD, 1, "", "", "");
         node.told(told(node.ask(7000)), 7010);
--- a/policy/src/test/java/spartrail/governing/JournalTest.java
+++ b/policy/src/test/java/spartrail/governing/JournalTest.java
@@ -33,7 +33,7 @@
     }
 
     private static LogEntry entry(long index, String text) {
-        return LogWire.MODEL.createLogEntryBuilder().setIndex(index).setTerm(2).setOperation(new Op(Op.Kind.PROPOSE, 0, text, "ann", "t"))
+        return LogWire.MODEL.createLogEntryBuilder().setIndex(index).setTerm(2).setOperation(new Op(Op.Kind.PROPOSE, 0, text, "first", "t"))
                 .build();
     }
 
