--- a/core/src/main/java/spartrail/policy/PolicyLeader.java
+++ b/core/src/main/java/spartrail/policy/PolicyLeader.java
@@ -111,15 +111,4 @@
         return nowMs - knownMs < times.prepareMs() ? null : new Op(Op.Kind.REFUSE, open.number(), "said nothing in "
                 + Math.round(times.prepareMs()) + " ms", String.join(", ", new ArrayList<>(missing).subList(0, Math.min(5, missing.size()))), "");
     }
-
-    /** Until when it still counts a node's lease, by name, and what the node last said: for operators. */
-    public List<String> asking(double nowMs) {
-        List<String> names = new ArrayList<>();
-        leaseMs.forEach((name, untilMs) -> {
-            if (untilMs > nowMs) {
-                names.add(name);
-            }
-        });
-        return names.stream().sorted().toList();
-    }
 }
--- a/lab/src/test/java/spartrail/lab/nodes/SeveralProcessesTest.java
+++ b/lab/src/test/java/spartrail/lab/nodes/SeveralProcessesTest.java
@@ -107,6 +107,7 @@
         List<String> lines = process.inputReader().lines().collect(Collectors.toList());
         assertThat(process.waitFor()).isZero();
         assertThat(lines).anyMatch(line -> line.contains("spartrail.front.NodeLoop "));
-        assertThat(lines).noneMatch(line -> line.contains("spartrail.peers.") || line.contains("spartrail.peering."));
+        assertThat(lines).noneMatch(line -> line.contains("spartrail.peers.") || line.contains("spartrail.peering.")
+                || line.contains("spartrail.policy.") || line.contains("spartrail.governing."));
     }
 }
--- a/policy/src/main/java/spartrail/governing/GoverningNode.java
+++ b/policy/src/main/java/spartrail/governing/GoverningNode.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import spartrail.peers.PeersView;
-import spartrail.peers.Standing;
 import spartrail.policy.Ask;
 import spartrail.policy.Op;
 import spartrail.policy.PolicyFollower;
@@ -111,7 +110,7 @@
         List<String> names = new ArrayList<>();
         for (PeersView.Seen seen : view.peers()) {
             known.put(seen.card().name(), seen.card().address());
-            if (seen.standing().there() && seen.standing() != Standing.LEFT) {
+            if (seen.standing().there()) {
                 names.add(seen.card().name());
             }
         }
--- a/policy/src/main/java/spartrail/governing/Journal.java
+++ b/policy/src/main/java/spartrail/governing/Journal.java
@@ -1,6 +1,5 @@
 package spartrail.governing;
 
-import io.microraft.RaftEndpoint;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
@@ -342,11 +341,6 @@
         size = out.size();
     }
 
-    /** Who this node is in the set, as far as it was kept. */
-    RaftEndpoint self() {
-        return self == null ? null : self.getLocalEndpoint();
-    }
-
     @Override
     public void close() throws IOException {
         if (channel != null) {
