Clients' connections: a close goes over no unread bytes, and who leaves is always seen

Cause, by reading what may come between two lines and forcing it: (1) ClientDoor.shut closed the listening socket and dropped connections with IoUtils.safeClose, over requests unread in the system: reset, and the last answer with them; a connection that the system had accepted was reset with its request. (2) ClientRequest.readable suspended reads after the first bytes sent ahead, so the end of a client that pipelined was never seen, and work went on for it. (3) An answer that was on its way as one of many when the door shut left its connection resting with nobody to end it. (4) Time limits of heads, bodies and silence closed at once after a process pause, though the rest waited in the socket: a request that counts as taken was lost.

--- a/node/src/main/java/spartrail/client/ClientRequest.java
+++ b/node/src/main/java/spartrail/client/ClientRequest.java
@@ -4,23 +4,37 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.StreamSourceConduit;
 
-/** A request in hand: its client is watched until it has its one answer. */
+/**
+ * A request in hand: its client is watched until it has its one answer.
+ *
+ * <pre>
+ *            bytes come                              end, reset          answer given
+ * WATCHED    kept for the next request, as many as   closed, told as     OVER, written
+ *            it may have; then on to SPILT           gone: OVER
+ * SPILT      thrown away                             the same            OVER, written as the connection's last
+ * OVER       left to whoever reads next              the same            nothing: the first one counts
+ * </pre>
+ */
 public final class ClientRequest {
+    public final String id;
     private final ClientDoor door;
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
     /** When its last byte was read. */
     public final double arrivedMs;
     private boolean over;
+    private boolean spilt;
 
-    ClientRequest(ClientDoor door, HttpServerExchange exchange, double arrivedMs) {
+    ClientRequest(ClientDoor door, HttpServerExchange exchange, String id, double arrivedMs) {
         this.door = door;
         this.exchange = exchange;
         this.connection = (HttpServerConnection) exchange.getConnection();
+        this.id = id;
         this.arrivedMs = arrivedMs;
     }
 
@@ -28,16 +42,19 @@
         return ((HttpServerConnection) exchange.getConnection()).getChannel();
     }
 
+    /** Whether its client still waits for it; on the I/O thread. */
+    public boolean waited() {
+        return !over;
+    }
+
     /**
-     * Reads on while the request is in hand. Danger: with no read pending nobody notices that a client has
-     * left, and work goes on for it. What a client sends ahead is kept for its next request.
+     * Reads on while the request is in hand, whatever the client sends. Danger: with no read pending nobody notices that a
+     * client has left, and work goes on for it.
      */
     void watchClient() {
         StreamSourceConduit source = connection.getOriginalSourceConduit();
         connection.getChannel().getSourceChannel().setReadListener(channel -> readable(source));
-        if (connection.getExtraBytes() == null) {
-            source.resumeReads();
-        }
+        source.resumeReads();
     }
 
     private void readable(StreamSourceConduit source) {
@@ -45,24 +62,32 @@
             source.suspendReads();
             return;
         }
-        PooledByteBuffer ahead = connection.getByteBufferPool().allocate();
-        boolean kept = false;
         try {
-            int got = source.read(ahead.getBuffer());
+            ByteBuffer buffer = door.buffer();
+            int got = source.read(buffer);
             if (got < 0) {
                 left();
             } else if (got > 0) {
-                source.suspendReads();
-                ahead.getBuffer().flip();
-                connection.ungetRequestBytes(ahead);
-                kept = true;
+                keep(buffer.flip());
             }
         } catch (IOException e) {
             left();
-        } finally {
-            if (!kept) {
-                ahead.close();
-            }
+        }
+    }
+
+    private void keep(ByteBuffer ahead) {
+        PooledByteBuffer before = connection.getExtraBytes();
+        if (spilt || !door.keeps(exchange, ahead.remaining())) {
+            spilt = true;
+        } else if (before instanceof SentAhead kept) {
+            spilt = !kept.add(ahead);
+        } else if (before == null) {
+            connection.setExtraBytes(new SentAhead(ahead));
+        } else {
+            SentAhead kept = new SentAhead(before.getBuffer());
+            before.close();
+            spilt = !kept.add(ahead);
+            connection.setExtraBytes(kept);
         }
     }
 
@@ -79,6 +104,6 @@
         }
         over = true;
         connection.getOriginalSourceConduit().suspendReads();
-        door.send(exchange, reply);
+        door.send(exchange, reply, spilt);
     }
 }
--- /dev/null
+++ b/node/src/main/java/spartrail/client/SentAhead.java
@@ -0,0 +1,43 @@
+package spartrail.client;
+
+import io.undertow.connector.PooledByteBuffer;
+import java.nio.ByteBuffer;
+
+/** What a client has sent behind a request that is still in hand, for its next one; as much as a request may have. */
+final class SentAhead implements PooledByteBuffer {
+    static final int MOST_BYTES = 80 * 1024;
+
+    private ByteBuffer bytes;
+
+    SentAhead(ByteBuffer before) {
+        bytes = ByteBuffer.allocate(Math.max(1024, before.remaining())).put(before).flip();
+    }
+
+    /** Keeps these too; false if they are more than it may keep. */
+    boolean add(ByteBuffer more) {
+        int needed = bytes.remaining() + more.remaining();
+        if (needed > MOST_BYTES) {
+            return false;
+        }
+        if (needed > bytes.capacity()) {
+            bytes = ByteBuffer.allocate(Math.min(MOST_BYTES, Math.max(needed, 2 * bytes.capacity()))).put(bytes).flip();
+        }
+        bytes.compact().put(more).flip();
+        return true;
+    }
+
+    @Override
+    public ByteBuffer getBuffer() {
+        return bytes;
+    }
+
+    @Override
+    public void close() {
+        bytes = null;
+    }
+
+    @Override
+    public boolean isOpen() {
+        return bytes != null;
+    }
+}
--- a/node/src/test/java/spartrail/client/ClientDoorTest.java
+++ b/node/src/test/java/spartrail/client/ClientDoorTest.java
@@ -4,13 +4,20 @@
 
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.File;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -24,20 +31,168 @@
         return open == null ? 0 : open.length;
     }
 
-    /** Danger: with part of a core the I/O thread is long in coming, and nobody turns out whom the others accept. */
-    @Test
-    void aCrowdTakesNoMoreDescriptorsThanItsShareWhileTheNodeIsBusy() throws Exception {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        ClientDoor door = new ClientDoor(worker, new DefaultByteBufferPool(true, 1024), new InetSocketAddress("127.0.0.1", 0),
-                new NodeClock(), Set.of("orders"), 4, 16, new ClientDoor.Taker() {
+    private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    private final BlockingQueue<ClientRequest> asked = new LinkedBlockingQueue<>();
+
+    ClientDoorTest() throws IOException {
+    }
+
+    @AfterEach
+    void close() {
+        worker.shutdown();
+    }
+
+    private ClientDoor door(int mostConnections) throws IOException {
+        return new ClientDoor(worker, new DefaultByteBufferPool(true, 1024), new InetSocketAddress("127.0.0.1", 0),
+                new NodeClock(), Set.of("orders"), 4, mostConnections, new ClientDoor.Taker() {
                     @Override
                     public void asked(Ask ask, ClientRequest request) {
+                        asked.add(request);
                     }
 
                     @Override
                     public void gone(ClientRequest request) {
                     }
                 });
+    }
+
+    private interface Step {
+        void run() throws Exception;
+    }
+
+    private void io(Step step) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        worker.getIoThread().execute(() -> {
+            try {
+                step.run();
+                done.complete(null);
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        done.get(20, TimeUnit.SECONDS);
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+    private static final String BODY = "{\"segments\":[{\"segment\":0,\"boost\":1}],\"text\":\"t\"}";
+    private static final String ASK = "POST /orders/k HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Kind: orders\r\nReq-Deadline: 4\r\n"
+            + "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY;
+
+    /** All that comes on this connection up to its end; a reset is an exception. */
+    private static String rest(Socket socket) throws IOException {
+        socket.setSoTimeout(20_000);
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).replaceAll("(?s)\r\n.*\r\n\r\n", " ");
+    }
+
+    /**
+     * What clients see of a door that shuts with the I/O thread paused: on a resting connection that has just been written to, on
+     * one with half of a head read, on a new one, and on one in hand whose client has sent more.
+     */
+    @Test
+    void whatCrossesTheShuttingIsAnsweredOrEndedWithoutAReset() throws Exception {
+        ClientDoor door = door(16);
+        io(door::open);
+        Socket[] clients = new Socket[3];
+        for (int i = 0; i < 3; i++) {
+            clients[i] = new Socket(door.address().getAddress(), door.address().getPort());
+            send(clients[i], UP);
+            assertThat(clients[i].getInputStream().readNBytes(12)).endsWith("503".getBytes(StandardCharsets.US_ASCII));
+            while (clients[i].getInputStream().available() > 0) {
+                clients[i].getInputStream().read();
+            }
+        }
+        send(clients[1], ASK.substring(0, 40));
+        send(clients[2], ASK);
+        ClientRequest inHand = asked.take();
+        io(() -> { });
+        Socket[] late = new Socket[1];
+        io(() -> {
+            send(clients[0], ASK);
+            late[0] = new Socket(door.address().getAddress(), door.address().getPort());
+            send(late[0], ASK.replace("Req-Id: a", "Req-Id: late"));
+            door.shut();
+        });
+        assertThat(rest(clients[0])).as("resting").isEmpty();
+        ClientRequest next = asked.take();
+        assertThat(next.id).isEqualTo("late");
+        send(clients[1], ASK.substring(40).replace("Req-Id: a", "Req-Id: b"));
+        ClientRequest half = asked.take();
+        io(() -> {
+            send(clients[2], "POST /orders");
+            for (ClientRequest request : List.of(next, half, inHand)) {
+                request.answer(Reply.failed());
+            }
+        });
+        assertThat(rest(late[0])).as("new").isEqualTo("HTTP/1.1 500 Internal Server Error failed\n");
+        assertThat(rest(clients[1])).as("half a head read").isEqualTo("HTTP/1.1 500 Internal Server Error failed\n");
+        assertThat(rest(clients[2])).as("in hand").isEqualTo("HTTP/1.1 500 Internal Server Error failed\n");
+        assertThat(asked).as("read on a connection that could not carry an answer").isEmpty();
+        for (Socket client : clients) {
+            client.close();
+        }
+        late[0].close();
+        for (boolean ended = false; !ended; ) {
+            CompletableFuture<Boolean> seen = new CompletableFuture<>();
+            io(() -> seen.complete(door.ended()));
+            ended = seen.get();
+        }
+    }
+
+    @Test
+    void anAnswerThatWasOnItsWayWhenTheDoorShutIsTheLastOfItsConnection() throws Exception {
+        ClientDoor door = door(16);
+        io(door::open);
+        Socket client = new Socket();
+        client.setReceiveBufferSize(2048);
+        client.connect(door.address());
+        send(client, ASK);
+        ClientRequest inHand = asked.take();
+        byte[] value = new byte[16_000_000];
+        Arrays.fill(value, (byte) 'v');
+        io(() -> {
+            inHand.answer(Reply.returned(true, List.of(new Reply.Value(0, value))));
+            door.shut();
+        });
+        assertThat(rest(client)).hasSizeGreaterThan(value.length);
+        client.close();
+    }
+
+    /** A paused process finds the rest of a request in the socket, and its own time for it over. */
+    @Test
+    void whatCameDuringAPauseIsReadBeforeItsConnectionIsClosedForSlowness() throws Exception {
+        ClientDoor door = door(16);
+        io(door::open);
+        int[] cuts = {0, 60, ASK.length() - 5};
+        Socket[] clients = new Socket[cuts.length];
+        for (int i = 0; i < cuts.length; i++) {
+            clients[i] = new Socket(door.address().getAddress(), door.address().getPort());
+            send(clients[i], ASK.substring(0, cuts[i]));
+        }
+        while (door.size() < cuts.length) {
+            io(() -> { });
+        }
+        io(() -> {
+            for (int i = 0; i < cuts.length; i++) {
+                send(clients[i], ASK.substring(cuts[i]));
+            }
+            for (long untilNs = System.nanoTime() + 2_100_000_000L; System.nanoTime() < untilNs; ) {
+                Thread.onSpinWait();
+            }
+        });
+        for (int i = 0; i < cuts.length; i++) {
+            assertThat(asked.poll(20, TimeUnit.SECONDS)).as("request " + i).isNotNull();
+            clients[i].close();
+        }
+    }
+
+    /** Danger: with part of a core the I/O thread is long in coming, and nobody turns out whom the others accept. */
+    @Test
+    void aCrowdTakesNoMoreDescriptorsThanItsShareWhileTheNodeIsBusy() throws Exception {
+        ClientDoor door = door(16);
         CountDownLatch open = new CountDownLatch(1);
         CountDownLatch free = new CountDownLatch(1);
         worker.getIoThread().execute(() -> {
@@ -67,6 +222,5 @@
             socket.close();
         }
         worker.getIoThread().execute(door::close);
-        worker.shutdown();
     }
 }
