A silent watch is opened anew before its news count as told; a moved one asks for the whole list

Cause: a call that waits 4 s was given up at 6 s, the moment at which what it missed counts as told, with 0.2 s more of pause; a drain told then was known 0.2 s late at the least, and again 6 s later if the agent stayed silent. After SIGHUP the new agent was asked from the version of the old one: one that counts anew had nothing newer to tell for a long time. An agent that answers at once with nothing was asked without a pause.

Change: a call is given up 0.6 s after its wait, the next comes at once, and while the agent is silent calls hardly wait. The first call to a new address asks for the whole list. An answer that came early and told nothing is followed by 0.1 s of pause.

--- a/node/src/main/java/spartrail/discovery/HostWatch.java
+++ b/node/src/main/java/spartrail/discovery/HostWatch.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -33,11 +34,16 @@
     }
 
     private static final System.Logger LOG = System.getLogger("spartrail.discovery");
-    /** A watch goes on only if its next call comes within this time; after a failure it is the pause. */
-    private static final long NEXT_CALL_MS = 200;
-    /** What discovery has to tell counts as told this long after the end of a call's wait. */
-    private static final long TOLD_MS = 2000;
-    private static final long WAIT_MS = 2 * TOLD_MS;
+    /** The pause after a second failure, and after an answer that told nothing and came before its time. */
+    private static final long PAUSE_MS = 200;
+    /** What discovery has to tell counts as told 2 s after the end of a call's wait, and 6 s after a watch fell silent. */
+    private static final long WAIT_MS = 4000;
+    private static final long SHORT_WAIT_MS = 50;
+    /**
+     * An agent that lives answers so soon after the wait. Danger: a call given up only when its news counts as told leaves
+     * no time to open another one.
+     */
+    private static final long ANSWER_MS = 600;
     private static final int LONGEST = 1024 * 1024;
 
     private final XnioIoThread io;
@@ -47,6 +53,7 @@
     private final Listener listener;
 
     private ClientConnection connection;
+    private final CountDownLatch heard = new CountDownLatch(1);
     private boolean running;
     private boolean closed;
     private boolean had;
@@ -56,6 +63,8 @@
     private long call;
     private XnioExecutor.Key timer;
     private long failures;
+    private long waitMs;
+    private long askedNs;
 
     /** On request: after a failure it waits to be started anew, else it goes on by itself. */
     public HostWatch(XnioIoThread io, ByteBufferPool buffers, InetSocketAddress address, boolean onRequest,
@@ -75,8 +84,8 @@
     }
 
     /**
-     * From now on the list is asked for elsewhere, from the version that is held; it stays in use until it is
-     * answered there. Danger: a call that waits at the old address would hold the watch up until its time-out.
+     * From now on the list is asked for elsewhere, whole; the one that is held stays in use until it is answered there.
+     * Danger: a call that waits at the old address would hold the watch up until its time-out.
      */
     public void move(InetSocketAddress to) {
         if (closed || to.equals(address)) {
@@ -95,6 +104,11 @@
         ask();
     }
 
+    /** Counted down once the first call has been answered, or could not be had. */
+    public CountDownLatch heard() {
+        return heard;
+    }
+
     public void close() {
         closed = true;
         call++;
@@ -109,8 +123,15 @@
             return;
         }
         long number = ++call;
-        // Danger: discovery that is down says nothing at all, and a call without an end would be the last.
-        timer = io.executeAfter(() -> failed(number, "no answer in time"), WAIT_MS + TOLD_MS, TimeUnit.MILLISECONDS);
+        askedNs = System.nanoTime();
+        // Danger: a silent agent and one that has nothing to tell look the same for as long as a call waits; where it has
+        // been silent, one that hardly waits finds out. What is asked for elsewhere than at an agent stays at its pace.
+        waitMs = !had || moved ? 0 : failures == 0 || onRequest ? WAIT_MS : SHORT_WAIT_MS;
+        // Danger: discovery that is down says nothing at all, and a call without an end would be the last. Danger: of a
+        // process that stood still the answer may wait in the socket; so it is looked at first.
+        timer = io.executeAfter(() -> {
+            timer = io.executeAfter(() -> failed(number, "no answer in time"), 2, TimeUnit.MILLISECONDS);
+        }, waitMs + ANSWER_MS, TimeUnit.MILLISECONDS);
         if (connection != null && connection.isOpen()) {
             request(number);
             return;
@@ -135,7 +156,8 @@
     }
 
     private void request(long number) {
-        String path = had ? "/discovery/hosts?since=" + version + "&timeout_ms=" + WAIT_MS : "/discovery/hosts";
+        // Danger: a new agent may count its versions anew, and would have nothing newer than the old one's for a long time.
+        String path = had && !moved ? "/discovery/hosts?since=" + version + "&timeout_ms=" + waitMs : "/discovery/hosts";
         ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(path);
         request.getRequestHeaders().put(Headers.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
         connection.sendRequest(request, new ClientCallback<>() {
@@ -205,6 +227,7 @@
             return;
         }
         timer.remove();
+        boolean early = waitMs == WAIT_MS && System.nanoTime() - askedNs < 1e6 * PAUSE_MS;
         if (failures > 0) {
             LOG.log(System.Logger.Level.INFO, "discovery answers again after " + failures + " failed calls");
             failures = 0;
@@ -213,6 +236,7 @@
         // answers with its whole list, and not with changes, does not know the version that is held.
         if (!had || list.version() >= version || moved && list.all()) {
             boolean news = !had || list.all() || !list.lines().isEmpty();
+            early &= !news || list.version() == version;
             had = true;
             version = list.version();
             if (news) {
@@ -220,7 +244,14 @@
             }
         }
         moved = false;
-        ask();
+        heard.countDown();
+        if (early) {
+            // Danger: one that does not wait, or knows only an older list, would be asked without a pause. (A watch goes on
+            // only if its next call comes within this time.)
+            timer = io.executeAfter(this::ask, PAUSE_MS / 2, TimeUnit.MILLISECONDS);
+        } else {
+            ask();
+        }
     }
 
     private void failed(long number, String why) {
@@ -234,11 +265,13 @@
         if (failures++ == 0) {
             LOG.log(System.Logger.Level.WARNING, "discovery " + address + " cannot be had: " + why);
         }
+        heard.countDown();
         listener.unlisted();
         if (onRequest) {
             running = false;
         } else {
-            timer = io.executeAfter(this::ask, NEXT_CALL_MS, TimeUnit.MILLISECONDS);
+            // Danger: what the agent has counts as told while no watch is open.
+            timer = io.executeAfter(this::ask, failures == 1 ? 0 : PAUSE_MS, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/node/src/test/java/example/ToyFleet.java
+++ b/node/src/test/java/example/ToyFleet.java
@@ -107,6 +107,10 @@
     });
     private final List<Socket> open = new ArrayList<>();
     private long version = 1;
+    /** The latest version that was written to a front node, and the latest from which one has asked on. */
+    private long written;
+    private long askedFrom;
+    private boolean called;
     private boolean closed;
 
     /** Servers on ports from this one on, or on any free ones where it is 0. */
@@ -141,12 +145,35 @@
         notifyAll();
     }
 
+    /** Waits until the present list has been written to a front node, and where asked also until it was read there. */
+    public synchronized void awaitTold(boolean read) throws InterruptedException {
+        while ((read ? askedFrom : written) < version) {
+            wait(20_000);
+        }
+    }
+
+    /** Waits until a front node has asked for the list. */
+    public synchronized void awaitCalled() throws InterruptedException {
+        while (!called) {
+            wait(20_000);
+        }
+    }
+
+    private synchronized void note(long since, long wrote) {
+        called = true;
+        askedFrom = Math.max(askedFrom, since);
+        written = Math.max(written, wrote);
+        notifyAll();
+    }
+
     private void list(HttpExchange exchange) throws IOException {
         String query = exchange.getRequestURI().getQuery();
+        note(0, 0);
         try {
             synchronized (this) {
                 if (query != null) {
                     long since = Long.parseLong(query.replaceAll(".*since=(\\d+).*", "$1"));
+                    note(since, 0);
                     long untilMs = System.currentTimeMillis()
                             + Long.parseLong(query.replaceAll(".*timeout_ms=(\\d+).*", "$1"));
                     while (!closed && since >= version && System.currentTimeMillis() < untilMs) {
@@ -157,11 +184,13 @@
                     wait(50);
                 }
             }
-            byte[] body = hosts().getBytes(StandardCharsets.UTF_8);
+            String hosts = hosts();
+            byte[] body = hosts.getBytes(StandardCharsets.UTF_8);
             exchange.sendResponseHeaders(200, body.length);
             try (OutputStream out = exchange.getResponseBody()) {
                 out.write(body);
             }
+            note(0, Long.parseLong(hosts.replaceAll(".*?(\\d+).*", "$1")));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/node/src/test/java/spartrail/cli/CommandLineTest.java
+++ b/node/src/test/java/spartrail/cli/CommandLineTest.java
@@ -106,7 +106,12 @@
         Signal.raise(new Signal("HUP"));
         Files.writeString(file, text.replace(":8500", ":" + after.getAddress().getPort()));
         Signal.raise(new Signal("HUP"));
-        assertThat(seen.poll(20, TimeUnit.SECONDS)).isEqualTo("the new address is asked");
+        // One that is silent is asked again and again, until the signal.
+        String next = seen.poll(20, TimeUnit.SECONDS);
+        while ("the old address is asked".equals(next)) {
+            next = seen.poll(20, TimeUnit.SECONDS);
+        }
+        assertThat(next).isEqualTo("the new address is asked");
         before.stop(0);
         after.stop(0);
     }
--- a/node/src/test/java/spartrail/discovery/HostWatchTest.java
+++ b/node/src/test/java/spartrail/discovery/HostWatchTest.java
@@ -5,7 +5,10 @@
 import com.sun.net.httpserver.HttpServer;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -56,9 +59,13 @@
     }
 
     private void watch(HttpServer server) throws IOException {
+        watch(server.getAddress());
+    }
+
+    private void watch(InetSocketAddress address) throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         watch = new HostWatch(worker.getIoThread(), new DefaultByteBufferPool(true, 1024),
-                server.getAddress(), false, new HostWatch.Listener() {
+                address, false, new HostWatch.Listener() {
                     @Override
                     public void listed(HostList list) {
                         StringBuilder told = new StringBuilder(list.version() + (list.all() ? " all" : " changes"));
@@ -106,21 +113,68 @@
                 GET /discovery/hosts?since=41&timeout_ms=4000
                 GET /discovery/hosts?since=42&timeout_ms=4000
                 not to be had
-                GET /discovery/hosts?since=42&timeout_ms=4000
+                GET /discovery/hosts?since=42&timeout_ms=50
                 not to be had
-                GET /discovery/hosts?since=42&timeout_ms=4000
+                GET /discovery/hosts?since=42&timeout_ms=50
                 GET /discovery/hosts?since=42&timeout_ms=4000
                 43 changes s-1=DRAINING s-2=GONE
                 GET /discovery/hosts?since=43&timeout_ms=4000
                 not to be had
-                GET /discovery/hosts?since=43&timeout_ms=4000
+                GET /discovery/hosts?since=43&timeout_ms=50
                 44 all s-3=LIVE
                 """);
     }
 
     @Test
-    void aWatchThatMovesAsksFromTheVersionHeldAndWaitsForNothingAtTheOldAddress() throws Exception {
-        HttpServer second = discovery("2nd ", list(43, false, LINE.formatted("s-1", "DRAINING")));
+    void aSilentWatchIsOpenedAnewBeforeItsNewsCountAsToldAndOneThatWasSilentFindsOutSoonWhetherItStillIs() throws Exception {
+        watch(discovery("", list(41, true, LINE.formatted("s-1", "SERVING"))));
+        assertThat(trace(3)).endsWith("GET /discovery/hosts?since=41&timeout_ms=4000\n");
+        long silentNs = System.nanoTime();
+        assertThat(trace(2)).isEqualTo("not to be had\nGET /discovery/hosts?since=41&timeout_ms=50\n");
+        assertThat(System.nanoTime() - silentNs).isLessThan(5_500_000_000L);
+        assertThat(trace(2)).isEqualTo("not to be had\nGET /discovery/hosts?since=41&timeout_ms=50\n");
+        assertThat(System.nanoTime() - silentNs).isLessThan(6_500_000_000L);
+    }
+
+    /** Discovery that writes these bytes to a call, so many at a time, and then ends the connection, by a reset or not. */
+    private void raw(String bytes, int step, boolean reset) throws IOException {
+        ServerSocket listening = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+        Thread thread = new Thread(() -> {
+            try (listening) {
+                while (true) {
+                    Socket socket = listening.accept();
+                    socket.setTcpNoDelay(true);
+                    socket.getInputStream().read(new byte[1024]);
+                    for (int at = 0; at < bytes.length(); at += step) {
+                        socket.getOutputStream().write(bytes.substring(at, Math.min(bytes.length(), at + step))
+                                .getBytes(StandardCharsets.US_ASCII));
+                    }
+                    socket.setSoLinger(reset, 0);
+                    socket.close();
+                }
+            } catch (IOException e) {
+                seen.add(String.valueOf(e));
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        watch((InetSocketAddress) listening.getLocalSocketAddress());
+    }
+
+    @Test
+    void aListWithoutALengthIsWholeAtTheEndOfItsStreamAndAResetIsNoEnd() throws Exception {
+        String list = list(41, true, LINE.formatted("s-1", "SERVING")).replace(",", ",\n   ");
+        raw("HTTP/1.1 200 OK\r\n\r\n" + list, 4096, true);
+        assertThat(trace(1)).isEqualTo("not to be had\n");
+        close();
+        seen.clear();
+        raw("HTTP/1.1 200 OK\r\n\r\n" + list, 1, false);
+        assertThat(trace(1)).isEqualTo("41 all s-1=LIVE\n");
+    }
+
+    @Test
+    void aWatchThatMovesAsksForTheWholeListAndWaitsForNothingAtTheOldAddress() throws Exception {
+        HttpServer second = discovery("2nd ", list(43, true, LINE.formatted("s-1", "DRAINING")));
         HttpServer third = discovery("3rd ", list(7, true, LINE.formatted("s-9", "SERVING")),
                 list(6, true, LINE.formatted("s-old", "SERVING")));
         watch(discovery("", list(41, true, LINE.formatted("s-1", "SERVING"))));
@@ -130,13 +184,13 @@
             watch.move(second.getAddress());
         });
         assertThat(trace(3)).isEqualTo("""
-                2nd GET /discovery/hosts?since=41&timeout_ms=4000
-                43 changes s-1=DRAINING
+                2nd GET /discovery/hosts
+                43 all s-1=DRAINING
                 2nd GET /discovery/hosts?since=43&timeout_ms=4000
                 """);
         worker.getIoThread().execute(() -> watch.move(third.getAddress()));
         assertThat(trace(4)).isEqualTo("""
-                3rd GET /discovery/hosts?since=43&timeout_ms=4000
+                3rd GET /discovery/hosts
                 7 all s-9=LIVE
                 3rd GET /discovery/hosts?since=7&timeout_ms=4000
                 3rd GET /discovery/hosts?since=7&timeout_ms=4000
