A frame is checked again where its first byte leaves; shutdown answers all it has read

ShardConnection.write sent whatever had been decided, however long ago: to a server whose drain waited in the socket or in the loop's queue, for a client that had left, outside the deduplication window, behind a server's own close. NodeLoop.end dropped what was in its queue, so requests read before the end were never answered; a node started by an old list sent by it before discovery was heard; a signal that came between the word 'ready' and its handler ended the process.

Change: an attempt carries until when it may leave; the socket side compares at the first byte (client there, time, list taken, sockets looked at within half of the grace or 40 ms) and what may not leave comes back as never sent. A process so slow that each look takes longer than that sends after five of them. All attempts of a deduped part, the first one too, leave within the window of the first: one whose connection came up late could run after the second. NodeLoop.end answers what is in hand, the door what comes behind it. A node told to end while it starts never says that it is ready and ends at once. A SIGHUP during the drain is taken then, not after it.

--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -283,6 +283,8 @@
             furtherFund = Math.min(FUND_MOST, furtherFund + FUND_GAIN);
         }
         part.sends.add(send);
+        // Danger: a first attempt whose connection comes up late would leave long after a second one has run.
+        send.leaveByMs = part.windowEndsMs() - turnMs;
         decisions.sends.add(send);
         timetable.add(now + usualMs(mg.opType) + mg.opType.learned.deviationMs, mg.dues, () -> overdue(send));
     }
@@ -515,8 +517,7 @@
         return switch (op.repeat) {
             case RETRIABLE -> true;
             case NON_RETRIABLE -> part.sends.stream().allMatch(Send::neverRan);
-            case DEDUPED -> part.sends.stream().filter(send -> !send.neverRan())
-                    .allMatch(send -> now - send.sentMs < op.dedupMs - turnMs);
+            case DEDUPED -> now < part.windowEndsMs() - turnMs;
         };
     }
 
--- a/core/src/main/java/spartrail/model/Part.java
+++ b/core/src/main/java/spartrail/model/Part.java
@@ -25,6 +25,13 @@
         return sends.stream().anyMatch(Send::out);
     }
 
+    /** The end of the deduplication window of what may have run of it; endless where there is none. */
+    public double windowEndsMs() {
+        return multiget.opType.repeat != OpType.Repeat.DEDUPED ? Double.POSITIVE_INFINITY : sends.stream()
+                .filter(send -> !send.neverRan()).mapToDouble(send -> send.sentMs + multiget.opType.dedupMs).min()
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
     public boolean triedAt(Server server) {
         return sends.stream().anyMatch(send -> send.server == server);
     }
--- a/core/src/main/java/spartrail/model/Send.java
+++ b/core/src/main/java/spartrail/model/Send.java
@@ -22,6 +22,8 @@
     public final int number;
     public final double sentMs;
     public final double timeoutMs;
+    /** Its frame may begin until then: a repeat that leaves after its op type's window would take effect twice. */
+    public double leaveByMs = Double.POSITIVE_INFINITY;
     public Call call;
     public Outcome outcome;
     public boolean cancelled;
--- a/core/src/test/java/spartrail/coordination/Script.java
+++ b/core/src/test/java/spartrail/coordination/Script.java
@@ -153,6 +153,12 @@
         return print("back", coordinator.waited(now));
     }
 
+    /** Until when the frame of a send may begin. */
+    Script leaveBy(String name) {
+        trace.append(String.format(Locale.ROOT, "%5.0f %s leaves by %.0f%n", now, name, sends.get(name).leaveByMs));
+        return this;
+    }
+
     private Script print(String call, Decisions decisions) {
         trace.append(String.format(Locale.ROOT, "%5.0f %s ->%s%n", now, call, text(decisions)));
         return this;
--- a/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -78,6 +78,16 @@
                 .after("1.0#1", Outcome.ERROR).after("2.0#0", Outcome.RESET).matches("deduped");
     }
 
+    /** Danger: a first attempt whose connection comes up late would run long after the second one. */
+    @Test
+    void everyAttemptOfADedupedPartLeavesWithinTheWindowOfTheFirst() {
+        Script script = new Script();
+        script.opType.repeat = OpType.Repeat.DEDUPED;
+        script.opType.dedupMs = 400;
+        script.fleet(1, 3, 3, 1).place(1, 0).place(2, 0).leaveBy("1.0#0").pass(100).after("1.0#0", Outcome.ERROR).leaveBy("1.0#1")
+                .after("2.0#0", Outcome.CONNECT_FAILED).leaveBy("2.0#1").matches("deduped-leave");
+    }
+
     @Test
     void aRepeatIsJudgedAgainWhenItLeavesTheQueue() {
         Script script = new Script();
--- a/node/src/main/java/spartrail/cli/ServeCommand.java
+++ b/node/src/main/java/spartrail/cli/ServeCommand.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.kohsuke.args4j.Option;
@@ -49,39 +50,54 @@
         quiet = Logger.getLogger("org.xnio");
         quiet.setLevel(Level.WARNING);
         Path path = config == null ? Path.of(named) : config;
-        FrontNode node = new FrontNode(DeploymentFile.read(path));
-        if (members != null) {
-            node.members(MembersFile.read(members));
-        }
-        if (peers != null) {
-            node.peers(peers, history, recordMb * 1024L * 1024);
-        }
-        if (state != null) {
-            node.policy(state);
-        }
-        MultigetRecord kept = record == null ? null : record();
-        node.record(kept);
+        CountDownLatch over = new CountDownLatch(1);
+        AtomicReference<FrontNode> served = new AtomicReference<>();
         synchronized (ServeCommand.class) {
-            // Danger: a JVM that nobody told otherwise ends on SIGHUP, with all that it has in hand.
-            Signal.handle(new Signal("HUP"), signal -> reload(node, path));
+            // Danger: a JVM that nobody told otherwise ends on SIGHUP, with all that it has in hand. Danger: a signal that
+            // comes between the word that the node is ready and what listens for it ends it the same way; so both come
+            // first, and wait for the start.
+            Signal.handle(new Signal("HUP"), signal -> reload(served, path));
+            FrontNode node = new FrontNode(DeploymentFile.read(path));
+            if (members != null) {
+                node.members(MembersFile.read(members));
+            }
+            if (peers != null) {
+                node.peers(peers, history, recordMb * 1024L * 1024);
+            }
+            if (state != null) {
+                node.policy(state);
+            }
+            MultigetRecord kept = record == null ? null : record();
+            node.record(kept);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                node.ending();
+                end(served, kept);
+                over.countDown();
+            }, "spartrail-drain"));
             node.start();
+            served.set(node);
         }
-        CountDownLatch over = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
+        over.await();
+        return 0;
+    }
+
+    /** Waits for the start, and does nothing where it failed; a SIGHUP is taken meanwhile. */
+    private static void end(AtomicReference<FrontNode> served, MultigetRecord kept) {
+        FrontNode node;
+        synchronized (ServeCommand.class) {
+            node = served.get();
+        }
+        try {
+            if (node != null) {
                 node.drain();
                 node.close();
                 if (kept != null) {
                     kept.close();
                 }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            } finally {
-                over.countDown();
             }
-        }, "spartrail-drain"));
-        over.await();
-        return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private MultigetRecord record() {
@@ -96,9 +112,12 @@
     }
 
     /** One at a time and none before the start, so that of two signals the later one's reading counts. */
-    private static synchronized void reload(FrontNode node, Path path) {
+    private static synchronized void reload(AtomicReference<FrontNode> served, Path path) {
+        if (served.get() == null) {
+            return;
+        }
         try {
-            String waiting = node.reload(DeploymentFile.read(path));
+            String waiting = served.get().reload(DeploymentFile.read(path));
             LOG.log(waiting.isEmpty() ? System.Logger.Level.INFO : System.Logger.Level.WARNING, "configuration read again"
                     + (waiting.isEmpty() ? "" : ", its settings wait for the next start: " + waiting));
         } catch (IOException | RuntimeException e) {
--- a/node/src/main/java/spartrail/front/FrontNode.java
+++ b/node/src/main/java/spartrail/front/FrontNode.java
@@ -44,15 +44,26 @@
      */
     private static final double LONGEST_COUNTED_MS = 3000;
     private static final double KILLED_AFTER_MS = 700;
-    /** It takes nothing new from so long before that, and by so long before that has answered all it took. */
+    /**
+     * Each answer is the last of its connection from so long before that, yet not before the front has heard; by so long
+     * before that it has answered all it took.
+     */
     private static final double LAST_TAKEN_MS = 1000;
+    private static final double FRONT_HEARS_MS = 450;
     private static final double LAST_ANSWERED_MS = 150;
+    /** What was answered last is on its way within this time. */
+    private static final double CLOSING_MS = 50;
+    /** Discovery's agent answers at once; one that is silent holds up no start. */
+    private static final long FIRST_LIST_MS = 600;
     private static final int BUFFER = 8 * 1024;
 
     private final DeploymentFile deployment;
     private final InetSocketAddress listen;
     private final UnaryOperator<Coordinator> wrapping;
     private final Invariants invariants = new Invariants();
+    private volatile boolean ending;
+    private volatile boolean saidUp;
+    private boolean closed;
     private XnioWorker worker;
     XnioIoThread io;
     private NodeLoop loop;
@@ -136,7 +147,7 @@
         loop = new NodeLoop(wrapping.apply(deployment.coordinator(opTypes)), opTypes, clock, io, deployment.turnMs(),
                 deployment.openCap(), deployment.mostSends(), deployment.nodes(), invariants);
         servers = new ShardPool(io, clock, deployment.callsPerConnection(), deployment.connectTimeoutMs(),
-                deployment.keepAliveMs(), deployment.cancelling(), loop, invariants);
+                deployment.keepAliveMs(), deployment.cancelling(), deployment.graceMs(), loop, invariants);
         if (members != null) {
             host = new MembersHost(members, deployment.cells(), deployment.reach(), clock, known, loop);
         }
@@ -146,8 +157,6 @@
                 deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), loop);
         loop.tie(servers, watch, known);
         loop.record(record, deployment.version());
-        thread = new Thread(loop, "spartrail-node");
-        thread.start();
         if (host != null) {
             host.start(members);
         }
@@ -157,11 +166,19 @@
             }
             door.open();
         });
+        thread = new Thread(loop, "spartrail-node");
+        if (!deployment.listAsked()) {
+            // Danger: the list that it was started with may be old, and what discovery's agent has counts as told already.
+            await(watch.heard(), FIRST_LIST_MS);
+        }
+        thread.start();
         if (state != null) {
             policy = new PolicyNode(deployment, clock, loop);
             talk = peerTalk().start(peersFile, history, historyBytes, view -> loop.fleet(view.word()), List.of(policy.start(state)));
         }
-        new Rehearsal(clock).play(deployment, door.address());
+        if (!ending) {
+            new Rehearsal(clock).play(deployment, door.address());
+        }
         if (policy != null) {
             // Danger: a node that comes back would decide by what held before it went.
             policy.awaitRuling();
@@ -170,10 +187,13 @@
         // the node is up: whoever asked right after the start was told 503.
         CountDownLatch up = new CountDownLatch(1);
         io.execute(() -> {
-            door.up();
+            if (!ending) {
+                door.up();
+                saidUp = true;
+            }
             up.countDown();
         });
-        awaitUp(up);
+        await(up, Long.MAX_VALUE);
         if (peersFile != null && talk == null) {
             talk = peerTalk().start(peersFile, history, historyBytes, view -> loop.fleet(view.word()), PeerLane.NONE);
         }
@@ -181,9 +201,9 @@
                 + " servers known");
     }
 
-    private static void awaitUp(CountDownLatch up) throws IOException {
+    private static void await(CountDownLatch latch, long longestMs) throws IOException {
         try {
-            up.await();
+            latch.await(longestMs, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new InterruptedIOException("interrupted while it started");
@@ -234,6 +254,11 @@
         return waiting;
     }
 
+    /** It will end: a start that is still on its way does not say that it is ready any more. */
+    public void ending() {
+        ending = true;
+    }
+
     /**
      * Serves those who still come as long as it may, answers all that it has taken, then returns; the node is to
      * be closed next. Danger: where nodes are replaced one after another, one that leaves early leaves its clients
@@ -246,20 +271,22 @@
         LOG.log(System.Logger.Level.INFO, "draining: " + loop.counters());
         CountDownLatch empty = new CountDownLatch(1);
         loop.answerBy(clock.nowMs() + killedMs - LAST_ANSWERED_MS);
+        // Danger: one that was told to end while it started has less time than it reckons with; nobody was sent to it.
+        double shutMs = saidUp ? Math.max(FRONT_HEARS_MS, killedMs - LAST_TAKEN_MS) : 0;
         io.execute(() -> {
             door.drain();
             io.executeAfter(() -> {
                 door.shut();
                 awaitEmpty(empty);
-            }, Math.round(killedMs - LAST_TAKEN_MS), TimeUnit.MILLISECONDS);
+            }, Math.round(shutMs), TimeUnit.MILLISECONDS);
         });
-        boolean all = empty.await(Math.round(killedMs - LAST_ANSWERED_MS / 2), TimeUnit.MILLISECONDS);
+        boolean all = empty.await(Math.round(killedMs - LAST_ANSWERED_MS / 2 - CLOSING_MS / 2), TimeUnit.MILLISECONDS);
         LOG.log(all ? System.Logger.Level.INFO : System.Logger.Level.WARNING,
                 all ? "drained" : "drained, with clients still connected");
     }
 
     private void awaitEmpty(CountDownLatch empty) {
-        if (door.size() == 0) {
+        if (door.ended()) {
             empty.countDown();
         } else {
             io.executeAfter(() -> awaitEmpty(empty), 10, TimeUnit.MILLISECONDS);
@@ -268,6 +295,10 @@
 
     @Override
     public void close() throws InterruptedException {
+        if (closed) {
+            return;
+        }
+        closed = true;
         if (host != null) {
             host.close();
         }
@@ -277,17 +308,24 @@
         if (talk != null) {
             talk.close();
         }
-        // The loop first: it would ask an I/O thread that is no more.
-        loop.end();
+        // The loop first: it would ask an I/O thread that is no more. Danger: what is read behind the loop's end would never
+        // be answered; from then on the door does it.
+        io.execute(() -> {
+            door.refuse();
+            watch.close();
+            loop.end();
+        });
         thread.join();
-        CountDownLatch closed = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        io.execute(() -> awaitEmpty(answered));
+        answered.await(Math.round(CLOSING_MS), TimeUnit.MILLISECONDS);
+        CountDownLatch over = new CountDownLatch(1);
         io.execute(() -> {
             door.close();
-            watch.close();
             servers.close();
-            closed.countDown();
+            over.countDown();
         });
-        closed.await();
+        over.await();
         worker.shutdown();
         LOG.log(System.Logger.Level.INFO, "ended: " + loop.counters() + ", invariants broken " + invariants.broken());
     }
--- a/node/src/main/java/spartrail/front/NodeLoop.java
+++ b/node/src/main/java/spartrail/front/NodeLoop.java
@@ -91,7 +91,8 @@
     /** Multigets whose clients have gone. */
     private final List<ClientMultiget> left = new ArrayList<>();
     private final List<InetSocketAddress> barred = new ArrayList<>();
-    private final List<InetSocketAddress> renewed = new ArrayList<>();
+    /** Lists that the I/O thread has read and waits for. */
+    private int listsTaken;
     private boolean follow;
 
     NodeLoop(Coordinator coordinator, List<OpType> opTypes, NodeClock clock, XnioIoThread io, double turnMs,
@@ -125,9 +126,18 @@
         timetable.add(nowMs + COUNTED_MS, this::logCounters);
     }
 
+    /** Takes what was asked before, answers all that is in hand, and ends. */
     void end() {
-        ended = true;
-        queue.add(() -> { });
+        queue.add(() -> {
+            inHand.values().stream().filter(mg -> !answers.contains(mg) && !left.contains(mg)).toList().forEach(this::fail);
+            ended = true;
+        });
+    }
+
+    private void fail(ClientMultiget mg) {
+        mg.over = true;
+        mg.answer = Multiget.Answer.FAILED;
+        answers.add(mg);
     }
 
     /** No multiget that is placed from now on has more time than until then. */
@@ -207,13 +217,11 @@
     @Override
     public void gone(ClientRequest request) {
         queue.add(() -> {
-            for (ClientMultiget mg : inHand.values()) {
-                if (mg.request == request) {
-                    counters.gone++;
-                    left.add(mg);
-                    take(coordinator.clientGone(mg, nowMs));
-                    return;
-                }
+            ClientMultiget mg = inHand.get(request.id);
+            if (mg != null && mg.request == request) {
+                counters.gone++;
+                left.add(mg);
+                take(coordinator.clientGone(mg, nowMs));
             }
         });
     }
@@ -225,7 +233,16 @@
 
     @Override
     public void listed(HostList list) {
-        queue.add(() -> list(list, true));
+        // Danger: until this list is taken, what was decided by the one before would leave for servers that it ends.
+        if (Thread.currentThread() == io) {
+            servers.hold();
+        } else {
+            io.execute(servers::hold);
+        }
+        queue.add(() -> {
+            listsTaken++;
+            list(list, true);
+        });
     }
 
     @Override
@@ -338,9 +355,7 @@
         mg.lastResort = timetable.add(nowMs + mg.clientLeftMs, () -> {
             boolean answered = inHand.get(ask.id()) != mg || answers.contains(mg) || left.contains(mg);
             if (!answered) {
-                mg.over = true;
-                mg.answer = Multiget.Answer.FAILED;
-                answers.add(mg);
+                fail(mg);
             }
             invariants.holds(answered, "a multiget is answered in the client's time");
         });
@@ -361,6 +376,7 @@
     }
 
     private void list(HostList list, boolean fresh) {
+        Set<String> changed = new HashSet<>();
         Set<String> gone = list.all() ? new HashSet<>(hosts.keySet()) : new HashSet<>();
         for (HostList.Line line : list.lines()) {
             if (line.state() == Server.State.GONE) {
@@ -370,19 +386,24 @@
             gone.remove(line.id());
             HostList.Line old = hosts.put(line.id(), line);
             if (old == null || !line.address().equals(old.address()) || line.bootMs() != old.bootMs()) {
-                renewed.add(line.address());
+                changed.add(line.id());
+                barred.add(line.address());
             }
             if (line.state() == Server.State.DRAINING) {
+                changed.add(line.id());
                 barred.add(line.address());
             }
         }
         for (String id : gone) {
             HostList.Line line = hosts.remove(id);
             if (line != null) {
+                changed.add(id);
                 barred.add(line.address());
             }
         }
         counters.lists++;
+        // Danger: what this turn decided before it came to the list was decided for the servers as they were.
+        sends.removeIf(send -> changed.contains(send.server.id) && unsent(send));
         take(coordinator.listed(servers(list, clock), list.all(), fresh, nowMs));
     }
 
@@ -416,9 +437,12 @@
         List<Runnable> tasks = new ArrayList<>();
         barred.forEach(address -> tasks.add(() -> servers.bar(address)));
         barred.clear();
-        renewed.forEach(address -> tasks.add(() -> servers.renew(address)));
-        renewed.clear();
         calls(tasks);
+        if (listsTaken > 0) {
+            int lists = listsTaken;
+            listsTaken = 0;
+            tasks.add(() -> servers.go(lists));
+        }
         for (Send send : cancels) {
             Underway underway = ((ClientMultiget) send.part.multiget).underway.get(send);
             if (underway != null) {
@@ -445,20 +469,23 @@
         }
     }
 
+    private boolean unsent(Send send) {
+        return queue.add(() -> after(send, Send.Outcome.NOT_SENT, null, send.sentMs));
+    }
+
     private void calls(List<Runnable> tasks) {
         Map<Call, List<PartRequest>> calls = new IdentityHashMap<>();
         List<Call> order = new ArrayList<>();
         for (Send send : sends) {
             ClientMultiget mg = (ClientMultiget) send.part.multiget;
-            // What was decided before the list of the same turn must not leave for a server that this list ends.
             boolean toNobody = !hosts.containsKey(send.server.id);
             if (mg.over || send.cancelled || toNobody || !invariants.holds(send.number < mostSends, "most sends of a part")) {
-                queue.add(() -> after(send, Send.Outcome.NOT_SENT, null, send.sentMs));
+                unsent(send);
                 continue;
             }
             double untilMs = Math.min(send.sentMs + send.timeoutMs, mg.clientAtMs);
             PartRequest part = new PartRequest(send, mg.ask.id() + '.' + send.part.shard.number,
-                    send.part.shard.number, mg.ask.text(), untilMs);
+                    send.part.shard.number, mg.ask.text(), untilMs, mg.request::waited);
             mg.underway.put(send, new Underway(part, timetable.add(untilMs,
                     () -> io.execute(() -> servers.withdraw(part, Send.Outcome.TIMED_OUT)))));
             calls.computeIfAbsent(send.call, call -> {
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -196,6 +196,11 @@
         return 1000 * number(map(info, "bounds"), "keepalive", 30);
     }
 
+    /** So long after it was told nothing more may be sent to a server that drains. */
+    public double graceMs() {
+        return 1000 * number(map(info, "rules"), "stop-sending-within", 0);
+    }
+
     public boolean cancelling() {
         return flag(map(info, "bounds"), "cancelling");
     }
--- a/node/src/main/java/spartrail/shard/ShardCall.java
+++ b/node/src/main/java/spartrail/shard/ShardCall.java
@@ -6,9 +6,12 @@
 /** Parts that travel to a server in one frame. */
 final class ShardCall {
     final List<PartRequest> parts;
+    /** When the first of them was decided. */
+    final double decidedMs;
 
     ShardCall(List<PartRequest> parts) {
         this.parts = new ArrayList<>(parts);
         parts.forEach(part -> part.call = this);
+        this.decidedMs = parts.stream().mapToDouble(part -> part.send.sentMs).min().orElse(0);
     }
 }
--- a/node/src/main/java/spartrail/shard/ShardConnection.java
+++ b/node/src/main/java/spartrail/shard/ShardConnection.java
@@ -22,7 +22,24 @@
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import spartrail.model.Send.Outcome;
 
-/** One connection to a server: calls that wait to be written, and parts that wait for answers. */
+/**
+ * One connection to a server: calls that wait to be written, and parts that wait for answers. By event and state:
+ *
+ * <pre>
+ *                     OPENING               IDLE                  IN USE                          RETIRED
+ * call given          waits                 read once, written    written if there is room        (never chosen)
+ * comes up            OPENING to IN USE     -                     -                               goes if nothing is out
+ * answer              -                     GARBLED, closed       part ended; IDLE after the last part ended; closed after the last
+ * end, reset          never ran             closed                written: may have run; not written or in part: never ran
+ * part taken back     unsent                -                     unsent, or A frame if it began  the same, then closed
+ * server drains,
+ * is another process  unsent, RETIRED       closed                what has not begun is unsent, RETIRED
+ * unused, too long    no connection in time closed                a frame or an answer that stops half-way ends it
+ * </pre>
+ *
+ * <p>A frame begins only if its parts may still leave, nothing is known to have changed about servers that the loop has
+ * not seen ({@link ShardPool#hold}), and the sockets were looked at lately ({@link ShardPool#blind}).
+ */
 final class ShardConnection {
     private final ShardPool pool;
     private final InetSocketAddress address;
@@ -83,6 +100,17 @@
         }
     }
 
+    /**
+     * Whether it still leads to the server, as far as the system has heard. Danger: a server's own close waits in the
+     * socket, and a frame written behind it is reset and may have run.
+     */
+    boolean alive() {
+        if (connection != null && !closed && load() == 0) {
+            readable(connection.getSourceChannel());
+        }
+        return !closed;
+    }
+
     /** Parts that it has in hand, of the number that it may carry. */
     int load() {
         int load = out.size();
@@ -163,15 +191,22 @@
         calls.forEach(call -> List.copyOf(call.parts).forEach(part -> pool.ended(part, Outcome.NOT_SENT, null)));
     }
 
-    private void write() {
+    /** Writes on where it may. */
+    void write() {
         if (closed || connection == null) {
             return;
         }
         ConduitStreamSinkChannel sink = connection.getSinkChannel();
         try {
             while (nextFrame()) {
+                if (writing != null && left.position() > 0 && late(writing)) {
+                    // Danger: the rest of a frame leaves when a server reads again, long after what it was decided for.
+                    end("a frame stopped half-way until it could no longer leave");
+                    return;
+                }
                 sink.write(left);
                 if (left.hasRemaining()) {
+                    unbegin();
                     sink.resumeWrites();
                     return;
                 }
@@ -197,16 +232,40 @@
         }
     }
 
+    private boolean late(ShardCall call) {
+        return call.parts.stream().anyMatch(part -> pool.clock.nowMs() > part.leaveByMs);
+    }
+
+    /** A call of which no byte has left has not begun. */
+    private void unbegin() {
+        if (writing != null && left.position() == 0) {
+            writing.parts.removeIf(part -> part.stage != PartRequest.Stage.BEGUN);
+            writing.parts.forEach(part -> part.stage = PartRequest.Stage.WAITING);
+            if (!writing.parts.isEmpty()) {
+                waiting.addFirst(writing);
+            }
+            writing = null;
+            left = null;
+        }
+    }
+
     /** Begins the next frame if none is being written. */
     private boolean nextFrame() {
         if (left != null) {
             return true;
         }
         left = giveUps.poll();
-        if (left == null && !waiting.isEmpty()) {
-            writing = waiting.poll();
-            writing.parts.forEach(part -> part.stage = PartRequest.Stage.BEGUN);
-            left = Frames.call(writing.parts, pool.clock.nowMs());
+        while (left == null && !waiting.isEmpty() && pool.mayBegin(waiting.peek())) {
+            ShardCall call = waiting.poll();
+            double nowMs = pool.clock.nowMs();
+            List<PartRequest> stay = call.parts.stream().filter(part -> !part.mayLeave(nowMs)).toList();
+            call.parts.removeAll(stay);
+            stay.forEach(part -> pool.ended(part, Outcome.NOT_SENT, null));
+            if (!call.parts.isEmpty()) {
+                writing = call;
+                call.parts.forEach(part -> part.stage = PartRequest.Stage.BEGUN);
+                left = Frames.call(call.parts, nowMs);
+            }
         }
         return left != null;
     }
--- a/node/src/main/java/spartrail/shard/ShardPool.java
+++ b/node/src/main/java/spartrail/shard/ShardPool.java
@@ -26,6 +26,10 @@
     private static final System.Logger LOG = System.getLogger("spartrail.shard");
 
     private static final double LOG_EVERY_MS = 1000;
+    /** Every time limit of the rules is longer by 50 ms on sockets; a frame goes by nothing older than this. */
+    private static final double LEAST_BLIND_MS = 40;
+    /** A process so slow that each look takes longer than that sends all the same after so many. */
+    private static final int MOST_LOOKS = 5;
 
     final XnioIoThread io;
     final NodeClock clock;
@@ -37,17 +41,30 @@
     private final Invariants invariants;
     private final Map<InetSocketAddress, List<ShardConnection>> connections = new HashMap<>();
     private final XnioExecutor.Key idleTimer;
+    private final double keepAliveMs;
+    /** How old what is known of the sockets may be where a frame begins. */
+    private final double mostBlindMs;
+    /** Lists that were read and not yet taken by those who decide. */
+    private int held;
+    /** When what waited in the sockets was last read. */
+    private double lookedMs = Double.NEGATIVE_INFINITY;
+    private boolean looking;
     private long garbled;
     private double garbledLoggedMs = Double.NEGATIVE_INFINITY;
 
-    /** A server closes a connection unused for the keep-alive time; ours go at half of it. */
+    /**
+     * A server closes a connection unused for the keep-alive time; ours go at half of it. Within the grace nothing more
+     * is to be sent to a server that drains.
+     */
     public ShardPool(XnioIoThread io, NodeClock clock, int partsPerConnection, double connectTimeoutMs,
-            double keepAliveMs, boolean cancelling, Ends ends, Invariants invariants) {
+            double keepAliveMs, boolean cancelling, double graceMs, Ends ends, Invariants invariants) {
         this.io = io;
         this.clock = clock;
         this.partsPerConnection = partsPerConnection;
         this.connectTimeoutMs = connectTimeoutMs;
         this.cancelling = cancelling;
+        this.keepAliveMs = keepAliveMs;
+        this.mostBlindMs = Math.max(LEAST_BLIND_MS, graceMs / 2);
         this.ends = ends;
         this.invariants = invariants;
         // Danger: a request that crosses the server's own close is reset and may have run.
@@ -57,21 +74,74 @@
 
     /** Sends parts as one call, on a connection that has room for them, opened only if none has. */
     public void send(InetSocketAddress address, List<PartRequest> parts) {
-        List<ShardConnection> open = connections.computeIfAbsent(address, at -> new ArrayList<>());
         ShardConnection best = null;
-        for (ShardConnection connection : open) {
-            if (connection.takes(parts.size(), partsPerConnection)) {
+        for (ShardConnection connection : to(address)) {
+            if (connection.idleSince(clock.nowMs() - keepAliveMs / 2)) {
+                // Danger: a process that stood still has not closed it in time, and the server does so now.
+                connection.end(null);
+            } else if (connection.takes(parts.size(), partsPerConnection) && connection.alive()) {
                 best = connection;
                 break;
             }
         }
         if (best == null) {
             best = new ShardConnection(this, address);
-            open.add(best);
+            connections.computeIfAbsent(address, at -> new ArrayList<>()).add(best);
         }
         best.send(new ShardCall(parts));
     }
 
+    /** A list was read: no frame begins until those who decide have taken it. */
+    public void hold() {
+        held++;
+    }
+
+    /** So many lists have been taken, and what they end has been barred. */
+    public void go(int lists) {
+        held -= lists;
+        invariants.holds(held >= 0, "no list is taken that was not read");
+        writeAll();
+    }
+
+    /** Whether a frame of this call may begin now. */
+    boolean mayBegin(ShardCall call) {
+        return held == 0 && !blind(call.decidedMs);
+    }
+
+    /**
+     * Danger: a process that stood still goes on where it was, with a decision that is old, before it reads that the
+     * server drains. Such a frame waits until all sockets have been looked at.
+     */
+    private boolean blind(double decidedMs) {
+        if (clock.nowMs() - Math.max(decidedMs, lookedMs) <= mostBlindMs) {
+            return false;
+        }
+        if (!looking) {
+            looking = true;
+            look(1);
+        }
+        return true;
+    }
+
+    /** The I/O thread reads what is ready between its timers; the first may still come before that, or a pause after it. */
+    private void look(int number) {
+        double fromMs = clock.nowMs();
+        io.executeAfter(() -> {
+            boolean paused = clock.nowMs() - fromMs > mostBlindMs;
+            if (number == 1 || paused && number < MOST_LOOKS) {
+                look(number + 1);
+            } else {
+                looking = false;
+                lookedMs = paused ? clock.nowMs() : fromMs;
+                writeAll();
+            }
+        }, 1, TimeUnit.MILLISECONDS);
+    }
+
+    private void writeAll() {
+        connections.values().stream().flatMap(List::stream).toList().forEach(ShardConnection::write);
+    }
+
     /** Nothing more of this part is waited for; the outcome holds if its frame has begun to leave. */
     public void withdraw(PartRequest part, Outcome ifBegun) {
         if (part.stage != PartRequest.Stage.ENDED) {
@@ -87,14 +157,9 @@
         }
     }
 
-    /** The server drains or is gone: what has not begun to leave for it does not leave, and nothing further will. */
+    /** The server drains, is gone, or is another process: what has not begun to leave for it does not leave any more. */
     public void bar(InetSocketAddress address) {
         to(address).forEach(ShardConnection::dropWaiting);
-        renew(address);
-    }
-
-    /** The process there is another one: what leads to the old one gets no further calls. */
-    public void renew(InetSocketAddress address) {
         to(address).forEach(ShardConnection::retire);
     }
 
--- a/node/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeTest.java
@@ -16,15 +16,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import spartrail.coordination.Coordinator;
+import spartrail.model.Decisions;
 import spartrail.model.Multiget;
 import spartrail.provisioning.DeploymentFile;
 
@@ -37,7 +40,7 @@
     private final List<Client> clients = new ArrayList<>();
     private UnaryOperator<Coordinator> wrapping = UnaryOperator.identity();
     private Map<String, Long> broken = Map.of();
-    private FrontNode node;
+    private volatile FrontNode node;
 
     FrontNodeTest() throws IOException {
     }
@@ -313,6 +316,162 @@
         assertThat(new Client().ask("b", 0).answer()).startsWith("200 ");
     }
 
+    @Test
+    void aClientThatLeavesBehindWhatItSentAheadIsSeenToLeave() throws Exception {
+        start();
+        tell("b");
+        for (String ahead : List.of("P", request("z", "4", body(1)), "x".repeat(300_000))) {
+            Client client = new Client().ask("a", 0);
+            assertThat(next()).isEqualTo("part a.0");
+            client.send(ahead);
+            client.socket.close();
+            assertThat(next()).isEqualTo("given up a.0");
+        }
+        assertThat(new Client().ask("b", 0).answer()).startsWith("200 ");
+    }
+
+    @Test
+    void aClientThatSendsOnAndOnGetsItsAnswerWholeAndAsTheLastOfItsConnection() throws Exception {
+        start();
+        CompletableFuture<ToyFleet.Link> held = new CompletableFuture<>();
+        fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) {
+                held.complete(link);
+            }
+        });
+        Client client = new Client().ask("a", 0);
+        ToyFleet.Link link = held.get(20, TimeUnit.SECONDS);
+        // More than is kept for a next request; a client whose bytes are not taken would hang here.
+        client.send("x".repeat(8_000_000));
+        link.answer("a.0", "OK", "t");
+        client.send("x".repeat(100_000));
+        assertThat(client.answer()).startsWith("200 close {\"all_in\":true");
+        assertThat(client.in.read()).as("end of the stream, no reset").isEqualTo(-1);
+    }
+
+    /**
+     * A module that, once it has decided on a multiget with connections open to all, tells that the server chosen is to drain; with the I/O thread paused
+     * until discovery has written it, or with its own thread paused until it has been read.
+     */
+    private void drainsWhatIsChosen(boolean ioPaused) throws Exception {
+        CompletableFuture<String> drained = new CompletableFuture<>();
+        AtomicBoolean armed = new AtomicBoolean();
+        wrapping = module -> (Coordinator) Proxy.newProxyInstance(Coordinator.class.getClassLoader(),
+                new Class<?>[] {Coordinator.class}, (proxy, method, args) -> {
+                    Object decided = method.invoke(module, args);
+                    if (method.getName().equals("place") && armed.getAndSet(false)) {
+                        String uid = ((Decisions) decided).sends.get(0).server.id;
+                        ToyFleet.Toy toy = fleet.servers.stream().filter(each -> each.uid.equals(uid)).findFirst().orElseThrow();
+                        if (ioPaused) {
+                            node.io.execute(() -> drain(toy, false));
+                        } else {
+                            drain(toy, true);
+                        }
+                        drained.complete(uid);
+                    }
+                    return decided;
+                });
+        start("\"stop-sending-within\": 0.5", "\"stop-sending-within\": 0");
+        fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                seen.add(toy.uid);
+                link.answer(id, "OK", text);
+            }
+        });
+        Client client = new Client();
+        for (String id : List.of("b", "c", "d", "e")) {
+            assertThat(client.ask(id, 0).answer()).startsWith("200 {\"all_in\":true");
+        }
+        assertThat(Set.copyOf(seen)).as("replicas with a connection").hasSize(2);
+        seen.clear();
+        armed.set(true);
+        assertThat(client.ask("a", 0).answer()).startsWith("200 {\"all_in\":true");
+        assertThat(seen).hasSize(1).doesNotContain(drained.get());
+    }
+
+    private void drain(ToyFleet.Toy toy, boolean read) {
+        try {
+            fleet.tell(toy, "DRAINING");
+            fleet.awaitTold(read);
+            // The pause itself: longer than what is known of the sockets may be old.
+            new CountDownLatch(1).await(100, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void aDecisionThatIsOvertakenByTheListInItsOwnTurnIsTakenAnew() throws Exception {
+        drainsWhatIsChosen(false);
+    }
+
+    @Test
+    void aFrameThatAPauseHeldUpWaitsForWhatTheSocketsTell() throws Exception {
+        drainsWhatIsChosen(true);
+    }
+
+    @Test
+    void whoAsksBeforeDiscoveryWasHeardIsNotServedByTheOldList() throws Exception {
+        fleet.silent = true;
+        tell("a");
+        ToyFleet.Toy old = fleet.servers.get(0);
+        old.manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                seen.add("sent to the old one");
+                link.answer(id, "OK", text);
+            }
+        };
+        CompletableFuture<String> early = CompletableFuture.supplyAsync(() -> {
+            try {
+                fleet.awaitCalled();
+                Client client = new Client().ask("a", 0);
+                fleet.tell(old, "DRAINING");
+                fleet.silent = false;
+                return client.answer();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        start();
+        assertThat(early.get(20, TimeUnit.SECONDS)).startsWith("200 ");
+        assertThat(seen).containsExactly("part a.0");
+    }
+
+    @Test
+    void whatIsInTheQueueWhenTheNodeIsClosedIsAnsweredAllTheSame() throws Exception {
+        CountDownLatch placing = new CountDownLatch(1);
+        CountDownLatch queued = new CountDownLatch(1);
+        wrapping = module -> (Coordinator) Proxy.newProxyInstance(Coordinator.class.getClassLoader(),
+                new Class<?>[] {Coordinator.class}, (proxy, method, args) -> {
+                    if (method.getName().equals("place")) {
+                        placing.countDown();
+                        queued.await();
+                    }
+                    return method.invoke(module, args);
+                });
+        start();
+        tell();
+        Client first = new Client().ask("a", 0);
+        placing.await();
+        Client second = new Client().ask("b", 0);
+        // Read behind the second request, as it was sent later.
+        assertThat(new Client().send(UP).answer()).isEqualTo("200 ");
+        CompletableFuture<Void> closed = CompletableFuture.runAsync(() -> {
+            try {
+                node.close();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        queued.countDown();
+        assertThat(first.answer()).isIn("500 close failed", "503 close pushed back");
+        assertThat(second.answer()).isIn("500 close failed", "503 close pushed back");
+        closed.get(20, TimeUnit.SECONDS);
+    }
+
     @Test
     void aRequestSentAheadIsServedAfterTheOneInHand() throws Exception {
         start();
@@ -441,6 +600,18 @@
         assertThat(new Client().send(UP).answer()).isEqualTo("200 ");
     }
 
+    @Test
+    void aNodeThatIsToldToEndWhileItStartsNeverSaysThatItIsReadyAndEndsAtOnce() throws Exception {
+        DeploymentFile deployment = deployment();
+        node = new FrontNode(deployment, deployment.listen(), wrapping);
+        node.ending();
+        node.start();
+        assertThat(new Client().send(UP).answer()).startsWith("503 ");
+        long fromNs = System.nanoTime();
+        node.drain();
+        assertThat(System.nanoTime() - fromNs).as("one that has served takes 2.7 s").isLessThan(2_000_000_000L);
+    }
+
     @Test
     void drainingServesWhoeverStillComesAndAnswersAllBeforeTheNodeIsKilled() throws Exception {
         assertThat(drained(true)).startsWith("200 close {\"all_in\":true");
--- a/node/src/test/java/spartrail/shard/FramesTest.java
+++ b/node/src/test/java/spartrail/shard/FramesTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
+import spartrail.model.Send;
 
 class FramesTest {
     private static byte[] frame(char letter, String rest) {
@@ -24,8 +25,9 @@
     @Test
     void aCallIsALineAndTheTextForEachPart() {
         byte[] text = "c41é".getBytes(StandardCharsets.UTF_8);
-        PartRequest first = new PartRequest(null, "9b.3", 3, text, 240.9);
-        PartRequest second = new PartRequest(null, "9b.4", 4, text, -7);
+        Send send = new Send(null, null, 0, 0, 240);
+        PartRequest first = new PartRequest(send, "9b.3", 3, text, 240.9, () -> true);
+        PartRequest second = new PartRequest(send, "9b.4", 4, text, -7, () -> true);
         ByteBuffer call = Frames.call(List.of(first, second), 0);
         byte[] rest = "9b.3 3 d=240 5\nc41é9b.4 4 d=1 5\nc41é".getBytes(StandardCharsets.UTF_8);
         assertThat(call.getInt()).isEqualTo(1 + rest.length);
--- a/node/src/test/java/spartrail/shard/ShardPoolTest.java
+++ b/node/src/test/java/spartrail/shard/ShardPoolTest.java
@@ -12,10 +12,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -27,6 +30,7 @@
 import spartrail.discovery.HostList;
 import spartrail.model.Invariants;
 import spartrail.model.NodeClock;
+import spartrail.model.Send;
 import spartrail.model.Send.Outcome;
 
 /** How parts end, by what becomes of their connection. */
@@ -36,6 +40,9 @@
     private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
     private final Invariants invariants = new Invariants();
     private final List<AutoCloseable> opened = new ArrayList<>();
+    private final Set<String> gone = ConcurrentHashMap.newKeySet();
+    private double graceMs = 10_000;
+    private double leaveByMs = Double.POSITIVE_INFINITY;
     private ShardPool pool;
 
     ShardPoolTest() throws IOException {
@@ -53,7 +60,7 @@
     }
 
     private void pool(int partsPerConnection, double connectTimeoutMs, double keepAliveMs) {
-        pool = new ShardPool(worker.getIoThread(), clock, partsPerConnection, connectTimeoutMs, keepAliveMs, true,
+        pool = new ShardPool(worker.getIoThread(), clock, partsPerConnection, connectTimeoutMs, keepAliveMs, true, graceMs,
                 (part, outcome, value, atMs) -> seen.add(part.id + " " + outcome), invariants);
     }
 
@@ -67,7 +74,13 @@
     }
 
     private PartRequest part(String id) {
-        return new PartRequest(null, id, 0, new byte[] {'x'}, clock.nowMs() + 10_000);
+        return part(id, 1);
+    }
+
+    private PartRequest part(String id, int bytes) {
+        Send send = new Send(null, null, 0, clock.nowMs(), 10_000);
+        send.leaveByMs = leaveByMs;
+        return new PartRequest(send, id, 0, new byte[bytes], clock.nowMs() + 10_000, () -> !gone.contains(id));
     }
 
     private String next() throws InterruptedException {
@@ -77,6 +90,10 @@
 
     /** An address where connecting neither succeeds nor fails: its queue of new connections is full. */
     private InetSocketAddress hanging() throws IOException {
+        return (InetSocketAddress) hangingSocket().getLocalSocketAddress();
+    }
+
+    private ServerSocket hangingSocket() throws IOException {
         ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
         opened.add(full);
         for (int i = 0; i < 4; i++) {
@@ -88,7 +105,7 @@
                 break;
             }
         }
-        return (InetSocketAddress) full.getLocalSocketAddress();
+        return full;
     }
 
     /** A server that does as told with each part, and tells what it sees. */
@@ -175,7 +192,7 @@
         pool(100, 1000, 60_000);
         ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
         opened.add(deaf);
-        PartRequest big = new PartRequest(null, "1.0", 0, new byte[32 * 1024 * 1024], clock.nowMs() + 10_000);
+        PartRequest big = part("1.0", 32 * 1024 * 1024);
         io(() -> pool.send((InetSocketAddress) deaf.getLocalSocketAddress(), List.of(big)));
         Socket accepted = deaf.accept();
         accepted.getInputStream().read();
@@ -210,7 +227,7 @@
         ServerSocket deaf = new ServerSocket(0, 4, InetAddress.getByName("127.0.0.1"));
         opened.add(deaf);
         InetSocketAddress address = (InetSocketAddress) deaf.getLocalSocketAddress();
-        PartRequest big = new PartRequest(null, "1.0", 0, new byte[32 * 1024 * 1024], clock.nowMs() + 10_000);
+        PartRequest big = part("1.0", 32 * 1024 * 1024);
         PartRequest behind = part("2.0");
         io(() -> pool.send(address, List.of(big)));
         Socket first = deaf.accept();
@@ -257,6 +274,162 @@
         assertThat(List.of(next(), next(), next())).containsExactly("server: opened", "1.0 ANSWERED", "server: closed");
     }
 
+    @Test
+    void aCloseThatWaitsInTheSocketIsSeenBeforeAFrameIsWrittenBehindIt() throws Exception {
+        pool(100, 1000, 60_000);
+        BlockingQueue<ToyFleet.Link> links = new LinkedBlockingQueue<>();
+        InetSocketAddress address = toy(new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                links.add(link);
+                link.answer(id, "OK", text);
+            }
+        });
+        io(() -> pool.send(address, List.of(part("1.0"))));
+        assertThat(next()).isEqualTo("1.0 ANSWERED");
+        ToyFleet.Link link = links.take();
+        io(() -> {
+            try {
+                link.close();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            pool.send(address, List.of(part("2.0")));
+        });
+        assertThat(next()).isEqualTo("2.0 ANSWERED");
+        assertThat(links.take()).isNotSameAs(link);
+    }
+
+    @Test
+    void aConnectionUnusedForLongIsNotTakenByAProcessThatStoodStill() throws Exception {
+        pool(100, 1000, 400);
+        BlockingQueue<ToyFleet.Link> links = new LinkedBlockingQueue<>();
+        InetSocketAddress address = toy(new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                links.add(link);
+                link.answer(id, "OK", text);
+            }
+        });
+        io(() -> pool.send(address, List.of(part("1.0"))));
+        assertThat(next()).isEqualTo("1.0 ANSWERED");
+        io(() -> {
+            double untilMs = clock.nowMs() + 250;
+            while (clock.nowMs() < untilMs) {
+                Thread.onSpinWait();
+            }
+            pool.send(address, List.of(part("2.0")));
+        });
+        assertThat(next()).isEqualTo("2.0 ANSWERED");
+        assertThat(links.take()).isNotSameAs(links.take());
+    }
+
+    @Test
+    void noFrameBeginsWhileAListIsReadAndNotTaken() throws Exception {
+        pool(100, 1000, 60_000);
+        InetSocketAddress address = toy(new Silent());
+        io(() -> {
+            pool.hold();
+            pool.send(address, List.of(part("1.0")));
+        });
+        assertThat(next()).isEqualTo("server: opened");
+        io(() -> {
+            pool.send(address, List.of(part("2.0")));
+            pool.bar(address);
+            pool.go(1);
+        });
+        assertThat(List.of(next(), next(), next())).containsExactlyInAnyOrder("1.0 NOT_SENT", "2.0 NOT_SENT", "server: closed");
+    }
+
+    /** A process so slow that whatever it looks at is old when it has looked. */
+    @Test
+    void whereEachLookAtTheSocketsTakesTooLongFramesLeaveAllTheSame() throws Exception {
+        graceMs = 0;
+        pool(100, 1000, 60_000);
+        InetSocketAddress address = toy(new Silent());
+        PartRequest old = part("1.0");
+        AtomicBoolean slow = new AtomicBoolean(true);
+        Runnable[] busy = new Runnable[1];
+        busy[0] = () -> {
+            for (double untilMs = clock.nowMs() + 60; clock.nowMs() < untilMs; ) {
+                Thread.onSpinWait();
+            }
+            if (slow.get()) {
+                worker.getIoThread().executeAfter(busy[0], 1, TimeUnit.MILLISECONDS);
+            }
+        };
+        io(busy[0]);
+        io(() -> pool.send(address, List.of(old)));
+        assertThat(List.of(next(), next())).containsExactly("server: opened", "server: part 1.0");
+        slow.set(false);
+    }
+
+    /** What becomes of a part whose connection comes up when something has changed, with one behind it that may still leave. */
+    private String comesUpLate(Runnable meanwhile) throws Exception {
+        pool(100, 60_000, 60_000);
+        ServerSocket full = hangingSocket();
+        InetSocketAddress address = (InetSocketAddress) full.getLocalSocketAddress();
+        io(() -> pool.send(address, List.of(part("1.0"))));
+        leaveByMs = Double.POSITIVE_INFINITY;
+        io(() -> pool.send(address, List.of(part("2.0"))));
+        meanwhile.run();
+        while (true) {
+            Socket accepted = full.accept();
+            opened.add(accepted);
+            accepted.setSoTimeout(3000);
+            try {
+                String frame = new String(accepted.getInputStream().readNBytes(8), StandardCharsets.US_ASCII);
+                if (!frame.isEmpty()) {
+                    return next() + ", frame " + frame.substring(5);
+                }
+            } catch (java.net.SocketTimeoutException e) {
+                // One of those that filled the queue.
+            }
+        }
+    }
+
+    @Test
+    void aRepeatWhoseWindowEndsBeforeItsConnectionIsUpDoesNotLeave() throws Exception {
+        leaveByMs = clock.nowMs() + 300;
+        assertThat(comesUpLate(() -> {
+            while (clock.nowMs() < 300) {
+                Thread.onSpinWait();
+            }
+        })).isEqualTo("1.0 NOT_SENT, frame 2.0");
+    }
+
+    @Test
+    void whatItsClientHasLeftBeforeTheConnectionIsUpDoesNotLeave() throws Exception {
+        assertThat(comesUpLate(() -> gone.add("1.0"))).isEqualTo("1.0 NOT_SENT, frame 2.0");
+    }
+
+    @Test
+    void aFrameThatStopsHalfWayDoesNotGoOnOnceItMayNoLongerLeave() throws Exception {
+        pool(100, 1000, 60_000);
+        ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        opened.add(deaf);
+        leaveByMs = clock.nowMs() + 500;
+        int bytes = 32 * 1024 * 1024;
+        io(() -> pool.send((InetSocketAddress) deaf.getLocalSocketAddress(), List.of(part("1.0", bytes))));
+        Socket accepted = deaf.accept();
+        opened.add(accepted);
+        accepted.setSoTimeout(20_000);
+        accepted.getInputStream().read();
+        while (clock.nowMs() < leaveByMs + 10) {
+            Thread.onSpinWait();
+        }
+        long got = 0;
+        try {
+            for (int n = 0; n >= 0; n = accepted.getInputStream().read(new byte[1 << 16])) {
+                got += n;
+            }
+        } catch (java.io.IOException e) {
+            // Reset, or no end.
+        }
+        assertThat(next()).isEqualTo("1.0 CONNECT_FAILED");
+        assertThat(got).isLessThan(bytes);
+    }
+
     /** What a server sends for part 1.0, and what then becomes of it and of 2.0, which is out on the same connection. */
     private String spoilt(byte[] bytes) throws Exception {
         pool(100, 50, 60_000);
