Settings that rules rest on are required; a SIGHUP's bounds hold for connections and the drain

Cause, by search of what has a default or is read once: a deduped class without 'key-ttl', no 'try-limit', 'open-cap', 'keepalive', 'connect-timeout', 'streams-per-conn', 'stop-sending-within', 'cold-share', 'warm-within', 'tip-multiple', 'fall', 'peers-total' or 'sockets' was served by a default that breaks a rule in silence (no cap on attempts; each node reckoning with itself alone at a cold server; connections kept longer than the server keeps them). An empty list of classes, a class twice, a class that is no object and a width over the sets were taken or told without their field. After SIGHUP the module went by the new settings, but ShardPool by the keep-alive, connect time-out, grace and cancelling of the start, and a drain by the deadlines of the start, which may be longer than the time to the kill that now holds.

Change: one line with file and field, status 2; ShardPool.renew; the time to the kill follows the switch.

Red with the lines taken back: CommandLineTest (ten new lines), aSwitchOfSettingsHoldsForConnectionsInUseAndForTheTimeBeforeTheKill. whoAsksBeforeDiscoveryWasHeard... had stayed green with the wait for discovery taken out, as the list overtook the request; it now lets a sign of a send come first and plays both replicas, and is red then.

--- a/node/src/main/java/spartrail/front/FrontNode.java
+++ b/node/src/main/java/spartrail/front/FrontNode.java
@@ -71,7 +71,7 @@
     private HostWatch watch;
     private ClientDoor door;
     private Thread thread;
-    private double killedMs;
+    private volatile double killedMs;
     private NodeClock clock;
     private MultigetRecord record;
     private MembersFile members;
@@ -142,12 +142,10 @@
         clock = new NodeClock();
         HostList known = deployment.known();
         List<OpType> opTypes = deployment.opTypes();
-        killedMs = KILLED_AFTER_MS + Math.min(LONGEST_COUNTED_MS,
-                opTypes.stream().mapToDouble(op -> op.timeoutMs).max().orElse(0));
+        killedMs = killedMs(deployment);
         loop = new NodeLoop(wrapping.apply(deployment.coordinator(opTypes)), opTypes, clock, io, deployment.turnMs(),
                 deployment.openCap(), deployment.mostSends(), deployment.nodes(), invariants);
-        servers = new ShardPool(io, clock, deployment.callsPerConnection(), deployment.connectTimeoutMs(),
-                deployment.keepAliveMs(), deployment.cancelling(), deployment.graceMs(), loop, invariants);
+        servers = new ShardPool(io, clock, bounds(deployment), loop, invariants);
         if (members != null) {
             host = new MembersHost(members, deployment.cells(), deployment.reach(), clock, known, loop);
         }
@@ -201,6 +199,15 @@
                 + " servers known");
     }
 
+    private static double killedMs(DeploymentFile stated) {
+        return KILLED_AFTER_MS + Math.min(LONGEST_COUNTED_MS, stated.longestMs());
+    }
+
+    private static ShardPool.Bounds bounds(DeploymentFile stated) {
+        return new ShardPool.Bounds(stated.callsPerConnection(), stated.connectTimeoutMs(), stated.keepAliveMs(),
+                stated.cancelling(), stated.graceMs());
+    }
+
     private static void await(CountDownLatch latch, long longestMs) throws IOException {
         try {
             latch.await(longestMs, TimeUnit.MILLISECONDS);
@@ -242,6 +249,11 @@
         }
         io.execute(() -> watch.move(changed.discovery()));
         String waiting = changed.waitingForAStart(deployment);
+        if (waiting.isEmpty()) {
+            // Danger: servers close unused connections, and this process is killed, by the times that now hold.
+            io.execute(() -> servers.renew(bounds(changed)));
+            killedMs = killedMs(changed);
+        }
         if (waiting.isEmpty() && policy != null) {
             policy.own(changed);
         } else if (waiting.isEmpty()) {
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -1,7 +1,9 @@
 package spartrail.provisioning;
 
+import static spartrail.provisioning.Provisioning.above0;
 import static spartrail.provisioning.Provisioning.flag;
 import static spartrail.provisioning.Provisioning.map;
+import static spartrail.provisioning.Provisioning.needed;
 import static spartrail.provisioning.Provisioning.number;
 
 import com.fasterxml.jackson.core.JsonFactory;
@@ -74,9 +76,16 @@
 
     private void check() {
         coordinator(opTypes());
-        if (openCap() <= 0 || sockets() <= 0 || callsPerConnection() <= 0) {
-            throw new IllegalArgumentException("open-cap, sockets and streams-per-conn are above 0");
+        if (reach() > cells()) {
+            throw new IllegalArgumentException("'width of family-info': found " + reach() + ", no more than the 'sets', " + cells()
+                    + ", is expected");
         }
+        openCap();
+        sockets();
+        callsPerConnection();
+        connectTimeoutMs();
+        keepAliveMs();
+        graceMs();
     }
 
     public String name() {
@@ -166,45 +175,50 @@
 
     /** How many front nodes there are. */
     public int nodes() {
-        return (int) number(info, "peers-total", 1);
+        return (int) above0(info, "peers-total", "");
     }
 
     /** Most file descriptors that the process may hold. */
     public int sockets() {
-        return (int) number(map(tree, "limits"), "sockets", 1024);
+        return (int) above0(map(tree, "limits"), "sockets", " of limits");
     }
 
     /** Most multigets and parts in hand. */
     public int openCap() {
-        return (int) number(map(info, "bounds"), "open-cap", Integer.MAX_VALUE);
+        return (int) above0(map(info, "bounds"), "open-cap", " of bounds");
     }
 
     public int mostSends() {
-        return (int) number(map(info, "bounds"), "try-limit", Integer.MAX_VALUE);
+        return (int) above0(map(info, "bounds"), "try-limit", " of bounds");
     }
 
     public int callsPerConnection() {
-        return (int) number(map(info, "bounds"), "streams-per-conn", 1);
+        return (int) above0(map(info, "bounds"), "streams-per-conn", " of bounds");
     }
 
     public double connectTimeoutMs() {
-        return 1000 * number(map(info, "bounds"), "connect-timeout", 1);
+        return 1000 * needed(map(info, "bounds"), "connect-timeout", " of bounds");
     }
 
     /** After this long without use a server closes a connection. */
     public double keepAliveMs() {
-        return 1000 * number(map(info, "bounds"), "keepalive", 30);
+        return 1000 * needed(map(info, "bounds"), "keepalive", " of bounds");
     }
 
     /** So long after it was told nothing more may be sent to a server that drains. */
     public double graceMs() {
-        return 1000 * number(map(info, "rules"), "stop-sending-within", 0);
+        return 1000 * needed(map(info, "rules"), "stop-sending-within", " of rules");
     }
 
     public boolean cancelling() {
         return flag(map(info, "bounds"), "cancelling");
     }
 
+    /** The time that the longest client waits. */
+    public double longestMs() {
+        return opTypes().stream().mapToDouble(op -> op.timeoutMs).max().orElse(0);
+    }
+
     public int shards() {
         return (int) number(map(info, "family-info"), "slabs", 0);
     }
--- a/node/src/main/java/spartrail/provisioning/Provisioning.java
+++ b/node/src/main/java/spartrail/provisioning/Provisioning.java
@@ -16,11 +16,19 @@
     public static List<OpType> opTypes(Map<?, ?> info) {
         List<OpType> opTypes = new ArrayList<>();
         Map<?, ?> layout = map(info, "family-info");
-        for (Object entry : list(need(info, "classes", ""))) {
-            Map<?, ?> line = (Map<?, ?>) entry;
+        if (list(need(info, "classes", "")).isEmpty()) {
+            throw new IllegalArgumentException("'classes': found " + info.get("classes") + ", a list of one or more is expected");
+        }
+        for (Object entry : list(info.get("classes"))) {
+            if (!(entry instanceof Map<?, ?> line)) {
+                throw new IllegalArgumentException("'classes': found " + entry + ", an object is expected");
+            }
             int at = opTypes.size();
             OpType op = new OpType();
             op.name = String.valueOf(need(line, "name", " of classes"));
+            if (opTypes.stream().anyMatch(other -> other.name.equals(op.name))) {
+                throw new IllegalArgumentException("'classes': found " + op.name + " twice, each name once is expected");
+            }
             op.importance = number(line, "worth", 1);
             op.budgetMs = 1000 * needed(line, "aim", " of class " + op.name);
             op.timeoutMs = 1000 * needed(line, "deadline", " of class " + op.name);
@@ -30,7 +38,9 @@
             }
             op.lateShare = share(line, "late-share", 0);
             op.repeat = repeat(need(line, "effect", " of class " + op.name), op.name);
-            op.dedupMs = 1000 * number(line, "key-ttl", 0);
+            // Danger: the rules rest on what a deduped class, the bounds and the rules state; no default stands in for them.
+            op.dedupMs = 1000 * (op.repeat == OpType.Repeat.DEDUPED ? needed(line, "key-ttl", " of class " + op.name)
+                    : number(line, "key-ttl", 0));
             op.need = at(layout, "class-need", at, 1);
             op.floor = at(layout, "class-floor", at, op.need);
             op.partialShare = at(layout, "class-partial", at, 1);
@@ -46,8 +56,8 @@
     public static Coordinator coordinator(long seed, Map<?, ?> info, List<OpType> opTypes) {
         Map<?, ?> layout = map(info, "family-info");
         return state(new WindowCoordinator(new Random(seed), opTypes)
-                .layout((int) needed(layout, "slabs", " of family-info"), (int) needed(layout, "sets", " of family-info"),
-                        (int) needed(layout, "width", " of family-info"), (int) number(layout, "batch", 1)), info);
+                .layout((int) above0(layout, "slabs", " of family-info"), (int) above0(layout, "sets", " of family-info"),
+                        (int) above0(layout, "width", " of family-info"), (int) number(layout, "batch", 1)), info);
     }
 
     /** Tells a coordinator all that may change while it serves. */
@@ -59,13 +69,13 @@
             throw new IllegalArgumentException("min-extra or further-ratio is there, so 'budget-window' is to be above 0;"
                     + " found " + rules.get("budget-window"));
         }
+        need(rules, "cold-share", " of rules");
         return coordinator
-                .nodes((int) number(info, "peers-total", 1), 1000 * needed(info, "tick", ""))
-                .sends((int) number(bounds, "try-limit", Integer.MAX_VALUE), flag(bounds, "parallel-tries"),
-                        flag(bounds, "cancelling"))
+                .nodes((int) above0(info, "peers-total", ""), 1000 * needed(info, "tick", ""))
+                .sends((int) above0(bounds, "try-limit", " of bounds"), flag(bounds, "parallel-tries"), flag(bounds, "cancelling"))
                 .furtherSendBudget(1000 * spanS, number(rules, "min-extra", 0), number(rules, "further-ratio", 0))
-                .coldStart(share(rules, "cold-share", 1), 1000 * number(rules, "warm-within", 0),
-                        number(rules, "tip-multiple", 1), 1000 * number(rules, "fall", 0))
+                .coldStart(share(rules, "cold-share", 1), 1000 * needed(rules, "warm-within", " of rules"),
+                        needed(rules, "tip-multiple", " of rules"), 1000 * needed(rules, "fall", " of rules"))
                 .comeback(flag(bounds, "retry-after"), 1000 * number(bounds, "max-retry-after", 0))
                 .list("ask".equals(info.get("discovery")), 1000 * number(rules, "ask-within", 0));
     }
@@ -139,7 +149,17 @@
         return map.get(name) == null ? otherwise : number(name, map.get(name));
     }
 
-    private static double needed(Map<?, ?> map, String name, String of) {
+    /** A number that is there, of 1 or more. */
+    static double above0(Map<?, ?> map, String name, String of) {
+        double value = needed(map, name, of);
+        if (value < 1) {
+            throw new IllegalArgumentException("'" + name + of + "': found " + map.get(name) + ", a number of 1 or more is expected");
+        }
+        return value;
+    }
+
+    /** A number that is there. */
+    static double needed(Map<?, ?> map, String name, String of) {
         return number(name + of, need(map, name, of));
     }
 
--- a/node/src/main/java/spartrail/shard/ShardConnection.java
+++ b/node/src/main/java/spartrail/shard/ShardConnection.java
@@ -73,7 +73,7 @@
             if (connection == null) {
                 end("no connection in time");
             }
-        }, Math.round(pool.connectTimeoutMs), TimeUnit.MILLISECONDS);
+        }, Math.round(pool.bounds.connectTimeoutMs()), TimeUnit.MILLISECONDS);
         opening = pool.io.openStreamConnection(address, null, OptionMap.create(Options.TCP_NODELAY, true));
         opening.addNotifier((future, attachment) -> pool.io.execute(() -> opened(future)), null);
     }
@@ -176,7 +176,7 @@
         }
         out.remove(part.id, part);
         settle(part.id);
-        if (pool.cancelling && !closed) {
+        if (pool.bounds.cancelling() && !closed) {
             giveUps.add(Frames.giveUp(part.id));
             write();
         }
@@ -322,7 +322,7 @@
                 if (!closed && lateFrame == due) {
                     garbled("a frame that does not end");
                 }
-            }, Math.round(pool.connectTimeoutMs), TimeUnit.MILLISECONDS);
+            }, Math.round(pool.bounds.connectTimeoutMs()), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -348,7 +348,7 @@
     private void settle(String id) {
         settled.remove(id);
         settled.add(id);
-        if (settled.size() > pool.partsPerConnection) {
+        if (settled.size() > pool.bounds.partsPerConnection()) {
             settled.remove(settled.iterator().next());
         }
     }
--- a/node/src/main/java/spartrail/shard/ShardPool.java
+++ b/node/src/main/java/spartrail/shard/ShardPool.java
@@ -33,17 +33,12 @@
 
     final XnioIoThread io;
     final NodeClock clock;
-    final double connectTimeoutMs;
-    final boolean cancelling;
     final ByteBuffer readBuffer = ByteBuffer.allocateDirect(16 * 1024);
-    final int partsPerConnection;
+    Bounds bounds;
     private final Ends ends;
     private final Invariants invariants;
     private final Map<InetSocketAddress, List<ShardConnection>> connections = new HashMap<>();
-    private final XnioExecutor.Key idleTimer;
-    private final double keepAliveMs;
-    /** How old what is known of the sockets may be where a frame begins. */
-    private final double mostBlindMs;
+    private XnioExecutor.Key idleTimer;
     /** Lists that were read and not yet taken by those who decide. */
     private int held;
     /** When what waited in the sockets was last read. */
@@ -52,34 +47,44 @@
     private long garbled;
     private double garbledLoggedMs = Double.NEGATIVE_INFINITY;
 
-    /**
-     * A server closes a connection unused for the keep-alive time; ours go at half of it. Within the grace nothing more
-     * is to be sent to a server that drains.
-     */
-    public ShardPool(XnioIoThread io, NodeClock clock, int partsPerConnection, double connectTimeoutMs,
-            double keepAliveMs, boolean cancelling, double graceMs, Ends ends, Invariants invariants) {
+    /** What it goes by of the settings; times in milliseconds. */
+    public record Bounds(int partsPerConnection, double connectTimeoutMs, double keepAliveMs, boolean cancelling, double graceMs) {
+    }
+
+    public ShardPool(XnioIoThread io, NodeClock clock, Bounds bounds, Ends ends, Invariants invariants) {
         this.io = io;
         this.clock = clock;
-        this.partsPerConnection = partsPerConnection;
-        this.connectTimeoutMs = connectTimeoutMs;
-        this.cancelling = cancelling;
-        this.keepAliveMs = keepAliveMs;
-        this.mostBlindMs = Math.max(LEAST_BLIND_MS, graceMs / 2);
         this.ends = ends;
         this.invariants = invariants;
-        // Danger: a request that crosses the server's own close is reset and may have run.
-        idleTimer = io.executeAtInterval(() -> closeIdle(clock.nowMs() - keepAliveMs / 2),
-                Math.max(1, Math.round(keepAliveMs / 8)), TimeUnit.MILLISECONDS);
+        renew(bounds);
+    }
+
+    /**
+     * It goes by these from now on. A server closes a connection unused for the keep-alive time; ours go at half of it.
+     * Danger: a request that crosses the server's own close is reset and may have run.
+     */
+    public void renew(Bounds stated) {
+        bounds = stated;
+        if (idleTimer != null) {
+            idleTimer.remove();
+        }
+        idleTimer = io.executeAtInterval(() -> closeIdle(clock.nowMs() - bounds.keepAliveMs() / 2),
+                Math.max(1, Math.round(bounds.keepAliveMs() / 8)), TimeUnit.MILLISECONDS);
+    }
+
+    /** How old what is known of the sockets may be where a frame begins: nothing is sent to a server that drains after the grace. */
+    private double mostBlindMs() {
+        return Math.max(LEAST_BLIND_MS, bounds.graceMs() / 2);
     }
 
     /** Sends parts as one call, on a connection that has room for them, opened only if none has. */
     public void send(InetSocketAddress address, List<PartRequest> parts) {
         ShardConnection best = null;
         for (ShardConnection connection : to(address)) {
-            if (connection.idleSince(clock.nowMs() - keepAliveMs / 2)) {
+            if (connection.idleSince(clock.nowMs() - bounds.keepAliveMs() / 2)) {
                 // Danger: a process that stood still has not closed it in time, and the server does so now.
                 connection.end(null);
-            } else if (connection.takes(parts.size(), partsPerConnection) && connection.alive()) {
+            } else if (connection.takes(parts.size(), bounds.partsPerConnection()) && connection.alive()) {
                 best = connection;
                 break;
             }
@@ -113,7 +118,7 @@
      * server drains. Such a frame waits until all sockets have been looked at.
      */
     private boolean blind(double decidedMs) {
-        if (clock.nowMs() - Math.max(decidedMs, lookedMs) <= mostBlindMs) {
+        if (clock.nowMs() - Math.max(decidedMs, lookedMs) <= mostBlindMs()) {
             return false;
         }
         if (!looking) {
@@ -127,7 +132,7 @@
     private void look(int number) {
         double fromMs = clock.nowMs();
         io.executeAfter(() -> {
-            boolean paused = clock.nowMs() - fromMs > mostBlindMs;
+            boolean paused = clock.nowMs() - fromMs > mostBlindMs();
             if (number == 1 || paused && number < MOST_LOOKS) {
                 look(number + 1);
             } else {
--- a/node/src/test/java/spartrail/cli/CommandLineTest.java
+++ b/node/src/test/java/spartrail/cli/CommandLineTest.java
@@ -45,6 +45,11 @@
                 check(good.replace("\"fall\": 1.0", "\"fall\": 1.0, \"further-ratio\": 0.1")),
                 check(good.replace("\"aim\": 2.0", "\"aim\": 5.0")), check(good.replace("\"late-share\": 0.3", "\"late-share\": 3")),
                 check(good.replace("\"try-limit\": 4", "\"try-limit\": -4")), check(good.replace("\"cancelling\": true", "\"cancelling\": 1")),
+                check(good.replace("\"effect\": \"free\"", "\"effect\": \"guarded\"")), check(good.replace("\"try-limit\": 4", "\"t\": 4")),
+                check(good.replace("\"keepalive\": 30.0,", "")), check(good.replace("\"cold-share\": 0.2,", "")),
+                check(good.replace("\"stop-sending-within\": 0.5,", "")), check(good.replace("\"width\": 2", "\"width\": 5")),
+                check(good.replace("\"peers-total\": 1,", "")), check(good.replace("\"sockets\": 1024", "\"sockets\": 0")),
+                check(good.replace("\"classes\": [", "\"classes\": [], \"old\": [")), check(good.replace("\"classes\": [", "\"classes\": [3, ")),
                 check(good.replace("\"rules\": {", "\"rules\": 7, \"old\": {")), run("check", folder.resolve("none").toString()))).isEqualTo("""
                 0 usable: node n0 on /127.0.0.1:3000, op types [orders], 4 servers known
                 2 spartrail: FOLDER/config.json: no JSON: Unexpected end-of-input: expected close marker for Object in line 1
@@ -60,8 +65,18 @@
                 2 spartrail: FOLDER/config.json: min-extra or further-ratio is there, so 'budget-window' is to be above 0; found null
                 2 spartrail: FOLDER/config.json: class orders: found aim 5.0 over deadline 4.0, an aim of no more is expected
                 2 spartrail: FOLDER/config.json: 'late-share': found 3, a share of 0 to 1 is expected
-                2 spartrail: FOLDER/config.json: 'try-limit': found -4, a number of 0 or more is expected
+                2 spartrail: FOLDER/config.json: 'try-limit of bounds': found -4, a number of 0 or more is expected
                 2 spartrail: FOLDER/config.json: 'cancelling': found 1, true or false is expected
+                2 spartrail: FOLDER/config.json: the settings lack 'key-ttl' of class orders
+                2 spartrail: FOLDER/config.json: the settings lack 'try-limit' of bounds
+                2 spartrail: FOLDER/config.json: the settings lack 'keepalive' of bounds
+                2 spartrail: FOLDER/config.json: the settings lack 'cold-share' of rules
+                2 spartrail: FOLDER/config.json: the settings lack 'stop-sending-within' of rules
+                2 spartrail: FOLDER/config.json: 'width of family-info': found 5, no more than the 'sets', 4, is expected
+                2 spartrail: FOLDER/config.json: the settings lack 'peers-total'
+                2 spartrail: FOLDER/config.json: 'sockets of limits': found 0, a number of 1 or more is expected
+                2 spartrail: FOLDER/config.json: 'classes': found [], a list of one or more is expected
+                2 spartrail: FOLDER/config.json: 'classes': found 3, an object is expected
                 2 spartrail: FOLDER/config.json: 'rules': found 7, an object is expected
                 2 spartrail: cannot read FOLDER/none""");
     }
--- a/node/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeTest.java
@@ -201,6 +201,24 @@
         assertThat(node.switchesTaken()).isEqualTo(1);
     }
 
+    @Test
+    void aSwitchOfSettingsHoldsForConnectionsInUseAndForTheTimeBeforeTheKill() throws Exception {
+        start();
+        fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
+            @Override
+            public void closed(ToyFleet.Link link) {
+                seen.add("closed unused");
+            }
+        });
+        assertThat(new Client().ask("a", 0).answer()).startsWith("200 ");
+        assertThat(node.reload(deployment("\"keepalive\": 30.0", "\"keepalive\": 0.4", "\"aim\": 2.0, \"deadline\": 4.0",
+                "\"aim\": 0.2, \"deadline\": 0.3"))).isEmpty();
+        assertThat(next()).isEqualTo("closed unused");
+        long fromNs = System.nanoTime();
+        node.drain();
+        assertThat(System.nanoTime() - fromNs).as("it is killed after 1 s, by the times before after 3.7 s").isLessThan(2_000_000_000L);
+    }
+
     @Test
     void whatIsNoRequestGetsOnePlainRefusalAndIsTheLastOfItsConnection() throws Exception {
         // Before the start, so that a rehearsal that reached servers would be seen.
@@ -414,9 +432,19 @@
 
     @Test
     void whoAsksBeforeDiscoveryWasHeardIsNotServedByTheOldList() throws Exception {
+        asksBeforeDiscoveryWasHeard(0);
+    }
+
+    @Test
+    void whoAsksBeforeDiscoveryWasHeardIsNotServedByTheOldListForTheOtherReplica() throws Exception {
+        asksBeforeDiscoveryWasHeard(1);
+    }
+
+    /** One of the two replicas of shard 0 drains, as discovery tells once the request is under way. */
+    private void asksBeforeDiscoveryWasHeard(int draining) throws Exception {
         fleet.silent = true;
         tell("a");
-        ToyFleet.Toy old = fleet.servers.get(0);
+        ToyFleet.Toy old = fleet.servers.get(draining);
         old.manner = new ToyFleet.Manner() {
             @Override
             public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
@@ -428,6 +456,11 @@
             try {
                 fleet.awaitCalled();
                 Client client = new Client().ask("a", 0);
+                // One that went by the old list would have sent it by then; one that waits is not heard of.
+                String sent = seen.poll(100, TimeUnit.MILLISECONDS);
+                if (sent != null) {
+                    seen.add("before discovery was heard: " + sent);
+                }
                 fleet.tell(old, "DRAINING");
                 fleet.silent = false;
                 return client.answer();
--- a/node/src/test/java/spartrail/shard/ShardPoolTest.java
+++ b/node/src/test/java/spartrail/shard/ShardPoolTest.java
@@ -60,8 +60,8 @@
     }
 
     private void pool(int partsPerConnection, double connectTimeoutMs, double keepAliveMs) {
-        pool = new ShardPool(worker.getIoThread(), clock, partsPerConnection, connectTimeoutMs, keepAliveMs, true, graceMs,
-                (part, outcome, value, atMs) -> seen.add(part.id + " " + outcome), invariants);
+        pool = new ShardPool(worker.getIoThread(), clock,
+                new ShardPool.Bounds(partsPerConnection, connectTimeoutMs, keepAliveMs, true, graceMs), (part, outcome, value, atMs) -> seen.add(part.id + " " + outcome), invariants);
     }
 
     private void io(Runnable task) throws InterruptedException {
--- a/node/src/test/java/spartrail/sim/SimHostTest.java
+++ b/node/src/test/java/spartrail/sim/SimHostTest.java
@@ -12,7 +12,8 @@
 
 class SimHostTest {
     private static final String INFO = """
-            {"tick":0.005,"unheard-of":[1],"classes":[{"name":"read","aim":1.0,"deadline":2.0,"effect":"free"}],
+            {"tick":0.005,"peers-total":1,"unheard-of":[1],"bounds":{"try-limit":1000},\
+            "rules":{"cold-share":1,"warm-within":0,"tip-multiple":1,"fall":0},"classes":[{"name":"read","aim":1.0,"deadline":2.0,"effect":"free"}],
             "family-info":{"slabs":2,"sets":2,"width":2}}""".replace("\n", "");
     private static final String START = """
             {"t":5.0,"groups":[{"i":0,"items":[["POWER_ON",7,%s],["ROSTER",0,[["10.0.0.1:1","a","k",0,"live",1,null],\
