A door that shuts reads resting connections once more; signals have tests of a real process

Cause: (1) a request that had come on a resting connection when the door shut was thrown away, and its client had to send it again; the door now lets one round of reading pass before it ends resting ones. (2) A process told to end before its first log line lost its whole log: the JDK opens the log's outlet with the first line and never while it shuts down (seen in SignalsTest: status 143 and not a word); serve now says by which file it starts. (3) Below nohup SIGHUP stays ignored without a word.

--- a/node/src/main/java/spartrail/cli/ServeCommand.java
+++ b/node/src/main/java/spartrail/cli/ServeCommand.java
@@ -13,6 +13,7 @@
 import spartrail.provisioning.DeploymentFile;
 import spartrail.record.MultigetRecord;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Serves clients as a front node, until it is told to end; then it drains. */
 public final class ServeCommand implements Command {
@@ -56,7 +57,11 @@
             // Danger: a JVM that nobody told otherwise ends on SIGHUP, with all that it has in hand. Danger: a signal that
             // comes between the word that the node is ready and what listens for it ends it the same way; so both come
             // first, and wait for the start.
-            Signal.handle(new Signal("HUP"), signal -> reload(served, path));
+            if (Signal.handle(new Signal("HUP"), signal -> reload(served, path)) == SignalHandler.SIG_IGN) {
+                // Danger: a JVM leaves a signal ignored that was so at its start, as below nohup, and no word is said when one comes.
+                LOG.log(System.Logger.Level.WARNING, "SIGHUP is ignored, as it was by whoever started this process:"
+                        + " a new configuration is taken at the next start only");
+            }
             FrontNode node = new FrontNode(DeploymentFile.read(path));
             if (members != null) {
                 node.members(MembersFile.read(members));
@@ -69,6 +74,8 @@
             }
             MultigetRecord kept = record == null ? null : record();
             node.record(kept);
+            // Danger: the log opens with its first line, and of a process that ends by then nothing would ever be read.
+            LOG.log(System.Logger.Level.INFO, "starts by " + path);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 node.ending();
                 end(served, kept);
--- a/node/src/main/java/spartrail/client/ClientDoor.java
+++ b/node/src/main/java/spartrail/client/ClientDoor.java
@@ -50,7 +50,7 @@
  * BODY       read                on to BUSY          400, CLOSING      stays, the same               closed
  * BUSY       kept ahead          after the answer    RESTING, or HEAD  its answer is the last        never before 5 s of an answer
  *                                                    with bytes ahead                                that is not read
- * RESTING    on to HEAD          -                   -                 CLOSING                       closed, the longest unused first
+ * RESTING    on to HEAD          -                   -                 read once more, then CLOSING  closed, the longest unused first
  * CLOSING    thrown away         never taken         -                 stays                         closed
  * </pre>
  *
@@ -191,11 +191,12 @@
 
     /**
      * Each answer is the last of its connection, and resting ones end. Danger: a connection that the system has accepted
-     * is reset with all that was sent on it if the listening socket goes before it was taken; so it goes last.
+     * is reset with all that was sent on it if the listening socket goes before it was taken; so it goes last. What has
+     * come on a resting one and is not read yet is read before, and answered.
      */
     public void shut() {
         leaving = true;
-        all(RESTING).toList().forEach(this::farewell);
+        io.executeAfter(() -> all(RESTING).toList().forEach(this::farewell), LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Nobody takes anything any more: whoever still asks is told at once to come back. */
--- /dev/null
+++ b/node/src/test/java/spartrail/cli/SignalsTest.java
@@ -0,0 +1,142 @@
+package spartrail.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import example.ToyFleet;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A process of its own, what is sent to it, and its log. */
+class SignalsTest {
+    @TempDir
+    private Path dir;
+    private final ToyFleet fleet = new ToyFleet(4, 0, 0);
+    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+    private Path file;
+    private String good;
+    private Process process;
+
+    SignalsTest() throws IOException {
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        good = Files.readString(Path.of("example/config.json")).replace("127.0.0.1:3000", "127.0.0.1:0")
+                .replace("127.0.0.1:8500", fleet.discoveryEndpoint()).replace("\"aim\": 2.0, \"deadline\": 4.0", "\"aim\": 1, \"deadline\": 2");
+        for (int i = 0; i < 4; i++) {
+            good = good.replace("127.0.0.1:" + (7001 + i), fleet.servers.get(i).endpoint());
+        }
+        file = dir.resolve("config.json");
+        Files.writeString(file, good);
+    }
+
+    private void serve(String before) throws IOException {
+        process = new ProcessBuilder("sh", "-c", before + "exec \"$@\"", "sh", ProcessHandle.current().info().command().orElse("java"),
+                "-cp", System.getProperty("java.class.path"), "spartrail.Main", "serve", "--config", file.toString())
+                .redirectErrorStream(true).start();
+        Thread reading = new Thread(() -> {
+            try (BufferedReader lines = process.inputReader()) {
+                lines.lines().forEach(log::add);
+            } catch (IOException e) {
+                log.add(String.valueOf(e));
+            }
+        });
+        reading.setDaemon(true);
+        reading.start();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        process.destroyForcibly().waitFor();
+        fleet.close();
+    }
+
+    /** The next line of the log with these words, without its time. */
+    private String awaitLine(String words) throws InterruptedException {
+        for (String line = ""; line != null; line = log.poll(20, TimeUnit.SECONDS)) {
+            if (line.contains(words)) {
+                return line.replaceAll("^.*? (INFO|WARNING) ", "").replace(dir.toString(), "DIR");
+            }
+        }
+        return "no line with '" + words + "', process " + (process.isAlive() ? "runs" : "ended with " + process.exitValue());
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+    }
+
+    @Test
+    void aNodeAskedAgainAndAgainToEndAndToReadSpoiltFilesAnswersWhatItHas() throws Exception {
+        CompletableFuture<ToyFleet.Link> held = new CompletableFuture<>();
+        fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) {
+                held.complete(link);
+            }
+        });
+        serve("");
+        String port = awaitLine("serving on").replaceAll(".*:(\\d+), 4 servers known", "$1");
+        signal("HUP");
+        assertThat(awaitLine("configuration")).isEqualTo("spartrail.cli: configuration read again");
+        Files.delete(file);
+        signal("HUP");
+        assertThat(awaitLine("configuration")).isEqualTo(
+                "spartrail.cli: configuration not taken, the one before stays: cannot read DIR/config.json");
+        try (Socket client = new Socket("127.0.0.1", Integer.parseInt(port))) {
+            String body = "{\"segments\":[{\"segment\":0,\"boost\":1}],\"text\":\"t\"}";
+            client.getOutputStream().write(("POST /orders/k HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Kind: orders\r\nReq-Deadline: 20\r\n"
+                    + "Content-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+            ToyFleet.Link link = held.get(20, TimeUnit.SECONDS);
+            Files.writeString(file, good.substring(0, good.length() / 2));
+            signal("TERM");
+            assertThat(awaitLine("draining")).startsWith("spartrail.front: draining: ");
+            signal("TERM");
+            signal("HUP");
+            assertThat(awaitLine("configuration")).startsWith(
+                    "spartrail.cli: configuration not taken, the one before stays: DIR/config.json: no JSON: ");
+            // One whose op type is another's waits for a start; what is in hand goes on by its own.
+            Files.writeString(file, good.replace("\"orders\"", "\"others\""));
+            signal("HUP");
+            assertThat(awaitLine("configuration")).isEqualTo("spartrail.cli: configuration read again, its settings wait for the next start: "
+                    + "classes: found [others], served [orders]");
+            link.answer("a.0", "OK", "t");
+            InputStream in = client.getInputStream();
+            client.setSoTimeout(20_000);
+            assertThat(new String(in.readAllBytes(), StandardCharsets.US_ASCII)).startsWith("HTTP/1.1 200");
+        }
+        assertThat(awaitLine("drained")).isEqualTo("spartrail.front: drained");
+        assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(process.exitValue()).isEqualTo(143);
+    }
+
+    @Test
+    void aNodeToldToEndBeforeItHasHeardOfItsServersEnds() throws Exception {
+        fleet.silent = true;
+        serve("");
+        fleet.awaitCalled();
+        signal("TERM");
+        assertThat(awaitLine("drained")).isEqualTo("spartrail.front: drained");
+        assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(process.exitValue()).isEqualTo(143);
+    }
+
+    @Test
+    void aNodeThatCannotBeToldOfANewConfigurationSaysSo() throws Exception {
+        serve("trap '' HUP; ");
+        assertThat(awaitLine("SIGHUP")).startsWith("spartrail.cli: SIGHUP is ignored, ");
+        assertThat(awaitLine("serving on")).startsWith("spartrail.front: serving on ");
+    }
+}
--- a/node/src/test/java/spartrail/shard/ShardPoolTest.java
+++ b/node/src/test/java/spartrail/shard/ShardPoolTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import example.ToyFleet;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -11,6 +12,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
@@ -187,6 +189,51 @@
         assertThat(List.of(next(), next())).containsExactlyInAnyOrder("2.0 RESET", "3.0 RESET");
     }
 
+    /** What becomes of a part whose server has read its frame, sends these bytes and resets the connection. */
+    private String resetAfter(byte[] bytes) throws Exception {
+        pool(100, 1000, 60_000);
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            io(() -> pool.send((InetSocketAddress) server.getLocalSocketAddress(), List.of(part("1.0"))));
+            Socket accepted = server.accept();
+            DataInputStream in = new DataInputStream(accepted.getInputStream());
+            in.readFully(new byte[in.readInt()]);
+            accepted.getOutputStream().write(bytes);
+            accepted.setSoLinger(true, 0);
+            accepted.close();
+            String end = next();
+            io(pool::close);
+            return end;
+        }
+    }
+
+    @Test
+    void aResetBehindTheFramesLastByteMayHaveRunWhateverOfTheAnswerHasCome() throws Exception {
+        byte[] answer = Frames.frame('Y', "1.0 OK 1 -\nvalue".getBytes(StandardCharsets.US_ASCII)).array();
+        int line = 5 + "1.0 OK 1 -\n".length();
+        StringBuilder table = new StringBuilder();
+        for (int sent : List.of(0, 2, 5, 8, line, line + 3)) {
+            table.append(sent).append(' ').append(resetAfter(Arrays.copyOf(answer, sent))).append('\n');
+        }
+        assertThat(table.toString()).isEqualTo("0 1.0 RESET\n2 1.0 RESET\n5 1.0 RESET\n8 1.0 RESET\n16 1.0 RESET\n19 1.0 RESET\n");
+    }
+
+    @Test
+    void aResetLongAfterTheAnswerTouchesNoPart() throws Exception {
+        pool(100, 1000, 60_000);
+        InetSocketAddress address = toy(new Silent() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                link.answer(id, "OK", text);
+                link.close();
+            }
+        });
+        for (int i = 0; i < 3; i++) {
+            String id = i + ".0";
+            io(() -> pool.send(address, List.of(part(id))));
+            assertThat(List.of(next(), next(), next())).containsExactlyInAnyOrder("server: opened", id + " ANSWERED", "server: closed");
+        }
+    }
+
     @Test
     void aFrameWrittenInPartNeverRan() throws Exception {
         pool(100, 1000, 60_000);
