--- a/node/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeTest.java
@@ -348,6 +348,34 @@
         assertThat(new Client().ask("b", 0).answer()).startsWith("200 ");
     }
 
+    /** Danger: what those who left first had out makes room for parts of those who left in the same moment. */
+    @Test
+    void ofACrowdThatLeavesInOneInstantNothingIsSentThatWaited() throws Exception {
+        start("\"open-cap\": 187", "\"open-cap\": 1000");
+        tell("b");
+        List<Client> crowd = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            crowd.add(new Client().ask("c" + i, i % 4));
+        }
+        Client stays = new Client().ask("b", 0);
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        node.io.execute(() -> {
+            try {
+                for (Client client : crowd) {
+                    client.socket.close();
+                }
+                left.complete(null);
+            } catch (IOException e) {
+                left.completeExceptionally(e);
+            }
+        });
+        left.get(20, TimeUnit.SECONDS);
+        assertThat(stays.answer()).startsWith("200 ");
+        List<String> told = new ArrayList<>();
+        seen.drainTo(told);
+        assertThat(told.stream().filter(line -> line.startsWith("part c")).count()).as("four at each of four servers").isLessThanOrEqualTo(16);
+    }
+
     @Test
     void aClientThatSendsOnAndOnGetsItsAnswerWholeAndAsTheLastOfItsConnection() throws Exception {
         start();
