--- a/node/src/test/java/spartrail/cli/SignalsTest.java
+++ b/node/src/test/java/spartrail/cli/SignalsTest.java
@@ -75,7 +75,7 @@
     }
 
     private void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+        new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
     }
 
     @Test
