Review: a test of the door fails where it hung, two tests of the pool share their server

Seen: with the second look of shut() taken out ClientDoorTest waited for ever on asked.take(), and a hung test tells nothing; it now fails after 20 s. Two tests of ShardPool held the same stand-in, word for word.

--- a/node/src/test/java/spartrail/client/ClientDoorTest.java
+++ b/node/src/test/java/spartrail/client/ClientDoorTest.java
@@ -75,6 +75,13 @@
         done.get(20, TimeUnit.SECONDS);
     }
 
+    /** The next request that the door has taken; none is a failure, not a wait without end. */
+    private ClientRequest taken() throws InterruptedException {
+        ClientRequest next = asked.poll(20, TimeUnit.SECONDS);
+        assertThat(next).as("a request taken").isNotNull();
+        return next;
+    }
+
     private static void send(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
@@ -109,7 +116,7 @@
         }
         send(clients[1], ASK.substring(0, 40));
         send(clients[2], ASK);
-        Map<String, ClientRequest> taken = new TreeMap<>(Map.of("in hand", asked.take()));
+        Map<String, ClientRequest> taken = new TreeMap<>(Map.of("in hand", taken()));
         io(() -> { });
         Socket[] late = new Socket[1];
         io(() -> {
@@ -121,7 +128,7 @@
         assertThat(rest(clients[3])).as("resting").isEmpty();
         send(clients[1], ASK.substring(40));
         for (int i = 0; i < 3; i++) {
-            ClientRequest next = asked.take();
+            ClientRequest next = taken();
             taken.put(next.id, next);
         }
         assertThat(taken.keySet()).containsExactly("a", "crossing", "in hand", "new");
@@ -150,7 +157,7 @@
         client.setReceiveBufferSize(2048);
         client.connect(door.address());
         send(client, ASK);
-        ClientRequest inHand = asked.take();
+        ClientRequest inHand = taken();
         byte[] value = new byte[16_000_000];
         Arrays.fill(value, (byte) 'v');
         io(() -> {
@@ -184,7 +191,7 @@
             }
         });
         for (int i = 0; i < cuts.length; i++) {
-            assertThat(asked.poll(20, TimeUnit.SECONDS)).as("request " + i).isNotNull();
+            taken();
             clients[i].close();
         }
     }
--- a/node/src/test/java/spartrail/shard/ShardPoolTest.java
+++ b/node/src/test/java/spartrail/shard/ShardPoolTest.java
@@ -43,6 +43,7 @@
     private final Invariants invariants = new Invariants();
     private final List<AutoCloseable> opened = new ArrayList<>();
     private final Set<String> gone = ConcurrentHashMap.newKeySet();
+    private final BlockingQueue<ToyFleet.Link> links = new LinkedBlockingQueue<>();
     private double graceMs = 10_000;
     private double leaveByMs = Double.POSITIVE_INFINITY;
     private ShardPool pool;
@@ -118,6 +119,15 @@
         return HostList.address(fleet.servers.get(0).endpoint());
     }
 
+    /** Answers, and tells on which connection each part came. */
+    private class Linking implements ToyFleet.Manner {
+        @Override
+        public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+            links.add(link);
+            link.answer(id, "OK", text);
+        }
+    }
+
     private class Silent implements ToyFleet.Manner {
         @Override
         public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
@@ -324,14 +334,7 @@
     @Test
     void aCloseThatWaitsInTheSocketIsSeenBeforeAFrameIsWrittenBehindIt() throws Exception {
         pool(100, 1000, 60_000);
-        BlockingQueue<ToyFleet.Link> links = new LinkedBlockingQueue<>();
-        InetSocketAddress address = toy(new ToyFleet.Manner() {
-            @Override
-            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
-                links.add(link);
-                link.answer(id, "OK", text);
-            }
-        });
+        InetSocketAddress address = toy(new Linking());
         io(() -> pool.send(address, List.of(part("1.0"))));
         assertThat(next()).isEqualTo("1.0 ANSWERED");
         ToyFleet.Link link = links.take();
@@ -350,14 +353,7 @@
     @Test
     void aConnectionUnusedForLongIsNotTakenByAProcessThatStoodStill() throws Exception {
         pool(100, 1000, 400);
-        BlockingQueue<ToyFleet.Link> links = new LinkedBlockingQueue<>();
-        InetSocketAddress address = toy(new ToyFleet.Manner() {
-            @Override
-            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
-                links.add(link);
-                link.answer(id, "OK", text);
-            }
-        });
+        InetSocketAddress address = toy(new Linking());
         io(() -> pool.send(address, List.of(part("1.0"))));
         assertThat(next()).isEqualTo("1.0 ANSWERED");
         io(() -> {
