Review: the test of a settings switch sees a pool that is not told; red checks made up

Seen with servers.renew taken out of FrontNode.reload: the test stayed green, as the connection went by the keep-alive of the start after 15 s, within its wait of 20. It now starts with 600 s and is red then, and red with the new time to the kill taken out.

--- a/node/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeTest.java
@@ -203,7 +203,8 @@
 
     @Test
     void aSwitchOfSettingsHoldsForConnectionsInUseAndForTheTimeBeforeTheKill() throws Exception {
-        start();
+        // By this it would be closed after five minutes, long after the test has failed.
+        start("\"keepalive\": 30.0", "\"keepalive\": 600.0");
         fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
             @Override
             public void closed(ToyFleet.Link link) {
