A change is heard within 6 s of an outage's end; SIGHUP works where it was ignored

Seen: where the list is asked for, a call that follows a failed one could take 4.6 s to be given up and the module then waited up to 6 s more, so a change was heard up to 11 s after discovery could be reached again; it counts as told after 6 s. Lines at fault: HostWatch.ask (long wait on request whatever failed), WindowCoordinator MOST_BACKOFF_MS and FIRST_BACKOFF_MS. Ruled out: where the agent is watched, 0.65 s, 0.2 s and the next call make 1.5 s. A call behind a failed one now hardly waits, the pause goes from 0.3 to 2.4 s (0.5 to 4 before), each spread by half. Seen: a front node started with SIGHUP ignored took no new configuration. SignalsTest starts the real command so.

--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -933,8 +933,8 @@
     // ---- 6. Following the list ----
 
     private static final double FIRST_ASK_MS = 200;
-    private static final double FIRST_BACKOFF_MS = 500;
-    private static final double MOST_BACKOFF_MS = 4000;
+    private static final double FIRST_BACKOFF_MS = 300;
+    private static final double MOST_BACKOFF_MS = 2400;
 
     private boolean listAsked;
     private double askWithinMs = Double.MAX_VALUE;
--- /dev/null
+++ b/core/src/test/java/spartrail/coordination/ColdFleetTest.java
@@ -0,0 +1,54 @@
+package spartrail.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** A cold server falls under the sum of what all front nodes send it, so that is what is counted here. */
+class ColdFleetTest {
+    private static final double SERVICE_MS = 20;
+    private static final int REPLICAS = 8;
+
+    /** So many nodes, some with several times the queries of others; together they use this share of the warm servers. */
+    private static List<ColdFleet.Node> uneven(int count, double used, int cores, int replicas, double toldLeast, double toldMost,
+            long seed) {
+        Random random = new Random(seed);
+        double[] weights = random.doubles(count, 0.2, 3).toArray();
+        double sum = 0;
+        for (double weight : weights) {
+            sum += weight;
+        }
+        List<ColdFleet.Node> nodes = new ArrayList<>();
+        for (double weight : weights) {
+            double told = count * (toldLeast + (toldMost - toldLeast) * random.nextDouble());
+            nodes.add(new ColdFleet.Node((int) Math.max(1, Math.round(told)), used * cores * replicas / SERVICE_MS * weight / sum));
+        }
+        return nodes;
+    }
+
+    private static double worst(int count, double used, int cores, int cells, double toldLeast, double toldMost, long seed) {
+        return new ColdFleet(seed, SERVICE_MS, cores)
+                .play(uneven(count, used, cores, REPLICAS, toldLeast, toldMost, seed), cells, REPLICAS);
+    }
+
+    @Test
+    void twentyToThirtyNodesThatAreToldOfOtherCountsBringNoColdServerDown() {
+        for (int count : new int[] {20, 30}) {
+            for (int cores : new int[] {1, 4}) {
+                for (double used : new double[] {0.3, 0.6, 0.8}) {
+                    assertThat(worst(count, used, cores, REPLICAS, 0.5, 1.5, count))
+                            .as("%d nodes, %d cores, %.1f used", count, cores, used).isLessThan(1);
+                }
+            }
+        }
+    }
+
+    /** The check bites: the same fleet, each of whose nodes reckons to be alone. */
+    @Test
+    void nodesThatEachReckonToBeAloneWouldBringItDown() {
+        assertThat(worst(30, 0.6, 1, REPLICAS, 0, 0, 30)).isGreaterThan(1);
+    }
+}
--- a/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -206,6 +206,12 @@
         script.fleet(1, 1, 1, 1).place(script.opType, 1, 50, 0).place(script.opType, 2, 900, 0).matches("little-time");
     }
 
+    @Test
+    void whateverBecomesOfAnAttemptOfAClientThatHasGoneNoFurtherOneBegins() {
+        new Script().fleet(1, 3, 3, 1).place(1, 0).gone(1).afterAt("s0", Outcome.RESET).pass(3000)
+                .place(2, 0).pass(100).gone(2).pass(3000).afterAt("s1", Outcome.ERROR).pass(3000).matches("gone");
+    }
+
     @Test
     void theListIsAskedForAgainWithoutFloodingIt() {
         Script script = new Script().fleet(1, 2, 2, 1);
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -26,8 +26,19 @@
 [ "$heap_mb" -ge 10 ] || heap_mb=10
 # One arena: threads that allocate by turns would each keep memory of their own.
 export MALLOC_ARENA_MAX=1
+# Danger: a JVM leaves SIGHUP ignored that was so at its start, as below nohup or a service manager, and would take no new
+# configuration. No shell can undo that for what it executes; env can, in the same process. Only then is env gone through, so
+# that a system without the GNU one starts as before. The mask of ignored signals is hexadecimal, SIGHUP its lowest bit.
+with_hup=
+if [ -r /proc/self/status ]; then
+    while read -r name mask; do
+        case $name$mask in
+        SigIgn:*[13579bdf]) with_hup="env --default-signal=HUP" ;;
+        esac
+    done < /proc/self/status
+fi
 # Nobody looks at the JVM's management, and what XNIO registers with it took a tenth of a second of each start.
-exec java -Djavax.management.builder.initial=none -XX:-UsePerfData -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
+exec $with_hup java -Djavax.management.builder.initial=none -XX:-UsePerfData -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
     -Xshare:auto -XX:SharedArchiveFile=node/target/spartrail.jsa \
     -Xms${heap_mb}m -Xmx${heap_mb}m -XX:+AlwaysPreTouch -Xss512k \
     -XX:MaxDirectMemorySize=12m -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=16m -XX:+ExitOnOutOfMemoryError \
--- a/node/src/main/java/spartrail/discovery/HostWatch.java
+++ b/node/src/main/java/spartrail/discovery/HostWatch.java
@@ -35,7 +35,7 @@
 
     private static final System.Logger LOG = System.getLogger("spartrail.discovery");
     /** The pause after a second failure, and after an answer that told nothing and came before its time. */
-    private static final long PAUSE_MS = 200;
+    static final long PAUSE_MS = 200;
     /** What discovery has to tell counts as told 2 s after the end of a call's wait, and 6 s after a watch fell silent. */
     private static final long WAIT_MS = 4000;
     private static final long SHORT_WAIT_MS = 50;
@@ -44,6 +44,12 @@
      * no time to open another one.
      */
     private static final long ANSWER_MS = 600;
+    /** The I/O thread looks at the socket once more before it gives a call up. */
+    private static final long LAST_LOOK_MS = 2;
+    /** A call that follows a failed one is given up after so long, connecting included; so is one that follows it. */
+    static final long RETRY_CALL_MS = SHORT_WAIT_MS + ANSWER_MS + LAST_LOOK_MS;
+    /** A call that may wait is given up after so long. */
+    static final long WAITING_CALL_MS = WAIT_MS + ANSWER_MS + LAST_LOOK_MS;
     private static final int LONGEST = 1024 * 1024;
 
     private final XnioIoThread io;
@@ -125,12 +131,13 @@
         long number = ++call;
         askedNs = System.nanoTime();
         // Danger: a silent agent and one that has nothing to tell look the same for as long as a call waits; where it has
-        // been silent, one that hardly waits finds out. What is asked for elsewhere than at an agent stays at its pace.
-        waitMs = !had || moved ? 0 : failures == 0 || onRequest ? WAIT_MS : SHORT_WAIT_MS;
+        // been silent, one that hardly waits finds out. Danger: a change counts as told 6 s after discovery had it and could be
+        // reached, however long the calls before were given; an outage may end just after a call has begun.
+        waitMs = !had || moved ? 0 : failures == 0 ? WAIT_MS : SHORT_WAIT_MS;
         // Danger: discovery that is down says nothing at all, and a call without an end would be the last. Danger: of a
         // process that stood still the answer may wait in the socket; so it is looked at first.
         timer = io.executeAfter(() -> {
-            timer = io.executeAfter(() -> failed(number, "no answer in time"), 2, TimeUnit.MILLISECONDS);
+            timer = io.executeAfter(() -> failed(number, "no answer in time"), LAST_LOOK_MS, TimeUnit.MILLISECONDS);
         }, waitMs + ANSWER_MS, TimeUnit.MILLISECONDS);
         if (connection != null && connection.isOpen()) {
             request(number);
--- a/node/src/test/java/spartrail/cli/SignalsTest.java
+++ b/node/src/test/java/spartrail/cli/SignalsTest.java
@@ -10,6 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -21,6 +23,9 @@
 
 /** A process of its own, what is sent to it, and its log. */
 class SignalsTest {
+    /** Most that a process may hold in the test of a crowd; a JVM has some dozens open itself. */
+    private static final int DESCRIPTORS = 160;
+
     @TempDir
     private Path dir;
     private final ToyFleet fleet = new ToyFleet(4, 0, 0);
@@ -43,10 +48,29 @@
         Files.writeString(file, good);
     }
 
+    private static String jvm() {
+        return ProcessHandle.current().info().command().orElse("java");
+    }
+
     private void serve(String before) throws IOException {
-        process = new ProcessBuilder("sh", "-c", before + "exec \"$@\"", "sh", ProcessHandle.current().info().command().orElse("java"),
-                "-cp", System.getProperty("java.class.path"), "spartrail.Main", "serve", "--config", file.toString())
-                .redirectErrorStream(true).start();
+        start(new ProcessBuilder("sh", "-c", before + "exec \"$@\"", "sh", jvm(), "-cp", System.getProperty("java.class.path"),
+                "spartrail.Main", "serve", "--config", file.toString()));
+    }
+
+    /** By the start command that is deployed; the JVM that it finds runs these classes, as there is no jar yet. */
+    private void serveByStartCommand(String before) throws IOException {
+        Path java = Files.createDirectories(dir.resolve("bin")).resolve("java");
+        Files.writeString(java, "#!/bin/sh\nexec '" + jvm() + "' -cp '" + System.getProperty("java.class.path")
+                + "' spartrail.Main serve\n");
+        assertThat(java.toFile().setExecutable(true)).isTrue();
+        ProcessBuilder command = new ProcessBuilder("sh", "-c", before + "exec sh deploy/run.sh");
+        command.environment().put("PATH", java.getParent() + ":" + System.getenv("PATH"));
+        command.environment().put("BALANCER_CONFIG", file.toString());
+        start(command);
+    }
+
+    private void start(ProcessBuilder command) throws IOException {
+        process = command.redirectErrorStream(true).start();
         Thread reading = new Thread(() -> {
             try (BufferedReader lines = process.inputReader()) {
                 lines.lines().forEach(log::add);
@@ -139,4 +163,47 @@
         assertThat(awaitLine("SIGHUP")).startsWith("spartrail.cli: SIGHUP is ignored, ");
         assertThat(awaitLine("serving on")).startsWith("spartrail.front: serving on ");
     }
+
+    @Test
+    void aNodeStartedWithSighupIgnoredTakesANewConfigurationAllTheSame() throws Exception {
+        serveByStartCommand("trap '' HUP; ");
+        assertThat(awaitLine("serving on")).startsWith("spartrail.front: serving on ");
+        signal("HUP");
+        assertThat(awaitLine("configuration")).isEqualTo("spartrail.cli: configuration read again");
+    }
+
+    @Test
+    void aNodeWhoseDiscoveryIsSilentIsReadyWithinTenSeconds() throws Exception {
+        fleet.silent = true;
+        long fromNs = System.nanoTime();
+        serveByStartCommand("");
+        assertThat(awaitLine("serving on")).startsWith("spartrail.front: serving on ");
+        assertThat(System.nanoTime() - fromNs).isLessThan(10_000_000_000L);
+    }
+
+    @Test
+    void idleClientsThatFillTheDescriptorsKeepNoNodeFromHearingOfAChange() throws Exception {
+        Files.writeString(file, good.replace("\"sockets\": 1024", "\"sockets\": " + DESCRIPTORS));
+        // The process cannot hold more than that, whatever it counts itself.
+        serve("ulimit -n " + DESCRIPTORS + "; ");
+        int port = Integer.parseInt(awaitLine("serving on").replaceAll(".*:(\\d+), 4 servers known", "$1"));
+        fleet.silent = true;
+        fleet.tell(fleet.servers.get(0), "SERVING");
+        assertThat(awaitLine("cannot be had")).contains("no answer in time");
+        List<Socket> idle = new ArrayList<>();
+        try {
+            for (int i = 0; i < 2 * DESCRIPTORS; i++) {
+                idle.add(new Socket("127.0.0.1", port));
+            }
+            fleet.tell(fleet.servers.get(0), "DRAINING");
+            long reachableNs = System.nanoTime();
+            fleet.silent = false;
+            fleet.awaitTold(true);
+            assertThat(System.nanoTime() - reachableNs).isLessThan(6_000_000_000L);
+        } finally {
+            for (Socket socket : idle) {
+                socket.close();
+            }
+        }
+    }
 }
--- a/node/src/test/java/spartrail/discovery/HostWatchTest.java
+++ b/node/src/test/java/spartrail/discovery/HostWatchTest.java
@@ -13,10 +13,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
-import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -68,9 +66,13 @@
     }
 
     private void watch(InetSocketAddress address) throws IOException {
+        watch(address, false);
+    }
+
+    private void watch(InetSocketAddress address, boolean onRequest) throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         watch = new HostWatch(worker.getIoThread(), new DefaultByteBufferPool(true, 1024),
-                address, false, new HostWatch.Listener() {
+                address, onRequest, new HostWatch.Listener() {
                     @Override
                     public void listed(HostList list) {
                         StringBuilder told = new StringBuilder(list.version() + (list.all() ? " all" : " changes"));
@@ -141,6 +143,19 @@
         assertThat(System.nanoTime() - silentNs).isLessThan(6_500_000_000L);
     }
 
+    @Test
+    void whereTheListIsAskedForACallBehindAFailedOneHardlyWaits() throws Exception {
+        watch(discovery("", list(41, true, LINE.formatted("s-1", "SERVING")), "500", list(42, false),
+                list(43, false, LINE.formatted("s-1", "DRAINING"))).getAddress(), true);
+        assertThat(trace(4)).endsWith("GET /discovery/hosts?since=41&timeout_ms=4000\nnot to be had\n");
+        worker.getIoThread().execute(watch::start);
+        assertThat(trace(3)).isEqualTo("""
+                GET /discovery/hosts?since=41&timeout_ms=50
+                GET /discovery/hosts?since=42&timeout_ms=4000
+                43 changes s-1=DRAINING
+                """);
+    }
+
     private enum End { RESET, END, SILENCE }
 
     /** Discovery that writes these bytes to a call, so many at a time, and then ends the connection, resets it or says no more. */
--- a/node/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeTest.java
@@ -349,6 +349,35 @@
         assertThat(new Client().ask("b", 0).answer()).startsWith("200 ");
     }
 
+    @Test
+    void behindAClientThatHasLeftABrokenAttemptBeginsNoFurtherOne() throws Exception {
+        start();
+        fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                seen.add("part " + id);
+                if (id.startsWith("b")) {
+                    link.answer(id, "OK", text);
+                }
+            }
+
+            @Override
+            public void givenUp(ToyFleet.Link link, String id) throws IOException {
+                seen.add("given up " + id);
+                link.close();
+            }
+        });
+        Client client = new Client().ask("a", 0);
+        assertThat(next()).isEqualTo("part a.0");
+        client.socket.close();
+        assertThat(next()).isEqualTo("given up a.0");
+        // Those behind it find both replicas, and would leave after a further attempt.
+        for (String id : List.of("b1", "b2", "b3")) {
+            assertThat(new Client().ask(id, 0).answer()).startsWith("200 ");
+        }
+        assertThat(seen).containsExactly("part b1.0", "part b2.0", "part b3.0");
+    }
+
     /** Danger: what those who left first had out makes room for parts of those who left in the same moment. */
     @Test
     void ofACrowdThatLeavesInOneInstantNothingIsSentThatWaited() throws Exception {
