--- a/node/src/main/java/spartrail/discovery/HostList.java
+++ b/core/src/main/java/spartrail/membership/EndpointList.java
@@ -1,4 +1,4 @@
-package spartrail.discovery;
+package spartrail.membership;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -12,9 +12,9 @@
 import spartrail.model.Server;
 
 /** A version of the list of servers, or the lines that changed. */
-public record HostList(long version, boolean all, List<Line> lines) {
+public record EndpointList(long version, boolean all, List<Endpoint> lines) {
     /** A server and its address as this node reaches it; the time of its start is a Unix time, 0 if long ago. */
-    public record Line(String id, InetSocketAddress address, String zone, String kind, int cell, Server.State state,
+    public record Endpoint(String id, InetSocketAddress address, String zone, String kind, int cell, Server.State state,
             double rating, long bootMs) {
     }
 
@@ -22,7 +22,7 @@
     private static final JsonFactory JSON = new JsonFactory();
 
     /** Decodes a body in discovery's form; an IllegalArgumentException or IOException where it is none. */
-    public static HostList decode(byte[] body) throws IOException {
+    public static EndpointList decode(byte[] body) throws IOException {
         try (JsonParser parser = JSON.createParser(body)) {
             if (parser.nextToken() == null || !(JsonTree.value(parser) instanceof Map<?, ?> tree)) {
                 throw new IllegalArgumentException("a list of servers is a JSON object");
@@ -31,11 +31,11 @@
         }
     }
 
-    public static HostList of(Map<?, ?> tree) {
+    public static EndpointList of(Map<?, ?> tree) {
         if (!(tree.get("rev") instanceof Number version) || !(tree.get("targets") instanceof List<?> targets)) {
             throw new IllegalArgumentException("a list of servers has 'rev' and 'targets'");
         }
-        List<Line> lines = new ArrayList<>();
+        List<Endpoint> lines = new ArrayList<>();
         for (Object target : targets) {
             if (!(target instanceof Map<?, ?> line) || !(line.get("uid") instanceof String id)
                     || !(line.get("pod_group") instanceof Number cell)) {
@@ -50,11 +50,11 @@
             if (address == null && state != Server.State.GONE) {
                 throw new IllegalArgumentException("a server of the list has an 'endpoint'");
             }
-            lines.add(new Line(id, address, String.valueOf(line.get("az")), String.valueOf(line.get("model")),
+            lines.add(new Endpoint(id, address, String.valueOf(line.get("az")), String.valueOf(line.get("model")),
                     cell.intValue(), state, line.get("capacity_hint") instanceof Number hint ? hint.doubleValue() : 1,
                     line.get("boot_ms") instanceof Number boot ? boot.longValue() : 0));
         }
-        return new HostList(version.longValue(), !Boolean.FALSE.equals(tree.get("all")), lines);
+        return new EndpointList(version.longValue(), !Boolean.FALSE.equals(tree.get("all")), lines);
     }
 
     /** An address in the form host:port, without a look-up of names. */
--- a/node/src/main/java/spartrail/discovery/HostWatch.java
+++ b/node/src/main/java/spartrail/discovery/HostWatch.java
@@ -20,6 +20,7 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSourceChannel;
+import spartrail.membership.EndpointList;
 
 /**
  * Follows the list of servers over HTTP: the whole list once, then a watch for what changes. All of it runs
@@ -28,7 +29,7 @@
 public final class HostWatch {
     /** Where lists are told. */
     public interface Listener {
-        void listed(HostList list);
+        void listed(EndpointList list);
 
         void unlisted();
     }
@@ -226,9 +227,9 @@
     }
 
     private void told(long number, byte[] body) {
-        HostList list;
+        EndpointList list;
         try {
-            list = HostList.decode(body);
+            list = EndpointList.decode(body);
         } catch (IOException | IllegalArgumentException e) {
             failed(number, "unusable: " + e.getMessage());
             return;
--- a/node/src/main/java/spartrail/front/FrontNode.java
+++ b/node/src/main/java/spartrail/front/FrontNode.java
@@ -19,7 +19,7 @@
 import org.xnio.XnioWorker;
 import spartrail.client.ClientDoor;
 import spartrail.coordination.Coordinator;
-import spartrail.discovery.HostList;
+import spartrail.membership.EndpointList;
 import spartrail.discovery.HostWatch;
 import spartrail.members.MembersFile;
 import spartrail.members.MembersHost;
@@ -140,7 +140,7 @@
         io = worker.getIoThread();
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, 256, 0);
         clock = new NodeClock();
-        HostList known = deployment.known();
+        EndpointList known = deployment.known();
         List<OpType> opTypes = deployment.opTypes();
         killedMs = killedMs(deployment);
         loop = new NodeLoop(wrapping.apply(deployment.coordinator(opTypes)), opTypes, clock, io, deployment.turnMs(),
--- a/node/src/main/java/spartrail/front/NodeLoop.java
+++ b/node/src/main/java/spartrail/front/NodeLoop.java
@@ -16,7 +16,7 @@
 import spartrail.client.ClientRequest;
 import spartrail.client.Reply;
 import spartrail.coordination.Coordinator;
-import spartrail.discovery.HostList;
+import spartrail.membership.EndpointList;
 import spartrail.discovery.HostWatch;
 import spartrail.front.ClientMultiget.Underway;
 import spartrail.model.Call;
@@ -68,7 +68,7 @@
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final Map<String, ClientMultiget> inHand = new HashMap<>();
     /** Servers that are not gone, as last listed. */
-    private final Map<String, HostList.Line> hosts = new HashMap<>();
+    private final Map<String, EndpointList.Endpoint> hosts = new HashMap<>();
     private final Timetable timetable = new Timetable();
     private final Standstill standstill;
     private final Counters counters = new Counters();
@@ -112,7 +112,7 @@
     }
 
     /** Before the loop starts: what it reaches, and the list as it was last had. */
-    void tie(ShardPool pool, HostWatch hosts, HostList known) {
+    void tie(ShardPool pool, HostWatch hosts, EndpointList known) {
         servers = pool;
         watch = hosts;
         nowMs = clock.nowMs();
@@ -232,7 +232,7 @@
     }
 
     @Override
-    public void listed(HostList list) {
+    public void listed(EndpointList list) {
         // Danger: until this list is taken, what was decided by the one before would leave for servers that it ends.
         if (Thread.currentThread() == io) {
             servers.hold();
@@ -375,16 +375,16 @@
         take(coordinator.after(send, outcome, Math.max(0, atMs - send.sentMs), nowMs));
     }
 
-    private void list(HostList list, boolean fresh) {
+    private void list(EndpointList list, boolean fresh) {
         Set<String> changed = new HashSet<>();
         Set<String> gone = list.all() ? new HashSet<>(hosts.keySet()) : new HashSet<>();
-        for (HostList.Line line : list.lines()) {
+        for (EndpointList.Endpoint line : list.lines()) {
             if (line.state() == Server.State.GONE) {
                 gone.add(line.id());
                 continue;
             }
             gone.remove(line.id());
-            HostList.Line old = hosts.put(line.id(), line);
+            EndpointList.Endpoint old = hosts.put(line.id(), line);
             if (old == null || !line.address().equals(old.address()) || line.bootMs() != old.bootMs()) {
                 changed.add(line.id());
                 barred.add(line.address());
@@ -395,7 +395,7 @@
             }
         }
         for (String id : gone) {
-            HostList.Line line = hosts.remove(id);
+            EndpointList.Endpoint line = hosts.remove(id);
             if (line != null) {
                 changed.add(id);
                 barred.add(line.address());
@@ -408,9 +408,9 @@
     }
 
     /** The lines of a list as the module takes them. */
-    static List<Server> servers(HostList list, NodeClock clock) {
+    static List<Server> servers(EndpointList list, NodeClock clock) {
         List<Server> lines = new ArrayList<>();
-        for (HostList.Line line : list.lines()) {
+        for (EndpointList.Endpoint line : list.lines()) {
             Server server = new Server(line.id());
             server.zone = line.zone();
             server.kind = line.kind();
--- a/node/src/main/java/spartrail/members/MembersHost.java
+++ b/node/src/main/java/spartrail/members/MembersHost.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import spartrail.discovery.HostList;
+import spartrail.membership.EndpointList;
 import spartrail.discovery.HostWatch;
 import spartrail.membership.Membership;
 import spartrail.membership.Said;
@@ -41,7 +41,7 @@
     private long version;
 
     /** The list as it was last had is known to the loop already; it counts as the roll's word until the roll answers. */
-    public MembersHost(MembersFile file, int cells, int reach, NodeClock clock, HostList known, HostWatch.Listener loop) {
+    public MembersHost(MembersFile file, int cells, int reach, NodeClock clock, EndpointList known, HostWatch.Listener loop) {
         this.clock = clock;
         this.loop = loop;
         var allowed = file.allowed();
@@ -76,7 +76,7 @@
     }
 
     @Override
-    public void listed(HostList list) {
+    public void listed(EndpointList list) {
         thread.execute(() -> {
             byRoll(() -> view.said(roll, list.all(), lines(list), 0, clock.nowMs()));
             // Also where nothing changed: who asks for the list waits for its answer.
@@ -111,9 +111,9 @@
         });
     }
 
-    private List<Said> lines(HostList list) {
+    private List<Said> lines(EndpointList list) {
         List<Said> lines = new ArrayList<>();
-        for (HostList.Line line : list.lines()) {
+        for (EndpointList.Endpoint line : list.lines()) {
             lines.add(new Said(line.id(), line.address() == null ? null : text(line.address()), line.zone(), line.kind(),
                     line.cell(), line.state(), line.rating(), line.bootMs() > 0 ? clock.at(line.bootMs()) : -1, 0));
         }
@@ -127,15 +127,15 @@
     /** Hands on what has changed, and comes back when time alone changes something. */
     private void hand(boolean always) {
         view.advance(clock.nowMs());
-        List<HostList.Line> lines = new ArrayList<>();
+        List<EndpointList.Endpoint> lines = new ArrayList<>();
         for (Said said : view.changes()) {
-            lines.add(new HostList.Line(said.id(), HostList.address(said.endpoint()), said.zone(), said.kind(), said.cell(),
+            lines.add(new EndpointList.Endpoint(said.id(), EndpointList.address(said.endpoint()), said.zone(), said.kind(), said.cell(),
                     said.state(), said.rating(), said.bornMs() > 0 ? unix(said.bornMs()) : 0));
             LOG.log(System.Logger.Level.INFO, said.id() + " at " + said.endpoint() + " is " + said.state() + ": "
                     + view.find(said.id()).rule());
         }
         if (always || !lines.isEmpty()) {
-            loop.listed(new HostList(++version, false, lines));
+            loop.listed(new EndpointList(++version, false, lines));
         }
         if (due != null) {
             due.cancel(false);
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -18,7 +18,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import spartrail.coordination.Coordinator;
-import spartrail.discovery.HostList;
+import spartrail.membership.EndpointList;
 import spartrail.json.JsonTree;
 import spartrail.model.OpType;
 
@@ -28,15 +28,15 @@
     private final Map<?, ?> info;
     private final InetSocketAddress listen;
     private final InetSocketAddress discovery;
-    private final HostList known;
+    private final EndpointList known;
 
     private DeploymentFile(Map<?, ?> tree) {
         this.tree = tree;
         this.info = (Map<?, ?>) tree.get("settings");
-        this.listen = HostList.address(text("listen"));
-        this.discovery = HostList.address(text("discovery"));
-        this.known = tree.get("known") instanceof Map<?, ?> list ? HostList.of(list)
-                : new HostList(0, true, List.of());
+        this.listen = EndpointList.address(text("listen"));
+        this.discovery = EndpointList.address(text("discovery"));
+        this.known = tree.get("known") instanceof Map<?, ?> list ? EndpointList.of(list)
+                : new EndpointList(0, true, List.of());
     }
 
     /** Reads and checks the file; what is wrong is said in one line. */
@@ -106,7 +106,7 @@
     }
 
     /** The list of servers as this node last had it; it may be old. */
-    public HostList known() {
+    public EndpointList known() {
         return known;
     }
 
--- a/node/src/test/java/spartrail/discovery/HostWatchTest.java
+++ b/node/src/test/java/spartrail/discovery/HostWatchTest.java
@@ -24,6 +24,7 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import spartrail.membership.EndpointList;
 
 class HostWatchTest {
     private static final String LINE = "{\"uid\":\"%s\",\"endpoint\":\"127.0.0.1:9\",\"az\":\"a\",\"model\":\"m\","
@@ -74,7 +75,7 @@
         watch = new HostWatch(worker.getIoThread(), new DefaultByteBufferPool(true, 1024),
                 address, onRequest, new HostWatch.Listener() {
                     @Override
-                    public void listed(HostList list) {
+                    public void listed(EndpointList list) {
                         StringBuilder told = new StringBuilder(list.version() + (list.all() ? " all" : " changes"));
                         list.lines().forEach(line -> told.append(' ').append(line.id()).append('=').append(line.state()));
                         seen.add(told.toString());
--- a/node/src/test/java/spartrail/shard/ShardPoolTest.java
+++ b/node/src/test/java/spartrail/shard/ShardPoolTest.java
@@ -29,7 +29,7 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
-import spartrail.discovery.HostList;
+import spartrail.membership.EndpointList;
 import spartrail.model.Invariants;
 import spartrail.model.NodeClock;
 import spartrail.model.Send;
@@ -116,7 +116,7 @@
         ToyFleet fleet = new ToyFleet(1, 0, 0);
         opened.add(fleet);
         fleet.servers.get(0).manner = manner;
-        return HostList.address(fleet.servers.get(0).endpoint());
+        return EndpointList.address(fleet.servers.get(0).endpoint());
     }
 
     /** Answers, and tells on which connection each part came. */
