--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -805,11 +805,11 @@
         // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew stands
         // idle. There so few multigets of a node meet one server that those of the lower ranks may pass
         // whole, the same ones at every server: as many as keep what all nodes ask of it, with three
-        // deviations of chance, within what it takes. Where replicas are missing more is asked of those that
-        // are left.
+        // deviations of chance, within what it takes. Danger: among idle replicas a cold one is the next in turn
+        // for all that may pass it; only with other cold ones it shares that.
         double root = (Math.sqrt(9 + 4 * takes * coreParts) - 3) / 2;
-        long fit = part.shard.replicas.stream().filter(this::sound).count();
-        double asked = nodes * warmParts * fallMs * layout.reach / Math.max(1, fit);
+        long sharing = part.shard.replicas.stream().filter(replica -> sound(replica) && cold(replica)).count();
+        double asked = nodes * warmParts * fallMs * Math.max(layout.reach, part.shard.replicas.size()) / Math.max(1, sharing);
         return part.multiget.rank < RANKS * root * root / asked
                 && server.coldSends.firstMs() >= now;
     }
--- /dev/null
+++ b/core/src/main/java/spartrail/subset/SubsetSelector.java
@@ -0,0 +1,177 @@
+package spartrail.subset;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The servers that one front node uses, chosen from all live ones by names alone.
+ *
+ * <p>Always:
+ * <ol>
+ * <li>A shard with a live replica has one in the subset; one with no more live replicas than wanted has all of them.
+ * <li>They lie in the least number of zones where the live replicas do.
+ * <li>A server that is not live is not in it; the next in order takes its place at once.
+ * <li>The same live servers give the same subset, whatever came before.
+ * </ol>
+ *
+ * <p>Cost: a change of one server takes time by the replicas of the shards that it holds, whatever the number of servers. Memory
+ * is kept for every live server, as each is somebody's spare. An instance belongs to one thread.
+ */
+public final class SubsetSelector {
+    private final SubsetSettings settings;
+    private final RendezvousHash order;
+    private final int cells;
+    private final int reach;
+    private final List<ReplicaGroup> groups = new ArrayList<>();
+    private final Map<String, Replica> live = new HashMap<>();
+
+    /** Shard s is held by the cells (s + j) mod cells, j from 0 to reach - 1, so shards of the same s mod cells are one group. */
+    public SubsetSelector(String node, SubsetSettings settings, int shards, int cells, int reach) {
+        this.settings = settings;
+        this.order = new RendezvousHash(node);
+        this.cells = Math.max(1, cells);
+        this.reach = Math.min(reach, this.cells);
+        for (int group = 0; group < Math.min(shards, this.cells); group++) {
+            groups.add(new ReplicaGroup());
+        }
+    }
+
+    /** A server that is live from now on, or still is, perhaps elsewhere or with another weight. */
+    public record LiveServer(String id, String zone, int cell, double weight) {
+    }
+
+    /** Takes what has changed: servers that are live, and the names of those that are not. */
+    public SubsetChange apply(Collection<LiveServer> nowLive, Collection<String> notLive) {
+        Set<ReplicaGroup> touched = new LinkedHashSet<>();
+        List<Replica> removed = new ArrayList<>();
+        notLive.forEach(id -> remove(id, touched, removed));
+        for (LiveServer server : nowLive) {
+            Replica known = live.get(server.id);
+            if (known == null || !same(known, server)) {
+                remove(server.id, touched, removed);
+                add(server, touched);
+            }
+        }
+        return select(touched, removed);
+    }
+
+    private static boolean same(Replica known, LiveServer server) {
+        return known.zone.equals(server.zone) && known.cell == server.cell && known.weight == server.weight;
+    }
+
+    private void remove(String id, Set<ReplicaGroup> touched, List<Replica> removed) {
+        Replica replica = live.remove(id);
+        if (replica != null) {
+            removed.add(replica);
+            for (ReplicaGroup group : groupsOf(replica.cell)) {
+                group.remove(replica);
+                touched.add(group);
+            }
+        }
+    }
+
+    private void add(LiveServer server, Set<ReplicaGroup> touched) {
+        Replica replica = new Replica(server.id, server.zone, server.cell, server.weight, order.score(server.id, server.weight));
+        live.put(server.id, replica);
+        for (ReplicaGroup group : groupsOf(replica.cell)) {
+            group.add(replica);
+            touched.add(group);
+        }
+    }
+
+    private List<ReplicaGroup> groupsOf(int cell) {
+        List<ReplicaGroup> of = new ArrayList<>(reach);
+        for (int back = 0; back < reach; back++) {
+            int group = Math.floorMod(cell - back, cells);
+            if (group < groups.size()) {
+                of.add(groups.get(group));
+            }
+        }
+        return of;
+    }
+
+    private SubsetChange select(Set<ReplicaGroup> touched, List<Replica> removed) {
+        Set<Replica> concerned = new LinkedHashSet<>();
+        touched.forEach(group -> concerned.addAll(group.selected()));
+        concerned.forEach(replica -> replica.wasSelected = replica.selectedIn > 0);
+        touched.forEach(group -> group.select(settings));
+        touched.forEach(group -> concerned.addAll(group.selected()));
+        Set<String> before = new LinkedHashSet<>();
+        removed.stream().filter(replica -> replica.wasSelected).forEach(replica -> before.add(replica.id));
+        List<String> joined = new ArrayList<>();
+        List<String> displaced = new ArrayList<>();
+        for (Replica replica : concerned) {
+            boolean isLive = live.get(replica.id) == replica;
+            boolean was = replica.wasSelected || before.contains(replica.id);
+            boolean is = replica.selectedIn > 0;
+            if (isLive && is && !was) {
+                joined.add(replica.id);
+            } else if (isLive && !is && was) {
+                displaced.add(replica.id);
+            }
+            replica.wasSelected = false;
+        }
+        // One that is live with another weight and was in the subset by its old one.
+        for (String id : before) {
+            Replica again = live.get(id);
+            if (again != null && again.selectedIn == 0 && !displaced.contains(id)) {
+                displaced.add(id);
+            }
+        }
+        return new SubsetChange(joined, displaced);
+    }
+
+    /** Whether this server is in the subset. */
+    public boolean selected(String id) {
+        Replica replica = live.get(id);
+        return replica != null && replica.selectedIn > 0;
+    }
+
+    /** The servers in the subset, each once, shard by shard. */
+    public Collection<String> selected() {
+        Set<String> ids = new LinkedHashSet<>();
+        groups.forEach(group -> group.selected().forEach(replica -> ids.add(replica.id)));
+        return ids;
+    }
+
+    public int liveServers() {
+        return live.size();
+    }
+
+    /** How many groups of shards there are; shard s belongs to group s mod that many or, with more cells than shards, to its own. */
+    public int groups() {
+        return groups.size();
+    }
+
+    /** Those chosen for the shards of a group, in order. */
+    public List<String> selected(int group) {
+        return groups.get(group).selected().stream().map(replica -> replica.id).toList();
+    }
+
+    /** The zones of those chosen for the shards of a group. */
+    public int zones(int group) {
+        return (int) groups.get(group).selected().stream().map(replica -> replica.zone).distinct().count();
+    }
+
+    /** Those that follow, in the order in which they take the place of one that is no longer live. */
+    public List<String> spares(int group) {
+        return groups.get(group).spares().stream().map(replica -> replica.id).toList();
+    }
+
+    /**
+     * How many of so many nodes can have the same server in their subsets: passed with a chance of less than
+     * {@link SharingBound#CHANCE} for any one server. Cost: by the groups of shards.
+     */
+    public int nodesPerServer(int nodes) {
+        double largest = 0;
+        for (ReplicaGroup group : groups) {
+            largest = Math.max(largest, group.inclusion());
+        }
+        return SharingBound.of(nodes, Math.min(1, largest * reach));
+    }
+}
--- a/core/src/test/java/spartrail/coordination/ColdFleetTest.java
+++ b/core/src/test/java/spartrail/coordination/ColdFleetTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import spartrail.subset.SharingBound;
 
 /** A cold server falls under the sum of what all front nodes send it, so that is what is counted here. */
 class ColdFleetTest {
@@ -46,6 +47,35 @@
         }
     }
 
+    /**
+     * Of 3,900 nodes, those that have the cold server in their subsets: as many as the figure counts, which one server in a million
+     * has, or as on average, where each node's count of all nodes is wrong by up to a half, or everyone's is.
+     */
+    @Test
+    void nodesThatShareAServerByTheirSubsetsDoNotBringItDownWhenItIsCold() {
+        double inclusion = REPLICAS / 248.0;
+        int mean = (int) Math.round(3900 * inclusion);
+        int most = SharingBound.of(3900, inclusion);
+        double half = SharingBound.of(3900 / 2, inclusion) / (double) mean;
+        double more = SharingBound.of(3900 * 3 / 2, inclusion) / (double) mean;
+        for (int cores : new int[] {1, 4}) {
+            for (double used : new double[] {0.3, 0.6, 0.8}) {
+                assertThat(worst(most, used, cores, 1, 1, 1, 1)).as("%d sharing, %d cores, %.1f used", most, cores, used).isLessThan(1);
+                assertThat(worst(mean, used, cores, 1, half, more, 2)).as("counts differ, %d cores, %.1f used", cores, used).isLessThan(1);
+                assertThat(worst(mean, used, cores, 1, half, half, 3)).as("half counted, %d cores, %.1f used", cores, used).isLessThan(1);
+            }
+        }
+    }
+
+    @Test
+    void twentyToThirtyNodesWithSeveralServersToACellBringNoColdServerDown() {
+        for (int count : new int[] {20, 30, 60}) {
+            for (double used : new double[] {0.3, 0.6, 0.8}) {
+                assertThat(worst(count, used, 1, 1, 0.5, 1.5, count)).as("%d nodes, %.1f used", count, used).isLessThan(1);
+            }
+        }
+    }
+
     /** The check bites: the same fleet, each of whose nodes reckons to be alone. */
     @Test
     void nodesThatEachReckonToBeAloneWouldBringItDown() {
--- /dev/null
+++ b/core/src/test/java/spartrail/subset/SubsetSelectorTest.java
@@ -0,0 +1,167 @@
+package spartrail.subset;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import spartrail.subset.SubsetSelector.LiveServer;
+
+class SubsetSelectorTest {
+    private static final SubsetSettings FOUR_IN_TWO_ZONES = new SubsetSettings(4, 2);
+
+    private static LiveServer server(int number, String zone, int cell) {
+        return new LiveServer("s-" + number, zone, cell, 1);
+    }
+
+    /** So many servers of one shard, zones in turn. */
+    private static List<LiveServer> servers(int count, String... zones) {
+        return IntStream.range(0, count).mapToObj(number -> server(number, zones[number % zones.length], 0)).toList();
+    }
+
+    private static SubsetSelector selector(String node, SubsetSettings settings, List<LiveServer> servers) {
+        SubsetSelector selector = new SubsetSelector(node, settings, 1, 1, 1);
+        selector.apply(servers, List.of());
+        return selector;
+    }
+
+    @Test
+    void fewerThanWantedMeansAllAndNoneIsNone() {
+        assertThat(selector("n", FOUR_IN_TWO_ZONES, servers(3, "a")).selected(0)).containsExactlyInAnyOrder("s-0", "s-1", "s-2");
+        assertThat(selector("n", FOUR_IN_TWO_ZONES, List.of()).selected(0)).isEmpty();
+    }
+
+    @Test
+    void theSparesFollowInTheirOrderAtOnce() {
+        SubsetSelector selector = selector("n", FOUR_IN_TWO_ZONES, servers(20, "a"));
+        List<String> spares = selector.spares(0);
+        List<String> chosen = selector.selected(0);
+        assertThat(selector.apply(List.of(), List.of(chosen.get(2)))).isEqualTo(new SubsetChange(List.of(spares.get(0)), List.of()));
+        assertThat(selector.apply(List.of(), List.of(chosen.get(0)))).isEqualTo(new SubsetChange(List.of(spares.get(1)), List.of()));
+        assertThat(selector.selected(0)).containsExactlyInAnyOrder(chosen.get(1), chosen.get(3), spares.get(0), spares.get(1));
+    }
+
+    @Test
+    void whoComesBackTakesItsPlaceFromTheLastSpare() {
+        SubsetSelector selector = selector("n", FOUR_IN_TWO_ZONES, servers(20, "a"));
+        String first = selector.selected(0).get(0);
+        String spare = selector.spares(0).get(0);
+        selector.apply(List.of(), List.of(first));
+        LiveServer again = server(Integer.parseInt(first.substring(2)), "a", 0);
+        assertThat(selector.apply(List.of(again), List.of())).isEqualTo(new SubsetChange(List.of(first), List.of(spare)));
+    }
+
+    @Test
+    void twoZonesAreThereWhereTheShardHasThem() {
+        List<LiveServer> servers = new ArrayList<>(servers(40, "a"));
+        servers.add(server(99, "b", 0));
+        for (int node = 0; node < 50; node++) {
+            SubsetSelector selector = selector("n" + node, FOUR_IN_TWO_ZONES, servers);
+            assertThat(selector.selected(0)).hasSize(4).contains("s-99");
+            SubsetChange change = selector.apply(List.of(), List.of("s-99"));
+            assertThat(change.joined()).hasSize(1);
+            assertThat(selector.selected(0)).hasSize(4);
+        }
+    }
+
+    @Test
+    void theSameServersGiveTheSameSubsetWhateverCameBefore() {
+        Random random = new Random(3);
+        SubsetSelector selector = new SubsetSelector("n", new SubsetSettings(5, 3), 7, 7, 2);
+        Map<String, LiveServer> live = new HashMap<>();
+        Set<String> selected = new HashSet<>();
+        for (int step = 0; step < 3000; step++) {
+            LiveServer server = new LiveServer("s-" + random.nextInt(120), "zone-" + random.nextInt(4), random.nextInt(7), 1 + random.nextInt(2));
+            SubsetChange change;
+            if (random.nextBoolean()) {
+                live.put(server.id(), server);
+                change = selector.apply(List.of(server), List.of());
+            } else {
+                live.remove(server.id());
+                change = selector.apply(List.of(), List.of(server.id()));
+                selected.remove(server.id());
+            }
+            selected.addAll(change.joined());
+            selected.removeAll(change.displaced());
+            SubsetSelector fresh = new SubsetSelector("n", new SubsetSettings(5, 3), 7, 7, 2);
+            fresh.apply(live.values(), List.of());
+            assertThat(selector.selected()).containsExactlyInAnyOrderElementsOf(fresh.selected());
+            assertThat(selected).as("what changes add up to").containsExactlyInAnyOrderElementsOf(selector.selected());
+        }
+    }
+
+    @Test
+    void aChangeOfOneServerExchangesOneOfAShardAtMost() {
+        Random random = new Random(4);
+        SubsetSelector selector = selector("n", new SubsetSettings(6, 3), servers(60, "a", "b", "c", "d", "d", "d"));
+        for (int step = 0; step < 2000; step++) {
+            int number = random.nextInt(60);
+            LiveServer server = server(number, List.of("a", "b", "c", "d", "d", "d").get(number % 6), 0);
+            List<String> before = selector.selected(0);
+            boolean joins = random.nextInt(3) > 0;
+            selector.apply(joins ? List.of(server) : List.of(), joins ? List.of() : List.of(server.id()));
+            List<String> opened = new ArrayList<>(selector.selected(0));
+            opened.removeAll(before);
+            assertThat(opened).hasSizeLessThanOrEqualTo(1);
+        }
+    }
+
+    @Test
+    void aNodeThatJoinsMovesNothingOfOthersAndAServerOfTwiceTheWeightIsTakenTwiceAsOften() {
+        List<LiveServer> servers = new ArrayList<>(servers(100, "a", "b"));
+        servers.set(0, new LiveServer("s-0", "a", 0, 2));
+        int[] taken = new int[2];
+        for (int node = 0; node < 20_000; node++) {
+            SubsetSelector selector = selector("node-" + node, FOUR_IN_TWO_ZONES, servers);
+            taken[0] += selector.selected("s-0") ? 1 : 0;
+            taken[1] += selector.selected("s-1") ? 1 : 0;
+        }
+        assertThat(taken[1]).isBetween(700, 900);
+        assertThat(taken[0] / (double) taken[1]).isBetween(1.8, 2.1);
+    }
+
+    @Test
+    void noServerIsSharedByMoreNodesThanTheFigureSays() {
+        for (List<LiveServer> servers : List.of(servers(40, "a", "b"), servers(40, "a", "a", "a", "a", "b"), servers(5, "a"),
+                weighted(servers(40, "a", "b", "c")))) {
+            Map<String, Integer> sharing = new HashMap<>();
+            int figure = 0;
+            for (int node = 0; node < 1000; node++) {
+                SubsetSelector selector = selector("node-" + node, FOUR_IN_TWO_ZONES, servers);
+                selector.selected(0).forEach(id -> sharing.merge(id, 1, Integer::sum));
+                figure = selector.nodesPerServer(1000);
+            }
+            int most = sharing.values().stream().mapToInt(count -> count).max().orElseThrow();
+            assertThat(most).isLessThanOrEqualTo(figure);
+        }
+        assertThat(selector("n", FOUR_IN_TWO_ZONES, servers(40, "a", "b")).nodesPerServer(1000)).as("of 100 on average").isBetween(140, 180);
+    }
+
+    private static List<LiveServer> weighted(List<LiveServer> servers) {
+        return servers.stream().map(server -> new LiveServer(server.id(), server.zone(), 0,
+                server.id().endsWith("3") ? 4 : 1)).toList();
+    }
+
+    @Test
+    void theBoundOfSharingNodesIsPassedWithTheStatedChance() {
+        assertThat(SharingBound.of(100, 1)).isEqualTo(100);
+        assertThat(SharingBound.of(1, 0.1)).isEqualTo(1);
+        assertThat(SharingBound.of(0, 0)).isEqualTo(1);
+        assertThat(SharingBound.of(3900, 8 / 248.0)).isBetween(180, 195);
+        assertThat(SharingBound.of(3900, 1e-9)).isLessThan(4);
+    }
+
+    @Test
+    void settingsThatNoSubsetCanKeepAreRefused() {
+        assertThatThrownBy(() -> new SubsetSettings(0, 1)).hasMessage("'replicasPerShard of subset': found 0, 1 or more is expected");
+        assertThatThrownBy(() -> new SubsetSettings(2, 3))
+                .hasMessage("'leastZones of subset': found 3, 1 to 'replicasPerShard', 2, is expected");
+    }
+}
--- a/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
+++ b/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
@@ -48,6 +48,11 @@
         COMMANDS.put("policy diff", PolicyDiff::new);
         COMMANDS.put("drill list", DrillList::new);
         COMMANDS.put("drill run", DrillRun::new);
+        COMMANDS.put("scale list", ScaleList::new);
+        COMMANDS.put("scale run", ScaleRun::new);
+        COMMANDS.put("subset even", () -> new SubsetFleet(SubsetFleet.What.EVEN));
+        COMMANDS.put("subset check", () -> new SubsetFleet(SubsetFleet.What.CHECK));
+        COMMANDS.put("subset planted", () -> new SubsetFleet(SubsetFleet.What.PLANTED));
         COMMANDS.put("completion", Completion::new);
     }
 
@@ -93,7 +98,8 @@
     private static void usage(PrintStream out) {
         out.println("spartrail COMMAND [OPTION ...]; --help behind a command says what it takes\n");
         String[][] node = {{"serve", "a front node, until SIGTERM"}, {"check", "says whether a node could start with a configuration"},
-            {"simhost", "hosts nodes' decisions on the simulator's wire"}, {"version", "says which version this is"}};
+            {"simhost", "hosts nodes' decisions on the simulator's wire"},
+            {"subset show", "which servers a node uses of a list, and which follow"}, {"version", "says which version this is"}};
         for (String[] line : node) {
             out.printf("  %-20s %s%n", line[0], line[1]);
         }
--- a/lab/src/main/java/spartrail/lab/drill/Drills.java
+++ b/lab/src/main/java/spartrail/lab/drill/Drills.java
@@ -13,7 +13,7 @@
     public static List<Drill> all() {
         List<Drill> drills = new ArrayList<>(List.of(new LoadDelay(), new LoadStall(), new LoadTraceOrder(),
                 new RulesPlanted(), new DnsResolver(),
-                new DnsNode(true), new DnsNode(false)));
+                new DnsNode(true), new DnsNode(false), new SubsetDrill()));
         drills.addAll(PeersDrill.all());
         drills.addAll(PolicyDrill.all());
         ServiceLoader.load(Drill.class).forEach(drills::add);
--- a/lab/src/main/java/spartrail/lab/experiment/NodeSettings.java
+++ b/lab/src/main/java/spartrail/lab/experiment/NodeSettings.java
@@ -61,6 +61,9 @@
                 .put("zone", zones(plan).get(node % zones(plan).size()));
         ArrayNode areas = settings.putArray("areas");
         zones(plan).forEach(areas::add);
+        if (tree.has("subset")) {
+            settings.set("subset", tree.get("subset"));
+        }
         ArrayNode classes = settings.putArray("classes");
         ObjectNode family = settings.putObject("family-info");
         family.put("slabs", plan.shards()).put("sets", plan.cells()).put("width", plan.reach())
--- a/lab/src/main/java/spartrail/lab/fleet/Fleet.java
+++ b/lab/src/main/java/spartrail/lab/fleet/Fleet.java
@@ -94,7 +94,7 @@
         try {
             double by = word.length > 2 ? Double.parseDouble(word[2]) : 1;
             double lastsMs = word.length > 3 ? Double.parseDouble(word[3]) : 0;
-            loop.execute(() -> carryOut(new FleetPlan.Deed(0, word[0], whom, by, lastsMs)));
+            loop.execute(() -> carryOut(new FleetPlan.Deed(0, word[0], whom, List.of(), by, lastsMs)));
         } catch (NumberFormatException e) {
             throw new BadInput("'" + words + "': a number is expected after the servers");
         }
@@ -103,18 +103,22 @@
     static final List<String> DEEDS = List.of("slow", "pause", "neighbour", "error", "spoil", "hang", "silent", "handshake",
             "drain", "undrain", "restart", "kill", "start", "remove", "roll-silent", "roll-stale");
 
+    private List<Roll> rollsOf(FleetPlan.Deed deed) {
+        return deed.nodes().isEmpty() ? rolls : deed.nodes().stream().filter(node -> node < rolls.size()).map(rolls::get).toList();
+    }
+
     private void carryOut(FleetPlan.Deed deed) {
         watcher.deed(deed.what() + " " + String.join(",", deed.servers()), loop.nowMs());
         double by = deed.by();
         double lastsMs = deed.lastsMs();
         switch (deed.what()) {
             case "roll-silent" -> {
-                rolls.forEach(roll -> roll.silent(true));
-                after(lastsMs, () -> rolls.forEach(roll -> roll.silent(false)));
+                rollsOf(deed).forEach(roll -> roll.silent(true));
+                after(lastsMs, () -> rollsOf(deed).forEach(roll -> roll.silent(false)));
             }
             case "roll-stale" -> {
-                rolls.forEach(roll -> roll.stale(true));
-                after(lastsMs, () -> rolls.forEach(roll -> roll.stale(false)));
+                rollsOf(deed).forEach(roll -> roll.stale(true));
+                after(lastsMs, () -> rollsOf(deed).forEach(roll -> roll.stale(false)));
             }
             default -> deed.servers().forEach(id -> carryOut(deed.what(), servers.get(id), by, lastsMs));
         }
--- a/lab/src/main/java/spartrail/lab/fleet/FleetPlan.java
+++ b/lab/src/main/java/spartrail/lab/fleet/FleetPlan.java
@@ -22,8 +22,8 @@
     public record ServerLine(String id, int cell, String zone, Traits traits, double rating) {
     }
 
-    /** What is done to some servers, or to the roll, and when. */
-    public record Deed(double atMs, String what, List<String> servers, double by, double lastsMs) {
+    /** What is done to some servers, or to the lists of some nodes (of all where none is named), and when. */
+    public record Deed(double atMs, String what, List<String> servers, List<Integer> nodes, double by, double lastsMs) {
     }
 
     public static FleetPlan read(Path file) {
@@ -66,7 +66,9 @@
                 }
                 whom.add(id.asText());
             }
-            script.add(new Deed(deed.get("atMs").asDouble(), deed.get("do").asText(), whom,
+            List<Integer> nodes = new ArrayList<>();
+            deed.path("nodes").forEach(node -> nodes.add(node.asInt()));
+            script.add(new Deed(deed.get("atMs").asDouble(), deed.get("do").asText(), whom, nodes,
                     deed.path("by").asDouble(1), deed.path("lastsMs").asDouble(0)));
         }
         JsonNode roll = tree.path("roll");
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/scale/Benchmarks.java
@@ -0,0 +1,45 @@
+package spartrail.lab.scale;
+
+import java.util.Collection;
+import java.util.Map;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.ChainedOptionsBuilder;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+import org.openjdk.jmh.runner.options.VerboseMode;
+
+/** Runs one method of a benchmark class by JMH, in a process of its own. */
+final class Benchmarks {
+    /** How thorough a run is; the quick form is for tests of the tests. */
+    enum Effort {
+        FULL(1, 2, 5, 1000), QUICK(0, 1, 1, 50);
+
+        final int forks;
+        final int warmups;
+        final int iterations;
+        final int iterationMs;
+
+        Effort(int forks, int warmups, int iterations, int iterationMs) {
+            this.forks = forks;
+            this.warmups = warmups;
+            this.iterations = iterations;
+            this.iterationMs = iterationMs;
+        }
+    }
+
+    private Benchmarks() {
+    }
+
+    /** Microseconds of one call, on average. */
+    static double microseconds(Class<?> benchmark, String method, Map<String, Integer> parameters, Effort effort) throws RunnerException {
+        ChainedOptionsBuilder options = new OptionsBuilder().include("^" + benchmark.getName().replace(".", "\\.") + "\\." + method + "$")
+                .forks(effort.forks).warmupIterations(effort.warmups).measurementIterations(effort.iterations)
+                .warmupTime(TimeValue.milliseconds(effort.iterationMs)).measurementTime(TimeValue.milliseconds(effort.iterationMs))
+                .jvmArgs("-Xms2g", "-Xmx2g", "-XX:+UseSerialGC").verbosity(VerboseMode.SILENT).shouldFailOnError(true);
+        parameters.forEach((name, value) -> options.param(name, String.valueOf(value)));
+        Collection<RunResult> results = new Runner(options.build()).run();
+        return results.iterator().next().getPrimaryResult().getScore();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/scale/HollowNode.java
@@ -0,0 +1,119 @@
+package spartrail.lab.scale;
+
+import java.util.List;
+import java.util.Random;
+import spartrail.coordination.Coordinator;
+import spartrail.coordination.WindowCoordinator;
+import spartrail.membership.EndpointList;
+import spartrail.model.Decisions;
+import spartrail.model.Multiget;
+import spartrail.model.OpType;
+import spartrail.model.Part;
+import spartrail.model.Send;
+import spartrail.model.Server;
+import spartrail.subset.SubsetFilter;
+import spartrail.subset.SubsetSelector;
+import spartrail.subset.SubsetSettings;
+
+/** A front node's decisions without its sockets: the real module, and the real subset where one is asked for. */
+public final class HollowNode {
+    /** Shards of the target; a query goes to one server of each. */
+    public static final int SHARDS = 250;
+    public static final int ZONES = 32;
+    private static final int LEAST_ZONES = 2;
+    /** Changes of state of one server by turns, so that each is one. */
+    private static final String CHANGED = "s-7";
+    private static final int CHANGED_NUMBER = 7;
+
+    private final OpType opType = opType();
+    private final Coordinator coordinator;
+    private final SubsetFilter filter;
+    private double nowMs = 1000;
+    private long multigets;
+    private boolean draining;
+
+    /** Subsets of so many replicas of each shard; 0 for all of them. */
+    public HollowNode(int servers, int replicasPerShard) {
+        filter = replicasPerShard == 0 ? null : filter(replicasPerShard);
+        coordinator = new WindowCoordinator(new Random(1), List.of(opType)).nodes(3900, 1).layout(SHARDS, SHARDS, 1, 1)
+                .sends(3, true, true).coldStart(0.2, 10_000, 2, 1000).comeback(true, 1000);
+        wholeList(HollowServers.list(servers, SHARDS, ZONES));
+    }
+
+    /** The subset of one node at the target's layout. */
+    public static SubsetFilter filter(int replicasPerShard) {
+        return new SubsetFilter(new SubsetSelector("node-1", new SubsetSettings(replicasPerShard, LEAST_ZONES), SHARDS, SHARDS, 1), 1000);
+    }
+
+    private static OpType opType() {
+        OpType opType = new OpType();
+        opType.name = "query";
+        opType.importance = 1;
+        opType.budgetMs = 54;
+        opType.timeoutMs = 500;
+        opType.repeat = OpType.Repeat.RETRIABLE;
+        opType.need = 1;
+        opType.floor = 1;
+        opType.partialShare = 0.9;
+        opType.learned.usualMs = 10;
+        opType.learned.lightMs = 10;
+        opType.learned.deviationMs = 2;
+        return opType;
+    }
+
+    /** What JOL weighs. */
+    public Object module() {
+        return coordinator;
+    }
+
+    public Decisions wholeList(EndpointList list) {
+        EndpointList own = filter == null ? list : filter.own(list, nowMs);
+        return coordinator.listed(HollowServers.lines(own), own.all(), true, nowMs);
+    }
+
+    /** One server drains, or is back. */
+    public Decisions oneChange() {
+        draining = !draining;
+        Server.State state = draining ? Server.State.DRAINING : Server.State.LIVE;
+        EndpointList change = new EndpointList(2, false,
+                List.of(HollowServers.endpoint(CHANGED, CHANGED_NUMBER, SHARDS, ZONES, state, 0)));
+        return wholeList(change);
+    }
+
+    /** The next tick of the module, with nothing in hand. */
+    public Decisions idleTick() {
+        nowMs += coordinator.waitMs(nowMs);
+        return coordinator.waited(nowMs);
+    }
+
+    /** A query over so many shards: placed, all its parts answered. */
+    public int query(int parts) {
+        nowMs += 1;
+        Multiget multiget = new Multiget();
+        multiget.id = multigets++;
+        multiget.opType = opType;
+        multiget.clientLeftMs = opType.timeoutMs;
+        multiget.arrivedMs = nowMs;
+        for (int shard = 0; shard < parts; shard++) {
+            Part part = new Part();
+            part.id = shard;
+            part.multiget = multiget;
+            part.shard = coordinator.shard(shard);
+            part.weight = 1.0 / parts;
+            multiget.parts.add(part);
+        }
+        Decisions placed = coordinator.place(multiget, nowMs);
+        int answered = 0;
+        List<Send> sends = List.copyOf(placed.sends);
+        nowMs += opType.learned.usualMs;
+        while (!sends.isEmpty()) {
+            List<Send> further = new java.util.ArrayList<>();
+            for (Send send : sends) {
+                further.addAll(coordinator.after(send, Send.Outcome.ANSWERED, nowMs - send.sentMs, nowMs).sends);
+                answered++;
+            }
+            sends = further;
+        }
+        return answered;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/scale/HollowServers.java
@@ -0,0 +1,63 @@
+package spartrail.lab.scale;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import spartrail.membership.EndpointList;
+import spartrail.membership.EndpointList.Endpoint;
+import spartrail.model.Server;
+
+/** Lists of index servers of any size, without sockets: shards in turn, then zones in turn. */
+public final class HollowServers {
+    private HollowServers() {
+    }
+
+    /** The server of this number. */
+    public static Endpoint endpoint(int number, int shards, int zones) {
+        return endpoint("s-" + number, number, shards, zones, Server.State.LIVE, 0);
+    }
+
+    /** A server that stands in the place of this number. */
+    public static Endpoint endpoint(String id, int number, int shards, int zones, Server.State state, long bootMs) {
+        InetSocketAddress address = new InetSocketAddress("10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255), 7000);
+        return new Endpoint(id, address, "zone-" + number / shards % zones, "std", number % shards, state, 1, bootMs);
+    }
+
+    /** All of them, as discovery's first answer. */
+    public static EndpointList list(int servers, int shards, int zones) {
+        List<Endpoint> lines = new ArrayList<>(servers);
+        for (int number = 0; number < servers; number++) {
+            lines.add(endpoint(number, shards, zones));
+        }
+        return new EndpointList(1, true, lines);
+    }
+
+    /** The same list in the form in which discovery sends it. */
+    public static String json(EndpointList list) {
+        StringBuilder text = new StringBuilder("{\"rev\":").append(list.version()).append(",\"all\":").append(list.all())
+                .append(",\"targets\":[");
+        for (Endpoint line : list.lines()) {
+            text.append(text.charAt(text.length() - 1) == '[' ? "" : ",").append("{\"uid\":\"").append(line.id())
+                    .append("\",\"endpoint\":\"").append(line.address().getAddress().getHostAddress()).append(':')
+                    .append(line.address().getPort()).append("\",\"az\":\"").append(line.zone()).append("\",\"model\":\"")
+                    .append(line.kind()).append("\",\"pod_group\":").append(line.cell())
+                    .append(",\"state\":\"SERVING\",\"capacity_hint\":1.0,\"boot_ms\":").append(line.bootMs()).append('}');
+        }
+        return text.append("]}").toString();
+    }
+
+    /** The lines of a list as the module takes them. */
+    public static List<Server> lines(EndpointList list) {
+        List<Server> lines = new ArrayList<>(list.lines().size());
+        for (Endpoint line : list.lines()) {
+            Server server = new Server(line.id());
+            server.zone = line.zone();
+            server.kind = line.kind();
+            server.cell = line.cell();
+            server.state = line.state();
+            server.rating = line.rating();
+            lines.add(server);
+        }
+        return lines;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/scale/ListBenchmark.java
@@ -0,0 +1,63 @@
+package spartrail.lab.scale;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import spartrail.membership.EndpointList;
+import spartrail.model.Server;
+import spartrail.subset.SubsetFilter;
+
+/** Processor time of discovery's list and of the subset that is chosen from it, in microseconds for each call. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class ListBenchmark {
+    private static final int CHANGED = 7;
+
+    @Param("1000")
+    public int servers;
+
+    @Param("8")
+    public int replicas;
+
+    private byte[] body;
+    private EndpointList whole;
+    private SubsetFilter filter;
+    private boolean draining;
+
+    @Setup
+    public void start() {
+        whole = HollowServers.list(servers, HollowNode.SHARDS, HollowNode.ZONES);
+        body = HollowServers.json(whole).getBytes(StandardCharsets.UTF_8);
+        filter = HollowNode.filter(replicas);
+        filter.own(whole, 0);
+    }
+
+    @Benchmark
+    public Object decode() throws IOException {
+        return EndpointList.decode(body);
+    }
+
+    @Benchmark
+    public Object subsetOfWholeList() {
+        SubsetFilter fresh = HollowNode.filter(replicas);
+        return fresh.own(whole, 0);
+    }
+
+    @Benchmark
+    public Object subsetAfterOneChange() {
+        draining = !draining;
+        Server.State state = draining ? Server.State.DRAINING : Server.State.LIVE;
+        return filter.own(new EndpointList(2, false, List.of(
+                HollowServers.endpoint("s-" + CHANGED, CHANGED, HollowNode.SHARDS, HollowNode.ZONES, state, 0))), 0);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/scale/ModuleBenchmark.java
@@ -0,0 +1,57 @@
+package spartrail.lab.scale;
+
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import spartrail.membership.EndpointList;
+
+/** Processor time of what the module does, in microseconds for each call. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class ModuleBenchmark {
+    @Param("1000")
+    public int servers;
+
+    /** Replicas of each shard in the node's subset; 0 without subsets. */
+    @Param("0")
+    public int replicas;
+
+    @Param("250")
+    public int parts;
+
+    private HollowNode node;
+    private EndpointList whole;
+
+    @Setup
+    public void start() {
+        node = new HollowNode(servers, replicas);
+        whole = HollowServers.list(servers, HollowNode.SHARDS, HollowNode.ZONES);
+    }
+
+    @Benchmark
+    public Object wholeList() {
+        return node.wholeList(whole);
+    }
+
+    @Benchmark
+    public Object oneChange() {
+        return node.oneChange();
+    }
+
+    @Benchmark
+    public Object idleTick() {
+        return node.idleTick();
+    }
+
+    @Benchmark
+    public int query() {
+        return node.query(parts);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/subset/FleetShape.java
@@ -0,0 +1,28 @@
+package spartrail.lab.subset;
+
+import spartrail.subset.SubsetFilter;
+import spartrail.subset.SubsetSelector;
+import spartrail.subset.SubsetSettings;
+
+/**
+ * The size of a hollow fleet.
+ *
+ * @param shards a server holds one of them, in turn; so each has {@code servers / shards} replicas
+ * @param region before the names of nodes and servers, where regions have lists of their own
+ */
+public record FleetShape(int nodes, int servers, int shards, int zones, SubsetSettings settings, String region) {
+    /** What is sent to a server may be out for so long. */
+    static final double LONGEST_OUT_MS = 1000;
+
+    public String node(int number) {
+        return region + "node-" + number;
+    }
+
+    SubsetSelector selector(int node, SubsetSettings of) {
+        return new SubsetSelector(node(node), of, shards, shards, 1);
+    }
+
+    SubsetFilter filter(int node) {
+        return new SubsetFilter(selector(node, settings), LONGEST_OUT_MS);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/subset/SubsetFault.java
@@ -0,0 +1,139 @@
+package spartrail.lab.subset;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import spartrail.membership.EndpointList;
+import spartrail.membership.EndpointList.Endpoint;
+import spartrail.model.Server;
+import spartrail.subset.SubsetFilter;
+import spartrail.subset.SubsetSettings;
+
+/** Faults that the checks of subsets must catch: each makes a node's lists as a subset with that mistake would. */
+public enum SubsetFault {
+    NONE("as it is", node -> node.filter()::own),
+    SPARES_FORGOTTEN("no spare follows one that is gone", node -> {
+        SubsetFilter filter = node.filter();
+        return (list, nowMs) -> list.all() ? filter.own(list, nowMs)
+                : only(filter.own(list, nowMs), line -> line.state() != Server.State.LIVE || named(list, line.id()));
+    }),
+    ZONE_IGNORED("zones do not count", node -> {
+        SubsetSettings settings = node.shape().settings();
+        return new SubsetFilter(node.shape().selector(node.number(), new SubsetSettings(settings.replicasPerShard(), 1)),
+                FleetShape.LONGEST_OUT_MS)::own;
+    }),
+    DRAINING_KEPT("a draining server stays in use", node -> {
+        SubsetFilter filter = node.filter();
+        return (list, nowMs) -> {
+            List<Endpoint> lines = new ArrayList<>();
+            for (Endpoint line : filter.own(list, nowMs).lines()) {
+                boolean drains = line.state() == Server.State.DRAINING && named(list, line.id());
+                lines.add(drains ? live(line) : line);
+            }
+            return new EndpointList(list.version(), false, lines);
+        };
+    }),
+    ORDER_NOT_STABLE("the order depends on the list's version", node -> new ReshufflingFilter(node)::own),
+    RAMP_BY_ALL_NODES("the ramp of cold servers is shared by all nodes", node -> node.filter()::own),
+    DISPLACED_AS_GONE("a server that leaves the subset is told as gone at once", node -> {
+        SubsetFilter filter = node.filter();
+        return (list, nowMs) -> {
+            List<Endpoint> lines = new ArrayList<>();
+            for (Endpoint line : filter.own(list, nowMs).lines()) {
+                lines.add(line.state() == Server.State.DRAINING && !named(list, line.id()) ? gone(line) : line);
+            }
+            return new EndpointList(list.version(), false, lines);
+        };
+    }),
+    WHOLE_LIST_ADDS_ONLY("a whole list ends no server that it leaves out", node -> {
+        SubsetFilter filter = node.filter();
+        return (list, nowMs) -> filter.own(new EndpointList(list.version(), false, list.lines()), nowMs);
+    });
+
+    /** Makes the lists of one node. */
+    interface Lists {
+        EndpointList own(EndpointList list, double nowMs);
+    }
+
+    /** The node whose lists are made. */
+    record Node(FleetShape shape, int number) {
+        SubsetFilter filter() {
+            return shape.filter(number);
+        }
+    }
+
+    final String summary;
+    private final Function<Node, Lists> making;
+
+    SubsetFault(String summary, Function<Node, Lists> making) {
+        this.summary = summary;
+        this.making = making;
+    }
+
+    public String summary() {
+        return summary;
+    }
+
+    Lists lists(FleetShape shape, int node) {
+        return making.apply(new Node(shape, node));
+    }
+
+    /** What a node takes as the count of those that share a server. */
+    int nodesPerServer(FleetShape shape, int figure) {
+        return this == RAMP_BY_ALL_NODES ? shape.nodes() : figure;
+    }
+
+    private static EndpointList only(EndpointList list, java.util.function.Predicate<Endpoint> kept) {
+        return new EndpointList(list.version(), list.all(), list.lines().stream().filter(kept).toList());
+    }
+
+    private static boolean named(EndpointList list, String id) {
+        return list.lines().stream().anyMatch(line -> line.id().equals(id));
+    }
+
+    private static Endpoint live(Endpoint line) {
+        return with(line, Server.State.LIVE);
+    }
+
+    private static Endpoint gone(Endpoint line) {
+        return with(line, Server.State.GONE);
+    }
+
+    private static Endpoint with(Endpoint line, Server.State state) {
+        return new Endpoint(line.id(), line.address(), line.zone(), line.kind(), line.cell(), state, line.rating(), line.bootMs());
+    }
+
+    /** Chooses anew in another order with each version of the list. */
+    private static final class ReshufflingFilter {
+        private final Node node;
+        private final java.util.Map<String, Endpoint> all = new java.util.LinkedHashMap<>();
+        private final java.util.Map<String, Endpoint> told = new java.util.LinkedHashMap<>();
+
+        ReshufflingFilter(Node node) {
+            this.node = node;
+        }
+
+        EndpointList own(EndpointList list, double nowMs) {
+            if (list.all()) {
+                all.clear();
+            }
+            for (Endpoint line : list.lines()) {
+                if (line.state() == Server.State.GONE) {
+                    all.remove(line.id());
+                } else {
+                    all.put(line.id(), line);
+                }
+            }
+            FleetShape shape = node.shape();
+            var selector = new spartrail.subset.SubsetSelector(shape.node(node.number()) + list.version(), shape.settings(), shape.shards(),
+                    shape.shards(), 1);
+            EndpointList fresh = new SubsetFilter(selector, FleetShape.LONGEST_OUT_MS)
+                    .own(new EndpointList(list.version(), true, List.copyOf(all.values())), nowMs);
+            List<Endpoint> lines = new ArrayList<>(fresh.lines());
+            told.values().stream().filter(line -> !named(fresh, line.id())).forEach(line -> lines.add(gone(line)));
+            told.clear();
+            fresh.lines().forEach(line -> told.put(line.id(), line));
+            return new EndpointList(list.version(), false, lines);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/spartrail/lab/subset/SubsetFigures.java
@@ -0,0 +1,124 @@
+package spartrail.lab.subset;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import spartrail.lab.scale.HollowServers;
+import spartrail.subset.SubsetSelector.LiveServer;
+import spartrail.subset.SubsetSettings;
+
+/** How even the ways to choose are, and what a change moves with each. */
+public final class SubsetFigures {
+    /** Shards on which joins, leaves and replacements are tried. */
+    private static final int SHARDS_MOVED = 4;
+
+    /**
+     * One way to choose in one fleet; moves are connections that all nodes together open beyond those to the new server itself,
+     * for one server that joins, leaves or is replaced.
+     */
+    public record Row(String strategy, int least, double mean, int p99, int most, double connections, int leastZones, int emptyShards,
+            double movedByJoin, double movedByLeave, double movedByReplacement) {
+        public double mostOverMean() {
+            return mean == 0 ? 0 : most / mean;
+        }
+    }
+
+    private SubsetFigures() {
+    }
+
+    /** Every way to choose, for fleets that together are one: one, or one for each region. */
+    public static List<Row> of(List<FleetShape> regions) {
+        return Arrays.stream(SubsetStrategy.values()).map(strategy -> row(strategy, regions)).toList();
+    }
+
+    private static Row row(SubsetStrategy strategy, List<FleetShape> regions) {
+        List<Integer> sharing = new ArrayList<>();
+        AtomicLong connections = new AtomicLong();
+        AtomicInteger leastZones = new AtomicInteger(Integer.MAX_VALUE);
+        AtomicInteger empty = new AtomicInteger();
+        regions.forEach(shape -> sharing.addAll(sharing(strategy, shape, connections, leastZones, empty)));
+        int nodes = regions.stream().mapToInt(FleetShape::nodes).sum();
+        sharing.sort(null);
+        double mean = sharing.stream().mapToInt(each -> each).average().orElse(0);
+        double[] moves = moves(strategy, regions.get(0));
+        return new Row(strategy.summary, sharing.get(0), mean, sharing.get((int) (0.99 * (sharing.size() - 1))),
+                sharing.get(sharing.size() - 1), connections.get() / (double) nodes, leastZones.get(), empty.get(), moves[0], moves[1], moves[2]);
+    }
+
+    private static List<LiveServer> replicas(FleetShape shape, int shard) {
+        List<LiveServer> replicas = new ArrayList<>();
+        for (int number = shard; number < shape.servers(); number += shape.shards()) {
+            var line = HollowServers.endpoint(shape.region() + "s-" + number, number, shape.shards(), shape.zones(),
+                    spartrail.model.Server.State.LIVE, 0);
+            replicas.add(new LiveServer(line.id(), line.zone(), line.cell(), line.rating()));
+        }
+        return replicas;
+    }
+
+    private static List<Integer> sharing(SubsetStrategy strategy, FleetShape shape, AtomicLong connections, AtomicInteger leastZones,
+            AtomicInteger empty) {
+        List<Integer> all = new ArrayList<>();
+        List<AtomicIntegerArray> counts = IntStream.range(0, shape.shards()).parallel().mapToObj(shard -> {
+            List<LiveServer> replicas = replicas(shape, shard);
+            Map<String, Integer> places = new HashMap<>();
+            replicas.forEach(server -> places.put(server.id(), places.size()));
+            AtomicIntegerArray ofShard = new AtomicIntegerArray(replicas.size());
+            for (int node = 0; node < shape.nodes(); node++) {
+                List<String> chosen = strategy.choose(node, shape.node(node), replicas, shape.settings());
+                Set<String> zones = new HashSet<>();
+                for (String id : chosen) {
+                    ofShard.incrementAndGet(places.get(id));
+                    zones.add(replicas.get(places.get(id)).zone());
+                }
+                connections.addAndGet(chosen.size());
+                leastZones.accumulateAndGet(zones.size(), Math::min);
+                empty.addAndGet(chosen.isEmpty() ? 1 : 0);
+            }
+            return ofShard;
+        }).toList();
+        for (AtomicIntegerArray ofShard : counts) {
+            for (int i = 0; i < ofShard.length(); i++) {
+                all.add(ofShard.get(i));
+            }
+        }
+        return all;
+    }
+
+    private static double[] moves(SubsetStrategy strategy, FleetShape shape) {
+        int shards = Math.min(SHARDS_MOVED, shape.shards());
+        long[] moved = new long[3];
+        for (int shard = 0; shard < shards; shard++) {
+            List<LiveServer> before = replicas(shape, shard);
+            LiveServer old = before.get(before.size() / 2);
+            LiveServer fresh = new LiveServer("new-" + shard, old.zone(), old.cell(), old.weight());
+            List<LiveServer> joined = new ArrayList<>(before);
+            joined.add(fresh);
+            List<LiveServer> left = new ArrayList<>(before);
+            left.remove(old);
+            List<LiveServer> replaced = new ArrayList<>(left);
+            replaced.add(fresh);
+            List<List<LiveServer>> changes = List.of(joined, left, replaced);
+            for (int i = 0; i < changes.size(); i++) {
+                moved[i] += moved(strategy, shape, before, changes.get(i), fresh.id());
+            }
+        }
+        return Arrays.stream(moved).mapToDouble(each -> each / (double) shards).toArray();
+    }
+
+    private static long moved(SubsetStrategy strategy, FleetShape shape, List<LiveServer> before, List<LiveServer> after, String fresh) {
+        SubsetSettings settings = shape.settings();
+        return IntStream.range(0, shape.nodes()).parallel().mapToLong(node -> {
+            List<String> chosen = new ArrayList<>(strategy.choose(node, shape.node(node), after, settings));
+            chosen.remove(fresh);
+            return SubsetStrategy.opened(strategy.choose(node, shape.node(node), before, settings), chosen);
+        }).sum();
+    }
+}
--- a/lab/src/main/java/spartrail/lab/virtual/PeersFigures.java
+++ b/lab/src/main/java/spartrail/lab/virtual/PeersFigures.java
@@ -21,6 +21,8 @@
 
     private static final double BEGINS_MS = 20_000;
     private static final double LASTS_MS = 60_000;
+    /** Seconds that pass for each node in a run. */
+    public static final double RUN_S = (BEGINS_MS + LASTS_MS) / 1000;
     /** IPv4 and UDP heads. */
     private static final int HEADS = 28;
 
--- a/node/src/main/java/spartrail/cli/CommandLine.java
+++ b/node/src/main/java/spartrail/cli/CommandLine.java
@@ -17,11 +17,13 @@
         @SubCommand(name = "serve", impl = ServeCommand.class),
         @SubCommand(name = "simhost", impl = SimHostCommand.class),
         @SubCommand(name = "check", impl = CheckCommand.class),
+        @SubCommand(name = "subset", impl = SubsetCommand.class),
         @SubCommand(name = "version", impl = VersionCommand.class)})
     private Command command;
 
     private static final String USAGE = "usage: spartrail serve [--config FILE] [--record FILE] [--members FILE] [--peers FILE]"
-            + " | check [--start] [--members FILE] [--peers FILE] FILE | simhost | version; --help behind a command tells its options";
+            + " | check [--start] [--members FILE] [--peers FILE] FILE | simhost"
+            + " | subset show --config FILE --list FILE | version; --help behind a command tells its options";
 
     /** What the command named first takes; without one, which there are. */
     private static void help(String name, PrintStream out) {
--- a/node/src/main/java/spartrail/front/FrontNode.java
+++ b/node/src/main/java/spartrail/front/FrontNode.java
@@ -152,7 +152,8 @@
         watch = new HostWatch(io, buffers, deployment.discovery(), deployment.listAsked(), host == null ? loop : host);
         door = new ClientDoor(worker, buffers, listen, clock,
                 opTypes.stream().map(op -> op.name).collect(Collectors.toSet()),
-                deployment.shards(), Descriptors.forClients(deployment.sockets(), known.lines().size()), loop);
+                deployment.shards(), Descriptors.forClients(deployment.sockets(), deployment.serversUsed(known.lines().size())), loop);
+        loop.subset(deployment.subsetFilter());
         loop.tie(servers, watch, known);
         loop.record(record, deployment.version());
         if (host != null) {
--- a/node/src/main/java/spartrail/front/NodeLoop.java
+++ b/node/src/main/java/spartrail/front/NodeLoop.java
@@ -34,6 +34,7 @@
 import spartrail.record.MultigetRecord;
 import spartrail.shard.PartRequest;
 import spartrail.shard.ShardPool;
+import spartrail.subset.SubsetFilter;
 
 /**
  * The one thread that owns the module, the multigets in hand and their timer. Socket code reaches it through
@@ -74,6 +75,7 @@
     private final Counters counters = new Counters();
     private ShardPool servers;
     private HostWatch watch;
+    private SubsetFilter subset;
 
     /** When the last answer is to be given. */
     private double answerByMs = Double.POSITIVE_INFINITY;
@@ -111,6 +113,11 @@
         this.standstill = new Standstill(turnMs);
     }
 
+    /** Before the loop starts: tells its own servers from all that are listed; null where it uses all. */
+    void subset(SubsetFilter filter) {
+        subset = filter;
+    }
+
     /** Before the loop starts: what it reaches, and the list as it was last had. */
     void tie(ShardPool pool, HostWatch hosts, EndpointList known) {
         servers = pool;
@@ -200,7 +207,8 @@
     }
 
     private void tellFleet() {
-        coordinator.nodes(fleet.nodes(toldNodes), turnMs);
+        int nodes = fleet.nodes(toldNodes);
+        coordinator.nodes(subset == null ? nodes : subset.nodesPerServer(nodes), turnMs);
     }
 
     Counters counters() {
@@ -375,7 +383,13 @@
         take(coordinator.after(send, outcome, Math.max(0, atMs - send.sentMs), nowMs));
     }
 
-    private void list(EndpointList list, boolean fresh) {
+    private void list(EndpointList listed, boolean fresh) {
+        EndpointList list = listed;
+        if (subset != null) {
+            list = subset.own(listed, nowMs);
+            // Danger: where a shard has fewer replicas, more nodes share each of them, and a cold one among them.
+            tellFleet();
+        }
         Set<String> changed = new HashSet<>();
         Set<String> gone = list.all() ? new HashSet<>(hosts.keySet()) : new HashSet<>();
         for (EndpointList.Endpoint line : list.lines()) {
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -21,6 +21,9 @@
 import spartrail.membership.EndpointList;
 import spartrail.json.JsonTree;
 import spartrail.model.OpType;
+import spartrail.subset.SubsetFilter;
+import spartrail.subset.SubsetSelector;
+import spartrail.subset.SubsetSettings;
 
 /** The JSON file that tells a front node all it is told at its start; read once, asked by each part for its own. */
 public final class DeploymentFile {
@@ -86,6 +89,7 @@
         connectTimeoutMs();
         keepAliveMs();
         graceMs();
+        subset();
     }
 
     public String name() {
@@ -150,6 +154,7 @@
         // Danger: the module's margins go by the turns of the loop, which stay as they are.
         shape.put("tick in ms", turnMs());
         shape.put("discovery asked for", listAsked());
+        shape.put("subset", String.valueOf(subset()));
         return shape;
     }
 
@@ -227,6 +232,38 @@
         return (int) number(map(info, "family-info"), "sets", 1);
     }
 
+    /** How large a subset of the index servers this node uses; null where it uses all of them. */
+    public SubsetSettings subset() {
+        if (info.get("subset") == null) {
+            return null;
+        }
+        Map<?, ?> stated = map(info, "subset");
+        return new SubsetSettings(wholeNumber(stated, "replicasPerShard"), wholeNumber(stated, "leastZones"));
+    }
+
+    private static int wholeNumber(Map<?, ?> subset, String name) {
+        double number = needed(subset, name, " of subset");
+        if (number != (int) number) {
+            throw new IllegalArgumentException("'" + name + " of subset': found " + subset.get(name) + ", a whole number is expected");
+        }
+        return (int) number;
+    }
+
+    /** Chooses this node's servers from all live ones; only where a subset is stated. */
+    public SubsetSelector subsetSelector() {
+        return new SubsetSelector(name(), subset(), shards(), cells(), reach());
+    }
+
+    /** What tells this node its own servers from a list of all; null where it uses all of them. */
+    public SubsetFilter subsetFilter() {
+        return subset() == null ? null : new SubsetFilter(subsetSelector(), longestMs());
+    }
+
+    /** How many servers this node can be connected to when it knows of so many. */
+    public int serversUsed(int known) {
+        return subset() == null ? known : Math.min(known, shards() * subset().replicasPerShard());
+    }
+
     /** Consecutive cells that hold a shard. */
     public int reach() {
         return (int) number(map(info, "family-info"), "width", 1);
--- a/node/src/test/java/spartrail/cli/CommandLineTest.java
+++ b/node/src/test/java/spartrail/cli/CommandLineTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import sun.misc.Signal;
@@ -81,6 +83,36 @@
                 2 spartrail: cannot read FOLDER/none""");
     }
 
+    private String subset(String stated, String list) throws IOException {
+        Path config = folder.resolve("subset.json");
+        Files.writeString(config, Files.readString(Path.of("example/config.json")).replace("\"sets\": 4, \"width\": 2",
+                "\"sets\": 2, \"width\": 1").replace("\"tick\"", stated + "\"tick\""));
+        Path servers = folder.resolve("list.json");
+        Files.writeString(servers, list);
+        return run("subset", "show", "--config", config.toString(), "--list", servers.toString());
+    }
+
+    @Test
+    void theServersOfASubsetAreShownAndAWrongSettingIsOneLine() throws IOException {
+        String list = "{\"rev\":1,\"all\":true,\"targets\":[" + IntStream.range(0, 8).mapToObj(number -> "{\"uid\":\"s-" + number
+                + "\",\"endpoint\":\"127.0.0.1:7001\",\"az\":\"" + "ab".charAt(number / 2 % 2) + "\",\"pod_group\":" + number % 2
+                + ",\"state\":\"SERVING\"}").collect(Collectors.joining(",")) + "]}";
+        String good = "\"subset\": {\"replicasPerShard\": 2, \"leastZones\": 2}, ";
+        assertThat(subset(good, list)).startsWith("0 node n0 uses 4 of 8 live servers; each is used by 0.5 of 1 nodes on average, by more"
+                + " than 1 with a chance below 1e-06").contains("(2 spares, 2 zones)");
+        assertThat(String.join("\n", subset("", list), subset(good, "{}"), subset(good, "["), subset(good.replace("2}", "3}"), list),
+                subset(good.replace(": 2,", ": 1.5,"), list), subset(good.replace("leastZones", "zones"), list),
+                subset("\"subset\": 4, ", list))).isEqualTo("""
+                2 spartrail: FOLDER/subset.json: 'subset' of settings is missing: this node uses all servers
+                2 spartrail: FOLDER/list.json: a list of servers has 'rev' and 'targets'
+                2 spartrail: FOLDER/list.json: Unexpected end-of-input: expected close marker for Array (start marker at [Source: REDACTED (`StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION` disabled); line: 1, column: 1])
+                2 spartrail: FOLDER/subset.json: 'leastZones of subset': found 3, 1 to 'replicasPerShard', 2, is expected
+                2 spartrail: FOLDER/subset.json: 'replicasPerShard of subset': found 1.5, a whole number is expected
+                2 spartrail: FOLDER/subset.json: the settings lack 'leastZones' of subset
+                2 spartrail: FOLDER/subset.json: 'subset': found 4, an object is expected""");
+        assertThat(run("subset", "draw", "--config", "c", "--list", "l")).isEqualTo("2 spartrail: subset: found 'draw', 'show' is expected");
+    }
+
     @Test
     void whatIsUnknownEndsWithTheUsage() {
         assertThat(run("launch")).startsWith("2 spartrail: ").contains("usage: spartrail serve [--config FILE]");
--- a/node/src/test/java/spartrail/cli/SignalsTest.java
+++ b/node/src/test/java/spartrail/cli/SignalsTest.java
@@ -193,7 +193,10 @@
         List<Socket> idle = new ArrayList<>();
         try {
             for (int i = 0; i < 2 * DESCRIPTORS; i++) {
-                idle.add(new Socket("127.0.0.1", port));
+                Socket client = new Socket("127.0.0.1", port);
+                idle.add(client);
+                // One that has asked once may rest; others are closed soon.
+                client.getOutputStream().write("GET /up HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             }
             fleet.tell(fleet.servers.get(0), "DRAINING");
             long reachableNs = System.nanoTime();
--- a/node/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeTest.java
@@ -30,6 +30,7 @@
 import spartrail.model.Decisions;
 import spartrail.model.Multiget;
 import spartrail.provisioning.DeploymentFile;
+import spartrail.subset.SubsetSelector;
 
 /** A whole node on the loopback, between raw clients and the toy fleet of the example. */
 class FrontNodeTest {
@@ -369,8 +370,10 @@
         });
         Client client = new Client().ask("a", 0);
         assertThat(next()).isEqualTo("part a.0");
+        long leftNs = System.nanoTime();
         client.socket.close();
         assertThat(next()).isEqualTo("given up a.0");
+        assertThat(System.nanoTime() - leftNs).as("long before its time is over").isLessThan(2_000_000_000L);
         // Those behind it find both replicas, and would leave after a further attempt.
         for (String id : List.of("b1", "b2", "b3")) {
             assertThat(new Client().ask(id, 0).answer()).startsWith("200 ");
@@ -780,4 +783,43 @@
         }
         assertThat(seen).hasSize(6).doesNotContain("still sent to");
     }
+
+    /** A server that leaves the subset finishes what it has, and gets nothing new. */
+    @Test
+    void aNodeWithASubsetUsesItsOwnServersAndGoesBackToTheFirstInItsOrder() throws Exception {
+        String[] subset = {"\"tick\": 0.005", "\"tick\": 0.005, \"subset\": {\"replicasPerShard\": 1, \"leastZones\": 1}",
+            "\"sets\": 4, \"width\": 2", "\"sets\": 2, \"width\": 1"};
+        SubsetSelector order = deployment(subset).subsetSelector();
+        order.apply(List.of(new SubsetSelector.LiveServer("s-0", "a", 0, 1), new SubsetSelector.LiveServer("s-2", "a", 2, 1)), List.of());
+        ToyFleet.Toy first = fleet.servers.get(Integer.parseInt(order.selected(0).get(0).substring(2)));
+        ToyFleet.Toy second = fleet.servers.get(2 - first.cell);
+        CompletableFuture<ToyFleet.Link> held = new CompletableFuture<>();
+        fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
+            @Override
+            public void part(ToyFleet.Link link, String id, int shard, String text) throws IOException {
+                seen.add(id + " at " + toy.uid);
+                if (id.startsWith("held")) {
+                    held.complete(link);
+                } else {
+                    link.answer(id, "OK", text);
+                }
+            }
+        });
+        fleet.tell(first, "DELETED");
+        start(subset);
+        Client waiting = new Client().ask("held", 0);
+        assertThat(next()).isEqualTo("held.0 at " + second.uid);
+        fleet.tell(first, "SERVING");
+        fleet.awaitTold(true);
+        for (String id : List.of("a", "b", "c")) {
+            assertThat(new Client().ask(id, 0).answer()).startsWith("200 ");
+            assertThat(next()).isEqualTo(id + ".0 at " + first.uid);
+        }
+        held.get(20, TimeUnit.SECONDS).answer("held.0", "OK", "t");
+        assertThat(waiting.answer()).startsWith("200 {\"all_in\":true");
+        fleet.tell(first, "DRAINING");
+        fleet.awaitTold(true);
+        assertThat(new Client().ask("d", 0).answer()).startsWith("200 ");
+        assertThat(next()).isEqualTo("d.0 at " + second.uid);
+    }
 }
