--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import spartrail.model.Call;
 import spartrail.model.Decisions;
@@ -25,10 +26,9 @@
 /**
  * All decisions of a front node.
  *
- * <p>How it is reached: through {@link Coordinator}, in this package. A caller says once what it read at
- * start, then {@link #place} for each multiget, {@link #after} for each outcome, {@link #waitMs} for the
- * time until {@link #waited}; news come by the other calls. Each returns {@link Decisions}: plain lists of
- * what to do now.
+ * <p>How it is reached: through {@link Coordinator}, in this package. A caller says once what it read at start, then
+ * {@link #place} for each multiget, {@link #after} for each outcome, {@link #waitMs} for the time until {@link #waited};
+ * news come by the other calls. Each returns {@link Decisions}: plain lists of what to do now.
  *
  * <p>The ordinary path is {@link #place} and {@link #release}: every part joins its shard's queue under the
  * key of its multiget (deadline window, then rank hashed from the id), and leaves in key order as soon as a
@@ -43,17 +43,17 @@
  * 6. following the list.
  */
 public final class WindowCoordinator implements Coordinator {
-    /** Width of a deadline window. */
-    private static final double WINDOW_MS = 250;
     private static final int RANKS = 32_768;
     private static final int FIRST_LIMIT = 4;
+    private static final double BEAT_MS = 100;
+    /** Width of a deadline window. */
+    private static final double WINDOW_MS = 250;
     /** An answer within this many times what a server with nothing else of ours takes lets a limit grow. */
     private static final double USUAL = 2;
     /** A send that takes this share of its latency budget counts as timed out for its server's limit. */
     private static final double TIME_OUT = 0.15;
     /** Weight of a new sample in what is learned. */
     private static final double LEARN = 0.1;
-    private static final double BEAT_MS = 100;
     /** A sum of weights may fall short by rounding. */
     private static final double ROUNDING = 1e-4;
 
@@ -70,10 +70,10 @@
     private Decisions decisions = new Decisions();
     private double now;
     private double nextBeatMs;
-    /** When the next turn was asked for, and when this node last came back late. */
+    private long turns;
     private double wakeMs = Double.MAX_VALUE;
+    /** When this node last came back later than the next turn was asked for. */
     private double backMs = Double.NEGATIVE_INFINITY;
-    private long turns;
 
     private int nodes = 1;
     private double turnMs = 1;
@@ -182,8 +182,8 @@
     }
 
     /**
-     * The parts of a queue that may leave next: its first, and those behind repeats. Danger: a repeat that
-     * may not go to the one replica with room would hold up all behind it.
+     * The parts of a queue that may leave next: its first, and those behind repeats. Danger: a repeat that may not go
+     * to the one replica with room would hold up all behind it.
      */
     private static void addHeads(Shard shard, TreeSet<Part> heads) {
         for (Part part : shard.queue) {
@@ -194,21 +194,22 @@
         }
     }
 
-    /**
-     * The eligible replica with the fewest of our calls out once it has this part too; null if none has room.
-     */
+    /** The eligible replica with the fewest of our calls out once it has this part too; null if none has room. */
     private Server pick(Part part) {
         List<Server> replicas = part.shard.replicas;
-        List<Server> fit = replicas.stream().filter(rep -> sound(rep) && !part.triedAt(rep)).toList();
+        List<Server> fit = those(replicas, server -> sound(server) && !part.triedAt(server));
         Server best = fewestOut(part, fit);
         if (best == null) {
             // Danger: sound replicas drown while an ill one that still answers is spared all work.
-            best = fewestOut(part,
-                    replicas.stream().filter(server -> answering(server) && !part.triedAt(server)).toList());
+            best = fewestOut(part, those(replicas, server -> answering(server) && !part.triedAt(server)));
         }
         return best == null && fit.isEmpty() ? fewestOut(part, replicas) : best;
     }
 
+    private static List<Server> those(Collection<Server> servers, Predicate<Server> wanted) {
+        return servers.stream().filter(wanted).toList();
+    }
+
     private Server fewestOut(Part part, List<Server> replicas) {
         Server best = null;
         int bestLoad = 0;
@@ -231,9 +232,9 @@
     }
 
     /**
-     * Parts that may be sent to a server now. Danger: under load each answer frees one place, every part
-     * travels alone, and the cost of calls eats the capacity. Where calls carry several parts, a busy server
-     * opens one at half its limit.
+     * Parts that may be sent to a server now. Danger: under load each answer frees one place, every part travels alone,
+     * and the cost of calls eats the capacity. Where calls carry several parts, a busy server opens one at half its
+     * limit.
      */
     private int room(Server server) {
         boolean shared = partsPerCall > 1 && !server.out.isEmpty() && !callOpen(server);
@@ -331,15 +332,13 @@
     }
 
     /**
-     * The limit of a server: one more for an answer within the usual time when it binds, half for a time-out
-     * or full.
+     * The limit of a server: one more for an answer within the usual time when it binds, half for a time-out or full.
      */
     private void adjustLimit(Send send, Send.Outcome outcome, double tookMs) {
         Server server = send.server;
         OpType op = send.part.multiget.opType;
-        // Danger: limits that grow while queues build up at the servers, where nothing puts them in key
-        // order. Danger: a part that is lost says nothing of a queue; where later ones were answered, it does
-        // not count.
+        // Danger: limits that grow while queues build up at the servers, where nothing puts them in key order. Danger:
+        // a part that is lost says nothing of a queue; where later ones were answered, it does not count.
         boolean timedOut = outcome == Send.Outcome.TIMED_OUT || tookMs > op.budgetMs * TIME_OUT
                 && (outcome == Send.Outcome.ANSWERED || server.lastAnsweredSentMs <= send.sentMs);
         if ((outcome == Send.Outcome.FULL || timedOut) && send.sentMs >= server.halvedMs) {
@@ -380,9 +379,9 @@
 
     // ---- 1. Admission and pushback ----
 
+    private static final double EVIDENCE_MS = 3000;
     /** The least important op types may use this share of their budget, the most important all. */
     private static final double LEAST_PATIENCE = 0.4;
-    private static final double EVIDENCE_MS = 3000;
 
     /** How long parts wait at servers beyond the light time, its mean deviation, and when that was seen. */
     private double waitMs;
@@ -402,9 +401,8 @@
     /** Under overload work is turned away before it costs anything, or all of it would be served too late. */
     private boolean admitted(Multiget mg) {
         OpType op = mg.opType;
-        // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing, or
-        // little once its budget is over. That a client gives little time does not tell that it has tried
-        // before, unless it says so.
+        // Danger: a try that cannot be answered in the time it has takes capacity and earns nothing, or little once its
+        // budget is over. That a client gives little time does not tell that it has tried before, unless it says so.
         boolean spent = mg.clientRetry && mg.clientLeftMs <= op.timeoutMs - op.budgetMs;
         if (spent || mg.clientLeftMs < known(op) * (usualMs(op) + op.learned.deviationMs)) {
             return false;
@@ -418,9 +416,9 @@
             return delayMs + known(op) * (usualMs(op) + 2 * op.learned.deviationMs)
                     <= patience * Math.min(op.budgetMs, mg.clientLeftMs);
         }
-        // Danger: of many nodes none holds anything, and the queues that all of them make at the servers turn
-        // nobody away. What answers of any op type take beyond the light time tells of those queues. Danger:
-        // where nothing is admitted nothing is learned; what was seen fades with its age.
+        // Danger: of many nodes none holds anything, and the queues that all of them make at the servers turn nobody
+        // away. What answers of any op type take beyond the light time tells of those queues. Danger: where nothing is
+        // admitted nothing is learned; what was seen fades with its age.
         double fresh = 1 - Math.min(1, (now - learnedMs) / EVIDENCE_MS);
         return known(op) * op.learned.lightMs + (waitMs + waitDeviationMs) * fresh
                 <= Math.min(patience * op.budgetMs, mg.clientLeftMs);
@@ -447,15 +445,13 @@
     private static final double OVERDUE_DEVIATIONS = 4;
     /** Where no second copy may race, a send is given this many times longer before it is timed out. */
     private static final double LONE_PATIENCE = 2;
+    private static final double FUND_MOST = 20;
+    private static final double STRAGGLERS = 0.1;
     /**
-     * First sends that left at once fund further ones, up to a most. Danger: copies feed a collapse. Where
-     * parts are held there is no room to spare, and copies dry up; for sends at ill servers, few by their
-     * limits, they do not.
+     * First sends that left at once fund further ones, up to a most. Danger: copies feed a collapse. Where parts are
+     * held there is no room to spare, and copies dry up; for sends at ill servers, few by their limits, they do not.
      */
     private static final double FUND_GAIN = 0.4;
-    private static final double FUND_MOST = 20;
-
-    private static final double STRAGGLERS = 0.1;
 
     private int mostSends = 1;
     private boolean parallel;
@@ -540,23 +536,20 @@
         }
     }
 
-    /**
-     * Connections broken at so many servers, with nothing answered, tell of a multiget that kills them; that
-     * of its first part alone does, too.
-     */
+    private static final int WIDE_PARTS = 32;
+    private static final double DEATHS_MS = 20_000;
+    /** Connections broken at so many servers, nothing answered, tell of a killer; so does that of a first part alone. */
     private static final int BREAKS = 2;
     /** One that could reach this share of the servers, by so many parts, is wide. */
     private static final double WIDE = 0.25;
-    private static final int WIDE_PARTS = 32;
     /** So many servers that died unannounced, in so long, tell of killers. */
     private static final int DEATHS = 3;
-    private static final double DEATHS_MS = 20_000;
     private final Tally deaths = new Tally();
 
     /**
-     * Danger: a multiget whose parts bring servers down does so with its first sends, and a wide one takes
-     * the fleet along at once. A wide one, and any while servers die unannounced, sends one part first: the
-     * others follow with its answer, or after the usual time where nothing broke.
+     * Danger: a multiget whose parts bring servers down does so with its first sends, and a wide one takes the fleet
+     * along at once. A wide one, and any while servers die unannounced, sends one part first: the others follow with
+     * its answer, or after the usual time where nothing broke.
      */
     private boolean couldKill(Multiget mg) {
         return deaths.since(now - DEATHS_MS) >= DEATHS
@@ -600,22 +593,21 @@
     }
 
     /**
-     * Silence or slowness of one send: its part joins its queue again, for a copy at another replica. Danger:
-     * a server that loses parts and answers the rest quickly; what later answers have overtaken is taken for
-     * lost early.
+     * Silence or slowness of one send: its part joins its queue again, for a copy at another replica. Danger: a server
+     * that loses parts and answers the rest quickly; what later answers have overtaken is taken for lost early.
      */
     private void overdue(Send send) {
         Part part = send.part;
-        if (!send.out() || part.multiget.over || !part.open() || part.held
-                || part.sends.get(part.sends.size() - 1) != send || !mayRepeat(part)) {
+        boolean latest = part.sends.get(part.sends.size() - 1) == send;
+        if (!send.out() || part.multiget.over || !part.open() || part.held || !latest || !mayRepeat(part)) {
             return;
         }
         // Danger: the last few parts decide when all the others are answered; there are few of them to copy.
         boolean straggles = part.multiget.openParts <= STRAGGLERS * part.multiget.parts.size();
         double lostAtMs = send.sentMs + (straggles ? 0 : patienceMs(part));
         boolean lost = send.server.lastAnsweredSentMs > send.sentMs || now >= lostAtMs;
-        // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is
-        // due its turn.
+        // Under overload a copy only takes room that nothing else wants; one that waits on an ill server is due its
+        // turn.
         boolean funded = !justBack() && furtherFund >= 1 && pick(part) != null;
         if (!condemned(part.multiget) && lost && (send.server.ill || funded)) {
             furtherFund -= send.server.ill ? 0 : 1;
@@ -638,17 +630,16 @@
 
     // ---- 3. Health of servers ----
 
+    private static final double PACE_LEARN = 0.3;
+    private static final double ANSWERING_MS = 1000;
     /** A server this many times slower than the middle one is ill. */
     private static final double ILL = 3;
     /** What a failure counts as, in times the usual: fast errors must not attract work. */
     private static final double FAILURE_PACE = 5;
-    private static final double PACE_LEARN = 0.3;
     /**
-     * A verdict fades over this time, so that a server that is well again is found by the first sends of a
-     * low limit.
+     * A verdict fades over this time, so that a server that is well again is found by the first sends of a low limit.
      */
     private static final double FADE_MS = 4000;
-    private static final double ANSWERING_MS = 1000;
     /** Longer where all of a zone would be tried again at once. */
     private static final double ZONE_FADE_MS = 12_000;
 
@@ -696,14 +687,13 @@
                 of.deviationMs = of.usualMs == 0 ? tookMs / 2
                         : of.deviationMs + (Math.abs(tookMs - of.usualMs) - of.deviationMs) * learn;
                 of.usualMs += (tookMs - of.usualMs) * step;
-                // Danger: under overload no server is idle; the figure falls quickly and rises slowly.
-                // Danger: a slow first answer would stand for it until servers are idle again.
+                // Danger: under overload no server is idle; the figure falls quickly and rises slowly. Danger: a slow
+                // first answer would stand for it until servers are idle again.
                 double lightStep = of.lightMs == 0 ? 1 : tookMs < of.lightMs ? learn : LEARN / 40;
                 of.lightMs += send.alone ? (tookMs - of.lightMs) * lightStep : 0;
                 of.lightMs = Math.min(of.lightMs, of.usualMs);
             }
-            // Danger: a server that loses half of its parts and answers the rest quickly looks well by its
-            // answers.
+            // Danger: a server that loses half of its parts and answers the rest quickly looks well by its answers.
             case CANCELLED -> notePace(server, tookMs > patienceMs(send.part) ? Math.max(pace, FAILURE_PACE)
                     : Math.max(pace, server.pace));
             case ERROR, RESET, TIMED_OUT -> notePace(server, Math.max(pace, FAILURE_PACE));
@@ -737,12 +727,11 @@
 
     /** Judged against the middle server: a slowdown of all is no outage of some. */
     private void judge() {
-        List<Server> live = servers.values().stream()
-                .filter(server -> server.state == Server.State.LIVE).toList();
+        List<Server> live = those(servers.values(), server -> server.state == Server.State.LIVE);
         double[] paces = live.stream().mapToDouble(this::paceNow).sorted().toArray();
         double middle = paces.length == 0 ? 1 : Math.max(1, paces[paces.length / 2]);
-        // Danger: a bad way to half of the servers makes its slowness the middle. Zones are judged against
-        // the best of them; there are samples enough of a zone where each server is met seldom.
+        // Danger: a bad way to half of the servers makes its slowness the middle. Zones are judged against the best of
+        // them; there are samples enough of a zone where each server is met seldom.
         double best = zonePaces.values().stream().mapToDouble(pace -> pace).min().orElse(1);
         zonePaces.replaceAll((zone, pace) -> pace + (1 - pace) * BEAT_MS / ZONE_FADE_MS);
         for (Server server : live) {
@@ -789,10 +778,7 @@
         return server.bornMs >= 0 && now - server.bornMs < warmMs;
     }
 
-    /**
-     * Danger: all nodes find the same fresh server idle and push it over together. Each keeps to what it has
-     * itself seen a warm server take, scaled by age.
-     */
+    /** Danger: all nodes push over the same idle fresh server. Each keeps to what a warm one takes of it, by age. */
     private boolean coldAllows(Part part, Server server) {
         if (!cold(server)) {
             return true;
@@ -802,29 +788,29 @@
         if (sent + 1 <= COLD_CARE * takes * busyParts) {
             return true;
         }
-        // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew stands
-        // idle. There so few multigets of a node meet one server that those of the lower ranks may pass
-        // whole, the same ones at every server: as many as keep what all nodes ask of it, with three
-        // deviations of chance, within what it takes. Danger: among idle replicas a cold one is the next in turn
-        // for all that may pass it; only with other cold ones it shares that.
+        // Danger: of many nodes each has a share of less than one part, and a fleet that starts anew stands idle. There
+        // so few multigets of a node meet one server that those of the lower ranks may pass whole, the same ones at
+        // every server: as many as keep what all nodes ask of it, with three deviations of chance, within what it
+        // takes. Danger: among idle replicas a cold one is the next in turn for all that may pass it; only with other
+        // cold ones it shares that.
         double root = (Math.sqrt(9 + 4 * takes * coreParts) - 3) / 2;
-        long sharing = part.shard.replicas.stream().filter(replica -> sound(replica) && cold(replica)).count();
-        double asked = nodes * warmParts * fallMs * Math.max(layout.reach, part.shard.replicas.size()) / Math.max(1, sharing);
+        int sharing = those(part.shard.replicas, replica -> sound(replica) && cold(replica)).size();
+        int usual = Math.max(layout.reach, part.shard.replicas.size());
+        double asked = nodes * warmParts * fallMs * usual / Math.max(1, sharing);
         return part.multiget.rank < RANKS * root * root / asked
                 && server.coldSends.firstMs() >= now;
     }
 
     /**
-     * Parts in a millisecond: what a core takes, what warm servers take from this node on average, at least
-     * its share of a core's, and what the busiest does. Danger: of many servers that are seen seldom the
-     * busiest is so by chance.
+     * Parts in a millisecond: what a core takes, what warm servers take from this node on average, at least its share
+     * of a core's, and what the busiest does. Danger: of many servers that are seen seldom the busiest is so by chance.
      */
     private void learnWarmParts() {
         coreParts = 1 / opTypes.stream()
                 .mapToDouble(op -> op.learned.lightMs > 0 ? op.learned.lightMs : usualMs(op)).max().orElse(1);
-        DoubleSummaryStatistics rates = servers.values().stream()
-                .filter(server -> sound(server) && !cold(server)).mapToDouble(server -> server.answerRate)
-                .summaryStatistics();
+        List<Server> warm = those(servers.values(), server -> sound(server) && !cold(server));
+        DoubleSummaryStatistics rates =
+                warm.stream().mapToDouble(server -> server.answerRate).summaryStatistics();
         warmParts = Math.max(coreParts / nodes, rates.getAverage());
         busyParts = Math.max(warmParts, Math.min(rates.getMax(), 2 * rates.getAverage()));
     }
@@ -876,20 +862,17 @@
         OpType op = mg.opType;
         double comebackMs = comebackMs(mg);
         // A deduped one that may have run is pushed back where its client, told when, comes within the time.
-        boolean harmless = op.repeat == OpType.Repeat.RETRIABLE || mg.parts.stream()
-                .flatMap(part -> part.sends.stream()).allMatch(send -> send.neverRan()
-                        || op.repeat == OpType.Repeat.DEDUPED && comebackAllowed
-                        && now + 2 * comebackMs < send.sentMs + op.dedupMs);
+        boolean inTime = op.repeat == OpType.Repeat.DEDUPED && comebackAllowed;
+        Predicate<Send> mayRunAgain = send -> send.neverRan() || inTime && now + 2 * comebackMs < send.sentMs + op.dedupMs;
+        boolean harmless = op.repeat == OpType.Repeat.RETRIABLE
+                || mg.parts.stream().flatMap(part -> part.sends.stream()).allMatch(mayRunAgain);
         mg.answer = harmless ? Multiget.Answer.PUSHED_BACK : Multiget.Answer.FAILED;
         mg.comebackMs = harmless ? comebackMs : 0;
         decisions.answers.add(mg);
         drop(mg);
     }
 
-    /**
-     * The latency budget ends: an answer that may be given is given, and what would earn nothing later is
-     * given up.
-     */
+    /** The latency budget ends: an answer that may be given is given, and what would earn nothing later is given up. */
     private void budgetEnds(Multiget mg) {
         if (mg.over) {
             return;
@@ -901,14 +884,17 @@
         OpType op = mg.opType;
         if (has(mg, least(mg)) && op.partialShare * mg.answeredWeight / op.need > op.lateShare) {
             answer(mg, Multiget.Answer.PARTIAL);
-        } else if (op.lateShare == 0 || op.lateShare < mg.parts.stream()
-                .filter(part -> part.open() && !part.sendOut()).mapToDouble(part -> part.weight).sum()) {
-            // Danger: late work, which goes first by its key, makes all behind it late too; what is left of
-            // it may take the share of the work that it still earns of the importance.
+        } else if (op.lateShare == 0 || op.lateShare < unsentWeight(mg)) {
+            // Danger: late work, which goes first by its key, makes all behind it late too; what is left of it may take
+            // the share of the work that it still earns of the importance.
             giveUp(mg);
         }
     }
 
+    private static double unsentWeight(Multiget mg) {
+        return mg.parts.stream().mapToDouble(part -> part.open() && !part.sendOut() ? part.weight : 0).sum();
+    }
+
     /** The client's time ends: danger of a multiget lost. */
     private void clientEnds(Multiget mg) {
         if (mg.over) {
@@ -993,8 +979,7 @@
     }
 
     /**
-     * Asked again, less and less often and not in step with other nodes, so that a weak list service is not
-     * flooded.
+     * Asked again, less and less often and not in step with other nodes, so that a weak list service is not flooded.
      */
     @Override
     public Decisions unlisted(double nowMs) {
@@ -1004,10 +989,7 @@
         return decisions;
     }
 
-    /**
-     * Danger: servers replaced all day would fill the memory. One that is back soon is still known, with the
-     * sends that count while it is cold.
-     */
+    /** Danger: memory fills up. One that is back soon is still known, with the sends that count while it is cold. */
     private void forgetGone() {
         for (Server rep : servers.values()) {
             rep.goneBeats = rep.state == Server.State.GONE ? rep.goneBeats + 1 : 0;
@@ -1028,9 +1010,8 @@
     // ---- Time ----
 
     /**
-     * Danger: a node that itself stood still finds all that came meanwhile at once, some of it behind its own
-     * due times, and would take its own gap for slow servers. Such a node looks at nothing but answers for a
-     * beat.
+     * Danger: a node that itself stood still finds all that came meanwhile at once, some of it behind its own due
+     * times, and would take its own gap for slow servers. Such a node looks at nothing but answers for a beat.
      */
     private boolean justBack() {
         return now < backMs + BEAT_MS;
