--- a/core/src/main/java/spartrail/coordination/WindowCoordinator.java
+++ b/core/src/main/java/spartrail/coordination/WindowCoordinator.java
@@ -57,8 +57,7 @@
     /** A sum of weights may fall short by rounding. */
     private static final double ROUNDING = 1e-4;
 
-    private static final Comparator<Part> KEY_ORDER = Comparator
-            .<Part>comparingLong(part -> part.multiget.window)
+    private static final Comparator<Part> KEY_ORDER = Comparator.<Part>comparingLong(part -> part.multiget.window)
             .thenComparingInt(part -> part.multiget.rank)
             .thenComparingLong(part -> part.multiget.id)
             .thenComparingLong(part -> part.id);
@@ -215,14 +214,18 @@
         int bestLoad = 0;
         int bestShare = 0;
         for (Server server : replicas) {
-            if (server.state != Server.State.LIVE || room(server) <= 0
-                    || part.outAt(server) || !coldAllows(part, server)) {
+            if (server.state != Server.State.LIVE
+                    || room(server) <= 0
+                    || part.outAt(server)
+                    || !coldAllows(part, server)) {
                 continue;
             }
             int load = server.callsOut + (callOpen(server) ? 0 : 1);
             int share = callShare(part, server);
-            if (best == null || load < bestLoad || load == bestLoad
-                    && (share > bestShare || share == bestShare && server.lastTurn < best.lastTurn)) {
+            if (best == null
+                    || load < bestLoad
+                    || load == bestLoad
+                            && (share > bestShare || share == bestShare && server.lastTurn < best.lastTurn)) {
                 best = server;
                 bestLoad = load;
                 bestShare = share;
@@ -339,12 +342,14 @@
         OpType op = send.part.multiget.opType;
         // Danger: limits that grow while queues build up at the servers, where nothing puts them in key order. Danger:
         // a part that is lost says nothing of a queue; where later ones were answered, it does not count.
-        boolean timedOut = outcome == Send.Outcome.TIMED_OUT || tookMs > op.budgetMs * TIME_OUT
-                && (outcome == Send.Outcome.ANSWERED || server.lastAnsweredSentMs <= send.sentMs);
+        boolean timedOut = outcome == Send.Outcome.TIMED_OUT
+                || tookMs > op.budgetMs * TIME_OUT
+                        && (outcome == Send.Outcome.ANSWERED || server.lastAnsweredSentMs <= send.sentMs);
         if ((outcome == Send.Outcome.FULL || timedOut) && send.sentMs >= server.halvedMs) {
             server.limit = Math.max(1, server.limit / 2);
             server.halvedMs = now;
-        } else if (outcome == Send.Outcome.ANSWERED && tookMs <= USUAL * op.learned.lightMs
+        } else if (outcome == Send.Outcome.ANSWERED
+                && tookMs <= USUAL * op.learned.lightMs
                 && server.out.size() + 1 >= server.limit) {
             server.limit++;
         }
@@ -385,6 +390,7 @@
 
     /** How long parts wait at servers beyond the light time, its mean deviation, and when that was seen. */
     private double waitMs;
+
     private double waitDeviationMs;
     private double learnedMs;
 
@@ -435,7 +441,8 @@
 
     /** When a client that is turned away is to come back: once what is held now has left. */
     private double comebackMs(Multiget mg) {
-        double delayMs = mg.parts.stream().mapToDouble(part -> part.shard.delayMs).max().orElse(0);
+        double delayMs =
+                mg.parts.stream().mapToDouble(part -> part.shard.delayMs).max().orElse(0);
         return comebackAllowed ? Math.min(longestComebackMs, Math.max(usualMs(mg.opType), delayMs)) : 0;
     }
 
@@ -445,6 +452,7 @@
     private static final double OVERDUE_DEVIATIONS = 4;
     /** Where no second copy may race, a send is given this many times longer before it is timed out. */
     private static final double LONE_PATIENCE = 2;
+
     private static final double FUND_MOST = 20;
     private static final double STRAGGLERS = 0.1;
     /**
@@ -496,7 +504,8 @@
 
     /** Its importance over that of the most important op type. */
     private double standing(OpType op) {
-        double most = opTypes.stream().mapToDouble(other -> other.importance).max().orElse(0);
+        double most =
+                opTypes.stream().mapToDouble(other -> other.importance).max().orElse(0);
         return most > 0 ? op.importance / most : 1;
     }
 
@@ -523,8 +532,7 @@
 
     private double patienceMs(Part part) {
         OpType op = part.multiget.opType;
-        return usualMs(op)
-                + OVERDUE_DEVIATIONS * (op.learned.usualMs > 0 ? op.learned.deviationMs : op.budgetMs / 16);
+        return usualMs(op) + OVERDUE_DEVIATIONS * (op.learned.usualMs > 0 ? op.learned.deviationMs : op.budgetMs / 16);
     }
 
     /** A part with no send out goes back to its place in the queue, or is lost to its multiget. */
@@ -544,6 +552,7 @@
     private static final double WIDE = 0.25;
     /** So many servers that died unannounced, in so long, tell of killers. */
     private static final int DEATHS = 3;
+
     private final Tally deaths = new Tally();
 
     /**
@@ -684,7 +693,8 @@
                 OpType.Learned of = op.learned;
                 of.barredMs = Double.MAX_VALUE;
                 double step = of.usualMs == 0 ? 1 : learn;
-                of.deviationMs = of.usualMs == 0 ? tookMs / 2
+                of.deviationMs = of.usualMs == 0
+                        ? tookMs / 2
                         : of.deviationMs + (Math.abs(tookMs - of.usualMs) - of.deviationMs) * learn;
                 of.usualMs += (tookMs - of.usualMs) * step;
                 // Danger: under overload no server is idle; the figure falls quickly and rises slowly. Danger: a slow
@@ -693,17 +703,16 @@
                 of.lightMs += send.alone ? (tookMs - of.lightMs) * lightStep : 0;
                 of.lightMs = Math.min(of.lightMs, of.usualMs);
             }
-            // Danger: a server that loses half of its parts and answers the rest quickly looks well by its answers.
-            case CANCELLED -> notePace(server, tookMs > patienceMs(send.part) ? Math.max(pace, FAILURE_PACE)
-                    : Math.max(pace, server.pace));
+                // Danger: a server that loses half of its parts and answers the rest quickly looks well by its answers.
+            case CANCELLED -> notePace(
+                    server,
+                    tookMs > patienceMs(send.part) ? Math.max(pace, FAILURE_PACE) : Math.max(pace, server.pace));
             case ERROR, RESET, TIMED_OUT -> notePace(server, Math.max(pace, FAILURE_PACE));
-            // Danger: one spoilt answer takes along all on its connection, and would count as many.
-            case GARBLED ->
-                    notePace(server, Math.max(pace, server.garbledMs == now ? server.pace : FAILURE_PACE));
-            // Danger: each send to a machine that is down costs its part the time that connecting may take.
+                // Danger: one spoilt answer takes along all on its connection, and would count as many.
+            case GARBLED -> notePace(server, Math.max(pace, server.garbledMs == now ? server.pace : FAILURE_PACE));
+                // Danger: each send to a machine that is down costs its part the time that connecting may take.
             case CONNECT_FAILED -> server.pace = 2 * FAILURE_PACE;
-            default -> {
-            }
+            default -> {}
         }
         server.garbledMs = outcome == Send.Outcome.GARBLED ? now : server.garbledMs;
     }
@@ -732,11 +741,11 @@
         double middle = paces.length == 0 ? 1 : Math.max(1, paces[paces.length / 2]);
         // Danger: a bad way to half of the servers makes its slowness the middle. Zones are judged against the best of
         // them; there are samples enough of a zone where each server is met seldom.
-        double best = zonePaces.values().stream().mapToDouble(pace -> pace).min().orElse(1);
+        double best =
+                zonePaces.values().stream().mapToDouble(pace -> pace).min().orElse(1);
         zonePaces.replaceAll((zone, pace) -> pace + (1 - pace) * BEAT_MS / ZONE_FADE_MS);
         for (Server server : live) {
-            boolean ill = paceNow(server) > ILL * middle
-                    || zonePaces.getOrDefault(server.zone, 1.0) > ILL * best;
+            boolean ill = paceNow(server) > ILL * middle || zonePaces.getOrDefault(server.zone, 1.0) > ILL * best;
             if (ill && !server.ill) {
                 server.limit = 1;
             }
@@ -794,11 +803,11 @@
         // takes. Danger: among idle replicas a cold one is the next in turn for all that may pass it; only with other
         // cold ones it shares that.
         double root = (Math.sqrt(9 + 4 * takes * coreParts) - 3) / 2;
-        int sharing = those(part.shard.replicas, replica -> sound(replica) && cold(replica)).size();
+        int sharing = those(part.shard.replicas, replica -> sound(replica) && cold(replica))
+                .size();
         int usual = Math.max(layout.reach, part.shard.replicas.size());
         double asked = nodes * warmParts * fallMs * usual / Math.max(1, sharing);
-        return part.multiget.rank < RANKS * root * root / asked
-                && server.coldSends.firstMs() >= now;
+        return part.multiget.rank < RANKS * root * root / asked && server.coldSends.firstMs() >= now;
     }
 
     /**
@@ -806,8 +815,11 @@
      * of a core's, and what the busiest does. Danger: of many servers that are seen seldom the busiest is so by chance.
      */
     private void learnWarmParts() {
-        coreParts = 1 / opTypes.stream()
-                .mapToDouble(op -> op.learned.lightMs > 0 ? op.learned.lightMs : usualMs(op)).max().orElse(1);
+        coreParts = 1
+                / opTypes.stream()
+                        .mapToDouble(op -> op.learned.lightMs > 0 ? op.learned.lightMs : usualMs(op))
+                        .max()
+                        .orElse(1);
         List<Server> warm = those(servers.values(), server -> sound(server) && !cold(server));
         DoubleSummaryStatistics rates =
                 warm.stream().mapToDouble(server -> server.answerRate).summaryStatistics();
@@ -863,7 +875,8 @@
         double comebackMs = comebackMs(mg);
         // A deduped one that may have run is pushed back where its client, told when, comes within the time.
         boolean inTime = op.repeat == OpType.Repeat.DEDUPED && comebackAllowed;
-        Predicate<Send> mayRunAgain = send -> send.neverRan() || inTime && now + 2 * comebackMs < send.sentMs + op.dedupMs;
+        Predicate<Send> mayRunAgain =
+                send -> send.neverRan() || inTime && now + 2 * comebackMs < send.sentMs + op.dedupMs;
         boolean harmless = op.repeat == OpType.Repeat.RETRIABLE
                 || mg.parts.stream().flatMap(part -> part.sends.stream()).allMatch(mayRunAgain);
         mg.answer = harmless ? Multiget.Answer.PUSHED_BACK : Multiget.Answer.FAILED;
@@ -892,7 +905,9 @@
     }
 
     private static double unsentWeight(Multiget mg) {
-        return mg.parts.stream().mapToDouble(part -> part.open() && !part.sendOut() ? part.weight : 0).sum();
+        return mg.parts.stream()
+                .mapToDouble(part -> part.open() && !part.sendOut() ? part.weight : 0)
+                .sum();
     }
 
     /** The client's time ends: danger of a multiget lost. */
@@ -942,7 +957,8 @@
         }
         for (Server line : lines) {
             Server server = servers.computeIfAbsent(line.id, Server::new);
-            if (server.state == Server.State.LIVE && server.limit > 0
+            if (server.state == Server.State.LIVE
+                    && server.limit > 0
                     && (line.state == Server.State.GONE || line.bornMs > server.bornMs)) {
                 deaths.forget(now - DEATHS_MS);
                 deaths.add(now, 1);
--- a/core/src/main/java/spartrail/json/JsonTree.java
+++ b/core/src/main/java/spartrail/json/JsonTree.java
@@ -11,8 +11,7 @@
 
 /** Reads a JSON value whose form is not known beforehand: maps, lists, numbers, text, flags; where the form has them, bytes. */
 public final class JsonTree {
-    private JsonTree() {
-    }
+    private JsonTree() {}
 
     /** What is wrong with a text that is no JSON, without where it came from. */
     public static String fault(JsonProcessingException e) {
--- a/core/src/main/java/spartrail/membership/Bounds.java
+++ b/core/src/main/java/spartrail/membership/Bounds.java
@@ -15,7 +15,18 @@
  * @param keptMs a server that is gone is remembered for so long
  * @param mostMembers no more are known; further ones are refused and counted
  */
-public record Bounds(int floor, double freezeMs, double suspectMs, double rollConfirmMs, double confirmMs,
-        int confirmAnswers, double flapMs, double flapMostMs, double flapForgetMs, double keptMs, int mostMembers) {
-    public static final Bounds USUAL = new Bounds(1, 300_000, 300_000, 400, 30_000, 3, 2000, 60_000, 60_000, 600_000, 10_000);
+public record Bounds(
+        int floor,
+        double freezeMs,
+        double suspectMs,
+        double rollConfirmMs,
+        double confirmMs,
+        int confirmAnswers,
+        double flapMs,
+        double flapMostMs,
+        double flapForgetMs,
+        double keptMs,
+        int mostMembers) {
+    public static final Bounds USUAL =
+            new Bounds(1, 300_000, 300_000, 400, 30_000, 3, 2000, 60_000, 60_000, 600_000, 10_000);
 }
--- a/core/src/main/java/spartrail/membership/EndpointList.java
+++ b/core/src/main/java/spartrail/membership/EndpointList.java
@@ -14,9 +14,15 @@
 /** A version of the list of servers, or the lines that changed. */
 public record EndpointList(long version, boolean all, List<Endpoint> lines) {
     /** A server and its address as this node reaches it; the time of its start is a Unix time, 0 if long ago. */
-    public record Endpoint(String id, InetSocketAddress address, String zone, String kind, int cell, Server.State state,
-            double rating, long bootMs) {
-    }
+    public record Endpoint(
+            String id,
+            InetSocketAddress address,
+            String zone,
+            String kind,
+            int cell,
+            Server.State state,
+            double rating,
+            long bootMs) {}
 
     private static final Pattern HOST = Pattern.compile("[0-9.]+|\\[[0-9a-fA-F:.]+]|localhost");
     private static final JsonFactory JSON = new JsonFactory();
@@ -37,21 +43,29 @@
         }
         List<Endpoint> lines = new ArrayList<>();
         for (Object target : targets) {
-            if (!(target instanceof Map<?, ?> line) || !(line.get("uid") instanceof String id)
+            if (!(target instanceof Map<?, ?> line)
+                    || !(line.get("uid") instanceof String id)
                     || !(line.get("pod_group") instanceof Number cell)) {
                 throw new IllegalArgumentException("a line of the list has 'uid' and 'pod_group'");
             }
-            Server.State state = switch (String.valueOf(line.get("state"))) {
-                case "SERVING" -> Server.State.LIVE;
-                case "DRAINING" -> Server.State.DRAINING;
-                default -> Server.State.GONE;
-            };
+            Server.State state =
+                    switch (String.valueOf(line.get("state"))) {
+                        case "SERVING" -> Server.State.LIVE;
+                        case "DRAINING" -> Server.State.DRAINING;
+                        default -> Server.State.GONE;
+                    };
             InetSocketAddress address = line.get("endpoint") instanceof String endpoint ? address(endpoint) : null;
             if (address == null && state != Server.State.GONE) {
                 throw new IllegalArgumentException("a server of the list has an 'endpoint'");
             }
-            lines.add(new Endpoint(id, address, String.valueOf(line.get("az")), String.valueOf(line.get("model")),
-                    cell.intValue(), state, line.get("capacity_hint") instanceof Number hint ? hint.doubleValue() : 1,
+            lines.add(new Endpoint(
+                    id,
+                    address,
+                    String.valueOf(line.get("az")),
+                    String.valueOf(line.get("model")),
+                    cell.intValue(),
+                    state,
+                    line.get("capacity_hint") instanceof Number hint ? hint.doubleValue() : 1,
                     line.get("boot_ms") instanceof Number boot ? boot.longValue() : 0));
         }
         return new EndpointList(version.longValue(), !Boolean.FALSE.equals(tree.get("all")), lines);
--- a/core/src/main/java/spartrail/membership/Member.java
+++ b/core/src/main/java/spartrail/membership/Member.java
@@ -25,6 +25,7 @@
         double sinceMs;
         /** The source's whole answers have left it out since then; NaN while they name it. */
         double absentSinceMs = Double.NaN;
+
         int absentAnswers;
         /** The absence counts. */
         boolean gone;
@@ -38,6 +39,7 @@
     public final String id;
     /** The roll's uid, or null. */
     String uid;
+
     String endpoint;
     final Map<Source, Word> words = new LinkedHashMap<>();
     Standing standing = Standing.UNKNOWN;
@@ -45,6 +47,7 @@
     double sinceMs;
     /** When it was first seen, or seen again after it was gone. */
     double seenMs;
+
     double joinAtMs;
     double flaps;
     double flapMs;
@@ -56,6 +59,7 @@
     int cell;
     /** What was last handed on, and whether that is still so. */
     Said handed;
+
     boolean changed;
     boolean standby;
 
--- a/core/src/main/java/spartrail/membership/Membership.java
+++ b/core/src/main/java/spartrail/membership/Membership.java
@@ -55,6 +55,7 @@
     private final Map<String, Member> members = new LinkedHashMap<>();
     /** Servers in use by cell, and members by cell. */
     private final int[] live;
+
     private final Map<Integer, Set<Member>> byCell = new HashMap<>();
     private final Set<Member> changed = new LinkedHashSet<>();
     private final Timetable timetable = new Timetable();
@@ -114,11 +115,15 @@
         if (back) {
             touched.addAll(source.words.keySet());
         }
-        // Danger: one that goes now because it is confirmed must not count for the floor of one that is left out first now.
-        touched.stream().sorted(Comparator.comparingInt((Member member) -> {
-            Word word = member.words.get(source);
-            return word == null ? 0 : -word.absentAnswers;
-        })).toList().forEach(this::judge);
+        // Danger: one that goes now because it is confirmed must not count for the floor of one that is left out first
+        // now.
+        touched.stream()
+                .sorted(Comparator.comparingInt((Member member) -> {
+                    Word word = member.words.get(source);
+                    return word == null ? 0 : -word.absentAnswers;
+                }))
+                .toList()
+                .forEach(this::judge);
     }
 
     /** A source does not answer. */
@@ -159,7 +164,10 @@
             }
         }
         if (known == null) {
-            if (said.endpoint() == null || said.cell() < 0 || said.cell() >= cells || members.size() >= bounds.mostMembers()) {
+            if (said.endpoint() == null
+                    || said.cell() < 0
+                    || said.cell() >= cells
+                    || members.size() >= bounds.mostMembers()) {
                 refused++;
                 return null;
             }
@@ -254,10 +262,12 @@
 
     private void lift(Member member) {
         lifted++;
-        sources.values().stream().filter(source -> source.kind == Source.Kind.ROLL).forEach(roll -> {
-            roll.words.remove(member);
-            member.words.remove(roll);
-        });
+        sources.values().stream()
+                .filter(source -> source.kind == Source.Kind.ROLL)
+                .forEach(roll -> {
+                    roll.words.remove(member);
+                    member.words.remove(roll);
+                });
         member.seenMs = nowMs;
         member.bornMs = Double.NaN;
     }
@@ -269,8 +279,7 @@
     // ---- Judgement ----
 
     /** A standing with the rule that made it, and when it may change by itself. */
-    private record Verdict(Standing standing, String rule, double againMs) {
-    }
+    private record Verdict(Standing standing, String rule, double againMs) {}
 
     private void judge(Member member) {
         steps++;
@@ -321,7 +330,8 @@
                 return forgetting(member, "2 a whole roll lacks it" + tomb);
             }
             heldByFloor++;
-            return new Verdict(Standing.LIVE, "2 a whole roll lacks it, held for the floor until confirmed", confirmedMs);
+            return new Verdict(
+                    Standing.LIVE, "2 a whole roll lacks it, held for the floor until confirmed", confirmedMs);
         }
         if (source.in) {
             return new Verdict(Standing.LIVE, "4 the roll lists it", NEVER);
@@ -331,14 +341,19 @@
 
     /** When the last of the sources that name it went out. */
     private static double lastOutMs(Member member) {
-        return member.words.entrySet().stream().filter(entry -> !entry.getValue().absent())
-                .mapToDouble(entry -> entry.getKey().outSinceMs).max().orElse(0);
+        return member.words.entrySet().stream()
+                .filter(entry -> !entry.getValue().absent())
+                .mapToDouble(entry -> entry.getKey().outSinceMs)
+                .max()
+                .orElse(0);
     }
 
     /** Whether a source other than the roll names it and answers. */
     private static boolean others(Member member) {
-        return member.words.entrySet().stream().anyMatch(entry -> entry.getKey().kind != Source.Kind.ROLL
-                && entry.getKey().in && !entry.getValue().absent());
+        return member.words.entrySet().stream()
+                .anyMatch(entry -> entry.getKey().kind != Source.Kind.ROLL
+                        && entry.getKey().in
+                        && !entry.getValue().absent());
     }
 
     private Verdict byOthers(Member member) {
@@ -366,7 +381,8 @@
             }
         }
         if (names != null) {
-            if (member.standing == Standing.GONE || member.standing == Standing.UNKNOWN
+            if (member.standing == Standing.GONE
+                    || member.standing == Standing.UNKNOWN
                     || member.standing == Standing.JOINING) {
                 return joining(member, names);
             }
@@ -385,7 +401,8 @@
 
     private Verdict joining(Member member, Source names) {
         if (member.standing == Standing.JOINING) {
-            return nowMs >= member.joinAtMs ? new Verdict(Standing.LIVE, "6 " + names + " names it", NEVER)
+            return nowMs >= member.joinAtMs
+                    ? new Verdict(Standing.LIVE, "6 " + names + " names it", NEVER)
                     : new Verdict(Standing.JOINING, member.rule, member.joinAtMs);
         }
         member.seenMs = nowMs;
@@ -398,8 +415,11 @@
         }
         flapsDamped++;
         member.joinAtMs = nowMs + waitMs;
-        return new Verdict(Standing.JOINING, String.format(Locale.ROOT,
-                "6 %s names it again, it waits %.0f ms as it has come and gone", names, waitMs), member.joinAtMs);
+        return new Verdict(
+                Standing.JOINING,
+                String.format(
+                        Locale.ROOT, "6 %s names it again, it waits %.0f ms as it has come and gone", names, waitMs),
+                member.joinAtMs);
     }
 
     /** How long one that comes back waits; not at all where a shard has nobody else. */
@@ -414,14 +434,18 @@
     private Verdict frozen(Member member, double outSinceMs, String why) {
         double suspectMs = outSinceMs + bounds.freezeMs();
         if (nowMs < suspectMs) {
-            return new Verdict(member.inUse() || member.standing == Standing.UNKNOWN ? Standing.LIVE : member.standing,
-                    why + ", its word still holds", suspectMs);
+            return new Verdict(
+                    member.inUse() || member.standing == Standing.UNKNOWN ? Standing.LIVE : member.standing,
+                    why + ", its word still holds",
+                    suspectMs);
         }
         double endMs = suspectMs + bounds.suspectMs();
         if (nowMs < endMs || member.inUse() && !floorAllows(member)) {
             // Looked at again from time to time: the floor may allow it later.
-            return new Verdict(Standing.SUSPECT, why + " for too long", nowMs < endMs ? endMs
-                    : nowMs + Math.max(1000, bounds.suspectMs()));
+            return new Verdict(
+                    Standing.SUSPECT,
+                    why + " for too long",
+                    nowMs < endMs ? endMs : nowMs + Math.max(1000, bounds.suspectMs()));
         }
         return forgetting(member, why + " for far too long");
     }
@@ -466,7 +490,8 @@
     private Verdict forgetting(Member member, String rule) {
         double sinceMs = member.standing == Standing.GONE ? member.sinceMs : nowMs;
         // Danger: a tombstone that is forgotten while another source still names the server would let it back.
-        boolean named = member.words.values().stream().anyMatch(word -> !word.absent() && word.said.state() == Server.State.LIVE);
+        boolean named = member.words.values().stream()
+                .anyMatch(word -> !word.absent() && word.said.state() == Server.State.LIVE);
         if (nowMs >= sinceMs + bounds.keptMs() && !rollOut() && !named) {
             forget(member);
             return new Verdict(Standing.GONE, rule, NEVER);
@@ -517,8 +542,13 @@
 
     /** What the module is to know of the servers of one cell: those of its best tier, the others when there is nobody. */
     private void hand(Collection<Member> cell) {
-        int best = cell.stream().filter(Member::inUse).map(Member::best).filter(said -> said != null)
-                .mapToInt(Said::tier).min().orElse(0);
+        int best = cell.stream()
+                .filter(Member::inUse)
+                .map(Member::best)
+                .filter(said -> said != null)
+                .mapToInt(Said::tier)
+                .min()
+                .orElse(0);
         for (Member member : cell) {
             Said said = member.best();
             if (said == null) {
@@ -530,8 +560,16 @@
             member.standby = member.inUse() && said.tier() > best;
             Server.State state = member.standby ? Server.State.DRAINING : Member.state(member.standing);
             double bornMs = Double.isNaN(member.bornMs) ? member.seenMs : member.bornMs;
-            Said line = new Said(member.id, member.endpoint, said.zone(), said.kind(), said.cell(), state, said.rating(),
-                    bornMs, said.tier());
+            Said line = new Said(
+                    member.id,
+                    member.endpoint,
+                    said.zone(),
+                    said.kind(),
+                    said.cell(),
+                    state,
+                    said.rating(),
+                    bornMs,
+                    said.tier());
             boolean unknown = member.handed == null && state == Server.State.GONE;
             if (!unknown && !line.equals(member.handed)) {
                 member.handed = line;
@@ -567,15 +605,37 @@
 
     /** What each source says of it, the rule that decided, and since when. */
     public String explain(Member member, double atMs) {
-        StringBuilder out = new StringBuilder(String.format(Locale.ROOT, "%s%s at %s, cell %d: %s%s since %.1f s%n  rule: %s%n",
-                member.id, member.uid == null || member.uid.equals(member.id) ? "" : " (" + member.uid + ")", member.endpoint,
-                member.cell, member.standing, member.standby ? " (standby)" : "", (atMs - member.sinceMs) / 1000, member.rule));
-        member.words.forEach((source, word) -> out.append(String.format(Locale.ROOT, "  %s (%s): %s%s%n", source,
+        StringBuilder out = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%s%s at %s, cell %d: %s%s since %.1f s%n  rule: %s%n",
+                member.id,
+                member.uid == null || member.uid.equals(member.id) ? "" : " (" + member.uid + ")",
+                member.endpoint,
+                member.cell,
+                member.standing,
+                member.standby ? " (standby)" : "",
+                (atMs - member.sinceMs) / 1000,
+                member.rule));
+        member.words.forEach((source, word) -> out.append(String.format(
+                Locale.ROOT,
+                "  %s (%s): %s%s%n",
+                source,
                 source.in ? "answers" : String.format(Locale.ROOT, "out for %.1f s", (atMs - source.outSinceMs) / 1000),
-                word.said.state(), word.absent() ? String.format(Locale.ROOT, ", left out for %.1f s by %d answers",
-                        (atMs - word.absentSinceMs) / 1000, word.absentAnswers) : "")));
-        return out.append(String.format(Locale.ROOT, "  start: %s%n", Double.isNaN(member.bornMs)
-                ? "nobody tells; taken for cold from when it was seen" : member.bornMs < 0 ? "long ago" : "told")).toString();
+                word.said.state(),
+                word.absent()
+                        ? String.format(
+                                Locale.ROOT,
+                                ", left out for %.1f s by %d answers",
+                                (atMs - word.absentSinceMs) / 1000,
+                                word.absentAnswers)
+                        : "")));
+        return out.append(String.format(
+                        Locale.ROOT,
+                        "  start: %s%n",
+                        Double.isNaN(member.bornMs)
+                                ? "nobody tells; taken for cold from when it was seen"
+                                : member.bornMs < 0 ? "long ago" : "told"))
+                .toString();
     }
 
     /** Counts by name, for logs. */
@@ -592,14 +652,14 @@
     }
 
     /** What a snapshot keeps of one source's word on one server; absences and tombstones are kept with it. */
-    public record Kept(String source, Source.Kind kind, String id, String endpoint, Said said, boolean gone, double seenMs) {
-    }
+    public record Kept(
+            String source, Source.Kind kind, String id, String endpoint, Said said, boolean gone, double seenMs) {}
 
     public List<Kept> snapshot() {
         List<Kept> kept = new ArrayList<>();
         for (Member member : members.values()) {
-            member.words.forEach((source, word) -> kept.add(new Kept(source.name, source.kind, member.id, member.endpoint,
-                    word.said, word.gone, member.seenMs)));
+            member.words.forEach((source, word) -> kept.add(new Kept(
+                    source.name, source.kind, member.id, member.endpoint, word.said, word.gone, member.seenMs)));
         }
         return kept;
     }
@@ -615,8 +675,18 @@
             if (member == null) {
                 // What ends a server need not tell where it was.
                 Said said = line.said();
-                member = member(source, new Said(said.id(), line.endpoint(), said.zone(), said.kind(), said.cell(),
-                        said.state(), said.rating(), said.bornMs(), said.tier()));
+                member = member(
+                        source,
+                        new Said(
+                                said.id(),
+                                line.endpoint(),
+                                said.zone(),
+                                said.kind(),
+                                said.cell(),
+                                said.state(),
+                                said.rating(),
+                                said.bornMs(),
+                                said.tier()));
             }
             if (member == null) {
                 continue;
--- a/core/src/main/java/spartrail/membership/Said.java
+++ b/core/src/main/java/spartrail/membership/Said.java
@@ -11,8 +11,16 @@
  * @param bornMs when its process started, on the node's clock; negative if long ago; NaN where the source does not tell
  * @param tier 0 is used first, a higher one only where the cell has nobody better
  */
-public record Said(String id, String endpoint, String zone, String kind, int cell, Server.State state, double rating,
-        double bornMs, int tier) {
+public record Said(
+        String id,
+        String endpoint,
+        String zone,
+        String kind,
+        int cell,
+        Server.State state,
+        double rating,
+        double bornMs,
+        int tier) {
     boolean tellsStart() {
         return !Double.isNaN(bornMs);
     }
--- a/core/src/main/java/spartrail/membership/Source.java
+++ b/core/src/main/java/spartrail/membership/Source.java
@@ -6,7 +6,11 @@
 /** Where words on servers come from. A DNS name is one source, the roll is one, a file is one. */
 public final class Source {
     /** The roll's word is law on what drains and ends; the others can only add, and leave out. */
-    public enum Kind { ROLL, DNS, FILE }
+    public enum Kind {
+        ROLL,
+        DNS,
+        FILE
+    }
 
     public final String name;
     public final Kind kind;
@@ -16,6 +20,7 @@
     double outSinceMs;
     /** When it first answered, and how many whole answers there were. */
     double firstAnswerMs = Double.NaN;
+
     long answers;
     /** How long what it says is good for. */
     double lifetimeMs;
--- a/core/src/main/java/spartrail/model/Decisions.java
+++ b/core/src/main/java/spartrail/model/Decisions.java
@@ -8,6 +8,7 @@
     public final List<Send> sends = new ArrayList<>();
     /** Multigets that are answered now; {@link Multiget#answer} says how. */
     public final List<Multiget> answers = new ArrayList<>();
+
     public final List<Send> cancels = new ArrayList<>();
     /** Ask for the list's changes from now on. */
     public boolean follow;
--- a/core/src/main/java/spartrail/model/Multiget.java
+++ b/core/src/main/java/spartrail/model/Multiget.java
@@ -8,11 +8,17 @@
 /** What a client asked for: an answer put together from parts. A front end may extend it by what it needs. */
 public class Multiget {
     /** How a multiget was answered. */
-    public enum Answer { WHOLE, PARTIAL, PUSHED_BACK, FAILED }
+    public enum Answer {
+        WHOLE,
+        PARTIAL,
+        PUSHED_BACK,
+        FAILED
+    }
 
     public long id;
     /** Its number at this node; a protocol without one uses the id. */
     public long number;
+
     public OpType opType;
     public String tenant;
     public String key;
@@ -25,13 +31,16 @@
 
     /** Place in every queue: the deadline window, then the rank. */
     public long window;
+
     public int rank;
     /** When the latency budget and the client's time end. */
     public double budgetAtMs;
+
     public double clientAtMs;
     public double answeredWeight;
     /** Parts that are neither answered nor abandoned, and their weight. */
     public int openParts;
+
     public double openWeight;
     /** Shards with a held part of it. */
     public final Set<Shard> heldAt = new HashSet<>();
@@ -43,6 +52,7 @@
     public boolean tasting;
     /** What is due for it while it is in hand. */
     public final List<Timetable.Due> dues = new ArrayList<>();
+
     public boolean over;
     public Answer answer;
     public double comebackMs;
--- a/core/src/main/java/spartrail/model/OpType.java
+++ b/core/src/main/java/spartrail/model/OpType.java
@@ -6,7 +6,11 @@
  */
 public final class OpType {
     /** What a repeat of one of its parts does. */
-    public enum Repeat { RETRIABLE, DEDUPED, NON_RETRIABLE }
+    public enum Repeat {
+        RETRIABLE,
+        DEDUPED,
+        NON_RETRIABLE
+    }
 
     public String name;
     public double importance;
@@ -35,6 +39,7 @@
     public static final class Learned {
         /** Time of an answer on average, its mean deviation, and that of a server with nothing else of ours. */
         public double usualMs;
+
         public double deviationMs;
         public double lightMs;
         /** When one was turned away and none has been answered since. */
--- a/core/src/main/java/spartrail/model/Part.java
+++ b/core/src/main/java/spartrail/model/Part.java
@@ -27,9 +27,13 @@
 
     /** The end of the deduplication window of what may have run of it; endless where there is none. */
     public double windowEndsMs() {
-        return multiget.opType.repeat != OpType.Repeat.DEDUPED ? Double.POSITIVE_INFINITY : sends.stream()
-                .filter(send -> !send.neverRan()).mapToDouble(send -> send.sentMs + multiget.opType.dedupMs).min()
-                .orElse(Double.POSITIVE_INFINITY);
+        return multiget.opType.repeat != OpType.Repeat.DEDUPED
+                ? Double.POSITIVE_INFINITY
+                : sends.stream()
+                        .filter(send -> !send.neverRan())
+                        .mapToDouble(send -> send.sentMs + multiget.opType.dedupMs)
+                        .min()
+                        .orElse(Double.POSITIVE_INFINITY);
     }
 
     public boolean triedAt(Server server) {
--- a/core/src/main/java/spartrail/model/Ranges.java
+++ b/core/src/main/java/spartrail/model/Ranges.java
@@ -6,8 +6,7 @@
 
 /** Ranges of IPv4 addresses such as 10.0.0.0/8, and whether an endpoint such as 10.1.2.3:7400 lies in one of them. */
 public final class Ranges implements Predicate<String> {
-    private record Range(long address, long mask) {
-    }
+    private record Range(long address, long mask) {}
 
     private final List<Range> ranges = new ArrayList<>();
 
@@ -17,7 +16,8 @@
             String[] parts = String.valueOf(text).split("/");
             long address = parts.length == 2 ? address(parts[0]) : -1;
             if (address < 0 || !parts[1].matches("[0-9]|[12][0-9]|3[0-2]")) {
-                throw new IllegalArgumentException(place + ": found '" + text + "', a range such as 10.0.0.0/8 is expected");
+                throw new IllegalArgumentException(
+                        place + ": found '" + text + "', a range such as 10.0.0.0/8 is expected");
             }
             int bits = Integer.parseInt(parts[1]);
             long mask = bits == 0 ? 0 : 0xffffffffL << 32 - bits & 0xffffffffL;
--- a/core/src/main/java/spartrail/model/Send.java
+++ b/core/src/main/java/spartrail/model/Send.java
@@ -4,8 +4,14 @@
 public final class Send {
     /** How a send ended. */
     public enum Outcome {
-        ANSWERED(true), ERROR(true), FULL(false), TIMED_OUT(true), CONNECT_FAILED(false), RESET(true),
-        CANCELLED(true), NOT_SENT(false),
+        ANSWERED(true),
+        ERROR(true),
+        FULL(false),
+        TIMED_OUT(true),
+        CONNECT_FAILED(false),
+        RESET(true),
+        CANCELLED(true),
+        NOT_SENT(false),
         /** Its answer, or that of another part on the same connection, could not be read. */
         GARBLED(true);
 
@@ -24,6 +30,7 @@
     public final double timeoutMs;
     /** Its frame may begin until then: a repeat that leaves after its op type's window would take effect twice. */
     public double leaveByMs = Double.POSITIVE_INFINITY;
+
     public Call call;
     public Outcome outcome;
     public boolean cancelled;
--- a/core/src/main/java/spartrail/model/Server.java
+++ b/core/src/main/java/spartrail/model/Server.java
@@ -8,7 +8,11 @@
 /** A server of the list, with what this node has out there and has seen of it. */
 public final class Server {
     /** What the list says of the process. */
-    public enum State { LIVE, DRAINING, GONE }
+    public enum State {
+        LIVE,
+        DRAINING,
+        GONE
+    }
 
     public final String id;
     public String zone;
@@ -23,6 +27,7 @@
 
     /** Sends out, in order of sending, and the number of calls that carry them. */
     public final Set<Send> out = new LinkedHashSet<>();
+
     public int callsOut;
     /** The latest call; parts of the same turn may still join it. */
     public Call call;
@@ -30,12 +35,15 @@
     public long lastTurn;
     /** Most parts that may be out. */
     public int limit;
+
     public double halvedMs;
     /** Time of answers over what their op type usually takes; 1 is as usual. */
     public double pace = 1;
+
     public double lastAnswerMs;
     /** When the latest sent of the answered sends was sent. */
     public double lastAnsweredSentMs;
+
     public boolean ill;
     /** When an answer of it could last not be read. */
     public double garbledMs;
@@ -43,6 +51,7 @@
     public int goneBeats;
     /** Parts answered in the present beat, and in a millisecond lately. */
     public int answers;
+
     public double answerRate;
     /** Times of sends while cold, not older than the span that counts. */
     public final Tally coldSends = new Tally();
--- a/core/src/main/java/spartrail/model/Tally.java
+++ b/core/src/main/java/spartrail/model/Tally.java
@@ -5,8 +5,7 @@
 
 /** Counts by time, of which those before a time are dropped. */
 public final class Tally {
-    private record Entry(double atMs, int count) {
-    }
+    private record Entry(double atMs, int count) {}
 
     private final Deque<Entry> entries = new ArrayDeque<>();
     private int total;
--- a/core/src/main/java/spartrail/model/Timetable.java
+++ b/core/src/main/java/spartrail/model/Timetable.java
@@ -7,10 +7,10 @@
 /** What is due when, in order of time, then of entry. */
 public final class Timetable {
     /** What is due at a time. */
-    public record Due(double atMs, long number, Runnable what) {
-    }
+    public record Due(double atMs, long number, Runnable what) {}
 
-    private final TreeSet<Due> dues = new TreeSet<>(Comparator.comparingDouble(Due::atMs).thenComparingLong(Due::number));
+    private final TreeSet<Due> dues =
+            new TreeSet<>(Comparator.comparingDouble(Due::atMs).thenComparingLong(Due::number));
     private long count;
 
     public Due add(double atMs, Runnable what) {
--- a/core/src/main/java/spartrail/peers/Card.java
+++ b/core/src/main/java/spartrail/peers/Card.java
@@ -10,17 +10,23 @@
  * @param program version of the program
  * @param settings version of the settings that it goes by, empty where none is known
  */
-public record Card(String name, String address, String zone, double weight, String program, String settings, Life life,
-        int turn) {
+public record Card(
+        String name, String address, String zone, double weight, String program, String settings, Life life, int turn) {
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     private static final Pattern ADDRESS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
     private static final int LONGEST = 64;
 
     /** Whether others can take it up: its texts are short and of the expected form. */
     public boolean wellFormed() {
-        return NAME.matcher(name).matches() && ADDRESS.matcher(address).matches() && zone.length() <= LONGEST
-                && program.length() <= LONGEST && settings.length() <= LONGEST && weight >= 0 && weight <= 1e6
-                && life.startMs() > 0 && turn >= 0;
+        return NAME.matcher(name).matches()
+                && ADDRESS.matcher(address).matches()
+                && zone.length() <= LONGEST
+                && program.length() <= LONGEST
+                && settings.length() <= LONGEST
+                && weight >= 0
+                && weight <= 1e6
+                && life.startMs() > 0
+                && turn >= 0;
     }
 
     public static boolean isName(String text) {
--- a/core/src/main/java/spartrail/peers/Member.java
+++ b/core/src/main/java/spartrail/peers/Member.java
@@ -17,18 +17,23 @@
     double toldMs = Double.NaN;
     /** When its life began by this node's clock, as far as that is known. */
     double bornMs = Double.NaN;
+
     double bornKnownMs = Double.NaN;
     /** Those who accuse it, and since when; at the due time it is gone. */
     final List<String> accusers = new ArrayList<>();
+
     double accusedMs;
     /** This node itself has asked it since it stands so. */
     boolean askedAgain;
+
     Timetable.Due due;
     /** How often it has been passed on since it changed, and whether it is to be passed on further. */
     int passedOn;
+
     boolean standingIsNews;
     /** It counts among those that are there; its place among those that are alive, or -1. */
     boolean isThere;
+
     int aliveAt = -1;
     /** Its part of the digest. */
     long hash;
--- a/core/src/main/java/spartrail/peers/Outgoing.java
+++ b/core/src/main/java/spartrail/peers/Outgoing.java
@@ -1,5 +1,4 @@
 package spartrail.peers;
 
 /** A message and the address that it goes to. */
-public record Outgoing(String address, Message message) {
-}
+public record Outgoing(String address, Message message) {}
--- a/core/src/main/java/spartrail/peers/PeerTalk.java
+++ b/core/src/main/java/spartrail/peers/PeerTalk.java
@@ -20,7 +20,8 @@
      * @param historyBytes it ends at so many bytes
      * @param lanes whose messages travel along
      */
-    Running start(Path file, Path history, long historyBytes, Consumer<PeersView> views, List<PeerLane> lanes) throws IOException;
+    Running start(Path file, Path history, long historyBytes, Consumer<PeersView> views, List<PeerLane> lanes)
+            throws IOException;
 
     /** Talk that has begun. */
     interface Running extends AutoCloseable {
--- a/core/src/main/java/spartrail/peers/PeerTimes.java
+++ b/core/src/main/java/spartrail/peers/PeerTimes.java
@@ -14,14 +14,30 @@
  * @param wordBytes a message carries at most about so many bytes of words
  * @param answersPerS at most so many answers a second, half of them to those who are not known
  */
-public record PeerTimes(double roundMs, double answerMs, double suspectRounds, double stoodMs, double staleMs, double keptMs,
-        int mostPeers, int wordBytes, int answersPerS) {
+public record PeerTimes(
+        double roundMs,
+        double answerMs,
+        double suspectRounds,
+        double stoodMs,
+        double staleMs,
+        double keptMs,
+        int mostPeers,
+        int wordBytes,
+        int answersPerS) {
     public static final PeerTimes USUAL = new PeerTimes(500, 200, 3, 250, 5000, 600_000, 1024, 1000, 200);
 
     /** All times so many times as long. */
     public PeerTimes paced(double times) {
-        return new PeerTimes(roundMs * times, answerMs * times, suspectRounds, stoodMs * times, staleMs * times, keptMs,
-                mostPeers, wordBytes, answersPerS);
+        return new PeerTimes(
+                roundMs * times,
+                answerMs * times,
+                suspectRounds,
+                stoodMs * times,
+                staleMs * times,
+                keptMs,
+                mostPeers,
+                wordBytes,
+                answersPerS);
     }
 
     public double leastSuspicionMs(int there) {
--- a/core/src/main/java/spartrail/peers/Peers.java
+++ b/core/src/main/java/spartrail/peers/Peers.java
@@ -50,6 +50,7 @@
 public final class Peers {
     /** Helpers that are asked when somebody does not answer, and accusers that make a suspicion as short as it gets. */
     private static final int HELPERS = 3;
+
     private static final int ACCUSERS = 3;
     /** Each piece of news is passed on so many times the decimal logarithm of the fleet; what that misses is found by digests. */
     private static final int PASSED_ON = 4;
@@ -62,16 +63,19 @@
      * is sooner than one accuser's suspicion ends. Below so many others it cannot tell.
      */
     private static final int UNANSWERED = 2;
+
     private static final int FEWEST_TO_TELL = 3;
     /** Answers that a node which stood still waits for before it trusts itself again. */
     private static final int HEARD_AGAIN = 2;
     /** A node that is late by more than this part of an answer's time on average runs late; and how quickly that is learned. */
     private static final double LATE = 0.125;
+
     private static final double LATENESS_LEARNED = 0.1;
     private static final int GETTING_TO_KNOW_ROUNDS = 30;
     private static final int FEW_KNOWN = 8;
     /** Addresses of which nobody knows yet who is there; and how often one is asked. */
     private static final int MOST_CONTACTS = 64;
+
     private static final int CONTACT_TRIES = 4;
     private static final int CONTACTS_A_ROUND = 4;
     private static final int SUSPECTS_A_ROUND = 4;
@@ -108,8 +112,7 @@
     }
 
     /** Somebody asked this node to ask somebody else. */
-    private record Errand(String address, long nonce, Card about) {
-    }
+    private record Errand(String address, long nonce, Card about) {}
 
     private final PeerTimes times;
     private final RandomGenerator chance;
@@ -118,6 +121,7 @@
     private final Map<Long, Errand> errands = new LinkedHashMap<>();
     /** Nonces of members asked lately, so that a late answer counts, too. */
     private final Map<Long, String> asked = new LinkedHashMap<>();
+
     private final Timetable timetable = new Timetable();
     private final List<Outgoing> out = new ArrayList<>();
     private final Deque<PeerEvent> events = new ArrayDeque<>();
@@ -128,9 +132,11 @@
     private final Deque<String> slice = new ArrayDeque<>();
     /** Of whom others are to hear: first those of whom nobody has heard yet, then by turns. */
     private final Deque<Member> fresh = new ArrayDeque<>();
+
     private final Deque<Member> news = new ArrayDeque<>();
     /** Those held for alive, and how many are held to be there; so that no message costs more the larger the fleet is. */
     private final List<Member> alive = new ArrayList<>();
+
     private int others;
 
     private Card self;
@@ -144,11 +150,13 @@
     private int unanswered;
     /** Answers still wanted after a standstill; and until when views are known to differ. */
     private int heardWanted;
+
     private double standstillMs;
     /** How late it is on average where something is due. */
     private double usuallyLateMs;
     /** Somebody held the same as this node, once at least. */
     private boolean agreed;
+
     private double differUntilMs = Double.NEGATIVE_INFINITY;
     private long digest;
     /**
@@ -156,6 +164,7 @@
      * counts as over when so many rounds have passed without an answer.
      */
     private Card claimed;
+
     private Card rival;
     private int rivalRounds;
     private double answers;
@@ -198,7 +207,14 @@
     /** The version of the settings that this node goes by has changed; others hear of it. */
     public void settings(String version) {
         if (!version.equals(self.settings())) {
-            reborn(new Card(self.name(), self.address(), self.zone(), self.weight(), self.program(), version, self.life(),
+            reborn(new Card(
+                    self.name(),
+                    self.address(),
+                    self.zone(),
+                    self.weight(),
+                    self.program(),
+                    version,
+                    self.life(),
                     self.turn() + 1));
         }
     }
@@ -209,7 +225,8 @@
      * answer, or an errand's two messages.
      */
     public static double mostMessagesPerS(PeerTimes times) {
-        return (1 + HELPERS + CONTACTS_A_ROUND + SUSPECTS_A_ROUND + 1 + HURRIED) * 1000 / (0.9 * times.roundMs()) + 2.0 * times.answersPerS();
+        return (1 + HELPERS + CONTACTS_A_ROUND + SUSPECTS_A_ROUND + 1 + HURRIED) * 1000 / (0.9 * times.roundMs())
+                + 2.0 * times.answersPerS();
     }
 
     // ---- Time ----
@@ -265,12 +282,17 @@
 
     /** Why this node trusts its own view less; empty where it does not. */
     private String doubt() {
-        return rival != null ? "another process has the name, from " + rival.address()
-                : inDoubtOfItself() ? "it stood still for " + Math.round(standstillMs) + " ms and has not heard again"
-                : cutOff() ? "it gets no answers"
-                : runsLate() ? "it runs late, by " + Math.round(usuallyLateMs) + " ms on average"
-                : standing == Standing.JOINING ? "it has not heard from anybody yet"
-                : gettingToKnow() ? "it is getting to know the others" : "";
+        return rival != null
+                ? "another process has the name, from " + rival.address()
+                : inDoubtOfItself()
+                        ? "it stood still for " + Math.round(standstillMs) + " ms and has not heard again"
+                        : cutOff()
+                                ? "it gets no answers"
+                                : runsLate()
+                                        ? "it runs late, by " + Math.round(usuallyLateMs) + " ms on average"
+                                        : standing == Standing.JOINING
+                                                ? "it has not heard from anybody yet"
+                                                : gettingToKnow() ? "it is getting to know the others" : "";
     }
 
     private boolean cutOff() {
@@ -296,7 +318,12 @@
     }
 
     private boolean judges() {
-        return rival == null && !inDoubtOfItself() && !cutOff() && !runsLate() && !gettingToKnow() && standing == Standing.ALIVE;
+        return rival == null
+                && !inDoubtOfItself()
+                && !cutOff()
+                && !runsLate()
+                && !gettingToKnow()
+                && standing == Standing.ALIVE;
     }
 
     // ---- Rounds ----
@@ -359,7 +386,13 @@
         }
         for (Member helper : some(HELPERS, asking.asked.card.name())) {
             asking.helpers++;
-            send(helper.card.address(), Kind.ASK, helper.card.name(), asking.nonce, asking.asked.card, words(asking.asked, asking.asked.card));
+            send(
+                    helper.card.address(),
+                    Kind.ASK,
+                    helper.card.name(),
+                    asking.nonce,
+                    asking.asked.card,
+                    words(asking.asked, asking.asked.card));
         }
     }
 
@@ -396,8 +429,11 @@
         health = Math.min(WORST_HEALTH, health + (ended.helpers > 0 ? ended.helpers - ended.notFound : 0));
         Member member = members.get(ended.asked.card.name());
         if (member == ended.asked && member.card.life().equals(ended.life) && judges()) {
-            accuse(member, self.name(), "no answer in a round of " + Math.round(times.roundMs()) + " ms, "
-                    + ended.notFound + " of " + ended.helpers + " helpers had none");
+            accuse(
+                    member,
+                    self.name(),
+                    "no answer in a round of " + Math.round(times.roundMs()) + " ms, " + ended.notFound + " of "
+                            + ended.helpers + " helpers had none");
         }
     }
 
@@ -502,8 +538,8 @@
     }
 
     private boolean known(String address) {
-        return members.values().stream().anyMatch(member -> member.card.address().equals(address)
-                && member.standing.there());
+        return members.values().stream()
+                .anyMatch(member -> member.card.address().equals(address) && member.standing.there());
     }
 
     private void ask(Contact contact) {
@@ -551,7 +587,8 @@
             return;
         }
         Member sender = members.get(message.from().name());
-        boolean sameLife = sender != null && sender.card.life().equals(message.from().life());
+        boolean sameLife =
+                sender != null && sender.card.life().equals(message.from().life());
         if (sameLife && message.standing() == Standing.LEFT) {
             // However old the message is and whatever is held of its sender: a life that has left stays so.
             take(message.from(), Standing.LEFT, message.from().name(), message.ageMs(), "it says so");
@@ -566,7 +603,8 @@
         if (!trusted && sender != null && message.from().life().compareTo(sender.card.life()) < 0) {
             count("messages of former lives");
             if (message.kind() == Kind.PING) {
-                // A clock that was set back makes a new life look like a former one; it hears of that and begins another.
+                // A clock that was set back makes a new life look like a former one; it hears of that and begins
+                // another.
                 answer(message, false);
             }
             return;
@@ -587,7 +625,8 @@
             }
         }
         for (Word word : message.words()) {
-            // Danger: two sides of a cut that hold each other for gone would trust no word that they are not. What a new
+            // Danger: two sides of a cut that hold each other for gone would trust no word that they are not. What a
+            // new
             // answer says of this node itself it may refute, whoever says so.
             if (trusted || proof && word.card().name().equals(self.name())) {
                 word(word, message.from().name());
@@ -603,14 +642,15 @@
                     round.notFound = Math.min(round.helpers, round.notFound + 1);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
     /** Danger: a flood of questions would make this node send without bound, and starve those that it knows. */
     private boolean allowed(boolean known) {
         answers = Math.min(times.answersPerS(), answers + (nowMs - answersMs) / 1000 * times.answersPerS());
-        answersToUnknown = Math.min(times.answersPerS() / 2.0, answersToUnknown + (nowMs - answersMs) / 2000 * times.answersPerS());
+        answersToUnknown = Math.min(
+                times.answersPerS() / 2.0, answersToUnknown + (nowMs - answersMs) / 2000 * times.answersPerS());
         answersMs = nowMs;
         if (answers < 1 || !known && answersToUnknown < 1) {
             count("answers held back");
@@ -637,7 +677,9 @@
         if (errand != null && errand.about.name().equals(from.name())) {
             send(errand.address, Kind.FOUND, "", errand.nonce, from, List.of());
         }
-        Contact contact = contacts.values().stream().filter(each -> each.tries > 0 && each.nonce == message.nonce()).findFirst()
+        Contact contact = contacts.values().stream()
+                .filter(each -> each.tries > 0 && each.nonce == message.nonce())
+                .findFirst()
                 .orElse(null);
         String name = asked.remove(message.nonce());
         if (errand == null && contact == null && !from.name().equals(name)) {
@@ -722,7 +764,10 @@
 
     private void found(Message message, boolean known) {
         Card about = message.about();
-        if (!known || about == null || round == null || round.nonce != message.nonce()
+        if (!known
+                || about == null
+                || round == null
+                || round.nonce != message.nonce()
                 || !about.name().equals(round.asked.card.name())) {
             return;
         }
@@ -749,18 +794,28 @@
             // Danger: whom all have forgotten would be handed round without end.
             return;
         }
-        if (word.standing() == Standing.SUSPECT && member != null && member.standing == Standing.SUSPECT
-                && member.card.life().equals(word.card().life()) && member.card.turn() == word.card().turn()) {
+        if (word.standing() == Standing.SUSPECT
+                && member != null
+                && member.standing == Standing.SUSPECT
+                && member.card.life().equals(word.card().life())
+                && member.card.turn() == word.card().turn()) {
             accuse(member, word.by(), "accused by " + word.by());
         }
-        take(word.card(), word.standing(), from, word.ageMs(), word.by().isEmpty() ? "told" : "accused by " + word.by());
+        take(
+                word.card(),
+                word.standing(),
+                from,
+                word.ageMs(),
+                word.by().isEmpty() ? "told" : "accused by " + word.by());
         member = members.get(word.card().name());
         if (member != null && member.card.life().equals(word.card().life())) {
             member.aged(word.ageMs(), nowMs);
             if (word.standing().there()) {
                 member.toldMs = nowMs;
             }
-            if (word.standing() == Standing.SUSPECT && member.standing == Standing.SUSPECT && member.accusers.isEmpty()) {
+            if (word.standing() == Standing.SUSPECT
+                    && member.standing == Standing.SUSPECT
+                    && member.accusers.isEmpty()) {
                 accuse(member, word.by(), "accused by " + word.by());
             }
         }
@@ -876,15 +931,21 @@
             return;
         }
         if (!member.askedAgain) {
-            // Danger: who was only told of a suspicion hears of its refutation late where there is much to tell; nobody ends one
+            // Danger: who was only told of a suspicion hears of its refutation late where there is much to tell; nobody
+            // ends one
             // without having asked the suspect itself.
             ask(member);
             member.due = timetable.add(nowMs + times.roundMs(), () -> unrefuted(member));
             return;
         }
         String accusers = String.join(", ", member.accusers);
-        take(member.card, Standing.GONE, self.name(), 0, "accused by " + accusers + ", and it did not refute that in "
-                + Math.round(nowMs - member.accusedMs) + " ms");
+        take(
+                member.card,
+                Standing.GONE,
+                self.name(),
+                0,
+                "accused by " + accusers + ", and it did not refute that in " + Math.round(nowMs - member.accusedMs)
+                        + " ms");
     }
 
     private void forget(Member member) {
@@ -897,8 +958,10 @@
 
     /** Makes room: who has been over for the longest goes. */
     private boolean forgetOne() {
-        Member oldest = members.values().stream().filter(member -> !member.standing.there())
-                .min(Comparator.comparingDouble((Member member) -> member.sinceMs).thenComparing(member -> member.card.name()))
+        Member oldest = members.values().stream()
+                .filter(member -> !member.standing.there())
+                .min(Comparator.comparingDouble((Member member) -> member.sinceMs)
+                        .thenComparing(member -> member.card.name()))
                 .orElse(null);
         if (oldest != null) {
             timetable.remove(oldest.due);
@@ -916,14 +979,21 @@
         } else if (order == 0 && word.standing() == Standing.LEFT && standing != Standing.LEFT) {
             count("told that it has left");
             reborn(self.at(new Life(self.life().startMs() + 1, chance.nextInt()), 0));
-        } else if (order == 0 && word.standing() != Standing.LEFT && word.card().turn() >= self.turn()
+        } else if (order == 0
+                && word.standing() != Standing.LEFT
+                && word.card().turn() >= self.turn()
                 && word.standing().compareTo(Standing.ALIVE) > 0) {
             health = Math.min(WORST_HEALTH, health + 1);
             count("refuted");
             reborn(self.at(self.life(), word.card().turn() + 1));
             // Danger: the poorer its health, the rarer its own rounds, and a refutation that comes late is none.
             differ();
-            event(self, word.standing(), standing, from, "refuted what " + (word.by().isEmpty() ? from : word.by()) + " said");
+            event(
+                    self,
+                    word.standing(),
+                    standing,
+                    from,
+                    "refuted what " + (word.by().isEmpty() ? from : word.by()) + " said");
         }
     }
 
@@ -993,9 +1063,13 @@
         int most = 2 + 2 * (32 - Integer.numberOfLeadingZeros(members.size()));
         List<Member> told = new ArrayList<>(some(most, ""));
         // Those that it holds for lost may be alive; where hardly anybody else is left, they hear of it, too.
-        members.values().stream().filter(member -> member.standing == Standing.SUSPECT || member.standing == Standing.GONE
-                || member.standing == Standing.JOINING).sorted(Comparator.comparing(member -> member.card.name()))
-                .limit(Math.max(0, most - told.size())).forEach(told::add);
+        members.values().stream()
+                .filter(member -> member.standing == Standing.SUSPECT
+                        || member.standing == Standing.GONE
+                        || member.standing == Standing.JOINING)
+                .sorted(Comparator.comparing(member -> member.card.name()))
+                .limit(Math.max(0, most - told.size()))
+                .forEach(told::add);
         for (Member member : told) {
             send(member.card.address(), Kind.PING, member.card.name(), chance.nextLong(), null, List.of());
         }
@@ -1004,7 +1078,8 @@
     // ---- What is sent ----
 
     private void send(String address, Kind kind, String to, long nonce, Card about, List<Word> words) {
-        out.add(new Outgoing(address, new Message(kind, self, standing, nowMs - bornMs, to, nonce, digest, about, words)));
+        out.add(new Outgoing(
+                address, new Message(kind, self, standing, nowMs - bornMs, to, nonce, digest, about, words)));
     }
 
     /** First what this node holds against the one it writes to; then news; then, where views differ, the next of the rest. */
@@ -1064,13 +1139,18 @@
     }
 
     private static int bytes(Member member) {
-        return member.card.bytes() + (member.accusers.isEmpty() ? 0 : member.accusers.get(0).length());
+        return member.card.bytes()
+                + (member.accusers.isEmpty() ? 0 : member.accusers.get(0).length());
     }
 
     private Word word(Member member) {
-        return new Word(member.card, member.standing, member.ageMs(nowMs),
+        return new Word(
+                member.card,
+                member.standing,
+                member.ageMs(nowMs),
                 member.standing == Standing.SUSPECT && !member.accusers.isEmpty()
-                        ? member.accusers.get(member.accusers.contains(self.name()) ? member.accusers.indexOf(self.name()) : 0)
+                        ? member.accusers.get(
+                                member.accusers.contains(self.name()) ? member.accusers.indexOf(self.name()) : 0)
                         : "");
     }
 
@@ -1118,16 +1198,22 @@
         int most = 1;
         for (Member member : members.values()) {
             boolean heard = atMs - member.heardMs < 4 * times.roundMs() * Math.max(4, members.size());
-            Sure sure = member.standing == Standing.SUSPECT || !doubt.isEmpty() ? Sure.DOUBTED
+            Sure sure = member.standing == Standing.SUSPECT || !doubt.isEmpty()
+                    ? Sure.DOUBTED
                     : heard ? Sure.HEARD : Sure.TOLD;
             least += member.standing == Standing.ALIVE && doubt.isEmpty() ? 1 : 0;
             most += member.standing == Standing.LEFT ? 0 : 1;
-            seen.add(new Seen(member.card, member.standing, member.sinceMs, member.from, sure, member.heardMs, member.why));
+            seen.add(new Seen(
+                    member.card, member.standing, member.sinceMs, member.from, sure, member.heardMs, member.why));
         }
         seen.sort(Comparator.comparing(each -> each.card().name()));
-        most += (int) contacts.values().stream().filter(contact -> !known(contact.address)
-                && members.values().stream().noneMatch(member -> member.card.address().equals(contact.address))).count();
-        return new PeersView(self.name(), standing, doubt, atMs, there(), least, most, List.copyOf(seen), Map.copyOf(counts));
+        most += (int) contacts.values().stream()
+                .filter(contact -> !known(contact.address)
+                        && members.values().stream()
+                                .noneMatch(member -> member.card.address().equals(contact.address)))
+                .count();
+        return new PeersView(
+                self.name(), standing, doubt, atMs, there(), least, most, List.copyOf(seen), Map.copyOf(counts));
     }
 
     /**
@@ -1136,8 +1222,10 @@
      * left out, they end by themselves.
      */
     private static long hash(Card card, Standing standing) {
-        long hash = card.name().hashCode() * 0x9E3779B97F4A7C15L ^ card.life().startMs() * 0xC2B2AE3D27D4EB4FL
-                ^ card.life().nonce() * 0x165667B19E3779F9L ^ card.turn() * 0xD6E8FEB86659FD93L
+        long hash = card.name().hashCode() * 0x9E3779B97F4A7C15L
+                ^ card.life().startMs() * 0xC2B2AE3D27D4EB4FL
+                ^ card.life().nonce() * 0x165667B19E3779F9L
+                ^ card.turn() * 0xD6E8FEB86659FD93L
                 ^ (standing == Standing.JOINING ? 0x2545F4914F6CDD1DL : 0);
         hash ^= hash >>> 32;
         hash *= 0x9FB21C651E98DF25L;
--- a/core/src/main/java/spartrail/peers/PeersView.java
+++ b/core/src/main/java/spartrail/peers/PeersView.java
@@ -13,10 +13,22 @@
  * @param most as many can be there: also those that may live on behind a cut
  * @param counts what was refused, dropped or doubted, by name
  */
-public record PeersView(String name, Standing standing, String doubt, double atMs, int there, int least, int most,
-        List<Seen> peers, Map<String, Long> counts) {
+public record PeersView(
+        String name,
+        Standing standing,
+        String doubt,
+        double atMs,
+        int there,
+        int least,
+        int most,
+        List<Seen> peers,
+        Map<String, Long> counts) {
     /** How sure it is: by an answer of its own lately, by what others say, or in doubt. */
-    public enum Sure { HEARD, TOLD, DOUBTED }
+    public enum Sure {
+        HEARD,
+        TOLD,
+        DOUBTED
+    }
 
     /**
      * One node.
@@ -25,8 +37,8 @@
      * @param from who told so: this node itself, or the name of another one
      * @param heardMs when it last answered this node, or NaN
      */
-    public record Seen(Card card, Standing standing, double sinceMs, String from, Sure sure, double heardMs, String why) {
-    }
+    public record Seen(
+            Card card, Standing standing, double sinceMs, String from, Sure sure, double heardMs, String why) {}
 
     /** What the module is told of it. */
     public FleetWord word() {
--- a/core/src/main/java/spartrail/policy/Ask.java
+++ b/core/src/main/java/spartrail/policy/Ask.java
@@ -9,5 +9,4 @@
  * @param no why it cannot apply that; empty: it can
  * @param by what it goes by, as {@link Ruling#name}
  */
-public record Ask(long nonce, String name, long vote, String no, String by) {
-}
+public record Ask(long nonce, String name, long vote, String no, String by) {}
--- a/core/src/main/java/spartrail/policy/Op.java
+++ b/core/src/main/java/spartrail/policy/Op.java
@@ -12,7 +12,14 @@
  */
 public record Op(Kind kind, long number, String text, String who, String token) {
     /** What it does; LED opens a new leader's time, and changes nothing. */
-    public enum Kind { LED, PROPOSE, REFUSE, ABORT, DECIDE, HOLD }
+    public enum Kind {
+        LED,
+        PROPOSE,
+        REFUSE,
+        ABORT,
+        DECIDE,
+        HOLD
+    }
 
     public static final Op LEADS = new Op(Kind.LED, 0, "", "", "");
 
@@ -21,7 +28,11 @@
     }
 
     public static Op of(List<?> plain) {
-        return new Op(Kind.valueOf((String) plain.get(0)), ((Number) plain.get(1)).longValue(), (String) plain.get(2),
-                (String) plain.get(3), (String) plain.get(4));
+        return new Op(
+                Kind.valueOf((String) plain.get(0)),
+                ((Number) plain.get(1)).longValue(),
+                (String) plain.get(2),
+                (String) plain.get(3),
+                (String) plain.get(4));
     }
 }
--- a/core/src/main/java/spartrail/policy/PolicyFollower.java
+++ b/core/src/main/java/spartrail/policy/PolicyFollower.java
@@ -51,7 +51,8 @@
     private String unfit = "";
 
     /** Begins with the node's own settings; {@code deciders} are who can say what holds. */
-    public PolicyFollower(String name, List<String> deciders, Terms own, PolicyTimes times, RandomGenerator chance, double nowMs) {
+    public PolicyFollower(
+            String name, List<String> deciders, Terms own, PolicyTimes times, RandomGenerator chance, double nowMs) {
         this.name = name;
         this.deciders = deciders;
         this.turn = chance.nextInt(Math.max(1, deciders.size()));
@@ -118,7 +119,8 @@
         if (asked.size() > MOST_ASKED) {
             asked.remove(asked.keySet().iterator().next());
         }
-        return new Ask(nonce, name, vote, no, ruling == null ? "" : ruling.at(nowMs).name());
+        return new Ask(
+                nonce, name, vote, no, ruling == null ? "" : ruling.at(nowMs).name());
     }
 
     /** An answer has come. */
@@ -155,7 +157,8 @@
                 named += "|" + last.open().number();
             } catch (IllegalArgumentException e) {
                 if (decided) {
-                    // Danger: it was out of touch and nobody waited for its no; a lease on the version before alone would
+                    // Danger: it was out of touch and nobody waited for its no; a lease on the version before alone
+                    // would
                     // outlast that version.
                     lapse(last.open(), e);
                     return;
@@ -165,7 +168,12 @@
             }
         }
         Ruling after = new Ruling(named + "?", guarded, true, Double.POSITIVE_INFINITY, null);
-        ruling = new Ruling(decided ? named : Long.toString(last.holds().number()), decided ? guarded : holds, decided, leaseMs, after);
+        ruling = new Ruling(
+                decided ? named : Long.toString(last.holds().number()),
+                decided ? guarded : holds,
+                decided,
+                leaseMs,
+                after);
     }
 
     /** A version comes that it cannot go by: it is out of touch from now on, or, where it had nothing to go by yet, not ready. */
--- a/core/src/main/java/spartrail/policy/PolicyLeader.java
+++ b/core/src/main/java/spartrail/policy/PolicyLeader.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 import spartrail.policy.PolicyLog.Entry;
@@ -25,8 +24,7 @@
 public final class PolicyLeader {
     private static final int MOST_NODES = 1024;
 
-    private record Vote(long number, String no) {
-    }
+    private record Vote(long number, String no) {}
 
     private final PolicyTimes times;
     private final Map<String, Vote> votes = new HashMap<>();
@@ -108,7 +106,13 @@
         if (missing.isEmpty() && nowMs - knownMs >= times.askMs()) {
             return new Op(Op.Kind.DECIDE, open.number(), "", "", "");
         }
-        return nowMs - knownMs < times.prepareMs() ? null : new Op(Op.Kind.REFUSE, open.number(), "said nothing in "
-                + Math.round(times.prepareMs()) + " ms", String.join(", ", new ArrayList<>(missing).subList(0, Math.min(5, missing.size()))), "");
+        return nowMs - knownMs < times.prepareMs()
+                ? null
+                : new Op(
+                        Op.Kind.REFUSE,
+                        open.number(),
+                        "said nothing in " + Math.round(times.prepareMs()) + " ms",
+                        String.join(", ", new ArrayList<>(missing).subList(0, Math.min(5, missing.size()))),
+                        "");
     }
 }
--- a/core/src/main/java/spartrail/policy/PolicyLog.java
+++ b/core/src/main/java/spartrail/policy/PolicyLog.java
@@ -25,7 +25,13 @@
  */
 public final class PolicyLog {
     /** Where a proposal stands. */
-    public enum Stage { PROPOSED, DECIDED, HOLDS, REFUSED, ABORTED }
+    public enum Stage {
+        PROPOSED,
+        DECIDED,
+        HOLDS,
+        REFUSED,
+        ABORTED
+    }
 
     /** A proposal and what came of it. */
     public record Entry(long number, String settings, String by, Stage stage, String why, String token) {
@@ -36,6 +42,7 @@
 
     /** Before anything was proposed each node goes by its own settings. */
     public static final Entry OWN = new Entry(0, "{}", "", Stage.HOLDS, "", "");
+
     private static final int REMEMBERED = 200;
     private static final int MOST_TEXT = 16_384;
 
@@ -80,12 +87,14 @@
             }
         }
         if (open != null) {
-            return open.token().equals(op.token()) ? Long.toString(open.number()) : "!proposal " + open.number() + " by " + open.by()
-                    + " is still open";
+            return open.token().equals(op.token())
+                    ? Long.toString(open.number())
+                    : "!proposal " + open.number() + " by " + open.by() + " is still open";
         }
         try {
             if (op.text().length() > MOST_TEXT) {
-                throw new IllegalArgumentException(op.text().length() + " characters, at most " + MOST_TEXT + " are expected");
+                throw new IllegalArgumentException(
+                        op.text().length() + " characters, at most " + MOST_TEXT + " are expected");
             }
             open = new Entry(last + 1, Terms.parse(op.text()).json(), op.who(), Stage.PROPOSED, "", op.token());
         } catch (IllegalArgumentException e) {
@@ -132,7 +141,8 @@
     }
 
     private static List<Object> plain(Entry entry) {
-        return List.of(entry.number(), entry.settings(), entry.by(), entry.stage().name(), entry.why(), entry.token());
+        return List.of(
+                entry.number(), entry.settings(), entry.by(), entry.stage().name(), entry.why(), entry.token());
     }
 
     /** Takes up a snapshot in the place of all it has. */
@@ -147,7 +157,12 @@
 
     private static Entry entry(Object plain) {
         List<?> list = (List<?>) plain;
-        return new Entry(((Number) list.get(0)).longValue(), (String) list.get(1), (String) list.get(2),
-                Stage.valueOf((String) list.get(3)), (String) list.get(4), (String) list.get(5));
+        return new Entry(
+                ((Number) list.get(0)).longValue(),
+                (String) list.get(1),
+                (String) list.get(2),
+                Stage.valueOf((String) list.get(3)),
+                (String) list.get(4),
+                (String) list.get(5));
     }
 }
--- a/core/src/main/java/spartrail/policy/Terms.java
+++ b/core/src/main/java/spartrail/policy/Terms.java
@@ -44,21 +44,44 @@
  */
 public final class Terms {
     /** What stands in a field, and which of two is the stricter. */
-    private enum Kind { LESS, MORE, FIRST, SHARE_LESS, SHARE_MORE, SHARE_FIRST, COUNT_LESS, BOTH, REPEAT, BUDGET }
+    private enum Kind {
+        LESS,
+        MORE,
+        FIRST,
+        SHARE_LESS,
+        SHARE_MORE,
+        SHARE_FIRST,
+        COUNT_LESS,
+        BOTH,
+        REPEAT,
+        BUDGET
+    }
 
     private static final String OP_TYPES = "/opTypes/";
     private static final String SPAN = "/furtherSends/spanMs";
     private static final String SHARE = "/furtherSends/share";
-    private static final Map<String, Kind> FIELDS = Map.ofEntries(Map.entry(OP_TYPES + "*/budgetMs", Kind.LESS),
-            Map.entry(OP_TYPES + "*/timeoutMs", Kind.LESS), Map.entry(OP_TYPES + "*/need", Kind.SHARE_MORE),
-            Map.entry(OP_TYPES + "*/floor", Kind.SHARE_MORE), Map.entry(OP_TYPES + "*/dedupMs", Kind.LESS),
-            Map.entry(OP_TYPES + "*/repeat", Kind.REPEAT), Map.entry(OP_TYPES + "*/importance", Kind.FIRST),
-            Map.entry(OP_TYPES + "*/lateShare", Kind.SHARE_FIRST), Map.entry(OP_TYPES + "*/partialShare", Kind.SHARE_FIRST),
-            Map.entry("/sends/most", Kind.COUNT_LESS), Map.entry("/sends/parallel", Kind.BOTH), Map.entry(SPAN, Kind.BUDGET),
-            Map.entry("/furtherSends/free", Kind.LESS), Map.entry(SHARE, Kind.SHARE_LESS),
-            Map.entry("/cold/leastShare", Kind.SHARE_LESS), Map.entry("/cold/tipMultiple", Kind.LESS),
-            Map.entry("/cold/fallMs", Kind.LESS), Map.entry("/cold/warmMs", Kind.MORE), Map.entry("/comeback/told", Kind.BOTH),
-            Map.entry("/comeback/longestMs", Kind.LESS), Map.entry("/inHand/most", Kind.COUNT_LESS));
+    private static final Map<String, Kind> FIELDS = Map.ofEntries(
+            Map.entry(OP_TYPES + "*/budgetMs", Kind.LESS),
+            Map.entry(OP_TYPES + "*/timeoutMs", Kind.LESS),
+            Map.entry(OP_TYPES + "*/need", Kind.SHARE_MORE),
+            Map.entry(OP_TYPES + "*/floor", Kind.SHARE_MORE),
+            Map.entry(OP_TYPES + "*/dedupMs", Kind.LESS),
+            Map.entry(OP_TYPES + "*/repeat", Kind.REPEAT),
+            Map.entry(OP_TYPES + "*/importance", Kind.FIRST),
+            Map.entry(OP_TYPES + "*/lateShare", Kind.SHARE_FIRST),
+            Map.entry(OP_TYPES + "*/partialShare", Kind.SHARE_FIRST),
+            Map.entry("/sends/most", Kind.COUNT_LESS),
+            Map.entry("/sends/parallel", Kind.BOTH),
+            Map.entry(SPAN, Kind.BUDGET),
+            Map.entry("/furtherSends/free", Kind.LESS),
+            Map.entry(SHARE, Kind.SHARE_LESS),
+            Map.entry("/cold/leastShare", Kind.SHARE_LESS),
+            Map.entry("/cold/tipMultiple", Kind.LESS),
+            Map.entry("/cold/fallMs", Kind.LESS),
+            Map.entry("/cold/warmMs", Kind.MORE),
+            Map.entry("/comeback/told", Kind.BOTH),
+            Map.entry("/comeback/longestMs", Kind.LESS),
+            Map.entry("/inHand/most", Kind.COUNT_LESS));
 
     private final SortedMap<String, Object> fields;
 
@@ -83,7 +106,10 @@
             flat("", tree, values);
             return of(values);
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("no JSON: " + JsonTree.fault(e) + " in line " + e.getLocation().getLineNr(), e);
+            throw new IllegalArgumentException(
+                    "no JSON: " + JsonTree.fault(e) + " in line "
+                            + e.getLocation().getLineNr(),
+                    e);
         } catch (IOException e) {
             throw new IllegalStateException("text in memory", e);
         }
@@ -109,8 +135,9 @@
     private static Object checked(String field, Object value) {
         Kind kind = kind(field);
         if (kind == null) {
-            throw new IllegalArgumentException(field + ": cannot change while nodes run, or is not known to this program; one of "
-                    + new TreeSet<>(FIELDS.keySet()) + " is expected");
+            throw new IllegalArgumentException(
+                    field + ": cannot change while nodes run, or is not known to this program; one of "
+                            + new TreeSet<>(FIELDS.keySet()) + " is expected");
         }
         switch (kind) {
             case BOTH -> {
@@ -122,16 +149,17 @@
                         return value;
                     }
                 }
-                throw new IllegalArgumentException(field + ": found " + value + ", one of "
-                        + List.of(OpType.Repeat.values()) + " is expected");
+                throw new IllegalArgumentException(
+                        field + ": found " + value + ", one of " + List.of(OpType.Repeat.values()) + " is expected");
             }
             default -> {
                 boolean share = kind.name().startsWith("SHARE");
                 double least = kind == Kind.COUNT_LESS ? 1 : 0;
                 double number = value instanceof Number given ? given.doubleValue() : Double.NaN;
                 if (!(number >= least) || Double.isInfinite(number) || share && number > 1) {
-                    throw new IllegalArgumentException(field + ": found " + value + ", " + (share ? "a share of 0 to 1"
-                            : "a number of " + (int) least + " or more") + " is expected");
+                    throw new IllegalArgumentException(field + ": found " + value + ", "
+                            + (share ? "a share of 0 to 1" : "a number of " + (int) least + " or more")
+                            + " is expected");
                 }
                 return number;
             }
@@ -156,8 +184,9 @@
         Terms made = new Terms(all);
         made.opTypes().forEach(name -> {
             if (made.number(OP_TYPES + name + "/budgetMs") > made.number(OP_TYPES + name + "/timeoutMs")) {
-                throw new IllegalArgumentException(OP_TYPES + name + "/budgetMs: found " + made.number(OP_TYPES + name + "/budgetMs")
-                        + ", no more than timeoutMs, " + made.number(OP_TYPES + name + "/timeoutMs") + ", is expected");
+                throw new IllegalArgumentException(OP_TYPES + name + "/budgetMs: found "
+                        + made.number(OP_TYPES + name + "/budgetMs") + ", no more than timeoutMs, "
+                        + made.number(OP_TYPES + name + "/timeoutMs") + ", is expected");
             }
         });
         return made;
@@ -184,20 +213,26 @@
             case LESS, SHARE_LESS, COUNT_LESS -> Math.min((double) one, (double) other);
             case MORE, SHARE_MORE, BUDGET -> Math.max((double) one, (double) other);
             case BOTH -> (boolean) one && (boolean) other;
-            case REPEAT -> OpType.Repeat.valueOf((String) one).compareTo(OpType.Repeat.valueOf((String) other)) >= 0 ? one : other;
+            case REPEAT -> OpType.Repeat.valueOf((String) one).compareTo(OpType.Repeat.valueOf((String) other)) >= 0
+                    ? one
+                    : other;
             default -> one;
         };
     }
 
     /** Whether whoever keeps to these keeps to those, too; what only orders work is not asked. */
     public boolean within(Terms wider) {
-        return wider.stricter(this).fields.entrySet().stream().allMatch(each -> kind(each.getKey()).name().endsWith("FIRST")
-                || each.getValue().equals(fields.get(each.getKey())));
+        return wider.stricter(this).fields.entrySet().stream()
+                .allMatch(each -> kind(each.getKey()).name().endsWith("FIRST")
+                        || each.getValue().equals(fields.get(each.getKey())));
     }
 
     /** Names of op types that are told of. */
     public List<String> opTypes() {
-        return fields.keySet().stream().filter(field -> field.startsWith(OP_TYPES)).map(field -> field.split("/")[2]).distinct()
+        return fields.keySet().stream()
+                .filter(field -> field.startsWith(OP_TYPES))
+                .map(field -> field.split("/")[2])
+                .distinct()
                 .toList();
     }
 
@@ -220,7 +255,8 @@
         all.addAll(other.fields.keySet());
         for (String field : all) {
             if (!Objects.equals(fields.get(field), other.fields.get(field))) {
-                lines.add(field + ": " + fields.getOrDefault(field, "-") + " -> " + other.fields.getOrDefault(field, "-"));
+                lines.add(field + ": " + fields.getOrDefault(field, "-") + " -> "
+                        + other.fields.getOrDefault(field, "-"));
             }
         }
         return lines;
--- a/core/src/main/java/spartrail/subset/ReplicaGroup.java
+++ b/core/src/main/java/spartrail/subset/ReplicaGroup.java
@@ -106,7 +106,8 @@
             lightest = Math.min(lightest, replica.weight);
             totalWeight += replica.weight;
         }
-        double byOrder = heaviest == lightest ? wanted / (double) ordered.size()
+        double byOrder = heaviest == lightest
+                ? wanted / (double) ordered.size()
                 : wanted * heaviest / Math.max(heaviest, totalWeight - (wanted - 1) * heaviest);
         return Math.min(1, byOrder + byZone(settings, wanted, heaviest, lightest));
     }
@@ -124,7 +125,8 @@
             largest += sizes.get(i);
             choices *= (sizes.size() - i) / (double) (i + 1);
         }
-        double inLargest = Math.min(1, largest * heaviest / (largest * heaviest + (ordered.size() - largest) * lightest));
+        double inLargest =
+                Math.min(1, largest * heaviest / (largest * heaviest + (ordered.size() - largest) * lightest));
         double allThere = Math.min(1, choices * Math.pow(inLargest, wanted));
         return allThere * (heaviest / lightest) / sizes.get(sizes.size() - 1);
     }
--- a/core/src/main/java/spartrail/subset/SharingBound.java
+++ b/core/src/main/java/spartrail/subset/SharingBound.java
@@ -9,8 +9,7 @@
     /** Of a thousand fleets of a thousand servers each, about one has a server that more nodes share. */
     public static final double CHANCE = 1e-6;
 
-    private SharingBound() {
-    }
+    private SharingBound() {}
 
     /** The least count that more nodes pass with less than {@link #CHANCE}; at most all nodes, at least one. */
     public static int of(int nodes, double inclusion) {
--- a/core/src/main/java/spartrail/subset/SubsetChange.java
+++ b/core/src/main/java/spartrail/subset/SubsetChange.java
@@ -8,5 +8,4 @@
  * @param joined now in it, and not before
  * @param displaced live servers that were in it and are not any more
  */
-public record SubsetChange(List<String> joined, List<String> displaced) {
-}
+public record SubsetChange(List<String> joined, List<String> displaced) {}
--- a/core/src/main/java/spartrail/subset/SubsetFilter.java
+++ b/core/src/main/java/spartrail/subset/SubsetFilter.java
@@ -83,8 +83,15 @@
     }
 
     private Endpoint shared(Endpoint line) {
-        return new Endpoint(line.id(), line.address(), shared(line.zone()), shared(line.kind()), line.cell(), line.state(),
-                line.rating(), line.bootMs());
+        return new Endpoint(
+                line.id(),
+                line.address(),
+                shared(line.zone()),
+                shared(line.kind()),
+                line.cell(),
+                line.state(),
+                line.rating(),
+                line.bootMs());
     }
 
     private String shared(String name) {
@@ -132,6 +139,7 @@
     }
 
     private static Endpoint with(Endpoint line, Server.State state) {
-        return new Endpoint(line.id(), line.address(), line.zone(), line.kind(), line.cell(), state, line.rating(), line.bootMs());
+        return new Endpoint(
+                line.id(), line.address(), line.zone(), line.kind(), line.cell(), state, line.rating(), line.bootMs());
     }
 }
--- a/core/src/main/java/spartrail/subset/SubsetSelector.java
+++ b/core/src/main/java/spartrail/subset/SubsetSelector.java
@@ -42,8 +42,7 @@
     }
 
     /** A server that is live from now on, or still is, perhaps elsewhere or with another weight. */
-    public record LiveServer(String id, String zone, int cell, double weight) {
-    }
+    public record LiveServer(String id, String zone, int cell, double weight) {}
 
     /** Takes what has changed: servers that are live, and the names of those that are not. */
     public SubsetChange apply(Collection<LiveServer> nowLive, Collection<String> notLive) {
@@ -76,7 +75,8 @@
     }
 
     private void add(LiveServer server, Set<ReplicaGroup> touched) {
-        Replica replica = new Replica(server.id, server.zone, server.cell, server.weight, order.score(server.id, server.weight));
+        Replica replica =
+                new Replica(server.id, server.zone, server.cell, server.weight, order.score(server.id, server.weight));
         live.put(server.id, replica);
         for (ReplicaGroup group : groupsOf(replica.cell)) {
             group.add(replica);
@@ -155,7 +155,10 @@
 
     /** The zones of those chosen for the shards of a group. */
     public int zones(int group) {
-        return (int) groups.get(group).selected().stream().map(replica -> replica.zone).distinct().count();
+        return (int) groups.get(group).selected().stream()
+                .map(replica -> replica.zone)
+                .distinct()
+                .count();
     }
 
     /** Those that follow, in the order in which they take the place of one that is no longer live. */
--- a/core/src/main/java/spartrail/subset/SubsetSettings.java
+++ b/core/src/main/java/spartrail/subset/SubsetSettings.java
@@ -9,7 +9,8 @@
 public record SubsetSettings(int replicasPerShard, int leastZones) {
     public SubsetSettings {
         if (replicasPerShard < 1) {
-            throw new IllegalArgumentException("'replicasPerShard of subset': found " + replicasPerShard + ", 1 or more is expected");
+            throw new IllegalArgumentException(
+                    "'replicasPerShard of subset': found " + replicasPerShard + ", 1 or more is expected");
         }
         if (leastZones < 1 || leastZones > replicasPerShard) {
             throw new IllegalArgumentException("'leastZones of subset': found " + leastZones
--- a/core/src/test/java/spartrail/Kept.java
+++ b/core/src/test/java/spartrail/Kept.java
@@ -10,13 +10,13 @@
 
 /** Compares what a test prints with the trace of its name in the repository. */
 public final class Kept {
-    private Kept() {
-    }
+    private Kept() {}
 
     public static void same(String name, String seen) throws IOException {
         try (InputStream kept = Kept.class.getResourceAsStream("/traces/" + name + ".txt")) {
-            String expected = kept == null ? "there is no " + name + ".txt" : new String(kept.readAllBytes(),
-                    StandardCharsets.UTF_8);
+            String expected = kept == null
+                    ? "there is no " + name + ".txt"
+                    : new String(kept.readAllBytes(), StandardCharsets.UTF_8);
             // What was seen lies there for whoever has to look at a difference.
             Path folder = Files.createDirectories(Path.of("core/target/seen"));
             Files.writeString(folder.resolve(name + ".txt"), seen.strip() + "\n");
--- a/core/src/test/java/spartrail/coordination/ColdFleet.java
+++ b/core/src/test/java/spartrail/coordination/ColdFleet.java
@@ -26,8 +26,7 @@
     private static final double BORN_MS = 20_000;
 
     /** A front node: how many nodes it is told of, and its share of the queries. */
-    record Node(int told, double partsPerMs) {
-    }
+    record Node(int told, double partsPerMs) {}
 
     private record Event(double atMs, long number, Runnable what) implements Comparable<Event> {
         @Override
@@ -47,8 +46,12 @@
             opType.learned.lightMs = serviceMs;
             opType.learned.deviationMs = serviceMs / 5;
             coordinator = new WindowCoordinator(new Random(random.nextLong()), List.of(opType));
-            coordinator.nodes(node.told, TURN_MS).layout(1, cells, cells, 1).sends(4, true, true)
-                    .coldStart(SHARE, WARM_MS, TIP, FALL_MS).comeback(true, 1000);
+            coordinator
+                    .nodes(node.told, TURN_MS)
+                    .layout(1, cells, cells, 1)
+                    .sends(4, true, true)
+                    .coldStart(SHARE, WARM_MS, TIP, FALL_MS)
+                    .comeback(true, 1000);
             List<Server> lines = new ArrayList<>();
             for (int replica = 0; replica < replicas; replica++) {
                 lines.add(Script.line("s" + replica, replica % cells, Server.State.LIVE, -1));
@@ -56,7 +59,10 @@
             partsPerMs = node.partsPerMs;
             carryOut(coordinator.listed(lines, true, true, nowMs));
             at(nowMs - Math.log(1 - random.nextDouble()) / partsPerMs, this::ask);
-            at(BORN_MS, () -> carryOut(coordinator.listed(List.of(Script.line("s0", 0, Server.State.LIVE, BORN_MS)), false, true, nowMs)));
+            at(
+                    BORN_MS,
+                    () -> carryOut(coordinator.listed(
+                            List.of(Script.line("s0", 0, Server.State.LIVE, BORN_MS)), false, true, nowMs)));
         }
 
         private void ask() {
--- a/core/src/test/java/spartrail/coordination/ColdFleetTest.java
+++ b/core/src/test/java/spartrail/coordination/ColdFleetTest.java
@@ -14,8 +14,8 @@
     private static final int REPLICAS = 8;
 
     /** So many nodes, some with several times the queries of others; together they use this share of the warm servers. */
-    private static List<ColdFleet.Node> uneven(int count, double used, int cores, int replicas, double toldLeast, double toldMost,
-            long seed) {
+    private static List<ColdFleet.Node> uneven(
+            int count, double used, int cores, int replicas, double toldLeast, double toldMost, long seed) {
         Random random = new Random(seed);
         double[] weights = random.doubles(count, 0.2, 3).toArray();
         double sum = 0;
@@ -25,12 +25,14 @@
         List<ColdFleet.Node> nodes = new ArrayList<>();
         for (double weight : weights) {
             double told = count * (toldLeast + (toldMost - toldLeast) * random.nextDouble());
-            nodes.add(new ColdFleet.Node((int) Math.max(1, Math.round(told)), used * cores * replicas / SERVICE_MS * weight / sum));
+            nodes.add(new ColdFleet.Node(
+                    (int) Math.max(1, Math.round(told)), used * cores * replicas / SERVICE_MS * weight / sum));
         }
         return nodes;
     }
 
-    private static double worst(int count, double used, int cores, int cells, double toldLeast, double toldMost, long seed) {
+    private static double worst(
+            int count, double used, int cores, int cells, double toldLeast, double toldMost, long seed) {
         return new ColdFleet(seed, SERVICE_MS, cores)
                 .play(uneven(count, used, cores, REPLICAS, toldLeast, toldMost, seed), cells, REPLICAS);
     }
@@ -41,7 +43,8 @@
             for (int cores : new int[] {1, 4}) {
                 for (double used : new double[] {0.3, 0.6, 0.8}) {
                     assertThat(worst(count, used, cores, REPLICAS, 0.5, 1.5, count))
-                            .as("%d nodes, %d cores, %.1f used", count, cores, used).isLessThan(1);
+                            .as("%d nodes, %d cores, %.1f used", count, cores, used)
+                            .isLessThan(1);
                 }
             }
         }
@@ -60,9 +63,15 @@
         double more = SharingBound.of(3900 * 3 / 2, inclusion) / (double) mean;
         for (int cores : new int[] {1, 4}) {
             for (double used : new double[] {0.3, 0.6, 0.8}) {
-                assertThat(worst(most, used, cores, 1, 1, 1, 1)).as("%d sharing, %d cores, %.1f used", most, cores, used).isLessThan(1);
-                assertThat(worst(mean, used, cores, 1, half, more, 2)).as("counts differ, %d cores, %.1f used", cores, used).isLessThan(1);
-                assertThat(worst(mean, used, cores, 1, half, half, 3)).as("half counted, %d cores, %.1f used", cores, used).isLessThan(1);
+                assertThat(worst(most, used, cores, 1, 1, 1, 1))
+                        .as("%d sharing, %d cores, %.1f used", most, cores, used)
+                        .isLessThan(1);
+                assertThat(worst(mean, used, cores, 1, half, more, 2))
+                        .as("counts differ, %d cores, %.1f used", cores, used)
+                        .isLessThan(1);
+                assertThat(worst(mean, used, cores, 1, half, half, 3))
+                        .as("half counted, %d cores, %.1f used", cores, used)
+                        .isLessThan(1);
             }
         }
     }
@@ -71,7 +80,9 @@
     void twentyToThirtyNodesWithSeveralServersToACellBringNoColdServerDown() {
         for (int count : new int[] {20, 30, 60}) {
             for (double used : new double[] {0.3, 0.6, 0.8}) {
-                assertThat(worst(count, used, 1, 1, 0.5, 1.5, count)).as("%d nodes, %.1f used", count, used).isLessThan(1);
+                assertThat(worst(count, used, 1, 1, 0.5, 1.5, count))
+                        .as("%d nodes, %.1f used", count, used)
+                        .isLessThan(1);
             }
         }
     }
--- a/core/src/test/java/spartrail/coordination/Script.java
+++ b/core/src/test/java/spartrail/coordination/Script.java
@@ -27,6 +27,7 @@
     double now = 1000;
     /** Whether multigets placed from here on are repeats by their clients. */
     boolean clientRetry;
+
     private final StringBuilder trace = new StringBuilder();
     private final Map<Long, Multiget> multigets = new LinkedHashMap<>();
     private final Map<String, Send> sends = new LinkedHashMap<>();
@@ -58,8 +59,11 @@
     /** So many shards, each held by so many cells of one server, and every thing allowed. */
     Script fleet(int shards, int cells, int reach, int partsPerCall) {
         coordinator = new WindowCoordinator(new Random(7), opTypes)
-                .nodes(2, 5).layout(shards, cells, reach, partsPerCall).sends(4, true, true)
-                .coldStart(0.2, 10_000, 2, 1000).comeback(true, 1000);
+                .nodes(2, 5)
+                .layout(shards, cells, reach, partsPerCall)
+                .sends(4, true, true)
+                .coldStart(0.2, 10_000, 2, 1000)
+                .comeback(true, 1000);
         List<Server> lines = new ArrayList<>();
         for (int cell = 0; cell < cells; cell++) {
             lines.add(line("s" + cell, cell, Server.State.LIVE, -1));
@@ -119,8 +123,10 @@
 
     /** The same outcome for all that is out at a server. */
     Script afterAt(String server, Send.Outcome outcome) {
-        List.copyOf(sends.keySet()).stream().filter(name -> sends.get(name).out()
-                && sends.get(name).server.id.equals(server)).forEach(name -> after(name, outcome));
+        List.copyOf(sends.keySet()).stream()
+                .filter(name ->
+                        sends.get(name).out() && sends.get(name).server.id.equals(server))
+                .forEach(name -> after(name, outcome));
         return this;
     }
 
--- a/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
+++ b/core/src/test/java/spartrail/coordination/WindowCoordinatorTest.java
@@ -19,34 +19,67 @@
         Script script = new Script().fleet(2, 2, 1, 1);
         script.place(1, 0, 1).place(2, 0, 1).place(3, 0, 1).place(4, 0, 1);
         script.place(5, 0, 1).place(6, 1, 0).place(7, 0, 1);
-        script.pass(60).after("1.0#0", Outcome.ANSWERED).after("2.0#0", Outcome.ANSWERED)
-                .after("1.1#0", Outcome.ANSWERED).after("2.1#0", Outcome.ANSWERED).matches("release-order");
+        script.pass(60)
+                .after("1.0#0", Outcome.ANSWERED)
+                .after("2.0#0", Outcome.ANSWERED)
+                .after("1.1#0", Outcome.ANSWERED)
+                .after("2.1#0", Outcome.ANSWERED)
+                .matches("release-order");
     }
 
     @Test
     void anEarlierWindowGoesFirstWhateverTheRank() {
         Script script = new Script().fleet(1, 1, 1, 1);
-        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(9, 0).pass(300).place(8, 0);
-        script.after("1.0#0", Outcome.FULL).pass(10).after("2.0#0", Outcome.ANSWERED).after("3.0#0", Outcome.ANSWERED)
-                .after("4.0#0", Outcome.ANSWERED).matches("window-order");
+        script.place(1, 0)
+                .place(2, 0)
+                .place(3, 0)
+                .place(4, 0)
+                .place(9, 0)
+                .pass(300)
+                .place(8, 0);
+        script.after("1.0#0", Outcome.FULL)
+                .pass(10)
+                .after("2.0#0", Outcome.ANSWERED)
+                .after("3.0#0", Outcome.ANSWERED)
+                .after("4.0#0", Outcome.ANSWERED)
+                .matches("window-order");
     }
 
     @Test
     void theLeastLoadedReplicaIsPickedAndTiesGoInTurn() {
         Script script = new Script().fleet(1, 3, 3, 1);
-        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).pass(50).after("2.0#0", Outcome.ANSWERED)
-                .place(5, 0).place(6, 0).matches("least-loaded");
+        script.place(1, 0)
+                .place(2, 0)
+                .place(3, 0)
+                .place(4, 0)
+                .pass(50)
+                .after("2.0#0", Outcome.ANSWERED)
+                .place(5, 0)
+                .place(6, 0)
+                .matches("least-loaded");
     }
 
     @Test
     void partsThatCanShareACallDo() {
-        new Script().fleet(4, 4, 4, 3).place(1, 0, 1, 2, 3).pass(5).place(2, 0, 1).matches("calls");
+        new Script()
+                .fleet(4, 4, 4, 3)
+                .place(1, 0, 1, 2, 3)
+                .pass(5)
+                .place(2, 0, 1)
+                .matches("calls");
     }
 
     @Test
     void aLimitGrowsWithQuickAnswersAndHalvesOnFullAndLate() {
         Script script = new Script().fleet(1, 1, 1, 1);
-        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).place(6, 0).place(7, 0).place(8, 0);
+        script.place(1, 0)
+                .place(2, 0)
+                .place(3, 0)
+                .place(4, 0)
+                .place(5, 0)
+                .place(6, 0)
+                .place(7, 0)
+                .place(8, 0);
         script.pass(50).after("1.0#0", Outcome.ANSWERED).after("2.0#0", Outcome.ANSWERED);
         script.pass(5).after("3.0#0", Outcome.FULL).matches("limit");
     }
@@ -56,16 +89,26 @@
     @Test
     void everyMultigetGetsOneFinalAnswerInItsTime() {
         Script script = new Script().fleet(2, 2, 1, 1);
-        script.listed(false, true, line("s1", 1, Server.State.GONE, -1)).place(1, 0, 1).place(2, 0).pass(2500)
-                .after("1.0#0", Outcome.TIMED_OUT).matches("final-answer");
+        script.listed(false, true, line("s1", 1, Server.State.GONE, -1))
+                .place(1, 0, 1)
+                .place(2, 0)
+                .pass(2500)
+                .after("1.0#0", Outcome.TIMED_OUT)
+                .matches("final-answer");
     }
 
     @Test
     void aNonRetriablePartIsRepeatedOnlyIfItNeverRan() {
         Script script = new Script();
         script.opType.repeat = OpType.Repeat.NON_RETRIABLE;
-        script.fleet(1, 3, 3, 1).place(1, 0).place(2, 0).pass(500).after("1.0#0", Outcome.CONNECT_FAILED)
-                .after("2.0#0", Outcome.RESET).after("1.0#1", Outcome.FULL).after("1.0#2", Outcome.ERROR)
+        script.fleet(1, 3, 3, 1)
+                .place(1, 0)
+                .place(2, 0)
+                .pass(500)
+                .after("1.0#0", Outcome.CONNECT_FAILED)
+                .after("2.0#0", Outcome.RESET)
+                .after("1.0#1", Outcome.FULL)
+                .after("1.0#2", Outcome.ERROR)
                 .matches("non-retriable");
     }
 
@@ -74,8 +117,15 @@
         Script script = new Script();
         script.opType.repeat = OpType.Repeat.DEDUPED;
         script.opType.dedupMs = 400;
-        script.fleet(1, 3, 3, 1).place(1, 0).place(2, 0).pass(100).after("1.0#0", Outcome.ERROR).pass(350)
-                .after("1.0#1", Outcome.ERROR).after("2.0#0", Outcome.RESET).matches("deduped");
+        script.fleet(1, 3, 3, 1)
+                .place(1, 0)
+                .place(2, 0)
+                .pass(100)
+                .after("1.0#0", Outcome.ERROR)
+                .pass(350)
+                .after("1.0#1", Outcome.ERROR)
+                .after("2.0#0", Outcome.RESET)
+                .matches("deduped");
     }
 
     /** Danger: a first attempt whose connection comes up late would run long after the second one. */
@@ -84,8 +134,16 @@
         Script script = new Script();
         script.opType.repeat = OpType.Repeat.DEDUPED;
         script.opType.dedupMs = 400;
-        script.fleet(1, 3, 3, 1).place(1, 0).place(2, 0).leaveBy("1.0#0").pass(100).after("1.0#0", Outcome.ERROR).leaveBy("1.0#1")
-                .after("2.0#0", Outcome.CONNECT_FAILED).leaveBy("2.0#1").matches("deduped-leave");
+        script.fleet(1, 3, 3, 1)
+                .place(1, 0)
+                .place(2, 0)
+                .leaveBy("1.0#0")
+                .pass(100)
+                .after("1.0#0", Outcome.ERROR)
+                .leaveBy("1.0#1")
+                .after("2.0#0", Outcome.CONNECT_FAILED)
+                .leaveBy("2.0#1")
+                .matches("deduped-leave");
     }
 
     @Test
@@ -93,26 +151,57 @@
         Script script = new Script();
         script.opType.repeat = OpType.Repeat.DEDUPED;
         script.opType.dedupMs = 100;
-        script.fleet(1, 1, 1, 1).place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).place(6, 0);
-        script.pass(50).after("1.0#0", Outcome.ERROR).after("2.0#0", Outcome.FULL).pass(100)
-                .after("3.0#0", Outcome.ANSWERED).after("4.0#0", Outcome.ANSWERED).after("5.0#0", Outcome.ANSWERED)
-                .after("6.0#0", Outcome.ANSWERED).matches("repeat-held");
+        script.fleet(1, 1, 1, 1)
+                .place(1, 0)
+                .place(2, 0)
+                .place(3, 0)
+                .place(4, 0)
+                .place(5, 0)
+                .place(6, 0);
+        script.pass(50)
+                .after("1.0#0", Outcome.ERROR)
+                .after("2.0#0", Outcome.FULL)
+                .pass(100)
+                .after("3.0#0", Outcome.ANSWERED)
+                .after("4.0#0", Outcome.ANSWERED)
+                .after("5.0#0", Outcome.ANSWERED)
+                .after("6.0#0", Outcome.ANSWERED)
+                .matches("repeat-held");
     }
 
     @Test
     void aDrainingOrGoneServerGetsNothingNew() {
         Script script = new Script().fleet(1, 2, 2, 1);
-        script.place(1, 0).place(2, 0).listed(false, true, line("s0", 0, Server.State.DRAINING, -1)).place(3, 0)
-                .listed(true, true, line("s0", 0, Server.State.LIVE, -1)).place(4, 0).place(5, 0).matches("drain");
+        script.place(1, 0)
+                .place(2, 0)
+                .listed(false, true, line("s0", 0, Server.State.DRAINING, -1))
+                .place(3, 0)
+                .listed(true, true, line("s0", 0, Server.State.LIVE, -1))
+                .place(4, 0)
+                .place(5, 0)
+                .matches("drain");
     }
 
     @Test
     void aColdServerGetsThisNodesShareOfWhatAWarmOneTakes() {
         Script script = new Script().fleet(1, 2, 2, 1);
-        script.listed(false, true, line("s0", 0, Server.State.LIVE, 900)).place(1, 0).place(2, 0).place(3, 0)
-                .pass(50).afterAt("s0", Outcome.ANSWERED).afterAt("s1", Outcome.ANSWERED).place(4, 0).place(5, 0)
-                .pass(50).afterAt("s0", Outcome.ANSWERED).afterAt("s1", Outcome.ANSWERED).pass(5000).place(6, 0)
-                .place(7, 0).place(8, 0).matches("cold");
+        script.listed(false, true, line("s0", 0, Server.State.LIVE, 900))
+                .place(1, 0)
+                .place(2, 0)
+                .place(3, 0)
+                .pass(50)
+                .afterAt("s0", Outcome.ANSWERED)
+                .afterAt("s1", Outcome.ANSWERED)
+                .place(4, 0)
+                .place(5, 0)
+                .pass(50)
+                .afterAt("s0", Outcome.ANSWERED)
+                .afterAt("s1", Outcome.ANSWERED)
+                .pass(5000)
+                .place(6, 0)
+                .place(7, 0)
+                .place(8, 0)
+                .matches("cold");
     }
 
     @Test
@@ -131,8 +220,13 @@
     void furtherSendsKeepTheStatedBudget() {
         Script script = new Script().fleet(1, 3, 3, 1);
         script.coordinator.furtherSendBudget(1000, 1, 0.25);
-        script.place(1, 0).place(2, 0).pass(10).after("1.0#0", Outcome.ERROR).after("2.0#0", Outcome.ERROR)
-                .after("1.0#1", Outcome.ERROR).matches("budget");
+        script.place(1, 0)
+                .place(2, 0)
+                .pass(10)
+                .after("1.0#0", Outcome.ERROR)
+                .after("2.0#0", Outcome.ERROR)
+                .after("1.0#1", Outcome.ERROR)
+                .matches("budget");
     }
 
     @Test
@@ -140,7 +234,9 @@
         Script script = new Script().fleet(1, 1, 1, 1);
         script.coordinator.furtherSendBudget(1000, 1, 0);
         script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).pass(50);
-        script.after("1.0#0", Outcome.ANSWERED).after("2.0#0", Outcome.ERROR).after("3.0#0", Outcome.ERROR)
+        script.after("1.0#0", Outcome.ANSWERED)
+                .after("2.0#0", Outcome.ERROR)
+                .after("3.0#0", Outcome.ERROR)
                 .matches("budget-held");
     }
 
@@ -148,30 +244,55 @@
     void aPartialAnswerIsGivenAtTheBudgetAndNotMarkedWhole() {
         Script script = new Script();
         script.opType.floor = 0.6;
-        script.fleet(3, 3, 1, 1).place(1, 0, 1, 2).place(2, 0, 1, 2).pass(50)
-                .after("1.0#0", Outcome.ANSWERED).after("1.1#0", Outcome.ANSWERED).after("2.0#0", Outcome.ANSWERED)
-                .pass(1200).after("2.1#0", Outcome.ANSWERED).matches("partial");
+        script.fleet(3, 3, 1, 1)
+                .place(1, 0, 1, 2)
+                .place(2, 0, 1, 2)
+                .pass(50)
+                .after("1.0#0", Outcome.ANSWERED)
+                .after("1.1#0", Outcome.ANSWERED)
+                .after("2.0#0", Outcome.ANSWERED)
+                .pass(1200)
+                .after("2.1#0", Outcome.ANSWERED)
+                .matches("partial");
     }
 
     // ---- Troubles ----
 
     @Test
     void anOverdueSendGetsACopyElsewhereAndTheLoserIsCancelled() {
-        new Script().fleet(1, 2, 2, 1).place(1, 0).pass(200).after("1.0#1", Outcome.ANSWERED)
-                .after("1.0#0", Outcome.CANCELLED).matches("copy");
+        new Script()
+                .fleet(1, 2, 2, 1)
+                .place(1, 0)
+                .pass(200)
+                .after("1.0#1", Outcome.ANSWERED)
+                .after("1.0#0", Outcome.CANCELLED)
+                .matches("copy");
     }
 
     @Test
     void aSendOvertakenByLaterAnswersGetsItsCopyEarly() {
-        new Script().fleet(1, 2, 2, 1).place(1, 0).place(2, 0).pass(1).place(3, 0).pass(50).after("3.0#0", Outcome.ANSWERED)
-                .pass(100).after("2.0#0", Outcome.ANSWERED).matches("overtaken");
+        new Script()
+                .fleet(1, 2, 2, 1)
+                .place(1, 0)
+                .place(2, 0)
+                .pass(1)
+                .place(3, 0)
+                .pass(50)
+                .after("3.0#0", Outcome.ANSWERED)
+                .pass(100)
+                .after("2.0#0", Outcome.ANSWERED)
+                .matches("overtaken");
     }
 
     @Test
     void noCopyRacesWhereParallelSendsAreForbidden() {
         Script script = new Script().fleet(1, 2, 2, 1);
         script.coordinator.sends(2, false, false);
-        script.place(1, 0).pass(320).after("1.0#0", Outcome.TIMED_OUT).pass(100).after("1.0#1", Outcome.ANSWERED)
+        script.place(1, 0)
+                .pass(320)
+                .after("1.0#0", Outcome.TIMED_OUT)
+                .pass(100)
+                .after("1.0#1", Outcome.ANSWERED)
                 .matches("no-parallel");
     }
 
@@ -203,29 +324,63 @@
     void aTryWithTooLittleTimeIsTurnedAwayAndOneWithLittleIsNot() {
         Script script = new Script();
         script.opType.lateShare = 0;
-        script.fleet(1, 1, 1, 1).place(script.opType, 1, 50, 0).place(script.opType, 2, 900, 0).matches("little-time");
+        script.fleet(1, 1, 1, 1)
+                .place(script.opType, 1, 50, 0)
+                .place(script.opType, 2, 900, 0)
+                .matches("little-time");
     }
 
     @Test
     void whateverBecomesOfAnAttemptOfAClientThatHasGoneNoFurtherOneBegins() {
-        new Script().fleet(1, 3, 3, 1).place(1, 0).gone(1).afterAt("s0", Outcome.RESET).pass(3000)
-                .place(2, 0).pass(100).gone(2).pass(3000).afterAt("s1", Outcome.ERROR).pass(3000).matches("gone");
+        new Script()
+                .fleet(1, 3, 3, 1)
+                .place(1, 0)
+                .gone(1)
+                .afterAt("s0", Outcome.RESET)
+                .pass(3000)
+                .place(2, 0)
+                .pass(100)
+                .gone(2)
+                .pass(3000)
+                .afterAt("s1", Outcome.ERROR)
+                .pass(3000)
+                .matches("gone");
     }
 
     @Test
     void theListIsAskedForAgainWithoutFloodingIt() {
         Script script = new Script().fleet(1, 2, 2, 1);
         script.coordinator.list(true, 10_000);
-        script.listed(true, false, line("s0", 0, Server.State.LIVE, -1)).pass(300).unlisted().pass(1000).unlisted()
-                .pass(2000).listed(false, true).pass(6000).matches("list");
+        script.listed(true, false, line("s0", 0, Server.State.LIVE, -1))
+                .pass(300)
+                .unlisted()
+                .pass(1000)
+                .unlisted()
+                .pass(2000)
+                .listed(false, true)
+                .pass(6000)
+                .matches("list");
     }
 
     @Test
     void aRepeatThatCannotLeaveHoldsUpNothing() {
         Script script = new Script().fleet(1, 2, 2, 1);
-        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).place(6, 0).place(7, 0).place(8, 0);
-        script.pass(10).afterAt("s1", Outcome.FULL).place(9, 0).place(10, 0).pass(10).after("1.0#0", Outcome.ANSWERED)
-                .after("3.0#0", Outcome.ANSWERED).matches("repeat-blocked");
+        script.place(1, 0)
+                .place(2, 0)
+                .place(3, 0)
+                .place(4, 0)
+                .place(5, 0)
+                .place(6, 0)
+                .place(7, 0)
+                .place(8, 0);
+        script.pass(10)
+                .afterAt("s1", Outcome.FULL)
+                .place(9, 0)
+                .place(10, 0)
+                .pass(10)
+                .after("1.0#0", Outcome.ANSWERED)
+                .after("3.0#0", Outcome.ANSWERED)
+                .matches("repeat-blocked");
     }
 
     @Test
@@ -253,10 +408,19 @@
     @Test
     void aMultigetBrokenOffAtTwoServersSendsNothingFurtherUntilAPartIsAnswered() {
         Script script = new Script().fleet(3, 6, 6, 1);
-        script.place(1, 0, 1, 2).place(2, 0, 1, 2).pass(10).after("1.0#0", Outcome.RESET)
-                .after("1.1#0", Outcome.RESET).after("1.0#1", Outcome.RESET).after("1.2#0", Outcome.RESET);
-        script.after("2.0#0", Outcome.RESET).after("2.1#0", Outcome.RESET).after("2.0#1", Outcome.RESET).pass(50)
-                .after("2.2#0", Outcome.ANSWERED).matches("broken-off");
+        script.place(1, 0, 1, 2)
+                .place(2, 0, 1, 2)
+                .pass(10)
+                .after("1.0#0", Outcome.RESET)
+                .after("1.1#0", Outcome.RESET)
+                .after("1.0#1", Outcome.RESET)
+                .after("1.2#0", Outcome.RESET);
+        script.after("2.0#0", Outcome.RESET)
+                .after("2.1#0", Outcome.RESET)
+                .after("2.0#1", Outcome.RESET)
+                .pass(50)
+                .after("2.2#0", Outcome.ANSWERED)
+                .matches("broken-off");
     }
 
     private static int[] wide() {
@@ -265,22 +429,41 @@
 
     @Test
     void aWideMultigetThatKillsServersKillsOneAndIsGivenUp() {
-        new Script().fleet(33, 33, 3, 1).place(1, wide()).pass(10).after("1.0#0", Outcome.RESET)
+        new Script()
+                .fleet(33, 33, 3, 1)
+                .place(1, wide())
+                .pass(10)
+                .after("1.0#0", Outcome.RESET)
                 .matches("wide-killer");
     }
 
     @Test
     void aWideMultigetGoesOnWithItsFirstAnswerOrWhereTheUsualTimeBreaksNothing() {
-        new Script().fleet(33, 33, 3, 1).place(1, wide()).pass(60).after("1.0#0", Outcome.ANSWERED).place(2, wide())
-                .pass(125).matches("wide");
+        new Script()
+                .fleet(33, 33, 3, 1)
+                .place(1, wide())
+                .pass(60)
+                .after("1.0#0", Outcome.ANSWERED)
+                .place(2, wide())
+                .pass(125)
+                .matches("wide");
     }
 
     @Test
     void whileServersDieUnannouncedEveryMultigetSendsOnePartFirst() {
         Script script = new Script().fleet(8, 8, 2, 1);
-        script.listed(false, true, line("s5", 5, Server.State.GONE, -1), line("s6", 6, Server.State.LIVE, 990),
+        script.listed(
+                false,
+                true,
+                line("s5", 5, Server.State.GONE, -1),
+                line("s6", 6, Server.State.LIVE, 990),
                 line("s7", 7, Server.State.GONE, -1));
-        script.place(1, 0, 1, 2).pass(50).after("1.0#0", Outcome.ANSWERED).pass(20_000).place(2, 0, 1, 2).matches("deaths");
+        script.place(1, 0, 1, 2)
+                .pass(50)
+                .after("1.0#0", Outcome.ANSWERED)
+                .pass(20_000)
+                .place(2, 0, 1, 2)
+                .matches("deaths");
     }
 
     @Test
@@ -288,8 +471,16 @@
         Script script = new Script().fleet(1, 4, 4, 1);
         script.coordinator.sends(1, false, false);
         script.listed(true, true, zoned("s0", 0, "a"), zoned("s1", 1, "a"), zoned("s2", 2, "b"), zoned("s3", 3, "b"));
-        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).pass(60).afterAt("s0", Outcome.ANSWERED)
-                .afterAt("s1", Outcome.ANSWERED).pass(740).afterAt("s2", Outcome.ANSWERED).afterAt("s3", Outcome.ANSWERED);
+        script.place(1, 0)
+                .place(2, 0)
+                .place(3, 0)
+                .place(4, 0)
+                .pass(60)
+                .afterAt("s0", Outcome.ANSWERED)
+                .afterAt("s1", Outcome.ANSWERED)
+                .pass(740)
+                .afterAt("s2", Outcome.ANSWERED)
+                .afterAt("s3", Outcome.ANSWERED);
         script.pass(100).place(5, 0).place(6, 0).place(7, 0).matches("zones");
     }
 
@@ -305,14 +496,22 @@
         Script script = new Script();
         script.opType.repeat = OpType.Repeat.DEDUPED;
         script.opType.dedupMs = 1000;
-        script.fleet(1, 1, 1, 1).place(1, 0).place(2, 0).pass(100).after("1.0#0", Outcome.ERROR).pass(750)
-                .after("2.0#0", Outcome.ERROR).matches("deduped-back");
+        script.fleet(1, 1, 1, 1)
+                .place(1, 0)
+                .place(2, 0)
+                .pass(100)
+                .after("1.0#0", Outcome.ERROR)
+                .pass(750)
+                .after("2.0#0", Outcome.ERROR)
+                .matches("deduped-back");
     }
 
     @Test
     void theLastOfManyPartsIsCopiedEarly() {
         Script script = new Script().fleet(10, 10, 2, 1);
-        script.place(1, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9).place(2, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9).pass(100);
+        script.place(1, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9)
+                .place(2, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9)
+                .pass(100);
         for (int i = 0; i < 9; i++) {
             script.after("1." + i + "#0", Outcome.ANSWERED);
         }
@@ -323,15 +522,24 @@
     void aLateMultigetGoesOnWhereLittleIsLeftToSend() {
         Script script = new Script();
         script.fleet(5, 5, 1, 1).place(1, 0, 1, 2, 3, 4).place(2, 0, 1).pass(10);
-        script.listed(false, true, line("s0", 0, Server.State.DRAINING, -1)).after("1.0#0", Outcome.CONNECT_FAILED)
-                .after("2.0#0", Outcome.CONNECT_FAILED).pass(1000).matches("late-rest");
+        script.listed(false, true, line("s0", 0, Server.State.DRAINING, -1))
+                .after("1.0#0", Outcome.CONNECT_FAILED)
+                .after("2.0#0", Outcome.CONNECT_FAILED)
+                .pass(1000)
+                .matches("late-rest");
     }
 
     @Test
     void aNodeThatStoodStillTakesItsOwnGapForNoOnesFault() {
         Script script = new Script().fleet(2, 4, 2, 1);
-        script.place(1, 0, 1).pass(10).standStill(1500).after("1.0#0", Outcome.ANSWERED).after("1.1#0", Outcome.ANSWERED)
-                .pass(100).place(2, 0, 1).matches("own-gap");
+        script.place(1, 0, 1)
+                .pass(10)
+                .standStill(1500)
+                .after("1.0#0", Outcome.ANSWERED)
+                .after("1.1#0", Outcome.ANSWERED)
+                .pass(100)
+                .place(2, 0, 1)
+                .matches("own-gap");
     }
 
     @Test
@@ -343,8 +551,14 @@
         script.place(1, 0).after("1.0#0", Outcome.CONNECT_FAILED).pass(150);
         script.opType.budgetMs = 1500;
         script.coordinator.sends(4, false, true).furtherSendBudget(2000, 1, 0).coldStart(0.2, 10_000, 2, 1000);
-        script.place(2, 0).place(3, 0).place(4, 0).pass(900).after("2.0#0", Outcome.ERROR).pass(100)
-                .after("3.0#0", Outcome.ERROR).matches("switch");
+        script.place(2, 0)
+                .place(3, 0)
+                .place(4, 0)
+                .pass(900)
+                .after("2.0#0", Outcome.ERROR)
+                .pass(100)
+                .after("3.0#0", Outcome.ERROR)
+                .matches("switch");
     }
 
     // ---- Odd but legal ----
@@ -354,9 +568,17 @@
         Script script = new Script();
         script.opType.repeat = OpType.Repeat.DEDUPED;
         script.opType.dedupMs = 100;
-        script.fleet(2, 1, 1, 1).place(1, 0, 1).place(2, 0, 1).place(3, 0, 1).pass(20).after("2.0#0", Outcome.FULL)
-                .after("1.0#0", Outcome.ERROR).after("1.1#0", Outcome.ERROR).pass(100)
-                .after("2.1#0", Outcome.ANSWERED).matches("given-up");
+        script.fleet(2, 1, 1, 1)
+                .place(1, 0, 1)
+                .place(2, 0, 1)
+                .place(3, 0, 1)
+                .pass(20)
+                .after("2.0#0", Outcome.FULL)
+                .after("1.0#0", Outcome.ERROR)
+                .after("1.1#0", Outcome.ERROR)
+                .pass(100)
+                .after("2.1#0", Outcome.ANSWERED)
+                .matches("given-up");
     }
 
     @Test
@@ -366,7 +588,10 @@
         for (int i = 0; i < draining.length; i++) {
             draining[i] = line("s" + i, i, Server.State.DRAINING, -1);
         }
-        script.listed(false, true, draining).place(1, 0, 498, 499, 500, 2000).place(2, 100).matches("many-changes");
+        script.listed(false, true, draining)
+                .place(1, 0, 498, 499, 500, 2000)
+                .place(2, 100)
+                .matches("many-changes");
     }
 
     @Test
@@ -384,31 +609,66 @@
         Script script = new Script();
         script.opType.learned.usualMs = 1990;
         script.opType.learned.lightMs = 1100;
-        script.fleet(1, 2, 2, 1).place(1, 0).pass(1500).place(2, 0).pass(100).after("2.0#0", Outcome.ANSWERED)
-                .place(3, 0).pass(100).after("3.0#0", Outcome.ANSWERED).pass(800).place(4, 0).pass(100)
-                .after("4.0#0", Outcome.ANSWERED).place(5, 0).matches("barred");
+        script.fleet(1, 2, 2, 1)
+                .place(1, 0)
+                .pass(1500)
+                .place(2, 0)
+                .pass(100)
+                .after("2.0#0", Outcome.ANSWERED)
+                .place(3, 0)
+                .pass(100)
+                .after("3.0#0", Outcome.ANSWERED)
+                .pass(800)
+                .place(4, 0)
+                .pass(100)
+                .after("4.0#0", Outcome.ANSWERED)
+                .place(5, 0)
+                .matches("barred");
     }
 
     @Test
     void theLightTimeFallsWithTheUsualTimeWhereNoServerIsIdle() {
         Script script = new Script();
         script.opType.learned.lightMs = 1100;
-        script.fleet(1, 1, 1, 1).place(1, 0).pass(500).place(2, 0).place(3, 0).pass(100).after("3.0#0", Outcome.ANSWERED)
-                .place(4, 0).matches("light");
+        script.fleet(1, 1, 1, 1)
+                .place(1, 0)
+                .pass(500)
+                .place(2, 0)
+                .place(3, 0)
+                .pass(100)
+                .after("3.0#0", Outcome.ANSWERED)
+                .place(4, 0)
+                .matches("light");
     }
 
     @Test
     void aSpoiltAnswerIsOneFailureOfItsServerHoweverManyPartsItTakesAlong() {
         Script script = new Script().fleet(1, 2, 2, 1);
-        script.place(1, 0).place(2, 0).place(3, 0).place(4, 0).place(5, 0).place(6, 0).pass(20)
-                .afterAt("s0", Outcome.GARBLED).afterAt("s1", Outcome.ANSWERED).pass(100).place(7, 0).place(8, 0)
+        script.place(1, 0)
+                .place(2, 0)
+                .place(3, 0)
+                .place(4, 0)
+                .place(5, 0)
+                .place(6, 0)
+                .pass(20)
+                .afterAt("s0", Outcome.GARBLED)
+                .afterAt("s1", Outcome.ANSWERED)
+                .pass(100)
+                .place(7, 0)
+                .place(8, 0)
                 .matches("spoilt");
     }
 
     @Test
     void aMultigetWhoseAnswersAreSpoiltAtTwoServersGoesOn() {
-        new Script().fleet(3, 6, 2, 1).place(1, 0, 1, 2).pass(10).after("1.0#0", Outcome.GARBLED)
-                .after("1.1#0", Outcome.GARBLED).after("1.2#0", Outcome.GARBLED).matches("spoilt-twice");
+        new Script()
+                .fleet(3, 6, 2, 1)
+                .place(1, 0, 1, 2)
+                .pass(10)
+                .after("1.0#0", Outcome.GARBLED)
+                .after("1.1#0", Outcome.GARBLED)
+                .after("1.2#0", Outcome.GARBLED)
+                .matches("spoilt-twice");
     }
 
     @Test
@@ -417,9 +677,16 @@
         WindowCoordinator coordinator = (WindowCoordinator) script.coordinator;
         for (int age = 1; age <= 100; age++) {
             String before = "s" + (age < 3 ? age - 1 : "0." + (age - 2));
-            script.listed(false, true, line("s0." + age, 0, Server.State.LIVE, script.now), line(before, 0, Server.State.GONE, -1));
-            script.place(age, 0).pass(20).after(age + ".0#0", age % 3 == 0 ? Outcome.ERROR : Outcome.ANSWERED)
-                    .after(age + ".0#1", Outcome.ANSWERED).pass(1000);
+            script.listed(
+                    false,
+                    true,
+                    line("s0." + age, 0, Server.State.LIVE, script.now),
+                    line(before, 0, Server.State.GONE, -1));
+            script.place(age, 0)
+                    .pass(20)
+                    .after(age + ".0#0", age % 3 == 0 ? Outcome.ERROR : Outcome.ANSWERED)
+                    .after(age + ".0#1", Outcome.ANSWERED)
+                    .pass(1000);
         }
         script.pass(5000);
         assertThat(coordinator.servers.keySet()).containsExactly("s0.99", "s0.100");
@@ -429,10 +696,17 @@
     @Test
     void oddOrdersEndInOneAnswer() {
         Script script = new Script().fleet(2, 2, 1, 1);
-        script.place(1, 0).listed(true, true, line("s1", 1, Server.State.LIVE, -1)).pass(50)
-                .after("1.0#0", Outcome.ANSWERED).after("1.0#0", Outcome.ANSWERED).gone(1);
+        script.place(1, 0)
+                .listed(true, true, line("s1", 1, Server.State.LIVE, -1))
+                .pass(50)
+                .after("1.0#0", Outcome.ANSWERED)
+                .after("1.0#0", Outcome.ANSWERED)
+                .gone(1);
         script.place(2, 1).gone(2).gone(2).after("2.1#0", Outcome.CANCELLED);
         script.place(script.opType, 3, 0, 1);
-        script.listed(false, true, line("s0", 0, Server.State.LIVE, 1040)).place(4, 0).pass(2100).matches("odd");
+        script.listed(false, true, line("s0", 0, Server.State.LIVE, 1040))
+                .place(4, 0)
+                .pass(2100)
+                .matches("odd");
     }
 }
--- a/core/src/test/java/spartrail/membership/MembershipTest.java
+++ b/core/src/test/java/spartrail/membership/MembershipTest.java
@@ -71,7 +71,11 @@
             StringBuilder line = new StringBuilder();
             for (Said said : view.changes()) {
                 Member member = view.find(said.id());
-                line.append(String.format(Locale.ROOT, " %s %s%s [%s]", said.id(), said.state(),
+                line.append(String.format(
+                        Locale.ROOT,
+                        " %s %s%s [%s]",
+                        said.id(),
+                        said.state(),
                         said.bornMs() >= 0 ? String.format(Locale.ROOT, " born %.0f", said.bornMs()) : "",
                         member == null ? "forgotten" : member.rule()));
             }
@@ -85,7 +89,12 @@
     void theRollsWordIsLawAndDnsCanOnlyAdd() throws Exception {
         Drive drive = new Drive();
         drive.roll(0, roll(1, Server.State.LIVE, -1), roll(2, Server.State.LIVE, -1));
-        drive.dns(10, dns(1, 0), dns(2, 0), dns(3, 0), new Said(null, "192.0.2.1:1", "a", "k", 0, Server.State.LIVE, 1, Double.NaN, 0));
+        drive.dns(
+                10,
+                dns(1, 0),
+                dns(2, 0),
+                dns(3, 0),
+                new Said(null, "192.0.2.1:1", "a", "k", 0, Server.State.LIVE, 1, Double.NaN, 0));
         drive.rollChange(20, roll(1, Server.State.DRAINING, -1));
         drive.dns(30, dns(1, 0), dns(2, 0), dns(3, 0));
         drive.out(40, drive.roll);
@@ -120,7 +129,9 @@
         drive.roll(0, roll(0, Server.State.LIVE, -1), roll(3, Server.State.LIVE, -1), roll(1, Server.State.LIVE, -1));
         drive.out(100, drive.roll);
         drive.at(5000);
-        drive.seen.append(drive.view.explain(drive.view.find("u0"), 5000)).append(drive.view.explain(drive.view.find("u3"), 5000));
+        drive.seen
+                .append(drive.view.explain(drive.view.find("u0"), 5000))
+                .append(drive.view.explain(drive.view.find("u3"), 5000));
         drive.roll(5100, roll(0, Server.State.LIVE, -1), roll(3, Server.State.LIVE, -1));
         Kept.same("members-out", drive.seen.toString());
     }
@@ -178,11 +189,13 @@
 
     @Test
     void aChangeOfOneLineDoesNotGoOverTheFleet() {
-        Membership view = new Membership(400, 4, new Bounds(1, 1e6, 1e6, 100, 500, 3, 50, 1000, 5000, 5000, 10_000), any -> true);
+        Membership view =
+                new Membership(400, 4, new Bounds(1, 1e6, 1e6, 100, 500, 3, 50, 1000, 5000, 5000, 10_000), any -> true);
         Source roll = view.source("roll", Source.Kind.ROLL, 0);
         List<Said> all = new ArrayList<>();
         for (int i = 0; i < 2000; i++) {
-            all.add(new Said("u" + i, "10.0." + i / 200 + "." + i % 200 + ":1", "a", "k", i % 400, Server.State.LIVE, 1, -1, 0));
+            all.add(new Said(
+                    "u" + i, "10.0." + i / 200 + "." + i % 200 + ":1", "a", "k", i % 400, Server.State.LIVE, 1, -1, 0));
         }
         view.said(roll, true, all, 0, 0);
         view.changes();
@@ -204,6 +217,7 @@
         private double nowMs = 100;
         /** By server: the roll's last word and when; whether it may have been lifted by a source that left it out. */
         private final Server.State[] rollWord = new Server.State[SERVERS];
+
         private final double[] rollWordMs = new double[SERVERS];
         private final boolean[][] named = new boolean[2][SERVERS];
         private final double[][] leftOutMs = new double[2][SERVERS];
@@ -220,7 +234,8 @@
             this.view = view;
             this.chance = new SplittableRandom(seed);
             this.roll = view.source("roll", Source.Kind.ROLL, 100);
-            this.dns = new Source[] {view.source("dns0", Source.Kind.DNS, 100), view.source("dns1", Source.Kind.DNS, 100)};
+            this.dns =
+                    new Source[] {view.source("dns0", Source.Kind.DNS, 100), view.source("dns1", Source.Kind.DNS, 100)};
             java.util.Arrays.fill(firstNamedMs, Double.NaN);
         }
 
@@ -273,7 +288,9 @@
             in[source] = true;
             for (int server = 0; server < SERVERS; server++) {
                 if (!empty && chance.nextInt(4) != 0) {
-                    if (named[source][server] && !Double.isNaN(leftOutMs[source][server]) && leftOutMs[source][server] > 0) {
+                    if (named[source][server]
+                            && !Double.isNaN(leftOutMs[source][server])
+                            && leftOutMs[source][server] > 0) {
                         mayLift(source, server, Math.max(leftOutMs[source][server], rollWordMs[server]));
                     } else if (!named[source][server]) {
                         // Never named by it: it may have been left out all along.
@@ -314,7 +331,9 @@
                     if (rollWord[server] == null && said.bornMs() < firstNamedMs[server]) {
                         return "one whose start nobody told was taken for warm";
                     }
-                    if (!was.contains(server) && rollWord[server] == null && went[server] >= 3
+                    if (!was.contains(server)
+                            && rollWord[server] == null
+                            && went[server] >= 3
                             && atMs - wentMs[server][(went[server] - 3) % 4] < 200
                             && atMs - wentMs[server][(went[server] - 1) % 4] < 20) {
                         return "one that came and went three times was taken back at once";
@@ -340,13 +359,18 @@
         /** It went: some source had to end it. */
         private String early(int server, double atMs) {
             for (int source = 0; source < 2; source++) {
-                if (named[source][server] && leftOutMs[source][server] == 0
+                if (named[source][server]
+                        && leftOutMs[source][server] == 0
                         && (in[source] || atMs < outMs[source] + BOUNDS.freezeMs() + BOUNDS.suspectMs() - 1)) {
                     return "server " + server + " went though dns" + source + " names it";
                 }
             }
-            return rollWord[server] == Server.State.LIVE && !in[2] && atMs < outMs[2] + BOUNDS.freezeMs() + BOUNDS.suspectMs() - 1
-                    && !lifted[server] ? "server " + server + " went at once as the roll went out" : null;
+            return rollWord[server] == Server.State.LIVE
+                            && !in[2]
+                            && atMs < outMs[2] + BOUNDS.freezeMs() + BOUNDS.suspectMs() - 1
+                            && !lifted[server]
+                    ? "server " + server + " went at once as the roll went out"
+                    : null;
         }
 
         private int[] shards() {
@@ -362,9 +386,11 @@
             for (int shard = 0; shard < 3; shard++) {
                 if (before[shard] >= 1 && after[shard] < 1) {
                     int held = shard;
-                    boolean confirmed = was.stream().filter(server -> server % 3 == held || Math.floorMod(server % 3 - 1, 3) == held)
-                            .filter(server -> !handed.contains(server)).allMatch(server -> leftOutAnswers[source][server]
-                                    >= BOUNDS.confirmAnswers() || nowMs - leftOutMs[source][server] >= BOUNDS.confirmMs()
+                    boolean confirmed = was.stream()
+                            .filter(server -> server % 3 == held || Math.floorMod(server % 3 - 1, 3) == held)
+                            .filter(server -> !handed.contains(server))
+                            .allMatch(server -> leftOutAnswers[source][server] >= BOUNDS.confirmAnswers()
+                                    || nowMs - leftOutMs[source][server] >= BOUNDS.confirmMs()
                                     || leftOutAnswers[1 - source][server] >= BOUNDS.confirmAnswers());
                     if (!confirmed) {
                         return "one answer of dns" + source + " took shard " + shard + " below its floor";
@@ -400,32 +426,38 @@
     @Test
     void plantedFaultsAreCaught() throws Exception {
         Map<String, java.util.function.Supplier<Membership>> faults = new HashMap<>();
-        Function<Bounds, Membership> with = bounds -> new Membership(3, 2, bounds, endpoint -> !endpoint.startsWith("192."));
-        faults.put("tombstones lifted by anyone", () -> new Membership(3, 2, BOUNDS, endpoint -> !endpoint.startsWith("192.")) {
-            @Override
-            boolean mayLift(Source source, Member member, double leftOutSinceMs) {
-                return true;
-            }
-        });
+        Function<Bounds, Membership> with =
+                bounds -> new Membership(3, 2, bounds, endpoint -> !endpoint.startsWith("192."));
+        faults.put(
+                "tombstones lifted by anyone",
+                () -> new Membership(3, 2, BOUNDS, endpoint -> !endpoint.startsWith("192.")) {
+                    @Override
+                    boolean mayLift(Source source, Member member, double leftOutSinceMs) {
+                        return true;
+                    }
+                });
         faults.put("no floor", () -> with.apply(new Bounds(0, 1000, 1000, 100, 500, 3, 50, 1000, 5000, 1e9, 100)));
-        faults.put("confirmed by one answer", () -> new Membership(3, 2, BOUNDS, endpoint -> !endpoint.startsWith("192.")) {
-            @Override
-            boolean isConfirmed(Member.Word word) {
-                return true;
-            }
-        });
+        faults.put(
+                "confirmed by one answer",
+                () -> new Membership(3, 2, BOUNDS, endpoint -> !endpoint.startsWith("192.")) {
+                    @Override
+                    boolean isConfirmed(Member.Word word) {
+                        return true;
+                    }
+                });
         faults.put("no wait after flaps", () -> new Membership(3, 2, BOUNDS, endpoint -> !endpoint.startsWith("192.")) {
             @Override
             double flapWait(Member member) {
                 return 0;
             }
         });
-        faults.put("a source that is out ends its servers", () -> with.apply(
-                new Bounds(1, 0, 0, 100, 500, 3, 50, 1000, 5000, 1e9, 100)));
+        faults.put(
+                "a source that is out ends its servers",
+                () -> with.apply(new Bounds(1, 0, 0, 100, 500, 3, 50, 1000, 5000, 1e9, 100)));
         faults.put("any endpoint allowed", () -> new Membership(3, 2, BOUNDS, endpoint -> true));
         Map<String, String> caught = new TreeMap<>();
-        faults.forEach((name, views) -> caught.put(name, hunt(views, 2000).replaceAll("seed [0-9]+: ", "")
-                .replaceAll("[0-9]", "n")));
+        faults.forEach((name, views) -> caught.put(
+                name, hunt(views, 2000).replaceAll("seed [0-9]+: ", "").replaceAll("[0-9]", "n")));
         Kept.same("members-faults", caught.toString().replace(", ", "\n"));
     }
 }
--- a/core/src/test/java/spartrail/peers/PeersTest.java
+++ b/core/src/test/java/spartrail/peers/PeersTest.java
@@ -23,8 +23,12 @@
     }
 
     private Peers start(int number, String name, long startMs) {
-        Peers made = new Peers(new Card(name, address(number), "", 1, "1", "", new Life(startMs, number), 0),
-                List.of(address(1), address(2)), PeerTimes.USUAL, new SplittableRandom(number), nowMs);
+        Peers made = new Peers(
+                new Card(name, address(number), "", 1, "1", "", new Life(startMs, number), 0),
+                List.of(address(1), address(2)),
+                PeerTimes.USUAL,
+                new SplittableRandom(number),
+                nowMs);
         nodes.put(address(number), made);
         return made;
     }
@@ -52,7 +56,9 @@
     private String seen(int by) {
         PeersView view = nodes.get(address(by)).view(nowMs);
         StringBuilder text = new StringBuilder(view.there() + " of " + view.least() + " to " + view.most() + ":");
-        view.peers().forEach(each -> text.append(' ').append(each.card().name()).append('=').append(each.standing()));
+        view.peers()
+                .forEach(each ->
+                        text.append(' ').append(each.card().name()).append('=').append(each.standing()));
         return text + (view.doubt().isEmpty() ? "" : " (" + view.doubt() + ")");
     }
 
@@ -92,7 +98,9 @@
         start(4, "n3", 900);
         run(20_000);
         assertThat(seen(1)).isEqualTo("4 of 4 to 4: n1=ALIVE n2=ALIVE n3=ALIVE n4=ALIVE");
-        assertThat(nodes.get(address(1)).view(nowMs).peers().stream().map(each -> each.card().address()).toList())
+        assertThat(nodes.get(address(1)).view(nowMs).peers().stream()
+                        .map(each -> each.card().address())
+                        .toList())
                 .containsExactly(address(1), address(2), address(4), address(3));
     }
 
@@ -108,7 +116,8 @@
         nodes.remove(address(5));
         run(25_000);
         assertThat(seen(3)).isEqualTo("4 of 4 to 4: n1=ALIVE n2=ALIVE n3=ALIVE n4=ALIVE");
-        assertThat(nodes.get(address(1)).view(nowMs).peers().get(2).card().address()).isEqualTo(address(3));
+        assertThat(nodes.get(address(1)).view(nowMs).peers().get(2).card().address())
+                .isEqualTo(address(3));
     }
 
     @Test
@@ -133,7 +142,8 @@
         run(3_600_000);
         String before = seen(1) + seen(4);
         assertThat(before).doesNotContain("GONE").doesNotContain("SUSPECT");
-        assertThat(held).anyMatch(message -> message.words().stream().anyMatch(word -> !word.standing().equals(Standing.ALIVE)));
+        assertThat(held).anyMatch(message -> message.words().stream()
+                .anyMatch(word -> !word.standing().equals(Standing.ALIVE)));
         nodes.get(address(1)).events();
         held.forEach(message -> nodes.get(address(1)).heard(message, nowMs));
         held.forEach(message -> nodes.get(address(4)).heard(message, nowMs));
@@ -149,15 +159,33 @@
         sent.clear();
         for (int i = 0; i < 20_000; i++) {
             nowMs += 0.5;
-            Card invented = new Card("x" + i, "10.9." + i % 250 + "." + i / 250 + ":7400", "", 1, "", "", new Life(1, i), 0);
-            node.heard(new Message(Message.Kind.PING, invented, Standing.ALIVE, 1, "n1", i, 0, null,
-                    List.of(new Word(new Card("n2", address(2), "", 1, "", "", new Life(9_000, 1), 0), Standing.GONE, 0, "x"))), nowMs);
+            Card invented =
+                    new Card("x" + i, "10.9." + i % 250 + "." + i / 250 + ":7400", "", 1, "", "", new Life(1, i), 0);
+            node.heard(
+                    new Message(
+                            Message.Kind.PING,
+                            invented,
+                            Standing.ALIVE,
+                            1,
+                            "n1",
+                            i,
+                            0,
+                            null,
+                            List.of(new Word(
+                                    new Card("n2", address(2), "", 1, "", "", new Life(9_000, 1), 0),
+                                    Standing.GONE,
+                                    0,
+                                    "x"))),
+                    nowMs);
             for (int each = 1; each <= 4; each++) {
                 nodes.get(address(each)).advance(nowMs);
                 deliver(address(each));
             }
         }
-        assertThat(seen(1)).startsWith("4 of 4 to ").contains("n1=ALIVE n2=ALIVE n3=ALIVE n4=ALIVE").doesNotContain("x");
+        assertThat(seen(1))
+                .startsWith("4 of 4 to ")
+                .contains("n1=ALIVE n2=ALIVE n3=ALIVE n4=ALIVE")
+                .doesNotContain("x");
         assertThat(node.view(nowMs).most()).isLessThanOrEqualTo(4 + 64);
         assertThat(sent.get(address(1)) / 10.0).isLessThan(Peers.mostMessagesPerS(PeerTimes.USUAL));
     }
--- a/core/src/test/java/spartrail/policy/PolicyTest.java
+++ b/core/src/test/java/spartrail/policy/PolicyTest.java
@@ -35,7 +35,9 @@
         trace.add(apply(Op.Kind.ABORT, 2, "", "second", ""));
         trace.add(apply(Op.Kind.HOLD, 2, "", "", ""));
         trace.add(apply(Op.Kind.HOLD, 2, "", "", ""));
-        assertThat(String.join("\n", trace)).isEqualTo("""
+        assertThat(String.join("\n", trace))
+                .isEqualTo(
+                        """
                 1
                 1
                 !proposal 1 by first is still open
@@ -53,7 +55,8 @@
         PolicyLog restored = new PolicyLog();
         restored.restore(index, log.plain());
         assertThat(restored.plain()).isEqualTo(log.plain());
-        assertThat(restored.entries()).extracting(entry -> entry.number() + " " + entry.stage() + " " + entry.why())
+        assertThat(restored.entries())
+                .extracting(entry -> entry.number() + " " + entry.stage() + " " + entry.why())
                 .containsExactly("1 REFUSED n3: cannot", "2 HOLDS ");
     }
 
@@ -104,7 +107,11 @@
 
     private static String by(PolicyFollower node, double atMs) {
         Ruling ruling = node.ruling() == null ? null : node.ruling().at(atMs);
-        return ruling == null ? "-" : ruling.name() + (ruling.guarded() ? " guarded " : " ") + (long) ruling.terms().number("/opTypes/orders/budgetMs");
+        return ruling == null
+                ? "-"
+                : ruling.name()
+                        + (ruling.guarded() ? " guarded " : " ")
+                        + (long) ruling.terms().number("/opTypes/orders/budgetMs");
     }
 
     private Told told(Ask ask) {
@@ -113,7 +120,13 @@
 
     @Test
     void aNodeGoesByWhatItWasToldUntilItsLeaseIsOver() {
-        PolicyFollower node = new PolicyFollower("n1", List.of("n0", "n1", "n2"), TermsTest.OWN, TIMES, RandomGeneratorFactory.of("L64X128MixRandom").create(1), 0);
+        PolicyFollower node = new PolicyFollower(
+                "n1",
+                List.of("n0", "n1", "n2"),
+                TermsTest.OWN,
+                TIMES,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(1),
+                0);
         assertThat(by(node, 0)).isEqualTo("-");
         Ask first = node.ask(0);
         node.told(told(first), 400);
@@ -136,7 +149,8 @@
         node.told(decided, 2700);
         apply(Op.Kind.HOLD, 1, "", "", "");
         node.told(told(late), 2800);
-        assertThat(by(node, 2800) + ", " + by(node, 5499) + ", " + by(node, 5500)).isEqualTo("1 1000, 1 1000, 1? guarded 1000");
+        assertThat(by(node, 2800) + ", " + by(node, 5499) + ", " + by(node, 5500))
+                .isEqualTo("1 1000, 1 1000, 1? guarded 1000");
         Ask again = node.ask(4000);
         node.told(new Told(again.nonce(), 1, PolicyLog.OWN, null), 4100);
         assertThat(by(node, 4100)).isEqualTo("1 1000");
@@ -147,8 +161,13 @@
     /** Danger: the one who is named as the leader was passed over for the next in turn, and most questions went to the wrong node. */
     @Test
     void itAsksWhoeverIsNamedAndPassesOverWhoDoesNotAnswer() {
-        PolicyFollower node = new PolicyFollower("n1", List.of("n0", "n1", "n2"), TermsTest.OWN, TIMES,
-                RandomGeneratorFactory.of("L64X128MixRandom").create(1), 0);
+        PolicyFollower node = new PolicyFollower(
+                "n1",
+                List.of("n0", "n1", "n2"),
+                TermsTest.OWN,
+                TIMES,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(1),
+                0);
         List<String> asked = new ArrayList<>();
         node.ask(0);
         asked.add(node.whom());
@@ -173,8 +192,13 @@
      */
     @Test
     void afterADecisionNobodyGetsALeaseOnTheVersionBeforeAlone() {
-        PolicyFollower node = new PolicyFollower("n1", List.of("n0", "n1", "n2"), TermsTest.OWN, TIMES,
-                RandomGeneratorFactory.of("L64X128MixRandom").create(1), 0);
+        PolicyFollower node = new PolicyFollower(
+                "n1",
+                List.of("n0", "n1", "n2"),
+                TermsTest.OWN,
+                TIMES,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(1),
+                0);
         node.told(told(node.ask(0)), 10);
         apply(Op.Kind.PROPOSE, 0, "{\"opTypes\":{\"sales\":{\"budgetMs\":3}}}", "first", "a");
         apply(Op.Kind.DECIDE, 1, "", "", "");
@@ -185,7 +209,13 @@
 
     @Test
     void aNodeThatHearsNothingServesGuardedAfterAWhileAndOneThatCannotGoByItNotAtAll() {
-        PolicyFollower node = new PolicyFollower("n1", List.of("n0", "n1", "n2"), TermsTest.OWN, TIMES, RandomGeneratorFactory.of("L64X128MixRandom").create(1), 0);
+        PolicyFollower node = new PolicyFollower(
+                "n1",
+                List.of("n0", "n1", "n2"),
+                TermsTest.OWN,
+                TIMES,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(1),
+                0);
         node.ask(0);
         node.ask(4999);
         assertThat(by(node, 4999)).isEqualTo("-");
@@ -197,10 +227,16 @@
         node.told(told(node.ask(7000)), 7010);
         // It served by itself already, and is out of touch from now on.
         assertThat(by(node, 7010)).isEqualTo("0? guarded 2000");
-        PolicyFollower fresh = new PolicyFollower("n2", List.of("n0", "n1", "n2"), TermsTest.OWN, TIMES,
-                RandomGeneratorFactory.of("L64X128MixRandom").create(1), 0);
+        PolicyFollower fresh = new PolicyFollower(
+                "n2",
+                List.of("n0", "n1", "n2"),
+                TermsTest.OWN,
+                TIMES,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(1),
+                0);
         fresh.told(told(fresh.ask(0)), 10);
         assertThat(by(fresh, 10)).isEqualTo("-");
-        assertThat(node.unfit()).isEqualTo("cannot go by version 1: /opTypes/sales/budgetMs: this node has no such op type");
+        assertThat(node.unfit())
+                .isEqualTo("cannot go by version 1: /opTypes/sales/budgetMs: this node has no such op type");
     }
 }
--- a/core/src/test/java/spartrail/policy/TermsTest.java
+++ b/core/src/test/java/spartrail/policy/TermsTest.java
@@ -10,10 +10,13 @@
 import org.junit.jupiter.api.Test;
 
 class TermsTest {
-    static final Terms OWN = Terms.parse("{'opTypes':{'orders':{'budgetMs':2000,'timeoutMs':4000,'need':1,'floor':0.9,'dedupMs':0,"
-            .replace('\'', '"') + ("'repeat':'RETRIABLE','importance':1,'lateShare':0.3,'partialShare':0.9}},'sends':{'most':4,'parallel':true},"
-            + "'furtherSends':{'spanMs':10000,'free':10,'share':0.1},'cold':{'leastShare':0.2,'warmMs':10000,'tipMultiple':2,'fallMs':1000},"
-            + "'comeback':{'told':true,'longestMs':1000},'inHand':{'most':200}}").replace('\'', '"'));
+    static final Terms OWN =
+            Terms.parse("{'opTypes':{'orders':{'budgetMs':2000,'timeoutMs':4000,'need':1,'floor':0.9,'dedupMs':0,"
+                            .replace('\'', '"')
+                    + ("'repeat':'RETRIABLE','importance':1,'lateShare':0.3,'partialShare':0.9}},'sends':{'most':4,'parallel':true},"
+                                    + "'furtherSends':{'spanMs':10000,'free':10,'share':0.1},'cold':{'leastShare':0.2,'warmMs':10000,'tipMultiple':2,'fallMs':1000},"
+                                    + "'comeback':{'told':true,'longestMs':1000},'inHand':{'most':200}}")
+                            .replace('\'', '"'));
 
     private static Terms with(String version) {
         return OWN.with(Terms.parse(version.replace('\'', '"')));
@@ -21,10 +24,13 @@
 
     @Test
     void guardedIsTheStricterFieldByField() {
-        Terms other = with("{'opTypes':{'orders':{'budgetMs':1500,'timeoutMs':5000,'need':0.9,'floor':0.95,'dedupMs':5,'repeat':'DEDUPED',"
-                + "'importance':7}},'sends':{'most':6,'parallel':false},'furtherSends':{'free':20,'share':0.05},'cold':{'leastShare':0.4,"
-                + "'warmMs':20000,'tipMultiple':1.5,'fallMs':2000},'comeback':{'told':false,'longestMs':500},'inHand':{'most':100}}");
-        assertThat(String.join("\n", OWN.difference(OWN.stricter(other)))).isEqualTo("""
+        Terms other = with(
+                "{'opTypes':{'orders':{'budgetMs':1500,'timeoutMs':5000,'need':0.9,'floor':0.95,'dedupMs':5,'repeat':'DEDUPED',"
+                        + "'importance':7}},'sends':{'most':6,'parallel':false},'furtherSends':{'free':20,'share':0.05},'cold':{'leastShare':0.4,"
+                        + "'warmMs':20000,'tipMultiple':1.5,'fallMs':2000},'comeback':{'told':false,'longestMs':500},'inHand':{'most':100}}");
+        assertThat(String.join("\n", OWN.difference(OWN.stricter(other))))
+                .isEqualTo(
+                        """
                 /cold/tipMultiple: 2.0 -> 1.5
                 /cold/warmMs: 10000.0 -> 20000.0
                 /comeback/longestMs: 1000.0 -> 500.0
@@ -40,9 +46,13 @@
     /** A budget over another span cannot be compared by its parts. */
     @Test
     void ofTwoBudgetsOverDifferentSpansOnlyWhatIsFreeIsWithinBoth() {
-        assertThat(OWN.difference(OWN.stricter(with("{'furtherSends':{'spanMs':20000,'free':5,'share':0.2}}")))).containsExactly(
-                "/furtherSends/free: 10.0 -> 5.0", "/furtherSends/share: 0.1 -> 0.0", "/furtherSends/spanMs: 10000.0 -> 20000.0");
-        assertThat(OWN.stricter(with("{'furtherSends':{'spanMs':0,'free':0,'share':0}}"))).isEqualTo(OWN);
+        assertThat(OWN.difference(OWN.stricter(with("{'furtherSends':{'spanMs':20000,'free':5,'share':0.2}}"))))
+                .containsExactly(
+                        "/furtherSends/free: 10.0 -> 5.0",
+                        "/furtherSends/share: 0.1 -> 0.0",
+                        "/furtherSends/spanMs: 10000.0 -> 20000.0");
+        assertThat(OWN.stricter(with("{'furtherSends':{'spanMs':0,'free':0,'share':0}}")))
+                .isEqualTo(OWN);
     }
 
     /** Whatever two versions say: the stricter of them is within both, in either order, and once more changes nothing. */
@@ -62,36 +72,49 @@
 
     private static Terms drawn(Random chance) {
         Map<String, Object> values = new HashMap<>();
-        for (String field : List.of("/opTypes/orders/budgetMs", "/opTypes/orders/dedupMs", "/furtherSends/free", "/cold/tipMultiple",
-                "/cold/fallMs", "/cold/warmMs", "/comeback/longestMs")) {
+        for (String field : List.of(
+                "/opTypes/orders/budgetMs",
+                "/opTypes/orders/dedupMs",
+                "/furtherSends/free",
+                "/cold/tipMultiple",
+                "/cold/fallMs",
+                "/cold/warmMs",
+                "/comeback/longestMs")) {
             values.put(field, chance.nextInt(4) * 500);
         }
-        for (String field : List.of("/opTypes/orders/need", "/opTypes/orders/floor", "/furtherSends/share", "/cold/leastShare")) {
+        for (String field :
+                List.of("/opTypes/orders/need", "/opTypes/orders/floor", "/furtherSends/share", "/cold/leastShare")) {
             values.put(field, chance.nextInt(5) / 4.0);
         }
         values.put("/furtherSends/spanMs", chance.nextInt(3) * 5000);
         values.put("/sends/most", 1 + chance.nextInt(3));
         values.put("/sends/parallel", chance.nextBoolean());
         values.put("/comeback/told", chance.nextBoolean());
-        values.put("/opTypes/orders/repeat", List.of("RETRIABLE", "DEDUPED", "NON_RETRIABLE").get(chance.nextInt(3)));
+        values.put(
+                "/opTypes/orders/repeat",
+                List.of("RETRIABLE", "DEDUPED", "NON_RETRIABLE").get(chance.nextInt(3)));
         return OWN.with(Terms.of(values));
     }
 
     @Test
     void whatIsWrongIsOneLineWithTheField() {
-        assertThatThrownBy(() -> Terms.parse("{\"layout\":{\"shards\":4}}")).hasMessageStartingWith(
-                "/layout/shards: cannot change while nodes run, or is not known to this program; one of [");
-        assertThatThrownBy(() -> Terms.parse("{\"sends\":{\"most\":0}}")).hasMessage("/sends/most: found 0, a number of 1 or more is expected");
+        assertThatThrownBy(() -> Terms.parse("{\"layout\":{\"shards\":4}}"))
+                .hasMessageStartingWith(
+                        "/layout/shards: cannot change while nodes run, or is not known to this program; one of [");
+        assertThatThrownBy(() -> Terms.parse("{\"sends\":{\"most\":0}}"))
+                .hasMessage("/sends/most: found 0, a number of 1 or more is expected");
         assertThatThrownBy(() -> Terms.parse("{\"cold\":{\"leastShare\":2}}"))
                 .hasMessage("/cold/leastShare: found 2, a share of 0 to 1 is expected");
-        assertThatThrownBy(() -> Terms.parse("{\"sends\":{\"parallel\":1}}")).hasMessage("/sends/parallel: found 1, true or false is expected");
+        assertThatThrownBy(() -> Terms.parse("{\"sends\":{\"parallel\":1}}"))
+                .hasMessage("/sends/parallel: found 1, true or false is expected");
         assertThatThrownBy(() -> Terms.parse("{\"opTypes\":{\"orders\":{\"repeat\":\"never\"}}}"))
-                .hasMessage("/opTypes/orders/repeat: found never, one of [RETRIABLE, DEDUPED, NON_RETRIABLE] is expected");
+                .hasMessage(
+                        "/opTypes/orders/repeat: found never, one of [RETRIABLE, DEDUPED, NON_RETRIABLE] is expected");
         assertThatThrownBy(() -> Terms.parse("{\"sends\":3")).hasMessageStartingWith("no JSON: ");
-        assertThatThrownBy(() -> with("{'opTypes':{'sales':{'budgetMs':3}}}")).hasMessage(
-                "/opTypes/sales/budgetMs: this node has no such op type");
-        assertThatThrownBy(() -> with("{'opTypes':{'orders':{'budgetMs':9000}}}")).hasMessage(
-                "/opTypes/orders/budgetMs: found 9000.0, no more than timeoutMs, 4000.0, is expected");
+        assertThatThrownBy(() -> with("{'opTypes':{'sales':{'budgetMs':3}}}"))
+                .hasMessage("/opTypes/sales/budgetMs: this node has no such op type");
+        assertThatThrownBy(() -> with("{'opTypes':{'orders':{'budgetMs':9000}}}"))
+                .hasMessage("/opTypes/orders/budgetMs: found 9000.0, no more than timeoutMs, 4000.0, is expected");
         assertThat(Terms.parse(OWN.json())).isEqualTo(OWN);
     }
 }
--- a/core/src/test/java/spartrail/subset/SubsetFilterTest.java
+++ b/core/src/test/java/spartrail/subset/SubsetFilterTest.java
@@ -14,11 +14,16 @@
 class SubsetFilterTest {
     private static final double LONGEST_OUT_MS = 1000;
     private final SubsetSelector order = new SubsetSelector("n", new SubsetSettings(2, 1), 1, 1, 1);
-    private final SubsetFilter filter = new SubsetFilter(new SubsetSelector("n", new SubsetSettings(2, 1), 1, 1, 1), LONGEST_OUT_MS);
+    private final SubsetFilter filter =
+            new SubsetFilter(new SubsetSelector("n", new SubsetSettings(2, 1), 1, 1, 1), LONGEST_OUT_MS);
     private final List<String> byOrder;
 
     SubsetFilterTest() {
-        order.apply(IntStream.range(0, 6).mapToObj(number -> new SubsetSelector.LiveServer("s-" + number, "a", 0, 1)).toList(), List.of());
+        order.apply(
+                IntStream.range(0, 6)
+                        .mapToObj(number -> new SubsetSelector.LiveServer("s-" + number, "a", 0, 1))
+                        .toList(),
+                List.of());
         byOrder = new java.util.ArrayList<>(order.selected(0));
         byOrder.addAll(order.spares(0));
     }
@@ -35,7 +40,12 @@
     private String own(boolean all, double nowMs, Endpoint... lines) {
         EndpointList own = filter.own(new EndpointList(1, all, Arrays.asList(lines)), nowMs);
         assertThat(own.all()).isFalse();
-        return String.join(" ", own.lines().stream().map(line -> byOrder.indexOf(line.id()) + "=" + line.state()).sorted().toList());
+        return String.join(
+                " ",
+                own.lines().stream()
+                        .map(line -> byOrder.indexOf(line.id()) + "=" + line.state())
+                        .sorted()
+                        .toList());
     }
 
     @Test
@@ -68,14 +78,17 @@
     @Test
     void whatAWholeListLeavesOutIsGoneAndItsSparesAreThere() {
         own(true, 0, live(0), live(1), live(2), live(3));
-        assertThat(own(true, 10, live(3), live(2), line(1, Server.State.DRAINING))).isEqualTo("0=GONE 1=DRAINING 2=LIVE 3=LIVE");
+        assertThat(own(true, 10, live(3), live(2), line(1, Server.State.DRAINING)))
+                .isEqualTo("0=GONE 1=DRAINING 2=LIVE 3=LIVE");
         assertThat(own(true, 20, live(3), live(2))).isEqualTo("1=GONE 2=LIVE 3=LIVE");
     }
 
     @Test
     void aNewProcessOfAnOwnServerIsPassedOn() {
         own(true, 0, live(0), live(1));
-        Endpoint again = new Endpoint(byOrder.get(0), new InetSocketAddress("127.0.0.1", 10), "a", "std", 0, Server.State.LIVE, 1, 77);
-        assertThat(filter.own(new EndpointList(2, false, List.of(again)), 1).lines()).containsExactly(again);
+        Endpoint again = new Endpoint(
+                byOrder.get(0), new InetSocketAddress("127.0.0.1", 10), "a", "std", 0, Server.State.LIVE, 1, 77);
+        assertThat(filter.own(new EndpointList(2, false, List.of(again)), 1).lines())
+                .containsExactly(again);
     }
 }
--- a/core/src/test/java/spartrail/subset/SubsetSelectorTest.java
+++ b/core/src/test/java/spartrail/subset/SubsetSelectorTest.java
@@ -23,7 +23,9 @@
 
     /** So many servers of one shard, zones in turn. */
     private static List<LiveServer> servers(int count, String... zones) {
-        return IntStream.range(0, count).mapToObj(number -> server(number, zones[number % zones.length], 0)).toList();
+        return IntStream.range(0, count)
+                .mapToObj(number -> server(number, zones[number % zones.length], 0))
+                .toList();
     }
 
     private static SubsetSelector selector(String node, SubsetSettings settings, List<LiveServer> servers) {
@@ -34,7 +36,8 @@
 
     @Test
     void fewerThanWantedMeansAllAndNoneIsNone() {
-        assertThat(selector("n", FOUR_IN_TWO_ZONES, servers(3, "a")).selected(0)).containsExactlyInAnyOrder("s-0", "s-1", "s-2");
+        assertThat(selector("n", FOUR_IN_TWO_ZONES, servers(3, "a")).selected(0))
+                .containsExactlyInAnyOrder("s-0", "s-1", "s-2");
         assertThat(selector("n", FOUR_IN_TWO_ZONES, List.of()).selected(0)).isEmpty();
     }
 
@@ -43,9 +46,12 @@
         SubsetSelector selector = selector("n", FOUR_IN_TWO_ZONES, servers(20, "a"));
         List<String> spares = selector.spares(0);
         List<String> chosen = selector.selected(0);
-        assertThat(selector.apply(List.of(), List.of(chosen.get(2)))).isEqualTo(new SubsetChange(List.of(spares.get(0)), List.of()));
-        assertThat(selector.apply(List.of(), List.of(chosen.get(0)))).isEqualTo(new SubsetChange(List.of(spares.get(1)), List.of()));
-        assertThat(selector.selected(0)).containsExactlyInAnyOrder(chosen.get(1), chosen.get(3), spares.get(0), spares.get(1));
+        assertThat(selector.apply(List.of(), List.of(chosen.get(2))))
+                .isEqualTo(new SubsetChange(List.of(spares.get(0)), List.of()));
+        assertThat(selector.apply(List.of(), List.of(chosen.get(0))))
+                .isEqualTo(new SubsetChange(List.of(spares.get(1)), List.of()));
+        assertThat(selector.selected(0))
+                .containsExactlyInAnyOrder(chosen.get(1), chosen.get(3), spares.get(0), spares.get(1));
     }
 
     @Test
@@ -55,7 +61,8 @@
         String spare = selector.spares(0).get(0);
         selector.apply(List.of(), List.of(first));
         LiveServer again = server(Integer.parseInt(first.substring(2)), "a", 0);
-        assertThat(selector.apply(List.of(again), List.of())).isEqualTo(new SubsetChange(List.of(first), List.of(spare)));
+        assertThat(selector.apply(List.of(again), List.of()))
+                .isEqualTo(new SubsetChange(List.of(first), List.of(spare)));
     }
 
     @Test
@@ -78,7 +85,8 @@
         Map<String, LiveServer> live = new HashMap<>();
         Set<String> selected = new HashSet<>();
         for (int step = 0; step < 3000; step++) {
-            LiveServer server = new LiveServer("s-" + random.nextInt(120), "zone-" + random.nextInt(4), random.nextInt(7), 1 + random.nextInt(2));
+            LiveServer server = new LiveServer(
+                    "s-" + random.nextInt(120), "zone-" + random.nextInt(4), random.nextInt(7), 1 + random.nextInt(2));
             SubsetChange change;
             if (random.nextBoolean()) {
                 live.put(server.id(), server);
@@ -103,7 +111,8 @@
         SubsetSelector selector = selector("n", new SubsetSettings(6, 3), servers(60, "a", "b", "c", "d", "d", "d"));
         for (int step = 0; step < 2000; step++) {
             int number = random.nextInt(60);
-            LiveServer server = server(number, List.of("a", "b", "c", "d", "d", "d").get(number % 6), 0);
+            LiveServer server =
+                    server(number, List.of("a", "b", "c", "d", "d", "d").get(number % 6), 0);
             List<String> before = selector.selected(0);
             boolean joins = random.nextInt(3) > 0;
             selector.apply(joins ? List.of(server) : List.of(), joins ? List.of() : List.of(server.id()));
@@ -129,7 +138,10 @@
 
     @Test
     void noServerIsSharedByMoreNodesThanTheFigureSays() {
-        for (List<LiveServer> servers : List.of(servers(40, "a", "b"), servers(40, "a", "a", "a", "a", "b"), servers(5, "a"),
+        for (List<LiveServer> servers : List.of(
+                servers(40, "a", "b"),
+                servers(40, "a", "a", "a", "a", "b"),
+                servers(5, "a"),
                 weighted(servers(40, "a", "b", "c")))) {
             Map<String, Integer> sharing = new HashMap<>();
             int figure = 0;
@@ -141,12 +153,16 @@
             int most = sharing.values().stream().mapToInt(count -> count).max().orElseThrow();
             assertThat(most).isLessThanOrEqualTo(figure);
         }
-        assertThat(selector("n", FOUR_IN_TWO_ZONES, servers(40, "a", "b")).nodesPerServer(1000)).as("of 100 on average").isBetween(140, 180);
+        assertThat(selector("n", FOUR_IN_TWO_ZONES, servers(40, "a", "b")).nodesPerServer(1000))
+                .as("of 100 on average")
+                .isBetween(140, 180);
     }
 
     private static List<LiveServer> weighted(List<LiveServer> servers) {
-        return servers.stream().map(server -> new LiveServer(server.id(), server.zone(), 0,
-                server.id().endsWith("3") ? 4 : 1)).toList();
+        return servers.stream()
+                .map(server -> new LiveServer(
+                        server.id(), server.zone(), 0, server.id().endsWith("3") ? 4 : 1))
+                .toList();
     }
 
     @Test
@@ -160,7 +176,8 @@
 
     @Test
     void settingsThatNoSubsetCanKeepAreRefused() {
-        assertThatThrownBy(() -> new SubsetSettings(0, 1)).hasMessage("'replicasPerShard of subset': found 0, 1 or more is expected");
+        assertThatThrownBy(() -> new SubsetSettings(0, 1))
+                .hasMessage("'replicasPerShard of subset': found 0, 1 or more is expected");
         assertThatThrownBy(() -> new SubsetSettings(2, 3))
                 .hasMessage("'leastZones of subset': found 3, 1 to 'replicasPerShard', 2, is expected");
     }
--- a/dns/src/main/java/spartrail/dns/DnsSources.java
+++ b/dns/src/main/java/spartrail/dns/DnsSources.java
@@ -28,14 +28,19 @@
         }
         Map<String, Integer> cells = new LinkedHashMap<>();
         for (Object entry : list(settings, "names")) {
-            if (!(entry instanceof Map<?, ?> name) || !(name.get("name") instanceof String text)
+            if (!(entry instanceof Map<?, ?> name)
+                    || !(name.get("name") instanceof String text)
                     || !(name.get("cell") instanceof Number cell)) {
                 throw new IllegalArgumentException("dns: an entry of 'names' has 'name' and 'cell'");
             }
             cells.put(text, cell.intValue());
         }
         String bailiwick = settings.get("bailiwick") instanceof String text ? text : "invalid";
-        Resolver resolver = new Resolver(servers, bailiwick, Boolean.TRUE.equals(settings.get("ipv6")), Lifetimes.USUAL,
+        Resolver resolver = new Resolver(
+                servers,
+                bailiwick,
+                Boolean.TRUE.equals(settings.get("ipv6")),
+                Lifetimes.USUAL,
                 RandomGenerator.of("L64X128MixRandom"));
         NodeClock clock = new NodeClock();
         DnsTransport transport = new DnsTransport(resolver, clock, listing -> tell(listing, cells, words));
@@ -70,11 +75,22 @@
             words.out(source, Source.Kind.DNS);
             return;
         }
-        double mean = listing.targets().stream().mapToInt(Listing.Target::weight).average().orElse(0);
+        double mean = listing.targets().stream()
+                .mapToInt(Listing.Target::weight)
+                .average()
+                .orElse(0);
         List<Said> lines = new ArrayList<>();
         for (Listing.Target target : listing.targets()) {
-            lines.add(new Said(null, target.endpoint(), "", "dns", cells.get(listing.name()), Server.State.LIVE,
-                    mean > 0 ? target.weight() / mean : 1, Double.NaN, target.priority()));
+            lines.add(new Said(
+                    null,
+                    target.endpoint(),
+                    "",
+                    "dns",
+                    cells.get(listing.name()),
+                    Server.State.LIVE,
+                    mean > 0 ? target.weight() / mean : 1,
+                    Double.NaN,
+                    target.priority()));
         }
         words.said(source, Source.Kind.DNS, listing.whole(), lines, listing.lifetimeMs());
     }
--- a/dns/src/main/java/spartrail/dns/DnsTransport.java
+++ b/dns/src/main/java/spartrail/dns/DnsTransport.java
@@ -40,7 +40,8 @@
             try {
                 channel.configureBlocking(false);
                 // Not connected: what comes from elsewhere is to be seen, counted and dropped.
-                channel.bind(new InetSocketAddress(question.server().getAddress().isLoopbackAddress() ? "127.0.0.1" : "0.0.0.0", 0));
+                channel.bind(new InetSocketAddress(
+                        question.server().getAddress().isLoopbackAddress() ? "127.0.0.1" : "0.0.0.0", 0));
                 channel.register(selector, SelectionKey.OP_READ, (Runnable) this::read);
                 channel.send(ByteBuffer.wrap(question.message()), question.server());
             } catch (IOException e) {
@@ -56,7 +57,8 @@
         private void read() {
             try {
                 ByteBuffer buffer = ByteBuffer.allocate(LONGEST_UDP);
-                for (InetSocketAddress from = (InetSocketAddress) channel.receive(buffer); from != null;
+                for (InetSocketAddress from = (InetSocketAddress) channel.receive(buffer);
+                        from != null;
                         from = (InetSocketAddress) channel.receive(buffer)) {
                     buffer.flip();
                     byte[] bytes = new byte[buffer.remaining()];
@@ -100,7 +102,8 @@
             try {
                 channel.configureBlocking(false);
                 up = channel.connect(server);
-                key = channel.register(selector, up ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, (Runnable) this::ready);
+                key = channel.register(
+                        selector, up ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, (Runnable) this::ready);
             } catch (IOException e) {
                 channel.close();
                 throw e;
@@ -118,8 +121,10 @@
                     end();
                 }
             }));
-            unwritten.add(ByteBuffer.allocate(2 + question.message().length).putShort((short) question.message().length)
-                    .put(question.message()).flip());
+            unwritten.add(ByteBuffer.allocate(2 + question.message().length)
+                    .putShort((short) question.message().length)
+                    .put(question.message())
+                    .flip());
             if (up) {
                 write();
             }
@@ -262,7 +267,9 @@
                 timetable.run(nowMs());
                 resolver.advance(nowMs());
                 // Each question may fail at once and leave further ones.
-                for (List<Question> questions = resolver.questions(); !questions.isEmpty(); questions = resolver.questions()) {
+                for (List<Question> questions = resolver.questions();
+                        !questions.isEmpty();
+                        questions = resolver.questions()) {
                     questions.forEach(this::send);
                 }
                 resolver.listings(nowMs()).forEach(lists);
--- a/dns/src/main/java/spartrail/dns/Lifetimes.java
+++ b/dns/src/main/java/spartrail/dns/Lifetimes.java
@@ -14,7 +14,17 @@
  * @param mostAsking questions out at a time
  * @param mostTargets targets of one name; more are left out and counted
  */
-public record Lifetimes(double leastMs, double mostMs, double negativeMostMs, double failedMs, double failedMostMs,
-        double staleMs, double timeOutMs, int tries, int mostAsking, int mostTargets) {
-    public static final Lifetimes USUAL = new Lifetimes(1000, 86_400_000, 300_000, 1000, 30_000, 3_600_000, 500, 4, 64, 512);
+public record Lifetimes(
+        double leastMs,
+        double mostMs,
+        double negativeMostMs,
+        double failedMs,
+        double failedMostMs,
+        double staleMs,
+        double timeOutMs,
+        int tries,
+        int mostAsking,
+        int mostTargets) {
+    public static final Lifetimes USUAL =
+            new Lifetimes(1000, 86_400_000, 300_000, 1000, 30_000, 3_600_000, 500, 4, 64, 512);
 }
--- a/dns/src/main/java/spartrail/dns/Listing.java
+++ b/dns/src/main/java/spartrail/dns/Listing.java
@@ -12,6 +12,5 @@
  */
 public record Listing(String name, boolean whole, boolean stale, boolean out, List<Target> targets, double lifetimeMs) {
     /** A server: the endpoint as a number address and port. */
-    public record Target(String host, String endpoint, int priority, int weight) {
-    }
+    public record Target(String host, String endpoint, int priority, int weight) {}
 }
--- a/dns/src/main/java/spartrail/dns/Resolver.java
+++ b/dns/src/main/java/spartrail/dns/Resolver.java
@@ -61,6 +61,7 @@
         private final Set<Srv> users = new LinkedHashSet<>();
         /** Null while nothing was ever answered; empty where there is none. */
         private List<Record> records;
+
         private double endsMs = Double.NEGATIVE_INFINITY;
         private double lifetimeMs;
         private Question asking;
@@ -127,7 +128,11 @@
     private long number;
 
     /** Addresses that come along count only for names within {@code bailiwick}; AAAA is asked for only where wanted. */
-    public Resolver(List<InetSocketAddress> nameServers, String bailiwick, boolean six, Lifetimes lifetimes,
+    public Resolver(
+            List<InetSocketAddress> nameServers,
+            String bailiwick,
+            boolean six,
+            Lifetimes lifetimes,
             RandomGenerator chance) {
         nameServers.forEach(address -> servers.add(new NameServer(address)));
         this.bailiwick = ("." + bailiwick.toLowerCase(Locale.ROOT) + ".").replaceAll("\\.+", ".");
@@ -231,8 +236,8 @@
         entry.tries++;
         entry.asked = server;
         entry.askedMs = nowMs;
-        entry.asking = new Question(number++, entry.chainName.toString(), entry.type, server.address, tcp, id,
-                message.toWire(), waitMs);
+        entry.asking = new Question(
+                number++, entry.chainName.toString(), entry.type, server.address, tcp, id, message.toWire(), waitMs);
         asking.put(entry.asking.number(), entry);
         questions.add(entry.asking);
         count(tcp ? "asked over TCP" : "asked over UDP");
@@ -293,9 +298,13 @@
             return false;
         }
         Record asked = message.getQuestion();
-        if (!message.getHeader().getFlag(Flags.QR) || message.getHeader().getOpcode() != Opcode.QUERY || asked == null
-                || message.getSection(Section.QUESTION).size() != 1 || asked.getType() != question.type()
-                || asked.getDClass() != DClass.IN || !asked.getName().toString().equalsIgnoreCase(question.name())) {
+        if (!message.getHeader().getFlag(Flags.QR)
+                || message.getHeader().getOpcode() != Opcode.QUERY
+                || asked == null
+                || message.getSection(Section.QUESTION).size() != 1
+                || asked.getType() != question.type()
+                || asked.getDClass() != DClass.IN
+                || !asked.getName().toString().equalsIgnoreCase(question.name())) {
             count("dropped: another question");
             return false;
         }
@@ -337,7 +346,8 @@
             return;
         }
         entry.failures++;
-        double waitMs = Math.min(lifetimes.failedMostMs(), lifetimes.failedMs() * Math.pow(2, Math.min(20, entry.failures - 1)));
+        double waitMs = Math.min(
+                lifetimes.failedMostMs(), lifetimes.failedMs() * Math.pow(2, Math.min(20, entry.failures - 1)));
         count("nobody answers");
         plan(entry, nowMs + waitMs * (0.75 + 0.5 * chance.nextDouble()));
         touched.addAll(entry.users);
@@ -455,10 +465,12 @@
     private void additional(Entry srv, Message message) {
         Map<String, List<Record>> came = new LinkedHashMap<>();
         Set<String> wanted = new LinkedHashSet<>();
-        srv.records.forEach(record -> wanted.add(((SRVRecord) record).getTarget().toString().toLowerCase(Locale.ROOT)));
+        srv.records.forEach(
+                record -> wanted.add(((SRVRecord) record).getTarget().toString().toLowerCase(Locale.ROOT)));
         for (Record record : message.getSection(Section.ADDITIONAL)) {
             boolean address = record.getType() == Type.A || six && record.getType() == Type.AAAA;
-            if (!address || record.getDClass() != DClass.IN
+            if (!address
+                    || record.getDClass() != DClass.IN
                     || !wanted.contains(record.getName().toString().toLowerCase(Locale.ROOT))) {
                 continue;
             }
@@ -466,7 +478,8 @@
                 count("dropped: an address out of bailiwick");
                 continue;
             }
-            came.computeIfAbsent(key(record.getName(), record.getType()), key -> new ArrayList<>()).add(record);
+            came.computeIfAbsent(key(record.getName(), record.getType()), key -> new ArrayList<>())
+                    .add(record);
         }
         came.forEach((key, records) -> {
             Entry entry = entry(records.get(0).getName(), records.get(0).getType());
@@ -536,7 +549,10 @@
                 known &= usable;
                 if (usable && !held.records.isEmpty()) {
                     // One server at several addresses: the least, so that it is the same one each time.
-                    String least = held.records.stream().map(Resolver::address).min(String::compareTo).orElseThrow();
+                    String least = held.records.stream()
+                            .map(Resolver::address)
+                            .min(String::compareTo)
+                            .orElseThrow();
                     address = address == null ? least : address;
                     lifetimeMs = Math.min(lifetimeMs, held.lifetimeMs);
                 }
@@ -548,8 +564,11 @@
                 whole &= known;
                 continue;
             }
-            targets.add(new Listing.Target(target.getTarget().toString(true), address + ":" + target.getPort(),
-                    target.getPriority(), target.getWeight()));
+            targets.add(new Listing.Target(
+                    target.getTarget().toString(true),
+                    address + ":" + target.getPort(),
+                    target.getPriority(),
+                    target.getWeight()));
         }
         targets.sort((a, b) -> a.endpoint().compareTo(b.endpoint()));
         return new Listing(srv.name, whole, stale, false, List.copyOf(targets), lifetimeMs);
@@ -562,7 +581,8 @@
     }
 
     private static String address(Record record) {
-        return record instanceof ARecord four ? four.getAddress().getHostAddress()
+        return record instanceof ARecord four
+                ? four.getAddress().getHostAddress()
                 : "[" + ((AAAARecord) record).getAddress().getHostAddress() + "]";
     }
 
--- a/dns/src/test/java/spartrail/dns/ResolverTest.java
+++ b/dns/src/test/java/spartrail/dns/ResolverTest.java
@@ -20,14 +20,19 @@
 
 class ResolverTest {
     private static final String BOOKS = "_books._tcp.c3.example.org.";
-    private static final Lifetimes LIFETIMES = new Lifetimes(1000, 3_600_000, 60_000, 1000, 8000, 60_000, 100, 4, 16, 100);
+    private static final Lifetimes LIFETIMES =
+            new Lifetimes(1000, 3_600_000, 60_000, 1000, 8000, 60_000, 100, 4, 16, 100);
 
     private static void same(String name, String seen) throws IOException {
         try (InputStream kept = ResolverTest.class.getResourceAsStream("/expected/" + name + ".txt")) {
             Path folder = Files.createDirectories(Path.of("dns/target/seen"));
             Files.writeString(folder.resolve(name + ".txt"), seen.strip() + "\n");
-            assertThat(seen.strip()).as(name).isEqualTo(kept == null ? "there is no " + name + ".txt"
-                    : new String(kept.readAllBytes(), StandardCharsets.UTF_8).strip());
+            assertThat(seen.strip())
+                    .as(name)
+                    .isEqualTo(
+                            kept == null
+                                    ? "there is no " + name + ".txt"
+                                    : new String(kept.readAllBytes(), StandardCharsets.UTF_8).strip());
         }
     }
 
@@ -47,7 +52,10 @@
                 zone.until(8000);
                 zone.manners.clear();
                 zone.until(20_000);
-                seen.append(manner).append(refused ? ", TCP refused" : "").append('\n').append(zone.seen);
+                seen.append(manner)
+                        .append(refused ? ", TCP refused" : "")
+                        .append('\n')
+                        .append(zone.seen);
             }
         }
         same("troubles", seen.toString());
@@ -110,7 +118,8 @@
         zone.records.put("A www.bank.example.", List.of("30 A 10.0.0.66"));
         zone.follow(BOOKS);
         zone.until(100);
-        assertThat(zone.resolver.counts().get("dropped: an address out of bailiwick")).isEqualTo(1);
+        assertThat(zone.resolver.counts().get("dropped: an address out of bailiwick"))
+                .isEqualTo(1);
         assertThat(zone.asked).as("the name, and the address that lies outside").isEqualTo(2);
     }
 
@@ -176,7 +185,10 @@
                 if (line.matches(".*[\\[ ]66[,\\]].*")) {
                     return "an address was taken from somebody else";
                 }
-                if (!line.isBlank() && !line.contains("not whole") && !line.contains("OUT") && !line.contains("[1, 2, 3, 4, 5]")) {
+                if (!line.isBlank()
+                        && !line.contains("not whole")
+                        && !line.contains("OUT")
+                        && !line.contains("[1, 2, 3, 4, 5]")) {
                     return "a whole list lacks servers";
                 }
                 if (line.contains("good for 6000")) {
@@ -188,7 +200,8 @@
     }
 
     private static Resolver sound(long seed) {
-        return new Resolver(List.of(Zone.FIRST, Zone.SECOND), "example.org", false, LIFETIMES, new SplittableRandom(seed));
+        return new Resolver(
+                List.of(Zone.FIRST, Zone.SECOND), "example.org", false, LIFETIMES, new SplittableRandom(seed));
     }
 
     private static String hunt(LongFunction<Resolver> make, int seeds) {
@@ -209,24 +222,46 @@
     @Test
     void plantedFaultsAreCaught() throws Exception {
         Map<String, LongFunction<Resolver>> faults = new TreeMap<>();
-        faults.put("truncation ignored", seed -> new Resolver(List.of(Zone.FIRST, Zone.SECOND), "example.org", false, LIFETIMES,
-                new SplittableRandom(seed)) {
-            @Override
-            boolean truncated(Message message) {
-                return false;
-            }
-        });
-        faults.put("the lifetime of the last record", seed -> new Resolver(List.of(Zone.FIRST, Zone.SECOND), "example.org",
-                false, new Lifetimes(6000, 6000, 6000, 1000, 8000, 60_000, 100, 4, 16, 100), new SplittableRandom(seed)));
-        faults.put("questions not compared", seed -> new Resolver(List.of(Zone.FIRST, Zone.SECOND), "example.org", false,
-                LIFETIMES, new SplittableRandom(seed)) {
-            @Override
-            boolean fits(Question question, Message message) {
-                return true;
-            }
-        });
+        faults.put(
+                "truncation ignored",
+                seed ->
+                        new Resolver(
+                                List.of(Zone.FIRST, Zone.SECOND),
+                                "example.org",
+                                false,
+                                LIFETIMES,
+                                new SplittableRandom(seed)) {
+                            @Override
+                            boolean truncated(Message message) {
+                                return false;
+                            }
+                        });
+        faults.put(
+                "the lifetime of the last record",
+                seed -> new Resolver(
+                        List.of(Zone.FIRST, Zone.SECOND),
+                        "example.org",
+                        false,
+                        new Lifetimes(6000, 6000, 6000, 1000, 8000, 60_000, 100, 4, 16, 100),
+                        new SplittableRandom(seed)));
+        faults.put(
+                "questions not compared",
+                seed ->
+                        new Resolver(
+                                List.of(Zone.FIRST, Zone.SECOND),
+                                "example.org",
+                                false,
+                                LIFETIMES,
+                                new SplittableRandom(seed)) {
+                            @Override
+                            boolean fits(Question question, Message message) {
+                                return true;
+                            }
+                        });
         StringBuilder caught = new StringBuilder();
-        faults.forEach((name, make) -> caught.append(name).append(": ").append(hunt(make, 500).replaceAll("seed [0-9]+: ", ""))
+        faults.forEach((name, make) -> caught.append(name)
+                .append(": ")
+                .append(hunt(make, 500).replaceAll("seed [0-9]+: ", ""))
                 .append('\n'));
         same("dns-faults", caught.toString());
     }
--- a/dns/src/test/java/spartrail/dns/Zone.java
+++ b/dns/src/test/java/spartrail/dns/Zone.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import org.xbill.DNS.DClass;
 import org.xbill.DNS.Flags;
 import org.xbill.DNS.Message;
 import org.xbill.DNS.Name;
@@ -16,13 +17,23 @@
 import org.xbill.DNS.Record;
 import org.xbill.DNS.Section;
 import org.xbill.DNS.Type;
-import org.xbill.DNS.DClass;
 import spartrail.model.Timetable;
 
 /** Name servers on a virtual clock, with records and manners that a test chooses, and a resolver that asks them. */
 final class Zone {
     /** What becomes of a question. */
-    enum Manner { ANSWER, TRUNCATE, SERVFAIL, SILENT, WRONG_ID, WRONG_QUESTION, SPOOF, NOISE, LATE, SHUFFLE }
+    enum Manner {
+        ANSWER,
+        TRUNCATE,
+        SERVFAIL,
+        SILENT,
+        WRONG_ID,
+        WRONG_QUESTION,
+        SPOOF,
+        NOISE,
+        LATE,
+        SHUFFLE
+    }
 
     static final InetSocketAddress FIRST = new InetSocketAddress("127.0.0.1", 5301);
     static final InetSocketAddress SECOND = new InetSocketAddress("127.0.0.1", 5302);
@@ -47,7 +58,8 @@
     /** With a resolver of another make, to plant a fault. */
     Zone(Lifetimes lifetimes, long seed, Resolver other) {
         chance = new SplittableRandom(seed);
-        resolver = other != null ? other : new Resolver(List.of(FIRST, SECOND), "example.org", false, lifetimes, chance);
+        resolver =
+                other != null ? other : new Resolver(List.of(FIRST, SECOND), "example.org", false, lifetimes, chance);
     }
 
     /** An SRV name of so many targets and their addresses. */
@@ -94,7 +106,8 @@
             return true;
         }
         // What was no answer is followed by the true one, but for noise.
-        return manner != Manner.NOISE && resolver.answer(question, message(question, Manner.ANSWER), question.server(), nowMs);
+        return manner != Manner.NOISE
+                && resolver.answer(question, message(question, Manner.ANSWER), question.server(), nowMs);
     }
 
     byte[] message(Question question, Manner manner) {
@@ -109,7 +122,8 @@
             message.getHeader().setFlag(Flags.QR);
             Name name = asks.getQuestion().getName();
             Record about = manner == Manner.WRONG_QUESTION
-                    ? Record.newRecord(Name.fromString("other.example.org."), question.type(), DClass.IN) : asks.getQuestion();
+                    ? Record.newRecord(Name.fromString("other.example.org."), question.type(), DClass.IN)
+                    : asks.getQuestion();
             message.addRecord(about, Section.QUESTION);
             if (manner == Manner.SERVFAIL) {
                 message.getHeader().setRcode(Rcode.SERVFAIL);
@@ -134,7 +148,8 @@
                     message.addRecord(record(name, alias.get(0)), Section.ANSWER);
                 } else {
                     message.getHeader().setRcode(records.containsKey("NX " + name) ? Rcode.NXDOMAIN : Rcode.NOERROR);
-                    message.addRecord(record(Name.fromString("example.org."), "60 SOA a. b. 1 2 3 4 2"), Section.AUTHORITY);
+                    message.addRecord(
+                            record(Name.fromString("example.org."), "60 SOA a. b. 1 2 3 4 2"), Section.AUTHORITY);
                 }
             }
             if (additional) {
@@ -177,9 +192,18 @@
     void print() {
         for (Listing listing : resolver.listings(nowMs)) {
             TreeSet<String> targets = new TreeSet<>();
-            listing.targets().forEach(target -> targets.add(target.endpoint().replace("10.0.0.", "").replace(":80", "")));
-            seen.append(String.format(Locale.ROOT, "%9.0f %s %s%s%s%s good for %.0f%n", nowMs, listing.name(), targets,
-                    listing.whole() ? "" : " not whole", listing.stale() ? " stale" : "", listing.out() ? " OUT" : "",
+            listing.targets()
+                    .forEach(target ->
+                            targets.add(target.endpoint().replace("10.0.0.", "").replace(":80", "")));
+            seen.append(String.format(
+                    Locale.ROOT,
+                    "%9.0f %s %s%s%s%s good for %.0f%n",
+                    nowMs,
+                    listing.name(),
+                    targets,
+                    listing.whole() ? "" : " not whole",
+                    listing.stale() ? " stale" : "",
+                    listing.out() ? " OUT" : "",
                     listing.lifetimeMs()));
         }
     }
--- a/lab/src/main/java/spartrail/lab/cli/Completion.java
+++ b/lab/src/main/java/spartrail/lab/cli/Completion.java
@@ -34,15 +34,19 @@
             if (words.length > 1) {
                 next.computeIfAbsent(words[0], word -> new LinkedHashSet<>()).add(words[1]);
             }
-            options.put(name, new CmdLineParser(command.get()).getOptions().stream()
-                    .map(option -> option.option.toString().split(" ")[0]).collect(Collectors.joining(" ")));
+            options.put(
+                    name,
+                    new CmdLineParser(command.get())
+                            .getOptions().stream()
+                                    .map(option -> option.option.toString().split(" ")[0])
+                                    .collect(Collectors.joining(" ")));
         });
         out.println("_spartrail() {");
         out.println("  local now=${COMP_WORDS[COMP_CWORD]} words=");
         out.println("  case \"$COMP_CWORD:${COMP_WORDS[1]} ${COMP_WORDS[2]}\" in");
         out.println("    1:*) words=\"" + String.join(" ", first) + "\" ;;");
-        next.forEach((word, seconds) -> out.println("    2:" + word + "\\ *) words=\"" + String.join(" ", seconds)
-                + "\" ;;"));
+        next.forEach((word, seconds) ->
+                out.println("    2:" + word + "\\ *) words=\"" + String.join(" ", seconds) + "\" ;;"));
         options.forEach((name, list) -> out.println("    *:" + name.replace(" ", "\\ ")
                 + (name.contains(" ") ? "" : "\\ ") + "*) words=\"" + list + "\" ;;"));
         out.println("  esac");
