--- a/lab/src/main/java/spartrail/lab/cli/DnsAsk.java
+++ b/lab/src/main/java/spartrail/lab/cli/DnsAsk.java
@@ -23,13 +23,23 @@
     @Argument(required = true, metaVar = "NAME", usage = "SRV names, such as _books._tcp.c3.books.example.org")
     private List<String> names = new ArrayList<>();
 
-    @Option(name = "--server", metaVar = "HOST:PORT", required = true, usage = "a name server by its number; may be repeated")
+    @Option(
+            name = "--server",
+            metaVar = "HOST:PORT",
+            required = true,
+            usage = "a name server by its number; may be repeated")
     private List<String> servers = new ArrayList<>();
 
-    @Option(name = "--bailiwick", metaVar = "DOMAIN", usage = "addresses that come along count within it (default: no domain)")
+    @Option(
+            name = "--bailiwick",
+            metaVar = "DOMAIN",
+            usage = "addresses that come along count within it (default: no domain)")
     private String bailiwick = "invalid";
 
-    @Option(name = "--seconds", metaVar = "S", usage = "ask waits so long for answers, watch shows changes for so long (default 5)")
+    @Option(
+            name = "--seconds",
+            metaVar = "S",
+            usage = "ask waits so long for answers, watch shows changes for so long (default 5)")
     private double seconds = 5;
 
     private final boolean watch;
@@ -40,7 +50,9 @@
 
     @Override
     String summary() {
-        return watch ? "follows SRV names and shows each change of their lists" : "asks for SRV names and shows their lists once";
+        return watch
+                ? "follows SRV names and shows each change of their lists"
+                : "asks for SRV names and shows their lists once";
     }
 
     @Override
@@ -52,7 +64,8 @@
             }
             addresses.add(new InetSocketAddress(server.split(":")[0], Integer.parseInt(server.split(":")[1])));
         }
-        Resolver resolver = new Resolver(addresses, bailiwick, false, Lifetimes.USUAL, RandomGenerator.of("L64X128MixRandom"));
+        Resolver resolver =
+                new Resolver(addresses, bailiwick, false, Lifetimes.USUAL, RandomGenerator.of("L64X128MixRandom"));
         NodeClock clock = new NodeClock();
         BlockingQueue<Listing> lists = new LinkedBlockingQueue<>();
         String[] wrong = new String[1];
@@ -93,10 +106,23 @@
     }
 
     private static void print(PrintStream out, Listing listing, double ms) {
-        out.printf(Locale.ROOT, "%8.0f ms %s: %d targets, good for %.1f s%s%s%s%n", ms, listing.name(), listing.targets().size(),
-                listing.lifetimeMs() / 1000, listing.whole() ? "" : ", not whole", listing.stale() ? ", stale" : "",
+        out.printf(
+                Locale.ROOT,
+                "%8.0f ms %s: %d targets, good for %.1f s%s%s%s%n",
+                ms,
+                listing.name(),
+                listing.targets().size(),
+                listing.lifetimeMs() / 1000,
+                listing.whole() ? "" : ", not whole",
+                listing.stale() ? ", stale" : "",
                 listing.out() ? ", OUT" : "");
-        listing.targets().forEach(target -> out.printf(Locale.ROOT, "            %-40s %-24s priority %d weight %d%n",
-                target.host(), target.endpoint(), target.priority(), target.weight()));
+        listing.targets()
+                .forEach(target -> out.printf(
+                        Locale.ROOT,
+                        "            %-40s %-24s priority %d weight %d%n",
+                        target.host(),
+                        target.endpoint(),
+                        target.priority(),
+                        target.weight()));
     }
 }
--- a/lab/src/main/java/spartrail/lab/cli/DrillList.java
+++ b/lab/src/main/java/spartrail/lab/cli/DrillList.java
@@ -20,7 +20,10 @@
     int run(PrintStream out, PrintStream err) throws Exception {
         var list = Document.JSON.createArrayNode();
         for (Drill drill : Drills.all()) {
-            list.addObject().put("name", drill.name()).put("about", drill.about()).put("summary", drill.summary());
+            list.addObject()
+                    .put("name", drill.name())
+                    .put("about", drill.about())
+                    .put("summary", drill.summary());
             if (!json) {
                 out.printf("%-20s %-18s %s%n", drill.name(), drill.about(), drill.summary());
             }
--- a/lab/src/main/java/spartrail/lab/cli/DrillRun.java
+++ b/lab/src/main/java/spartrail/lab/cli/DrillRun.java
@@ -27,7 +27,9 @@
 
     @Override
     int run(PrintStream out, PrintStream err) throws Exception {
-        List<Drill> drills = names.equals(List.of("all")) ? Drills.all() : names.stream().map(Drills::named).toList();
+        List<Drill> drills = names.equals(List.of("all"))
+                ? Drills.all()
+                : names.stream().map(Drills::named).toList();
         boolean good = true;
         var list = Document.JSON.createArrayNode();
         for (Drill drill : drills) {
@@ -35,19 +37,27 @@
             drill.run(seed, findings);
             boolean all = findings.all().stream().allMatch(Drill.Finding::good);
             good &= all;
-            var node = list.addObject().put("drill", drill.name()).put("seed", seed).put("good", all);
+            var node = list.addObject()
+                    .put("drill", drill.name())
+                    .put("seed", seed)
+                    .put("good", all);
             var lines = node.putArray("findings");
             if (!json) {
-                out.printf("%s: %s (seed %d; again with: spartrail drill run %s --seed %d)%n", drill.name(),
-                        all ? "good" : "NOT as it should be", seed, drill.name(), seed);
+                out.printf(
+                        "%s: %s (seed %d; again with: spartrail drill run %s --seed %d)%n",
+                        drill.name(), all ? "good" : "NOT as it should be", seed, drill.name(), seed);
                 out.printf("  %-58s %-30s %-30s%n", "", "expected", "seen");
             }
             for (Drill.Finding finding : findings.all()) {
-                lines.addObject().put("what", finding.what()).put("expected", finding.expected())
-                        .put("seen", finding.seen()).put("good", finding.good());
+                lines.addObject()
+                        .put("what", finding.what())
+                        .put("expected", finding.expected())
+                        .put("seen", finding.seen())
+                        .put("good", finding.good());
                 if (!json) {
-                    out.printf("  %-58s %-30s %-30s%s%n", finding.what(), finding.expected(), finding.seen(),
-                            finding.good() ? "" : " <-- differs");
+                    out.printf(
+                            "  %-58s %-30s %-30s%s%n",
+                            finding.what(), finding.expected(), finding.seen(), finding.good() ? "" : " <-- differs");
                 }
             }
         }
--- a/lab/src/main/java/spartrail/lab/cli/ExperimentCompare.java
+++ b/lab/src/main/java/spartrail/lab/cli/ExperimentCompare.java
@@ -30,8 +30,10 @@
     int run(PrintStream out, PrintStream err) throws Exception {
         boolean worse = false;
         try (Store store = store()) {
-            Map<String, Map<Long, JsonNode>> one = Compare.groups(store.runs(store.find(first).id()));
-            Map<String, Map<Long, JsonNode>> other = Compare.groups(store.runs(store.find(second).id()));
+            Map<String, Map<Long, JsonNode>> one =
+                    Compare.groups(store.runs(store.find(first).id()));
+            Map<String, Map<Long, JsonNode>> other =
+                    Compare.groups(store.runs(store.find(second).id()));
             for (Map.Entry<String, Map<Long, JsonNode>> group : one.entrySet()) {
                 Map<Long, JsonNode> partner = other.get(group.getKey());
                 if (partner == null) {
@@ -39,9 +41,14 @@
                 }
                 List<Compare.Line> lines = Compare.lines(group.getValue(), partner);
                 worse |= lines.stream().anyMatch(line -> line.verdict().equals("worse"));
-                int pairs = (int) group.getValue().keySet().stream().filter(partner::containsKey).count();
-                out.print(json ? Document.JSON.writeValueAsString(lines) + "\n"
-                        : Compare.table(first + ": " + group.getKey(), second + ": " + group.getKey(), lines, pairs));
+                int pairs = (int) group.getValue().keySet().stream()
+                        .filter(partner::containsKey)
+                        .count();
+                out.print(
+                        json
+                                ? Document.JSON.writeValueAsString(lines) + "\n"
+                                : Compare.table(
+                                        first + ": " + group.getKey(), second + ": " + group.getKey(), lines, pairs));
             }
         }
         return worse ? 1 : 0;
--- a/lab/src/main/java/spartrail/lab/cli/ExperimentList.java
+++ b/lab/src/main/java/spartrail/lab/cli/ExperimentList.java
@@ -23,8 +23,10 @@
                 return 0;
             }
             out.printf("%6s %-24s %-22s %6s %6s%n", "id", "name", "started", "runs", "done");
-            store.list().forEach(kept -> out.printf("%6d %-24s %-22s %6d %6d%n", kept.id(), kept.name(),
-                    kept.startedAt(), kept.runs(), kept.done()));
+            store.list()
+                    .forEach(kept -> out.printf(
+                            "%6d %-24s %-22s %6d %6d%n",
+                            kept.id(), kept.name(), kept.startedAt(), kept.runs(), kept.done()));
         }
         return 0;
     }
--- a/lab/src/main/java/spartrail/lab/cli/ExperimentPrune.java
+++ b/lab/src/main/java/spartrail/lab/cli/ExperimentPrune.java
@@ -2,8 +2,8 @@
 
 import java.io.PrintStream;
 import org.kohsuke.args4j.Option;
-import spartrail.lab.file.BadInput;
 import spartrail.lab.experiment.Store;
+import spartrail.lab.file.BadInput;
 
 /** Bounds the store. */
 final class ExperimentPrune extends Stored {
--- a/lab/src/main/java/spartrail/lab/cli/ExperimentRun.java
+++ b/lab/src/main/java/spartrail/lab/cli/ExperimentRun.java
@@ -32,7 +32,8 @@
         ExperimentPlan plan = ExperimentPlan.read(file);
         AtomicBoolean stopped = new AtomicBoolean();
         boolean good = true;
-        try (Store store = store(); Live live = new Live(err, List::of)) {
+        try (Store store = store();
+                Live live = new Live(err, List::of)) {
             Signal.handle(new Signal("INT"), signal -> stopped.set(true));
             long experiment = store.begin(plan);
             Runner runner = new Runner(plan, live::show, stopped::get);
@@ -46,11 +47,20 @@
                 }
                 boolean kept = report.at("/rules/kept").asBoolean();
                 good &= kept;
-                out.printf(Locale.ROOT, "%d of %d: %s, seed %d: served %d of %d tries, p99 %.1f ms, rules %s%s%n", i + 1,
-                        cells.size(), cell.group(), cell.seed(), report.at("/served/count").asLong(),
-                        report.get("tries").asLong(), report.at("/served/latencyMs/p99").asDouble(),
+                out.printf(
+                        Locale.ROOT,
+                        "%d of %d: %s, seed %d: served %d of %d tries, p99 %.1f ms, rules %s%s%n",
+                        i + 1,
+                        cells.size(),
+                        cell.group(),
+                        cell.seed(),
+                        report.at("/served/count").asLong(),
+                        report.get("tries").asLong(),
+                        report.at("/served/latencyMs/p99").asDouble(),
                         kept ? "kept" : "BROKEN " + report.at("/rules/verdicts"),
-                        report.get("fit").asBoolean() ? "" : ", UNFIT: " + report.get("unfitWhy").asText());
+                        report.get("fit").asBoolean()
+                                ? ""
+                                : ", UNFIT: " + report.get("unfitWhy").asText());
             }
             List<Store.Run> runs = store.runs(experiment);
             out.print(Showing.tables(runs));
--- a/lab/src/main/java/spartrail/lab/cli/FleetFront.java
+++ b/lab/src/main/java/spartrail/lab/cli/FleetFront.java
@@ -20,7 +20,10 @@
     @Option(name = "--port", metaVar = "N", usage = "where clients connect (default: a free port)")
     private int port;
 
-    @Option(name = "--notice-ms", metaVar = "MS", usage = "a node that is ready or gone counts as such so much later (default 1000)")
+    @Option(
+            name = "--notice-ms",
+            metaVar = "MS",
+            usage = "a node that is ready or gone counts as such so much later (default 1000)")
     private double noticeMs = 1000;
 
     @Override
@@ -33,7 +36,8 @@
         List<InetSocketAddress> addresses = new ArrayList<>();
         for (String node : nodes) {
             if (!node.matches("127(\\.[0-9]{1,3}){3}:[0-9]{1,5}")) {
-                throw new BadInput("found '" + node + "', an address of the loopback such as 127.0.0.1:3000 is expected");
+                throw new BadInput(
+                        "found '" + node + "', an address of the loopback such as 127.0.0.1:3000 is expected");
             }
             addresses.add(new InetSocketAddress(node.split(":")[0], Integer.parseInt(node.split(":")[1])));
         }
--- a/lab/src/main/java/spartrail/lab/cli/FleetRun.java
+++ b/lab/src/main/java/spartrail/lab/cli/FleetRun.java
@@ -43,8 +43,8 @@
             }
         })) {
             for (int node = 0; node < plan.nodes(); node++) {
-                out.println("node " + node + ": roll on " + fleet.rollAddress(node) + ", " + plan.servers().size()
-                        + " servers from " + fleet.serverAddress(node, "s-0") + " on");
+                out.println("node " + node + ": roll on " + fleet.rollAddress(node) + ", "
+                        + plan.servers().size() + " servers from " + fleet.serverAddress(node, "s-0") + " on");
             }
             out.println("orders on standard input: WHAT SERVERS [BY] [LASTS_MS], figures, quit");
             fleet.play();
--- a/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
+++ b/lab/src/main/java/spartrail/lab/cli/LabCommandLine.java
@@ -56,8 +56,7 @@
         COMMANDS.put("completion", Completion::new);
     }
 
-    private LabCommandLine() {
-    }
+    private LabCommandLine() {}
 
     public static int run(String[] args, PrintStream out, PrintStream err) {
         if (args.length == 0 || args[0].equals("--help") || args[0].equals("help")) {
@@ -68,13 +67,18 @@
         String name = words == 2 ? args[0] + " " + args[1] : args[0];
         if (!COMMANDS.containsKey(name)) {
             boolean group = COMMANDS.keySet().stream().anyMatch(known -> known.startsWith(args[0] + " "));
-            err.println("spartrail: " + (group ? "'" + args[0] + "' wants one of "
-                    + COMMANDS.keySet().stream().filter(known -> known.startsWith(args[0] + " ")).toList()
-                    : "no command is named '" + args[0] + "'; spartrail --help lists them"));
+            err.println("spartrail: "
+                    + (group
+                            ? "'" + args[0] + "' wants one of "
+                                    + COMMANDS.keySet().stream()
+                                            .filter(known -> known.startsWith(args[0] + " "))
+                                            .toList()
+                            : "no command is named '" + args[0] + "'; spartrail --help lists them"));
             return 2;
         }
         Command command = COMMANDS.get(name).get();
-        CmdLineParser parser = new CmdLineParser(command, ParserProperties.defaults().withUsageWidth(110));
+        CmdLineParser parser =
+                new CmdLineParser(command, ParserProperties.defaults().withUsageWidth(110));
         try {
             parser.parseArgument(java.util.Arrays.copyOfRange(args, words, args.length));
             if (command.help) {
@@ -97,12 +101,17 @@
 
     private static void usage(PrintStream out) {
         out.println("spartrail COMMAND [OPTION ...]; --help behind a command says what it takes\n");
-        String[][] node = {{"serve", "a front node, until SIGTERM"}, {"check", "says whether a node could start with a configuration"},
+        String[][] node = {
+            {"serve", "a front node, until SIGTERM"},
+            {"check", "says whether a node could start with a configuration"},
             {"simhost", "hosts nodes' decisions on the simulator's wire"},
-            {"subset show", "which servers a node uses of a list, and which follow"}, {"version", "says which version this is"}};
+            {"subset show", "which servers a node uses of a list, and which follow"},
+            {"version", "says which version this is"}
+        };
         for (String[] line : node) {
             out.printf("  %-20s %s%n", line[0], line[1]);
         }
-        COMMANDS.forEach((name, command) -> out.printf("  %-20s %s%n", name, command.get().summary()));
+        COMMANDS.forEach((name, command) ->
+                out.printf("  %-20s %s%n", name, command.get().summary()));
     }
 }
--- a/lab/src/main/java/spartrail/lab/cli/Live.java
+++ b/lab/src/main/java/spartrail/lab/cli/Live.java
@@ -28,7 +28,10 @@
         this.more = more;
         if (System.console() != null) {
             try {
-                terminal = TerminalBuilder.builder().system(true).nativeSignals(false).build();
+                terminal = TerminalBuilder.builder()
+                        .system(true)
+                        .nativeSignals(false)
+                        .build();
                 if (!Terminal.TYPE_DUMB.equals(terminal.getType())
                         && !Terminal.TYPE_DUMB_COLOR.equals(terminal.getType())) {
                     display = new Display(terminal, false);
@@ -41,10 +44,19 @@
 
     void show(LoadSession.Glance glance) {
         String lasts = Double.isNaN(glance.lastsMs()) ? "?" : Long.toString(Math.round(glance.lastsMs() / 1000));
-        String line = String.format(Locale.ROOT, "%6.1f of %s s  %d tries (%.0f a second)  %d in flight on %d connections"
-                + "  p50 %.1f p99 %.1f ms  own lag p99 %.3f ms", glance.ms() / 1000, lasts,
-                glance.tries(), glance.tries() * 1000 / Math.max(1, glance.ms()), glance.inFlight(),
-                glance.connections(), glance.p50Ms(), glance.p99Ms(), glance.lagP99Ms());
+        String line = String.format(
+                Locale.ROOT,
+                "%6.1f of %s s  %d tries (%.0f a second)  %d in flight on %d connections"
+                        + "  p50 %.1f p99 %.1f ms  own lag p99 %.3f ms",
+                glance.ms() / 1000,
+                lasts,
+                glance.tries(),
+                glance.tries() * 1000 / Math.max(1, glance.ms()),
+                glance.inFlight(),
+                glance.connections(),
+                glance.p50Ms(),
+                glance.p99Ms(),
+                glance.lagP99Ms());
         if (display != null) {
             Size size = terminal.getSize();
             display.resize(Math.max(6, size.getRows()), Math.max(40, size.getColumns()));
--- a/lab/src/main/java/spartrail/lab/cli/LoadImport.java
+++ b/lab/src/main/java/spartrail/lab/cli/LoadImport.java
@@ -9,7 +9,10 @@
 
 /** Makes a trace of a recording. */
 final class LoadImport extends Command {
-    @Argument(required = true, metaVar = "FILE", usage = "CSV with a head line, JSON lines, or a front node's record; .gz too")
+    @Argument(
+            required = true,
+            metaVar = "FILE",
+            usage = "CSV with a head line, JSON lines, or a front node's record; .gz too")
     private Path file;
 
     @Option(name = "--out", metaVar = "TRACE", required = true, usage = "the trace to write")
@@ -37,7 +40,8 @@
 
     @Override
     int run(PrintStream out, PrintStream err) throws Exception {
-        TraceImport.Columns named = columns == null ? TraceImport.Columns.usual()
+        TraceImport.Columns named = columns == null
+                ? TraceImport.Columns.usual()
                 : TraceImport.Columns.of(Document.read(columns, "columns"));
         out.println(Document.JSON.writeValueAsString(
                 TraceImport.run(file, trace, named, reorderMs, clamp, squeezeMs, keepDuplicates)));
--- a/lab/src/main/java/spartrail/lab/cli/LoadPlanned.java
+++ b/lab/src/main/java/spartrail/lab/cli/LoadPlanned.java
@@ -42,15 +42,26 @@
             Arrival arrival = arrivals.next();
             counts[(int) Math.min(bins - 1, arrival.atMs() * bins / lastsMs)]++;
             if (json) {
-                ObjectNode line = Document.JSON.createObjectNode().put("atMs", arrival.atMs())
-                        .put("phase", plan.phases().get(arrival.phase()).name()).put("opType", arrival.opType())
-                        .put("key", arrival.key()).put("workMs", arrival.workMs()).put("hintMs", arrival.hintMs())
-                        .put("textBytes", arrival.textBytes()).put("clientMs", arrival.clientMs());
+                ObjectNode line = Document.JSON
+                        .createObjectNode()
+                        .put("atMs", arrival.atMs())
+                        .put("phase", plan.phases().get(arrival.phase()).name())
+                        .put("opType", arrival.opType())
+                        .put("key", arrival.key())
+                        .put("workMs", arrival.workMs())
+                        .put("hintMs", arrival.hintMs())
+                        .put("textBytes", arrival.textBytes())
+                        .put("clientMs", arrival.clientMs());
                 line.set("shards", Document.JSON.valueToTree(arrival.shards()));
                 out.println(Document.JSON.writeValueAsString(line));
             } else if (list) {
-                out.printf(Locale.ROOT, "%12.3f ms %-10s %-16s %-10s %d shards%n", arrival.atMs(),
-                        plan.phases().get(arrival.phase()).name(), arrival.opType(), arrival.key(),
+                out.printf(
+                        Locale.ROOT,
+                        "%12.3f ms %-10s %-16s %-10s %d shards%n",
+                        arrival.atMs(),
+                        plan.phases().get(arrival.phase()).name(),
+                        arrival.opType(),
+                        arrival.key(),
                         arrival.shards().length);
             }
         }
@@ -61,8 +72,8 @@
             }
             double eachS = lastsMs / bins / 1000;
             for (int i = 0; i < bins; i++) {
-                out.printf(Locale.ROOT, "%8.1f s %9.1f/s %s%n", i * eachS, counts[i] / eachS,
-                        "#".repeat((int) (60 * counts[i] / top)));
+                out.printf(Locale.ROOT, "%8.1f s %9.1f/s %s%n", i * eachS, counts[i] / eachS, "#".repeat((int)
+                                (60 * counts[i] / top)));
             }
             out.printf(Locale.ROOT, "%d multigets in %.1f s, seed %d%n", all, lastsMs / 1000, plan.seed());
         }
--- a/lab/src/main/java/spartrail/lab/cli/LoadReplay.java
+++ b/lab/src/main/java/spartrail/lab/cli/LoadReplay.java
@@ -45,7 +45,8 @@
     @Override
     int run(PrintStream out, PrintStream err) throws Exception {
         if (!(speed > 0) || loops < 1 || !(share > 0 && share <= 1) || copies < 1 || connections < 1) {
-            throw new BadInput("--speed is above 0, --loops, --copies and --connections at least 1, --share above 0 to 1");
+            throw new BadInput(
+                    "--speed is above 0, --loops, --copies and --connections at least 1, --share above 0 to 1");
         }
         if (!Files.isReadable(file)) {
             throw new BadInput(file + ": cannot be read");
@@ -56,10 +57,20 @@
             throw new BadInput("no front node to send to: give --target");
         }
         Path scratch = Files.createTempFile("spartrail", ".trace");
-        try (TraceReplay replay = new TraceReplay(TraceReplay.trace(file, scratch), speed, loops, share, copies, seed,
-                Habit.ONCE)) {
-            LoadPlan plan = new LoadPlan(seed, List.of(new LoadPlan.Phase("trace", 1e12, new Rate.Steady(1))),
-                    Gaps.POISSON, 1, List.of(replay.stream()), List.of(), nodes, connections, 1000, 5, 1000);
+        try (TraceReplay replay =
+                new TraceReplay(TraceReplay.trace(file, scratch), speed, loops, share, copies, seed, Habit.ONCE)) {
+            LoadPlan plan = new LoadPlan(
+                    seed,
+                    List.of(new LoadPlan.Phase("trace", 1e12, new Rate.Steady(1))),
+                    Gaps.POISSON,
+                    1,
+                    List.of(replay.stream()),
+                    List.of(),
+                    nodes,
+                    connections,
+                    1000,
+                    5,
+                    1000);
             return Running.run(plan, replay, Double.NaN, json, report, out, err);
         } finally {
             Files.deleteIfExists(scratch);
--- a/lab/src/main/java/spartrail/lab/cli/LoadSpeed.java
+++ b/lab/src/main/java/spartrail/lab/cli/LoadSpeed.java
@@ -23,7 +23,9 @@
 /** How fast the generator itself is: it sends to a responder in the same process that has nothing to do. */
 final class LoadSpeed extends Command {
     private static final Set<String> HEAP = ManagementFactory.getMemoryPoolMXBeans().stream()
-            .filter(pool -> pool.getType() == MemoryType.HEAP).map(MemoryPoolMXBean::getName).collect(Collectors.toSet());
+            .filter(pool -> pool.getType() == MemoryType.HEAP)
+            .map(MemoryPoolMXBean::getName)
+            .collect(Collectors.toSet());
 
     @Option(name = "--per-s", metaVar = "N", usage = "multigets a second (default 20000)")
     private double perS = 20_000;
@@ -31,7 +33,10 @@
     @Option(name = "--seconds", metaVar = "S", usage = "for so long (default 10)")
     private double seconds = 10;
 
-    @Option(name = "--answer-ms", metaVar = "MS", usage = "the responder answers so much later; with it connections pile up")
+    @Option(
+            name = "--answer-ms",
+            metaVar = "MS",
+            usage = "the responder answers so much later; with it connections pile up")
     private double answerMs;
 
     @Option(name = "--connections", metaVar = "N", usage = "most connections (default 500)")
@@ -48,14 +53,20 @@
     @Override
     int run(PrintStream out, PrintStream err) throws Exception {
         LoadPlan warming = Plans.even(2000, 4000, 60_000, 50, 1);
-        LoadPlan plan = Plans.parse(String.format(Locale.ROOT, "{'gaps':{'kind':'poisson'},'lagBoundMs':1,'connections':"
-                + "{'most':%d},'phases':[{'lastsMs':%.0f,'rate':{'shape':'steady','perS':%.3f}}],'streams':[{'opTypes':"
-                + "[{'name':'orders'}],'shards':{'of':16,'least':2},'clientMs':60000}]}", connections, 1000 * seconds, perS));
+        LoadPlan plan = Plans.parse(String.format(
+                Locale.ROOT,
+                "{'gaps':{'kind':'poisson'},'lagBoundMs':1,'connections':"
+                        + "{'most':%d},'phases':[{'lastsMs':%.0f,'rate':{'shape':'steady','perS':%.3f}}],'streams':[{'opTypes':"
+                        + "[{'name':'orders'}],'shards':{'of':16,'least':2},'clientMs':60000}]}",
+                connections,
+                1000 * seconds,
+                perS));
         double[] laterMs = new double[1];
         try (NullResponder responder = new NullResponder(0, (number, atMs) -> atMs + laterMs[0])) {
-            // Danger: a responder that still compiles answers late, connections pile up, and that is what would be measured.
-            try (LoadSession warm = new LoadSession(Plans.at(warming, responder.address()), warming.arrivals(),
-                    warming.lastsMs(), Watcher.NONE)) {
+            // Danger: a responder that still compiles answers late, connections pile up, and that is what would be
+            // measured.
+            try (LoadSession warm = new LoadSession(
+                    Plans.at(warming, responder.address()), warming.arrivals(), warming.lastsMs(), Watcher.NONE)) {
                 warm.await(60_000);
             }
             laterMs[0] = answerMs;
@@ -66,8 +77,8 @@
     private int measure(NullResponder responder, LoadPlan plan, PrintStream out, PrintStream err) throws Exception {
         long[] heapMb = new long[4];
         int mostConnections = 0;
-        try (LoadSession session = new LoadSession(Plans.at(plan, responder.address()), plan.arrivals(), plan.lastsMs(),
-                        Watcher.NONE);
+        try (LoadSession session = new LoadSession(
+                        Plans.at(plan, responder.address()), plan.arrivals(), plan.lastsMs(), Watcher.NONE);
                 Live live = new Live(err, List::of)) {
             while (!session.await(250)) {
                 LoadSession.Glance glance = session.glance();
@@ -83,7 +94,8 @@
                 out.println(Document.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(tree));
             } else {
                 out.print(Report.text(tree));
-                out.printf("most connections %d, heap after collections by quarters of the run %d, %d, %d, %d MB%n",
+                out.printf(
+                        "most connections %d, heap after collections by quarters of the run %d, %d, %d, %d MB%n",
                         mostConnections, heapMb[0], heapMb[1], heapMb[2], heapMb[3]);
             }
             return tree.get("fit").asBoolean() ? 0 : 1;
@@ -95,11 +107,14 @@
         long newestMs = -1;
         long left = 0;
         for (GarbageCollectorMXBean bean : ManagementFactory.getGarbageCollectorMXBeans()) {
-            GcInfo info = bean instanceof com.sun.management.GarbageCollectorMXBean known ? known.getLastGcInfo() : null;
+            GcInfo info =
+                    bean instanceof com.sun.management.GarbageCollectorMXBean known ? known.getLastGcInfo() : null;
             if (info != null && info.getEndTime() > newestMs) {
                 newestMs = info.getEndTime();
-                left = info.getMemoryUsageAfterGc().entrySet().stream().filter(pool -> HEAP.contains(pool.getKey()))
-                        .mapToLong(pool -> pool.getValue().getUsed()).sum();
+                left = info.getMemoryUsageAfterGc().entrySet().stream()
+                        .filter(pool -> HEAP.contains(pool.getKey()))
+                        .mapToLong(pool -> pool.getValue().getUsed())
+                        .sum();
             }
         }
         return left;
--- a/lab/src/main/java/spartrail/lab/cli/Logs.java
+++ b/lab/src/main/java/spartrail/lab/cli/Logs.java
@@ -12,8 +12,7 @@
 
 /** Structured logs on standard error: plain lines for a person or JSON lines for a machine. */
 final class Logs {
-    private Logs() {
-    }
+    private Logs() {}
 
     static void set(String form) {
         if (!form.equals("plain") && !form.equals("json")) {
--- a/lab/src/main/java/spartrail/lab/cli/NodesExplore.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesExplore.java
@@ -35,13 +35,25 @@
                 err.println(done + " of " + seeds + " seeds");
             }
         });
-        out.printf("seeds %d to %d, 3 to %d nodes: %d messages, %d versions that took hold, %d changes of what a node goes by, hash %016x, "
-                + "%.0f s%n", from, from + seeds - 1, most, result.messages(), result.versions(), result.changes(), result.hash(),
+        out.printf(
+                "seeds %d to %d, 3 to %d nodes: %d messages, %d versions that took hold, %d changes of what a node goes by, hash %016x, "
+                        + "%.0f s%n",
+                from,
+                from + seeds - 1,
+                most,
+                result.messages(),
+                result.versions(),
+                result.changes(),
+                result.hash(),
                 (System.nanoTime() - startNs) / 1e9);
         out.println(result.found().size() + " seeds broke a rule");
-        result.found().entrySet().stream().limit(20).forEach(found -> out.println("  seed " + found.getKey() + ", " + found.getValue()));
-        result.found().keySet().stream().findFirst().ifPresent(seed -> out.print("the shortest script found for the first: "
-                + PolicyTrial.drawn(seed, most).shrunk().script()));
+        result.found().entrySet().stream()
+                .limit(20)
+                .forEach(found -> out.println("  seed " + found.getKey() + ", " + found.getValue()));
+        result.found().keySet().stream()
+                .findFirst()
+                .ifPresent(seed -> out.print("the shortest script found for the first: "
+                        + PolicyTrial.drawn(seed, most).shrunk().script()));
         return result.found().isEmpty() ? 0 : 1;
     }
 
@@ -60,11 +72,21 @@
                 }
             }
         });
-        out.printf("seeds %d to %d, %d to %d nodes: %d messages, %d changes of views judged, hash %016x, %.0f s%n", from,
-                from + seeds - 1, least, most, result.messages(), result.changes(), result.hash(), (System.nanoTime() - startNs) / 1e9);
+        out.printf(
+                "seeds %d to %d, %d to %d nodes: %d messages, %d changes of views judged, hash %016x, %.0f s%n",
+                from,
+                from + seeds - 1,
+                least,
+                most,
+                result.messages(),
+                result.changes(),
+                result.hash(),
+                (System.nanoTime() - startNs) / 1e9);
         out.println(result.found().size() + " seeds broke a rule");
-        result.found().values().stream().limit(20).forEach(found -> out.println("  seed " + found.seed() + ", " + found.size()
-                + " nodes, " + found.first()));
+        result.found().values().stream()
+                .limit(20)
+                .forEach(found ->
+                        out.println("  seed " + found.seed() + ", " + found.size() + " nodes, " + found.first()));
         result.found().keySet().stream().findFirst().ifPresent(seed -> {
             PeersTrial shortest = Exploration.shrunk(seed, least, most);
             out.print("the shortest script found for the first: " + shortest.script());
--- a/lab/src/main/java/spartrail/lab/cli/NodesFigures.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesFigures.java
@@ -29,9 +29,20 @@
         for (int size : sizes.isEmpty() ? List.of(10, 100, 400) : sizes) {
             for (String fault : PeersFigures.FAULTS) {
                 PeersFigures.Row row = PeersFigures.of(size, fault, runs, PeerTimes.USUAL);
-                out.printf(Locale.ROOT, "| %d | %s | %s | %s | %s | %.0f | %.2f | %.2f | %.0f | %.0f | %.0f |%n", size, fault,
-                        ms(row.p50Ms()), ms(row.p99Ms()), ms(row.mostMs()), row.boundMs(), row.suspicionsAnHour(), row.endsAnHour(),
-                        row.bytesPerS(), row.mostBytesPerS(), row.boundBytesPerS());
+                out.printf(
+                        Locale.ROOT,
+                        "| %d | %s | %s | %s | %s | %.0f | %.2f | %.2f | %.0f | %.0f | %.0f |%n",
+                        size,
+                        fault,
+                        ms(row.p50Ms()),
+                        ms(row.p99Ms()),
+                        ms(row.mostMs()),
+                        row.boundMs(),
+                        row.suspicionsAnHour(),
+                        row.endsAnHour(),
+                        row.bytesPerS(),
+                        row.mostBytesPerS(),
+                        row.boundBytesPerS());
             }
         }
         return 0;
--- a/lab/src/main/java/spartrail/lab/cli/NodesJudge.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesJudge.java
@@ -36,7 +36,8 @@
             throw new BadInput(file + ": is no history: " + e.getMessage());
         }
         PeersRules rules = new Judge(nodes).read(lines, settled);
-        out.println(lines.size() + " lines, " + rules.asked() + " changes of views judged, " + rules.breaches().size() + " breaches");
+        out.println(lines.size() + " lines, " + rules.asked() + " changes of views judged, "
+                + rules.breaches().size() + " breaches");
         rules.breaches().forEach(breach -> out.println("BROKEN " + breach));
         return rules.breaches().isEmpty() ? 0 : 1;
     }
--- a/lab/src/main/java/spartrail/lab/cli/NodesModel.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesModel.java
@@ -29,8 +29,10 @@
         boolean good = whole.broken().isEmpty();
         for (Left left : Left.values()) {
             Found found = PolicyModel.search(nodes, lease, Set.of(left));
-            out.println("without " + left.what + ": " + (found.broken().isEmpty() ? "NOT NEEDED, " + found.states() + " states"
-                    : found.broken() + " after " + (found.trace().size() - 1) + " steps"));
+            out.println("without " + left.what + ": "
+                    + (found.broken().isEmpty()
+                            ? "NOT NEEDED, " + found.states() + " states"
+                            : found.broken() + " after " + (found.trace().size() - 1) + " steps"));
             found.trace().forEach(line -> out.println("  " + line));
             good &= !found.broken().isEmpty();
         }
--- a/lab/src/main/java/spartrail/lab/cli/NodesPlanted.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesPlanted.java
@@ -24,14 +24,20 @@
     @Override
     int run(PrintStream out, PrintStream err) throws Exception {
         String root = System.getenv("SPARTRAIL_ROOT");
-        out.printf("| %-50s | %5s | %5s | %-24s |%n|%s|%n", "planted", "seed", "nodes", "rule that found it",
+        out.printf(
+                "| %-50s | %5s | %5s | %-24s |%n|%s|%n",
+                "planted",
+                "seed",
+                "nodes",
+                "rule that found it",
                 "-".repeat(52) + "|" + "-".repeat(7) + "|" + "-".repeat(7) + "|" + "-".repeat(26));
         boolean all = true;
-        for (Plants.Caught caught : Plants.play(Path.of(root == null ? "." : root), policy ? Plants.POLICY : Plants.ALL, 1, seeds,
-                most)) {
+        for (Plants.Caught caught :
+                Plants.play(Path.of(root == null ? "." : root), policy ? Plants.POLICY : Plants.ALL, 1, seeds, most)) {
             all &= caught.caught();
-            out.printf("| %-50s | %5s | %5s | %-24s |%n", caught.plant().name(), caught.seed(), caught.size(),
-                    caught.caught() ? caught.rule() : "NOT FOUND");
+            out.printf(
+                    "| %-50s | %5s | %5s | %-24s |%n",
+                    caught.plant().name(), caught.seed(), caught.size(), caught.caught() ? caught.rule() : "NOT FOUND");
         }
         return all ? 0 : 1;
     }
--- a/lab/src/main/java/spartrail/lab/cli/NodesReplay.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesReplay.java
@@ -33,7 +33,9 @@
     @Override
     int run(PrintStream out, PrintStream err) {
         if (policy) {
-            PolicyTrial trial = whole ? PolicyTrial.drawn(seed, most) : PolicyTrial.drawn(seed, most).shrunk();
+            PolicyTrial trial = whole
+                    ? PolicyTrial.drawn(seed, most)
+                    : PolicyTrial.drawn(seed, most).shrunk();
             out.print(trial.script());
             PolicyTrial.Outcome outcome = trial.play(true);
             outcome.log().forEach(out::println);
--- a/lab/src/main/java/spartrail/lab/cli/NodesRun.java
+++ b/lab/src/main/java/spartrail/lab/cli/NodesRun.java
@@ -31,7 +31,10 @@
     @Option(name = "--out", metaVar = "FOLDER", usage = "keep the merged history, the report, logs and a picture here")
     private Path folder;
 
-    @Option(name = "--store", metaVar = "FILE", usage = "keep the report in this store of experiments, too; the plan needs load")
+    @Option(
+            name = "--store",
+            metaVar = "FILE",
+            usage = "keep the report in this store of experiments, too; the plan needs load")
     private Path store;
 
     @Override
@@ -43,7 +46,8 @@
     int run(PrintStream out, PrintStream err) throws Exception {
         NodesPlan plan = NodesPlan.read(file);
         if (store != null && plan.load() == null) {
-            throw new BadInput("--store: " + file + " has no load, so there is no report to keep; --out keeps the history");
+            throw new BadInput(
+                    "--store: " + file + " has no load, so there is no report to keep; --out keeps the history");
         }
         Path work = folder == null ? Files.createTempDirectory("spartrail-nodes") : Files.createDirectories(folder);
         try (Rig rig = new Rig(plan, work, line -> err.println(line))) {
@@ -52,9 +56,12 @@
             PeersRules rules = new Judge(plan.nodes()).read(lines, false);
             List<String> broken = new ArrayList<>();
             rules.breaches().forEach(breach -> broken.add("peers " + breach));
-            outcome.rules().verdicts().stream().filter(verdict -> verdict.broken() > 0).forEach(verdict -> broken.add("rule: "
-                    + verdict.rule().text + ": " + verdict.broken() + " times, " + verdict.examples()));
-            outcome.notTaken().forEach(step -> broken.add("step " + step + " was not taken: what it waits for was not seen"));
+            outcome.rules().verdicts().stream()
+                    .filter(verdict -> verdict.broken() > 0)
+                    .forEach(verdict -> broken.add("rule: " + verdict.rule().text + ": " + verdict.broken() + " times, "
+                            + verdict.examples()));
+            outcome.notTaken()
+                    .forEach(step -> broken.add("step " + step + " was not taken: what it waits for was not seen"));
             out.println(lines.size() + " lines of history, " + rules.asked() + " changes of views judged");
             outcome.nodes().forEach(out::println);
             broken.forEach(line -> out.println("BROKEN " + line));
@@ -69,7 +76,8 @@
         } finally {
             if (folder == null) {
                 try (var files = Files.walk(work)) {
-                    files.sorted(java.util.Comparator.reverseOrder()).forEach(each -> each.toFile().delete());
+                    files.sorted(java.util.Comparator.reverseOrder())
+                            .forEach(each -> each.toFile().delete());
                 }
             }
         }
@@ -83,8 +91,12 @@
         report.set("rules", Runner.rules(outcome.rules()));
         try (Store kept = new Store(store)) {
             long experiment = kept.begin(file.getFileName().toString(), Document.read(file, "nodes").tree);
-            kept.complete(kept.begin(experiment, new ExperimentPlan.Cell(plan.peers() == null ? "silent" : "talking",
-                    plan.nodes(), 1, plan.seed())), report);
+            kept.complete(
+                    kept.begin(
+                            experiment,
+                            new ExperimentPlan.Cell(
+                                    plan.peers() == null ? "silent" : "talking", plan.nodes(), 1, plan.seed())),
+                    report);
         }
     }
 
--- a/lab/src/main/java/spartrail/lab/cli/PeersQuestion.java
+++ b/lab/src/main/java/spartrail/lab/cli/PeersQuestion.java
@@ -25,16 +25,18 @@
 
     PeersQuestion(String at, String fleet) {
         if (!Frames.isAddress(at)) {
-            throw new BadInput("--at: found '" + at + "', the node's address for talk, such as 127.0.0.1:7400, is expected");
+            throw new BadInput(
+                    "--at: found '" + at + "', the node's address for talk, such as 127.0.0.1:7400, is expected");
         }
-        this.node = new InetSocketAddress(at.substring(0, at.indexOf(':')), Integer.parseInt(at.substring(at.indexOf(':') + 1)));
+        this.node = new InetSocketAddress(
+                at.substring(0, at.indexOf(':')), Integer.parseInt(at.substring(at.indexOf(':') + 1)));
         this.fleet = fleet;
     }
 
     /** The whole view: its head, and all peers under {@code peers}. */
     ObjectNode view() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, node.getAddress().isLoopbackAddress()
-                ? InetAddress.getLoopbackAddress() : null)) {
+        try (DatagramSocket socket = new DatagramSocket(
+                0, node.getAddress().isLoopbackAddress() ? InetAddress.getLoopbackAddress() : null)) {
             socket.setSoTimeout(WAIT_MS);
             ObjectNode view = (ObjectNode) page(socket, 0);
             ArrayNode peers = view.putArray("peers");
@@ -57,7 +59,8 @@
             try {
                 socket.receive(reply);
                 Frames.Frame frame = Frames.read(reply.getData(), reply.getLength(), fleet, LONGEST);
-                JsonNode page = Document.JSON.readTree(String.valueOf(frame.values().get(3)));
+                JsonNode page =
+                        Document.JSON.readTree(String.valueOf(frame.values().get(3)));
                 // A late reply to an earlier try is another page.
                 boolean asked = from == 0 ? page.has("name") : !page.has("name");
                 if (frame.lane() == Frames.REPLY && asked) {
@@ -67,7 +70,8 @@
                 // Asked once more.
             }
         }
-        throw new IOException("no answer from " + node + " as fleet '" + fleet + "': is it started with --peers, is the fleet's name"
-                + " right, and is this address among its operators?");
+        throw new IOException(
+                "no answer from " + node + " as fleet '" + fleet + "': is it started with --peers, is the fleet's name"
+                        + " right, and is this address among its operators?");
     }
 }
--- a/lab/src/main/java/spartrail/lab/cli/PeersShow.java
+++ b/lab/src/main/java/spartrail/lab/cli/PeersShow.java
@@ -8,7 +8,10 @@
 
 /** What a running node knows of the others, once or as it changes. */
 final class PeersShow extends Command {
-    enum What { SHOW, WATCH }
+    enum What {
+        SHOW,
+        WATCH
+    }
 
     @Option(name = "--at", metaVar = "HOST:PORT", required = true, usage = "where the node listens for other nodes")
     private String at;
@@ -30,7 +33,8 @@
 
     @Override
     String summary() {
-        return what == What.SHOW ? "what a running node knows of the other front nodes"
+        return what == What.SHOW
+                ? "what a running node knows of the other front nodes"
                 : "the same, shown again whenever a standing, a doubt or the count changes";
     }
 
@@ -54,9 +58,13 @@
     }
 
     private static String standing(ObjectNode view) {
-        StringBuilder text = new StringBuilder(view.get("standing").asText() + view.get("doubt").asText() + view.get("there")
-                + view.get("least") + view.get("most"));
-        view.get("peers").forEach(peer -> text.append(peer.get("name").asText()).append(peer.get("standing").asText())
+        StringBuilder text = new StringBuilder(view.get("standing").asText()
+                + view.get("doubt").asText()
+                + view.get("there")
+                + view.get("least")
+                + view.get("most"));
+        view.get("peers").forEach(peer -> text.append(peer.get("name").asText())
+                .append(peer.get("standing").asText())
                 .append(peer.get("startMs")));
         return text.toString();
     }
@@ -66,16 +74,38 @@
             out.println(view.toPrettyString());
             return;
         }
-        out.printf("%s is %s%s: %s there, at least %s, at most %s%n", view.get("name").asText(), view.get("standing").asText(),
-                view.get("doubt").asText().isEmpty() ? "" : ", in doubt (" + view.get("doubt").asText() + ")",
-                view.get("there"), view.get("least"), view.get("most"));
-        out.printf("  %-16s %-8s %-8s %10s %10s  %-22s %-8s %s%n", "node", "standing", "sure", "for s", "heard s", "address", "zone", "from");
+        out.printf(
+                "%s is %s%s: %s there, at least %s, at most %s%n",
+                view.get("name").asText(),
+                view.get("standing").asText(),
+                view.get("doubt").asText().isEmpty()
+                        ? ""
+                        : ", in doubt (" + view.get("doubt").asText() + ")",
+                view.get("there"),
+                view.get("least"),
+                view.get("most"));
+        out.printf(
+                "  %-16s %-8s %-8s %10s %10s  %-22s %-8s %s%n",
+                "node", "standing", "sure", "for s", "heard s", "address", "zone", "from");
         for (JsonNode peer : view.get("peers")) {
-            out.printf(Locale.ROOT, "  %-16s %-8s %-8s %10.1f %10s  %-22s %-8s %s%n", peer.get("name").asText(),
-                    peer.get("standing").asText(), peer.get("sure").asText(), peer.get("sinceMs").asDouble() / 1000,
-                    peer.has("heardMs") ? String.format(Locale.ROOT, "%.1f", peer.get("heardMs").asDouble() / 1000) : "-",
-                    peer.get("address").asText(), peer.get("zone").asText(), peer.get("from").asText());
+            out.printf(
+                    Locale.ROOT,
+                    "  %-16s %-8s %-8s %10.1f %10s  %-22s %-8s %s%n",
+                    peer.get("name").asText(),
+                    peer.get("standing").asText(),
+                    peer.get("sure").asText(),
+                    peer.get("sinceMs").asDouble() / 1000,
+                    peer.has("heardMs")
+                            ? String.format(
+                                    Locale.ROOT, "%.1f", peer.get("heardMs").asDouble() / 1000)
+                            : "-",
+                    peer.get("address").asText(),
+                    peer.get("zone").asText(),
+                    peer.get("from").asText());
         }
-        view.get("counts").fields().forEachRemaining(count -> out.printf("  %-40s %d%n", count.getKey(), count.getValue().asLong()));
+        view.get("counts")
+                .fields()
+                .forEachRemaining(count -> out.printf(
+                        "  %-40s %d%n", count.getKey(), count.getValue().asLong()));
     }
 }
--- a/lab/src/main/java/spartrail/lab/cli/PolicyAt.java
+++ b/lab/src/main/java/spartrail/lab/cli/PolicyAt.java
@@ -18,7 +18,11 @@
     private static final int LOOK_MS = 200;
     private static final double LONGEST_WAIT_MS = 120_000;
 
-    @Option(name = "--at", metaVar = "HOST:PORT", required = true, usage = "where a running node listens for other nodes")
+    @Option(
+            name = "--at",
+            metaVar = "HOST:PORT",
+            required = true,
+            usage = "where a running node listens for other nodes")
     String at;
 
     @Option(name = "--fleet", metaVar = "NAME", required = true, usage = "the fleet's name, as in the peers' file")
@@ -26,7 +30,8 @@
 
     Operator operator() throws IOException {
         if (!Frames.isAddress(at)) {
-            throw new BadInput("--at: found '" + at + "', the node's address for talk, such as 127.0.0.1:7400, is expected");
+            throw new BadInput(
+                    "--at: found '" + at + "', the node's address for talk, such as 127.0.0.1:7400, is expected");
         }
         return new Operator(new OperatorForm(fleet), at.startsWith("127."));
     }
@@ -69,8 +74,17 @@
     }
 
     /** Gives an order and says what came of it; waits for its end where that is wanted. */
-    int ordered(Operator operator, Op.Kind kind, long number, String text, String who, boolean wait, boolean json, PrintStream out,
-            PrintStream err) throws IOException, InterruptedException {
+    int ordered(
+            Operator operator,
+            Op.Kind kind,
+            long number,
+            String text,
+            String who,
+            boolean wait,
+            boolean json,
+            PrintStream out,
+            PrintStream err)
+            throws IOException, InterruptedException {
         String came = operator.order(at, kind, number, text, who, address -> address);
         if (came.startsWith("!")) {
             err.println("spartrail: not taken: " + came.substring(1));
@@ -78,18 +92,28 @@
         }
         long taken = Long.parseLong(came);
         if (!wait) {
-            out.println(json ? "{\"number\":" + taken + "}" : (kind == Op.Kind.PROPOSE ? "proposed as " : "aborted ") + taken);
+            out.println(
+                    json
+                            ? "{\"number\":" + taken + "}"
+                            : (kind == Op.Kind.PROPOSE ? "proposed as " : "aborted ") + taken);
             return 0;
         }
-        for (long untilNs = System.nanoTime() + (long) (LONGEST_WAIT_MS * 1e6); System.nanoTime() < untilNs; Thread.sleep(LOOK_MS)) {
+        for (long untilNs = System.nanoTime() + (long) (LONGEST_WAIT_MS * 1e6);
+                System.nanoTime() < untilNs;
+                Thread.sleep(LOOK_MS)) {
             for (JsonNode entry : decider(operator).get("entries")) {
                 if (entry.get("number").asLong() == taken) {
-                    out.println(json ? entry.toString() : taken + " " + entry.get("stage").asText() + " " + entry.get("why").asText());
+                    out.println(
+                            json
+                                    ? entry.toString()
+                                    : taken + " " + entry.get("stage").asText() + " "
+                                            + entry.get("why").asText());
                     return entry.get("stage").asText().equals("HOLDS") ? 0 : 1;
                 }
             }
         }
-        err.println("spartrail: " + taken + " has not ended within " + LONGEST_WAIT_MS / 1000 + " s; spartrail policy show tells where it stands");
+        err.println("spartrail: " + taken + " has not ended within " + LONGEST_WAIT_MS / 1000
+                + " s; spartrail policy show tells where it stands");
         return 1;
     }
 }
--- a/lab/src/main/java/spartrail/lab/cli/PolicyDiff.java
+++ b/lab/src/main/java/spartrail/lab/cli/PolicyDiff.java
@@ -22,8 +22,10 @@
     int run(PrintStream out, PrintStream err) throws Exception {
         try (Operator operator = operator()) {
             var page = decider(operator);
-            Terms from = Terms.parse(one == 0 ? "{}" : entry(page, one).get("settings").asText());
-            Terms to = Terms.parse(other == 0 ? "{}" : entry(page, other).get("settings").asText());
+            Terms from = Terms.parse(
+                    one == 0 ? "{}" : entry(page, one).get("settings").asText());
+            Terms to = Terms.parse(
+                    other == 0 ? "{}" : entry(page, other).get("settings").asText());
             from.difference(to).forEach(out::println);
             return 0;
         }
--- a/lab/src/main/java/spartrail/lab/cli/PolicyFound.java
+++ b/lab/src/main/java/spartrail/lab/cli/PolicyFound.java
@@ -32,7 +32,8 @@
     @Override
     int run(PrintStream out, PrintStream err) throws IOException {
         if (deciders.size() != 3 && deciders.size() != 5 || !deciders.contains(node)) {
-            throw new BadInput("--decider: found " + deciders + ", 3 or 5 names with " + node + " among them are expected");
+            throw new BadInput(
+                    "--decider: found " + deciders + ", 3 or 5 names with " + node + " among them are expected");
         }
         Operator.found(folder, fleet, node, deciders);
         out.println(folder + ": a log of policy for " + node + " of " + deciders);
--- a/lab/src/main/java/spartrail/lab/cli/PolicyOrder.java
+++ b/lab/src/main/java/spartrail/lab/cli/PolicyOrder.java
@@ -9,7 +9,10 @@
 /** Aborts a proposal that is not decided yet, or proposes an older version's settings again. */
 final class PolicyOrder extends PolicyAt {
     /** Which of both. */
-    enum What { ABORT, ROLLBACK }
+    enum What {
+        ABORT,
+        ROLLBACK
+    }
 
     private final What what;
 
@@ -31,15 +34,30 @@
 
     @Override
     String summary() {
-        return what == What.ABORT ? "gives up a proposal that is not decided yet" : "proposes a new version with an older one's settings";
+        return what == What.ABORT
+                ? "gives up a proposal that is not decided yet"
+                : "proposes a new version with an older one's settings";
     }
 
     @Override
     int run(PrintStream out, PrintStream err) throws Exception {
         try (Operator operator = operator()) {
-            return what == What.ABORT ? ordered(operator, Op.Kind.ABORT, number, "", who, wait, json, out, err)
-                    : ordered(operator, Op.Kind.PROPOSE, 0, number == 0 ? "{}" : entry(decider(operator), number).get("settings").asText(),
-                            who + ", back to " + number, wait, json, out, err);
+            return what == What.ABORT
+                    ? ordered(operator, Op.Kind.ABORT, number, "", who, wait, json, out, err)
+                    : ordered(
+                            operator,
+                            Op.Kind.PROPOSE,
+                            0,
+                            number == 0
+                                    ? "{}"
+                                    : entry(decider(operator), number)
+                                            .get("settings")
+                                            .asText(),
+                            who + ", back to " + number,
+                            wait,
+                            json,
+                            out,
+                            err);
         }
     }
 }
--- a/lab/src/main/java/spartrail/lab/cli/PolicyPropose.java
+++ b/lab/src/main/java/spartrail/lab/cli/PolicyPropose.java
@@ -17,7 +17,9 @@
     @Argument(required = true, metaVar = "FILE", usage = "the version; deploy/policy.schema.json has its form")
     private Path file;
 
-    @Option(name = "--dry-run", usage = "propose nothing: ask every node whether it could apply it, and what would change")
+    @Option(
+            name = "--dry-run",
+            usage = "propose nothing: ask every node whether it could apply it, and what would change")
     private boolean dryRun;
 
     @Option(name = "--wait", usage = "until it holds or is refused; status 0 only if it holds")
@@ -45,7 +47,9 @@
             throw new BadInput(file + ": " + e.getMessage());
         }
         try (Operator operator = operator()) {
-            return dryRun ? tried(operator, settings, out) : ordered(operator, Op.Kind.PROPOSE, 0, settings, who, wait, json, out, err);
+            return dryRun
+                    ? tried(operator, settings, out)
+                    : ordered(operator, Op.Kind.PROPOSE, 0, settings, who, wait, json, out, err);
         }
     }
 
@@ -59,7 +63,10 @@
                 said = "!" + e.getMessage();
             }
             good &= !said.startsWith("!");
-            out.println(node.getKey() + (said.startsWith("!") ? ": NO, " + said.substring(1) : said.isEmpty() ? ": nothing would change" : ":"));
+            out.println(node.getKey()
+                    + (said.startsWith("!")
+                            ? ": NO, " + said.substring(1)
+                            : said.isEmpty() ? ": nothing would change" : ":"));
             if (!said.startsWith("!")) {
                 said.lines().forEach(line -> out.println("  " + line));
             }
--- a/lab/src/main/java/spartrail/lab/cli/PolicyShow.java
+++ b/lab/src/main/java/spartrail/lab/cli/PolicyShow.java
@@ -12,7 +12,11 @@
 /** By what a node goes; by what each of them goes; and what became of proposals. */
 final class PolicyShow extends PolicyAt {
     /** Which of them. */
-    enum What { SHOW, HISTORY, WHO }
+    enum What {
+        SHOW,
+        HISTORY,
+        WHO
+    }
 
     private final What what;
 
@@ -53,7 +57,9 @@
         for (String name : new String[] {"holds", "open"}) {
             if (page.has(name)) {
                 JsonNode entry = page.get(name);
-                out.println("  " + name + ": " + entry.get("number") + " " + entry.get("stage").asText() + ", by '" + entry.get("by").asText() + "': "
+                out.println("  " + name + ": " + entry.get("number") + " "
+                        + entry.get("stage").asText() + ", by '"
+                        + entry.get("by").asText() + "': "
                         + entry.get("settings").asText());
             }
         }
@@ -63,10 +69,18 @@
 
     private static String state(JsonNode page) {
         long forMs = page.get("forMs").asLong();
-        return page.get("node").asText() + " goes by " + (page.get("by").asText().isEmpty() ? "nothing yet" : page.get("by").asText())
-                + (page.get("guarded").asBoolean() ? ", guarded" : "") + (forMs >= 0 ? ", for " + forMs + " ms if it hears no more" : ", out of touch")
-                + (page.get("leads").asBoolean() ? ", leads" : page.get("decides").asBoolean() ? ", decides" : "")
-                + (page.get("unfit").asText().isEmpty() ? "" : ", NOT READY: " + page.get("unfit").asText());
+        return page.get("node").asText() + " goes by "
+                + (page.get("by").asText().isEmpty()
+                        ? "nothing yet"
+                        : page.get("by").asText())
+                + (page.get("guarded").asBoolean() ? ", guarded" : "")
+                + (forMs >= 0 ? ", for " + forMs + " ms if it hears no more" : ", out of touch")
+                + (page.get("leads").asBoolean()
+                        ? ", leads"
+                        : page.get("decides").asBoolean() ? ", decides" : "")
+                + (page.get("unfit").asText().isEmpty()
+                        ? ""
+                        : ", NOT READY: " + page.get("unfit").asText());
     }
 
     private void history(JsonNode page, PrintStream out) {
@@ -75,8 +89,13 @@
             return;
         }
         for (JsonNode entry : page.get("entries")) {
-            out.printf("%5d %-8s by '%s' %s%n      %s%n", entry.get("number").asLong(), entry.get("stage").asText(), entry.get("by").asText(),
-                    entry.get("why").asText(), entry.get("settings").asText());
+            out.printf(
+                    "%5d %-8s by '%s' %s%n      %s%n",
+                    entry.get("number").asLong(),
+                    entry.get("stage").asText(),
+                    entry.get("by").asText(),
+                    entry.get("why").asText(),
+                    entry.get("settings").asText());
         }
     }
 
--- a/lab/src/main/java/spartrail/lab/cli/Running.java
+++ b/lab/src/main/java/spartrail/lab/cli/Running.java
@@ -17,11 +17,17 @@
 
 /** A run from the command line: a live view, SIGINT that ends it in order, a report that is written in any case. */
 final class Running {
-    private Running() {
-    }
+    private Running() {}
 
-    static int run(LoadPlan plan, Iterator<Arrival> arrivals, double lastsMs, boolean json, Path file, PrintStream out,
-            PrintStream err) throws Exception {
+    static int run(
+            LoadPlan plan,
+            Iterator<Arrival> arrivals,
+            double lastsMs,
+            boolean json,
+            Path file,
+            PrintStream out,
+            PrintStream err)
+            throws Exception {
         try (LoadSession session = new LoadSession(plan, arrivals, lastsMs, Watcher.NONE);
                 Live live = new Live(err, List::of)) {
             Signal.handle(new Signal("INT"), signal -> session.stop("ended by SIGINT before the plan was through"));
@@ -41,7 +47,8 @@
 
     static void write(Path file, ObjectNode tree) throws IOException {
         if (file != null) {
-            Files.writeString(file, Document.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(tree) + "\n");
+            Files.writeString(
+                    file, Document.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(tree) + "\n");
         }
     }
 }
--- a/lab/src/main/java/spartrail/lab/cli/ScaleRun.java
+++ b/lab/src/main/java/spartrail/lab/cli/ScaleRun.java
@@ -23,10 +23,16 @@
     @Argument(required = true, metaVar = "NAME", usage = "scale tests, or all")
     private List<String> names = new ArrayList<>();
 
-    @Option(name = "--size", metaVar = "N", usage = "a size to measure; may be repeated, four or more (default: those of the test)")
+    @Option(
+            name = "--size",
+            metaVar = "N",
+            usage = "a size to measure; may be repeated, four or more (default: those of the test)")
     private List<Integer> sizes = new ArrayList<>();
 
-    @Option(name = "--subset", metaVar = "N", usage = "front nodes use subsets of so many replicas of each shard (default 0, all of them)")
+    @Option(
+            name = "--subset",
+            metaVar = "N",
+            usage = "front nodes use subsets of so many replicas of each shard (default 0, all of them)")
     private int replicasPerShard;
 
     @Option(name = "--json", usage = "as JSON")
@@ -43,8 +49,11 @@
     @Override
     int run(PrintStream out, PrintStream err) throws Exception {
         check();
-        List<ScaleTest> tests = names.equals(List.of("all")) ? ScaleTests.all(replicasPerShard)
-                : names.stream().map(name -> ScaleTests.named(name, replicasPerShard)).toList();
+        List<ScaleTest> tests = names.equals(List.of("all"))
+                ? ScaleTests.all(replicasPerShard)
+                : names.stream()
+                        .map(name -> ScaleTests.named(name, replicasPerShard))
+                        .toList();
         var list = Document.JSON.createArrayNode();
         for (ScaleTest test : tests) {
             ScaleResult result = measure(test, err);
@@ -53,7 +62,12 @@
                 result.print(out);
             }
             if (store != null) {
-                Files.writeString(store, result.json() + "\n", StandardCharsets.UTF_8, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+                Files.writeString(
+                        store,
+                        result.json() + "\n",
+                        StandardCharsets.UTF_8,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.APPEND);
             }
         }
         if (json) {
--- a/lab/src/main/java/spartrail/lab/cli/SubsetFleet.java
+++ b/lab/src/main/java/spartrail/lab/cli/SubsetFleet.java
@@ -15,7 +15,11 @@
 
 /** Hollow fleets that use subsets: how even they are, whether they keep their promises, and which planted faults are caught. */
 final class SubsetFleet extends Command {
-    enum What { EVEN, CHECK, PLANTED }
+    enum What {
+        EVEN,
+        CHECK,
+        PLANTED
+    }
 
     @Option(name = "--nodes", metaVar = "N", usage = "front nodes (default 100)")
     private int nodes = 100;
@@ -29,19 +33,31 @@
     @Option(name = "--zones", metaVar = "N", usage = "zones (default 8, check and planted 4)")
     private int zones;
 
-    @Option(name = "--replicas", metaVar = "N", usage = "replicas of each shard in a subset (default 8, check and planted 4)")
+    @Option(
+            name = "--replicas",
+            metaVar = "N",
+            usage = "replicas of each shard in a subset (default 8, check and planted 4)")
     private int replicas;
 
-    @Option(name = "--least-zones", metaVar = "N", usage = "zones that they lie in at least (default 2, check and planted 3)")
+    @Option(
+            name = "--least-zones",
+            metaVar = "N",
+            usage = "zones that they lie in at least (default 2, check and planted 3)")
     private int leastZones;
 
-    @Option(name = "--regions", metaVar = "N", usage = "even: nodes and servers in so many regions, each with its own list (default 1)")
+    @Option(
+            name = "--regions",
+            metaVar = "N",
+            usage = "even: nodes and servers in so many regions, each with its own list (default 1)")
     private int regions = 1;
 
     @Option(name = "--seeds", metaVar = "N", usage = "check, planted: seeds from 1 on (default 100, planted 10)")
     private int seeds;
 
-    @Option(name = "--changes", metaVar = "N", usage = "check, planted: single changes, three times so many (default 10)")
+    @Option(
+            name = "--changes",
+            metaVar = "N",
+            usage = "check, planted: single changes, three times so many (default 10)")
     private int changes = 10;
 
     private final What what;
@@ -89,19 +105,40 @@
     }
 
     private int even(PrintStream out) {
-        List<FleetShape> shapes = regions == 1 ? List.of(whole()) : IntStream.range(0, regions)
-                .mapToObj(region -> new FleetShape(nodes / regions, servers / regions, shards, Math.max(1, zones / regions), settings(),
-                        "r" + region + "-"))
-                .toList();
-        out.printf("%d front nodes, %d index servers, %d shards, %d zones, %d regions, %d replicas of each shard, %d zones at least%n%n",
+        List<FleetShape> shapes = regions == 1
+                ? List.of(whole())
+                : IntStream.range(0, regions)
+                        .mapToObj(region -> new FleetShape(
+                                nodes / regions,
+                                servers / regions,
+                                shards,
+                                Math.max(1, zones / regions),
+                                settings(),
+                                "r" + region + "-"))
+                        .toList();
+        out.printf(
+                "%d front nodes, %d index servers, %d shards, %d zones, %d regions, %d replicas of each shard, %d zones at least%n%n",
                 nodes, servers, shards, zones, regions, replicas, leastZones);
-        out.println("| way to choose | nodes a server: least | mean | p99 | most | most over mean | connections a node | least zones of a shard "
-                + "| shards left empty | moved by a join | by a leave | by a replacement |");
+        out.println(
+                "| way to choose | nodes a server: least | mean | p99 | most | most over mean | connections a node | least zones of a shard "
+                        + "| shards left empty | moved by a join | by a leave | by a replacement |");
         out.println("|---|---|---|---|---|---|---|---|---|---|---|---|");
         for (SubsetFigures.Row row : SubsetFigures.of(shapes)) {
-            out.printf(Locale.ROOT, "| %s | %d | %.1f | %d | %d | %.2f | %.0f | %d | %d | %.1f | %.1f | %.1f |%n", row.strategy(), row.least(),
-                    row.mean(), row.p99(), row.most(), row.mostOverMean(), row.connections(), row.leastZones(), row.emptyShards(),
-                    row.movedByJoin(), row.movedByLeave(), row.movedByReplacement());
+            out.printf(
+                    Locale.ROOT,
+                    "| %s | %d | %.1f | %d | %d | %.2f | %.0f | %d | %d | %.1f | %.1f | %.1f |%n",
+                    row.strategy(),
+                    row.least(),
+                    row.mean(),
+                    row.p99(),
+                    row.most(),
+                    row.mostOverMean(),
+                    row.connections(),
+                    row.leastZones(),
+                    row.emptyShards(),
+                    row.movedByJoin(),
+                    row.movedByLeave(),
+                    row.movedByReplacement());
         }
         return 0;
     }
@@ -113,8 +150,9 @@
         for (int seed = 1; seed <= (seeds == 0 ? 100 : seeds); seed++) {
             SubsetRun.Outcome outcome = SubsetRun.play(whole(), seed, changes, SubsetFault.NONE);
             broken += outcome.breaches();
-            out.printf("| %d | %d | %d | %d | %s |%n", seed, outcome.steps(), outcome.checks(), outcome.breaches(),
-                    Long.toHexString(outcome.hash()));
+            out.printf(
+                    "| %d | %d | %d | %d | %s |%n",
+                    seed, outcome.steps(), outcome.checks(), outcome.breaches(), Long.toHexString(outcome.hash()));
             outcome.examples().forEach(example -> err.println("seed " + outcome.seed() + ": " + example));
         }
         return broken == 0 ? 0 : 1;
@@ -135,8 +173,13 @@
             }
             boolean expected = fault == SubsetFault.NONE ? caught.isEmpty() : !caught.isEmpty();
             uncaught += expected ? 0 : 1;
-            out.printf("| %s | %d of %d | %s | %s | %s |%n", fault.summary(), caught.size(), count,
-                    caught.isEmpty() ? "-" : caught.get(0).seed(), caught.isEmpty() ? "-" : caught.get(0).breaches(),
+            out.printf(
+                    "| %s | %d of %d | %s | %s | %s |%n",
+                    fault.summary(),
+                    caught.size(),
+                    count,
+                    caught.isEmpty() ? "-" : caught.get(0).seed(),
+                    caught.isEmpty() ? "-" : caught.get(0).breaches(),
                     caught.isEmpty() ? "-" : caught.get(0).examples().get(0));
         }
         return uncaught == 0 ? 0 : 1;
--- a/lab/src/main/java/spartrail/lab/dns/NameServerStand.java
+++ b/lab/src/main/java/spartrail/lab/dns/NameServerStand.java
@@ -1,14 +1,14 @@
 package spartrail.lab.dns;
 
+import java.io.DataInputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.io.OutputStream;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.InetAddress;
-import java.io.DataInputStream;
-import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -29,8 +29,20 @@
 public final class NameServerStand implements AutoCloseable {
     /** What becomes of questions. */
     public enum Manner {
-        ANSWER, TRUNCATE, TRUNCATE_AND_REFUSE_TCP, TRUNCATE_AND_CUT_TCP, TCP_ONE_OCTET_AT_A_TIME, SERVFAIL, NXDOMAIN, EMPTY,
-        SILENT, LATE, WRONG_ID, WRONG_QUESTION, SPOOF, NOISE
+        ANSWER,
+        TRUNCATE,
+        TRUNCATE_AND_REFUSE_TCP,
+        TRUNCATE_AND_CUT_TCP,
+        TCP_ONE_OCTET_AT_A_TIME,
+        SERVFAIL,
+        NXDOMAIN,
+        EMPTY,
+        SILENT,
+        LATE,
+        WRONG_ID,
+        WRONG_QUESTION,
+        SPOOF,
+        NOISE
     }
 
     private static final int UDP_MOST = 512;
@@ -40,6 +52,7 @@
     private final ServerSocket tcp;
     /** Records by {@code TYPE name}, each {@code TTL TYPE data}. */
     private final Map<String, List<String>> records = new ConcurrentHashMap<>();
+
     private final AtomicInteger asked = new AtomicInteger();
     private final Random chance;
     private volatile Manner manner = Manner.ANSWER;
@@ -212,17 +225,21 @@
         int id = question.getHeader().getID();
         Message message = new Message(how == Manner.WRONG_ID ? id ^ 0x5555 : id);
         message.getHeader().setFlag(Flags.QR);
-        message.addRecord(how == Manner.WRONG_QUESTION
-                ? Record.newRecord(Name.fromString("other.example.org."), type, DClass.IN) : question.getQuestion(),
+        message.addRecord(
+                how == Manner.WRONG_QUESTION
+                        ? Record.newRecord(Name.fromString("other.example.org."), type, DClass.IN)
+                        : question.getQuestion(),
                 Section.QUESTION);
         if (how == Manner.SERVFAIL) {
             message.getHeader().setRcode(Rcode.SERVFAIL);
             return message.toWire();
         }
-        List<String> lines = how == Manner.EMPTY || how == Manner.NXDOMAIN ? List.of()
+        List<String> lines = how == Manner.EMPTY || how == Manner.NXDOMAIN
+                ? List.of()
                 : new ArrayList<>(records.getOrDefault(Type.string(type) + " " + name, List.of()));
         if (lines.isEmpty()) {
-            List<String> alias = how == Manner.EMPTY || how == Manner.NXDOMAIN ? List.of()
+            List<String> alias = how == Manner.EMPTY || how == Manner.NXDOMAIN
+                    ? List.of()
                     : records.getOrDefault("CNAME " + name, List.of());
             if (alias.isEmpty()) {
                 message.getHeader().setRcode(how == Manner.NXDOMAIN ? Rcode.NXDOMAIN : Rcode.NOERROR);
@@ -237,7 +254,8 @@
             }
         }
         byte[] wire = message.toWire();
-        boolean cuts = how.name().startsWith("TRUNCATE") || how == Manner.TCP_ONE_OCTET_AT_A_TIME || wire.length > UDP_MOST;
+        boolean cuts =
+                how.name().startsWith("TRUNCATE") || how == Manner.TCP_ONE_OCTET_AT_A_TIME || wire.length > UDP_MOST;
         if (!overTcp && cuts) {
             Message cut = new Message(id);
             cut.getHeader().setFlag(Flags.QR);
--- a/lab/src/main/java/spartrail/lab/drill/DnsNode.java
+++ b/lab/src/main/java/spartrail/lab/drill/DnsNode.java
@@ -37,7 +37,8 @@
 
     @Override
     public String summary() {
-        return contradict ? "DNS goes on naming a server that the roll drains, and the roll falls silent: no work to it after the grace"
+        return contradict
+                ? "DNS goes on naming a server that the roll drains, and the roll falls silent: no work to it after the grace"
                 : "the roll is silent and all servers come from DNS, whose servers then truncate and fall silent: service goes on";
     }
 
@@ -52,18 +53,24 @@
 
     @Override
     public void run(long seed, Findings findings) throws Exception {
-        String script = contradict ? "[{'atMs':1500,'do':'drain','servers':['s-1']},{'atMs':3500,'do':'roll-silent','lastsMs':60000}]"
+        String script = contradict
+                ? "[{'atMs':1500,'do':'drain','servers':['s-1']},{'atMs':3500,'do':'roll-silent','lastsMs':60000}]"
                 : "[{'atMs':0,'do':'roll-silent','lastsMs':600000}]";
-        FleetPlan plan = FleetPlan.of(parse("{'seed':" + seed + ",'layout':{'shards':4,'cells':2,'reach':2},'kinds':{'std':{'cores':2,"
-                + "'workMs':1,'warmMs':1000,'tipMultiple':1000}},'servers':[{'kind':'std','count':" + SERVERS + "}],'script':"
-                + script + "}", "fleet"));
+        FleetPlan plan = FleetPlan.of(parse(
+                "{'seed':" + seed + ",'layout':{'shards':4,'cells':2,'reach':2},'kinds':{'std':{'cores':2,"
+                        + "'workMs':1,'warmMs':1000,'tipMultiple':1000}},'servers':[{'kind':'std','count':" + SERVERS
+                        + "}],'script':"
+                        + script + "}",
+                "fleet"));
         NodeSettings settings = new NodeSettings(Document.JSON.readTree(
                 "{\"opTypes\":[{\"name\":\"orders\",\"budgetMs\":3000,\"timeoutMs\":5000,\"floor\":0.9}]}"));
         RuleChecker checker = new RuleChecker(settings.terms());
-        LoadPlan load = Plans.parse("{'seed':" + seed + ",'lagBoundMs':60000,'phases':[{'lastsMs':9000,'rate':{'shape':'steady',"
-                + "'perS':60}}],'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':4,'least':2},'clientMs':5000}]}");
+        LoadPlan load = Plans.parse(
+                "{'seed':" + seed + ",'lagBoundMs':60000,'phases':[{'lastsMs':9000,'rate':{'shape':'steady',"
+                        + "'perS':60}}],'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':4,'least':2},'clientMs':5000}]}");
         Path folder = Files.createTempDirectory("spartrail-drill");
-        try (Fleet fleet = new Fleet(plan, checker); NameServerStand names = new NameServerStand(seed)) {
+        try (Fleet fleet = new Fleet(plan, checker);
+                NameServerStand names = new NameServerStand(seed)) {
             members(fleet, names, folder);
             if (!contradict) {
                 fleet.play();
@@ -73,15 +80,15 @@
             if (!contradict) {
                 config.set("known", Document.JSON.readTree("{\"rev\":0,\"all\":true,\"targets\":[]}"));
             }
-            try (NodeProcess node = NodeProcess.start(NodeProcess.ownJar(), config, folder, "n0", settings.memoryMb(),
-                    folder.resolve("members.json"))) {
+            try (NodeProcess node = NodeProcess.start(
+                    NodeProcess.ownJar(), config, folder, "n0", settings.memoryMb(), folder.resolve("members.json"))) {
                 // Lifetimes are a second: by then it has heard of all.
                 long asked = names.asked() + 2L * (SERVERS + 2);
                 for (int i = 0; names.asked() < asked && i < 6000; i++) {
                     Thread.sleep(5);
                 }
-                try (LoadSession session = new LoadSession(Plans.at(load, node.address()), load.arrivals(), load.lastsMs(),
-                        checker)) {
+                try (LoadSession session =
+                        new LoadSession(Plans.at(load, node.address()), load.arrivals(), load.lastsMs(), checker)) {
                     if (contradict) {
                         fleet.play();
                     }
@@ -130,9 +137,17 @@
                 }
             }
             names.set("SRV", name, lines);
-            list.append(cell == 0 ? "" : ",").append("{\"name\":\"").append(name).append("\",\"cell\":").append(cell).append('}');
+            list.append(cell == 0 ? "" : ",")
+                    .append("{\"name\":\"")
+                    .append(name)
+                    .append("\",\"cell\":")
+                    .append(cell)
+                    .append('}');
         }
-        Files.writeString(folder.resolve("members.json"), "{\"allow\":[\"127.0.0.0/8\"],\"dns\":{\"servers\":[\"127.0.0.1:"
-                + names.address().getPort() + "\"],\"bailiwick\":\"books.example.org\",\"names\":[" + list + "]}}");
+        Files.writeString(
+                folder.resolve("members.json"),
+                "{\"allow\":[\"127.0.0.0/8\"],\"dns\":{\"servers\":[\"127.0.0.1:"
+                        + names.address().getPort() + "\"],\"bailiwick\":\"books.example.org\",\"names\":[" + list
+                        + "]}}");
     }
 }
--- a/lab/src/main/java/spartrail/lab/drill/DnsResolver.java
+++ b/lab/src/main/java/spartrail/lab/drill/DnsResolver.java
@@ -24,9 +24,9 @@
 public final class DnsResolver implements Drill {
     private static final String NAME = "_books._tcp.c0.books.example.org.";
     private static final int TARGETS = 20;
-    private static final Lifetimes LIFETIMES =
-            new Lifetimes(300, 3_600_000, 300, 100, 400, 600_000, 100, 4, 16, 512);
-    private static final Bounds BOUNDS = new Bounds(10, 600_000, 600_000, 400, 600_000, 1_000_000, 0, 0, 1, 600_000, 1000);
+    private static final Lifetimes LIFETIMES = new Lifetimes(300, 3_600_000, 300, 100, 400, 600_000, 100, 4, 16, 512);
+    private static final Bounds BOUNDS =
+            new Bounds(10, 600_000, 600_000, 400, 600_000, 1_000_000, 0, 0, 1, 600_000, 1000);
 
     @Override
     public String name() {
@@ -57,7 +57,8 @@
         Source source = view.source(NAME, Source.Kind.DNS, clock.nowMs());
         List<Listing> told = new CopyOnWriteArrayList<>();
         int[] least = {Integer.MAX_VALUE};
-        try (NameServerStand one = new NameServerStand(seed); NameServerStand other = new NameServerStand(seed + 1)) {
+        try (NameServerStand one = new NameServerStand(seed);
+                NameServerStand other = new NameServerStand(seed + 1)) {
             for (NameServerStand server : List.of(one, other)) {
                 List<String> lines = new ArrayList<>();
                 for (int i = 0; i < TARGETS; i++) {
@@ -66,7 +67,11 @@
                 }
                 server.set("SRV", NAME, lines);
             }
-            Resolver resolver = new Resolver(List.of(one.address(), other.address()), "books.example.org", false, LIFETIMES,
+            Resolver resolver = new Resolver(
+                    List.of(one.address(), other.address()),
+                    "books.example.org",
+                    false,
+                    LIFETIMES,
                     new SplittableRandom(seed));
             try (DnsTransport transport = new DnsTransport(resolver, clock, listing -> {
                 merge(view, source, listing, clock.nowMs());
@@ -85,25 +90,32 @@
                 for (int i = 0; one.asked() + other.asked() < asked + 3 * TARGETS; i++) {
                     bounded(i, "the trouble was not met often enough");
                 }
-                boolean shrank = told.subList(before, told.size()).stream().anyMatch(listing -> listing.whole() && !listing.out()
-                        && listing.targets().size() < TARGETS);
+                boolean shrank = told.subList(before, told.size()).stream()
+                        .anyMatch(listing -> listing.whole()
+                                && !listing.out()
+                                && listing.targets().size() < TARGETS);
                 one.behave(Manner.ANSWER);
                 other.behave(Manner.ANSWER);
-                Listing last = await(told, told.size(), !(told.get(told.size() - 1).stale() || shrank));
+                Listing last =
+                        await(told, told.size(), !(told.get(told.size() - 1).stale() || shrank));
                 boolean says = manner == Manner.EMPTY || manner == Manner.NXDOMAIN;
                 findings.equal(manner + ": a whole list that lacks servers", says, shrank);
                 findings.least(manner + ": servers in use, at the least", says ? BOUNDS.floor() : TARGETS, least[0]);
-                findings.equal(manner + ": targets afterwards", TARGETS, last.targets().size());
+                findings.equal(
+                        manner + ": targets afterwards", TARGETS, last.targets().size());
             }
         }
     }
 
     /** A fresh whole list that was told after so many; the present one will do where nothing changed. */
     private static Listing await(List<Listing> told, int after, boolean presentWillDo) throws InterruptedException {
-        for (int i = 0;; i++) {
+        for (int i = 0; ; i++) {
             if (!told.isEmpty()) {
                 Listing last = told.get(told.size() - 1);
-                if ((told.size() > after || presentWillDo) && last.whole() && !last.stale() && last.targets().size() == TARGETS) {
+                if ((told.size() > after || presentWillDo)
+                        && last.whole()
+                        && !last.stale()
+                        && last.targets().size() == TARGETS) {
                     return last;
                 }
             }
@@ -120,8 +132,9 @@
     }
 
     private static int inUse(Membership view) {
-        return (int) view.members().stream().filter(member -> member.line() != null
-                && member.line().state() == Server.State.LIVE).count();
+        return (int) view.members().stream()
+                .filter(member -> member.line() != null && member.line().state() == Server.State.LIVE)
+                .count();
     }
 
     private static void merge(Membership view, Source source, Listing listing, double nowMs) {
@@ -130,8 +143,9 @@
             return;
         }
         List<Said> lines = new ArrayList<>();
-        listing.targets().forEach(target -> lines.add(new Said(null, target.endpoint(), "a", "dns", 0, Server.State.LIVE, 1,
-                Double.NaN, target.priority())));
+        listing.targets()
+                .forEach(target -> lines.add(new Said(
+                        null, target.endpoint(), "a", "dns", 0, Server.State.LIVE, 1, Double.NaN, target.priority())));
         view.said(source, listing.whole(), lines, listing.lifetimeMs(), nowMs);
         view.changes();
     }
--- a/lab/src/main/java/spartrail/lab/drill/Drill.java
+++ b/lab/src/main/java/spartrail/lab/drill/Drill.java
@@ -7,8 +7,7 @@
 /** A scenario that says itself whether it went as it should. */
 public interface Drill {
     /** What was expected beside what was seen. */
-    record Finding(String what, String expected, String seen, boolean good) {
-    }
+    record Finding(String what, String expected, String seen, boolean good) {}
 
     /** Collects findings. */
     final class Findings {
@@ -16,18 +15,27 @@
 
         /** Equal to so many digits. */
         public void same(String what, double expected, double seen, double tolerance) {
-            all.add(new Finding(what, String.format(Locale.ROOT, "%.3f", expected),
-                    String.format(Locale.ROOT, "%.3f", seen), Math.abs(expected - seen) <= tolerance));
+            all.add(new Finding(
+                    what,
+                    String.format(Locale.ROOT, "%.3f", expected),
+                    String.format(Locale.ROOT, "%.3f", seen),
+                    Math.abs(expected - seen) <= tolerance));
         }
 
         public void most(String what, double most, double seen) {
-            all.add(new Finding(what, String.format(Locale.ROOT, "at most %.3f", most),
-                    String.format(Locale.ROOT, "%.3f", seen), seen <= most));
+            all.add(new Finding(
+                    what,
+                    String.format(Locale.ROOT, "at most %.3f", most),
+                    String.format(Locale.ROOT, "%.3f", seen),
+                    seen <= most));
         }
 
         public void least(String what, double least, double seen) {
-            all.add(new Finding(what, String.format(Locale.ROOT, "at least %.3f", least),
-                    String.format(Locale.ROOT, "%.3f", seen), seen >= least));
+            all.add(new Finding(
+                    what,
+                    String.format(Locale.ROOT, "at least %.3f", least),
+                    String.format(Locale.ROOT, "%.3f", seen),
+                    seen >= least));
         }
 
         public void equal(String what, Object expected, Object seen) {
--- a/lab/src/main/java/spartrail/lab/drill/Drills.java
+++ b/lab/src/main/java/spartrail/lab/drill/Drills.java
@@ -7,13 +7,18 @@
 
 /** All drills: those of the lab and those that other subsystems register as services. */
 public final class Drills {
-    private Drills() {
-    }
+    private Drills() {}
 
     public static List<Drill> all() {
-        List<Drill> drills = new ArrayList<>(List.of(new LoadDelay(), new LoadStall(), new LoadTraceOrder(),
-                new RulesPlanted(), new DnsResolver(),
-                new DnsNode(true), new DnsNode(false), new SubsetDrill()));
+        List<Drill> drills = new ArrayList<>(List.of(
+                new LoadDelay(),
+                new LoadStall(),
+                new LoadTraceOrder(),
+                new RulesPlanted(),
+                new DnsResolver(),
+                new DnsNode(true),
+                new DnsNode(false),
+                new SubsetDrill()));
         drills.addAll(PeersDrill.all());
         drills.addAll(PolicyDrill.all());
         ServiceLoader.load(Drill.class).forEach(drills::add);
@@ -21,7 +26,10 @@
     }
 
     public static Drill named(String name) {
-        return all().stream().filter(drill -> drill.name().equals(name)).findFirst().orElseThrow(() ->
-                new BadInput("no drill is named '" + name + "'; there are " + all().stream().map(Drill::name).toList()));
+        return all().stream()
+                .filter(drill -> drill.name().equals(name))
+                .findFirst()
+                .orElseThrow(() -> new BadInput("no drill is named '" + name + "'; there are "
+                        + all().stream().map(Drill::name).toList()));
     }
 }
--- a/lab/src/main/java/spartrail/lab/drill/LoadDelay.java
+++ b/lab/src/main/java/spartrail/lab/drill/LoadDelay.java
@@ -19,6 +19,7 @@
     private static final double WARM_MS = 2500;
     /** A run in which a side stood still for longer measures the machine; another one is made, so many at the most. */
     private static final double FIT_MS = 1.2;
+
     private static final int MOST_RUNS = 8;
 
     @Override
@@ -55,8 +56,12 @@
             double stoodMs = Double.POSITIVE_INFINITY;
             // Danger: p99 is the slowest of the usual ones here, so that one standstill of the machine is the verdict.
             while (stoodMs > FIT_MS && ++unfit < MOST_RUNS) {
-                try (LoadSession session = new LoadSession(Plans.at(loopback(seed), responder.address()),
-                        loopback(seed).arrivals(), loopback(seed).lastsMs(), Watcher.NONE, true)) {
+                try (LoadSession session = new LoadSession(
+                        Plans.at(loopback(seed), responder.address()),
+                        loopback(seed).arrivals(),
+                        loopback(seed).lastsMs(),
+                        Watcher.NONE,
+                        true)) {
                     session.await(WARM_MS);
                     responder.loop().standstillMs();
                     session.standstillMs();
@@ -69,7 +74,8 @@
             findings.most("loopback: longest standstill of either side, in ms", FIT_MS, stoodMs);
             findings.note("loopback: runs in which a side stood still for longer", String.valueOf(unfit));
             judge(findings, "loopback", measured, 2, 0.01);
-            findings.note("loopback: own lag, p99 in ms", String.valueOf(measured.lag.getValueAtPercentile(99) / 1000.0));
+            findings.note(
+                    "loopback: own lag, p99 in ms", String.valueOf(measured.lag.getValueAtPercentile(99) / 1000.0));
         }
     }
 
@@ -86,7 +92,10 @@
         findings.equal(where + ": served whole", (long) COUNT, recorder.count(Kind.WHOLE));
         double[][] expected = {{50, USUAL_MS}, {99, USUAL_MS}, {99.9, SLOW_MS}, {100, SLOWEST_MS}};
         for (double[] line : expected) {
-            findings.same(where + ": p" + line[0] + " in ms", line[1], all.getValueAtPercentile(line[0]) / 1000.0,
+            findings.same(
+                    where + ": p" + line[0] + " in ms",
+                    line[1],
+                    all.getValueAtPercentile(line[0]) / 1000.0,
                     absolute + relative * line[1]);
         }
     }
--- a/lab/src/main/java/spartrail/lab/drill/LoadStall.java
+++ b/lab/src/main/java/spartrail/lab/drill/LoadStall.java
@@ -64,23 +64,29 @@
 
         double[] fromMs = new double[1];
         try (NullResponder responder = new NullResponder(0, (number, atMs) -> {
-            fromMs[0] = fromMs[0] == 0 ? atMs : fromMs[0];
-            return answeredMs(atMs, fromMs[0]);
-        }); LoadSession session = new LoadSession(Plans.at(plan, responder.address()), plan.arrivals(),
-                plan.lastsMs(), Watcher.NONE)) {
+                    fromMs[0] = fromMs[0] == 0 ? atMs : fromMs[0];
+                    return answeredMs(atMs, fromMs[0]);
+                });
+                LoadSession session = new LoadSession(
+                        Plans.at(plan, responder.address()), plan.arrivals(), plan.lastsMs(), Watcher.NONE)) {
             session.await(60_000);
             judge(findings, "loopback, open loop", session.recorder(), 10);
-            findings.most("loopback: own lag p99 in ms", 50, session.recorder().lag.getValueAtPercentile(99) / 1000.0);
+            findings.most(
+                    "loopback: own lag p99 in ms", 50, session.recorder().lag.getValueAtPercentile(99) / 1000.0);
         }
     }
 
     private static void judge(Findings findings, String where, Recorder recorder, double toleranceMs) {
-        findings.equal(where + ": sent on, none dropped", Math.round(PER_S * LASTS_MS / 1000), recorder.count(Kind.WHOLE));
+        findings.equal(
+                where + ": sent on, none dropped", Math.round(PER_S * LASTS_MS / 1000), recorder.count(Kind.WHOLE));
         Histogram all = recorder.total(kind -> true, true);
         for (double percentile : new double[] {50, 90, 99, 99.9}) {
             double expected = expectedMs(percentile);
-            findings.same(where + ": p" + percentile + " in ms", expected,
-                    all.getValueAtPercentile(percentile) / 1000.0, toleranceMs + 0.001 * expected);
+            findings.same(
+                    where + ": p" + percentile + " in ms",
+                    expected,
+                    all.getValueAtPercentile(percentile) / 1000.0,
+                    toleranceMs + 0.001 * expected);
         }
     }
 
--- a/lab/src/main/java/spartrail/lab/drill/LoadTraceOrder.java
+++ b/lab/src/main/java/spartrail/lab/drill/LoadTraceOrder.java
@@ -47,28 +47,45 @@
             for (int i = 0; i + 5 <= COUNT; i += 5) {
                 Collections.shuffle(mixed.subList(i, i + 5), random);
             }
-            findings.equal("out of order by up to 40 ms, window 50 ms: keys in order", keys(folder, inOrder, 50, false),
+            findings.equal(
+                    "out of order by up to 40 ms, window 50 ms: keys in order",
+                    keys(folder, inOrder, 50, false),
                     keys(folder, mixed, 50, false));
             findings.equal("the same, window 5 ms", "refused", refused(folder, mixed, 5));
             List<String> doubled = new ArrayList<>(inOrder);
             doubled.add(8, inOrder.get(7));
             doubled.add(101, inOrder.get(100));
-            findings.equal("two lines doubled: left out", 2L, counts(folder, doubled, 50, false).get("duplicates").asLong());
+            findings.equal(
+                    "two lines doubled: left out",
+                    2L,
+                    counts(folder, doubled, 50, false).get("duplicates").asLong());
             List<String> stepped = new ArrayList<>();
             for (int i = 0; i < COUNT; i++) {
                 stepped.add(line(i, 10 * i - (i >= COUNT / 2 ? 5000 : 0)));
             }
             findings.equal("a clock 5 s back midway", "refused", refused(folder, stepped, 50));
             ObjectNode clamped = counts(folder, stepped, 50, true);
-            findings.equal("the same with clamp: steps of the clock", 1L, clamped.get("clockSteps").asLong());
-            findings.equal("the same with clamp: multigets kept", (long) COUNT, clamped.get("multigets").asLong());
+            findings.equal(
+                    "the same with clamp: steps of the clock",
+                    1L,
+                    clamped.get("clockSteps").asLong());
+            findings.equal(
+                    "the same with clamp: multigets kept",
+                    (long) COUNT,
+                    clamped.get("multigets").asLong());
             Path torn = folder.resolve("torn.csv");
             String text = "atMs,opType,key,shards\n" + String.join("\n", inOrder);
             Files.writeString(torn, text.substring(0, text.length() - 6));
-            ObjectNode tornCounts = TraceImport.run(torn, folder.resolve("torn"), TraceImport.Columns.usual(), 50, false, 0,
-                    false);
-            findings.equal("a torn last line: counted", 1L, tornCounts.get("tornLastLine").asLong());
-            findings.equal("a torn last line: the rest kept", COUNT - 1L, tornCounts.get("multigets").asLong());
+            ObjectNode tornCounts =
+                    TraceImport.run(torn, folder.resolve("torn"), TraceImport.Columns.usual(), 50, false, 0, false);
+            findings.equal(
+                    "a torn last line: counted",
+                    1L,
+                    tornCounts.get("tornLastLine").asLong());
+            findings.equal(
+                    "a torn last line: the rest kept",
+                    COUNT - 1L,
+                    tornCounts.get("multigets").asLong());
         } finally {
             try (var files = Files.list(folder)) {
                 files.forEach(file -> file.toFile().delete());
@@ -81,7 +98,8 @@
         return String.format(Locale.ROOT, "%d,orders,k%d,%d;%d", atMs, number, number % 8, (number + 1) % 8);
     }
 
-    private static ObjectNode counts(Path folder, List<String> lines, double windowMs, boolean clamp) throws IOException {
+    private static ObjectNode counts(Path folder, List<String> lines, double windowMs, boolean clamp)
+            throws IOException {
         Path csv = folder.resolve("trace.csv");
         Files.writeString(csv, "atMs,opType,key,shards\n" + String.join("\n", lines) + "\n");
         return TraceImport.run(csv, folder.resolve("trace"), TraceImport.Columns.usual(), windowMs, clamp, 0, false);
@@ -92,7 +110,8 @@
             counts(folder, lines, windowMs, false);
             return "taken";
         } catch (BadInput e) {
-            return e.getMessage().matches("(?s).*trace\\.csv:[0-9]+: this line is .* earlier.*") ? "refused"
+            return e.getMessage().matches("(?s).*trace\\.csv:[0-9]+: this line is .* earlier.*")
+                    ? "refused"
                     : e.getMessage();
         }
     }
--- a/lab/src/main/java/spartrail/lab/drill/Plans.java
+++ b/lab/src/main/java/spartrail/lab/drill/Plans.java
@@ -7,8 +7,7 @@
 
 /** Small plans for drills. */
 public final class Plans {
-    private Plans() {
-    }
+    private Plans() {}
 
     /** One op type, evenly spaced, one shard. */
     public static LoadPlan even(double perS, double lastsMs, double clientMs, int connections, long seed) {
@@ -24,7 +23,7 @@
 
     public static LoadPlan at(LoadPlan plan, String address) {
         int colon = address.lastIndexOf(':');
-        return plan.against(List.of(new LoadPlan.Target(address.substring(0, colon),
-                Integer.parseInt(address.substring(colon + 1)), "")));
+        return plan.against(List.of(
+                new LoadPlan.Target(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)), "")));
     }
 }
--- a/lab/src/main/java/spartrail/lab/drill/PolicyDrill.java
+++ b/lab/src/main/java/spartrail/lab/drill/PolicyDrill.java
@@ -30,7 +30,9 @@
     private static final PolicyTimes TIMES = new PolicyTimes(3000, 500, 8000, 10_000, 0.02);
     /** The agreed log has another leader so soon, at the most, once one is lost: its patience, an election, another one. */
     private static final double LEADER_MS = 8000;
-    private static final String POLICY = "{'deciders':['n0','n1','n2'],'leaseMs':3000,'askMs':500,'prepareMs':8000,'readyMs':10000}";
+
+    private static final String POLICY =
+            "{'deciders':['n0','n1','n2'],'leaseMs':3000,'askMs':500,'prepareMs':8000,'readyMs':10000}";
 
     /** The steps of a drill: names, conditions and deeds, one after the other. */
     private static final class Script {
@@ -40,13 +42,21 @@
 
         /** The condition for what comes after the change before: its end, and so much later. */
         private String after(double ms) {
-            return last.isEmpty() ? "{'atMs':" + (1000 + ms) + "}"
-                    : "{'step':'" + last + "','seen':{'node':'rig','line':{'what':'ended','step':'" + last + "'}},'afterMs':" + ms + "}";
+            return last.isEmpty()
+                    ? "{'atMs':" + (1000 + ms) + "}"
+                    : "{'step':'" + last + "','seen':{'node':'rig','line':{'what':'ended','step':'" + last
+                            + "'}},'afterMs':" + ms + "}";
         }
 
         private void step(String name, String when, String deed) {
-            steps.append(steps.length() == 0 ? "" : ",").append("{'name':'").append(name).append("','when':").append(when).append(',')
-                    .append(deed).append('}');
+            steps.append(steps.length() == 0 ? "" : ",")
+                    .append("{'name':'")
+                    .append(name)
+                    .append("','when':")
+                    .append(when)
+                    .append(',')
+                    .append(deed)
+                    .append('}');
         }
 
         /** The next change; when this holds, by way of this node. */
@@ -57,18 +67,25 @@
         }
 
         private String change(String when, int via) {
-            return change(when, via, "{'opTypes':{'orders':{'budgetMs':" + (1500 + 20 * (count % 10)) + "}},'sends':{'most':"
-                    + (3 + count % 2) + "}}");
+            return change(
+                    when,
+                    via,
+                    "{'opTypes':{'orders':{'budgetMs':" + (1500 + 20 * (count % 10)) + "}},'sends':{'most':"
+                            + (3 + count % 2) + "}}");
         }
 
         /** A line of any node since that step. */
         private static String seen(String step, String node, String line, double afterMs) {
-            return "{'step':'" + step + "','seen':{'node':'" + node + "','line':{" + line + "}},'afterMs':" + afterMs + "}";
+            return "{'step':'" + step + "','seen':{'node':'" + node + "','line':{" + line + "}},'afterMs':" + afterMs
+                    + "}";
         }
 
         /** What is down starts again so long after that step. */
         private void again(String step, double afterMs) {
-            step("again" + count + "-" + step, "{'step':'" + step + "','afterMs':" + afterMs + "}", "'do':'start','nodes':['down']");
+            step(
+                    "again" + count + "-" + step,
+                    "{'step':'" + step + "','afterMs':" + afterMs + "}",
+                    "'do':'start','nodes':['down']");
         }
 
         private String end(double ms) {
@@ -78,8 +95,8 @@
     }
 
     /** What holds for a change where no leader is lost. */
-    static final PolicyRules.Bounds USUAL_BOUNDS = new PolicyRules.Bounds(TIMES.leaseMs(), TIMES.overMs() + 2 * TIMES.askMs(),
-            TIMES.prepareMs() + 2 * TIMES.overMs());
+    static final PolicyRules.Bounds USUAL_BOUNDS = new PolicyRules.Bounds(
+            TIMES.leaseMs(), TIMES.overMs() + 2 * TIMES.askMs(), TIMES.prepareMs() + 2 * TIMES.overMs());
 
     /** What a drill wants of what was seen, beside what all want. */
     private interface Wants {
@@ -96,7 +113,15 @@
     private final PolicyRules.Bounds bounds;
     private final Wants wants;
 
-    private PolicyDrill(String name, String summary, double lastsMs, String own, String steps, int least, double goodput, double outMs,
+    private PolicyDrill(
+            String name,
+            String summary,
+            double lastsMs,
+            String own,
+            String steps,
+            int least,
+            double goodput,
+            double outMs,
             Wants wants) {
         this.name = name;
         this.summary = summary;
@@ -106,7 +131,9 @@
         this.least = least;
         this.goodput = goodput;
         // A leader that is lost between the decision and its end makes its successor wait the whole time again.
-        this.bounds = new PolicyRules.Bounds(TIMES.leaseMs(), 2 * (TIMES.overMs() + TIMES.askMs()) + LEADER_MS + outMs,
+        this.bounds = new PolicyRules.Bounds(
+                TIMES.leaseMs(),
+                2 * (TIMES.overMs() + TIMES.askMs()) + LEADER_MS + outMs,
                 TIMES.prepareMs() + 2 * TIMES.overMs() + 2 * LEADER_MS);
         this.wants = wants;
     }
@@ -128,7 +155,9 @@
             boolean election = called.matches("PRE-VOTE.*|VOTE ASKED|TERM") || point.contains("sending VOTE");
             boolean first = called.matches("SELF|GROUP");
             boolean follower = called.matches("ELSEWHERE|ENTRIES TAKEN|ENTRIES REFUSED|SNAPSHOT TAKEN") || election;
-            boolean ordinary = called.equals("ASK") || called.equals("RULING") || called.equals("VOTE") && point.contains("becoming");
+            boolean ordinary = called.equals("ASK")
+                    || called.equals("RULING")
+                    || called.equals("VOTE") && point.contains("becoming");
             String target = ordinary ? "['n" + (3 + i % 6) + "']" : follower ? "['follower']" : "[]";
             if (first || called.equals("ANEW") || called.startsWith("SNAPSHOT") || called.equals("ENTRIES REFUSED")) {
                 // Reached at a member's start only: see policy-disk.
@@ -138,24 +167,40 @@
             if (election) {
                 script.step("lead" + i, "{'step':'" + armed + "','afterMs':300}", "'do':'kill','nodes':['leader']");
             }
-            String change = script.change("{'step':'" + armed + "','afterMs':" + (election ? 400 : 300) + "}", 3 + i % 6,
+            String change = script.change(
+                    "{'step':'" + armed + "','afterMs':" + (election ? 400 : 300) + "}",
+                    3 + i % 6,
                     called.equals("REFUSED") ? "{'opTypes':{'orders':{'budgetMs':9000}}}" : usual(i));
             if (called.equals("ABORTED")) {
-                script.step("abort" + i, Script.seen(change, "rig", "'what':'proposed','step':'" + change + "'", 0),
+                script.step(
+                        "abort" + i,
+                        Script.seen(change, "rig", "'what':'proposed','step':'" + change + "'", 0),
                         "'do':'abort','nodes':['n3'],'number':-1");
             }
             script.step("r" + i, Script.seen(armed, "rig", "'what':'killed'", 200), "'do':'start','nodes':['down']");
             script.step("s" + i, Script.seen("r" + i, "rig", "'what':'killed'", 200), "'do':'start','nodes':['down']");
         }
-        return new PolicyDrill("policy-kill", "a process is lost at each point of the code that matters, once, and started again",
-                1_500_000, "{}", script.end(4000), USUAL_CHANGES, 0.99, 0, (findings, lines, rules) -> {
+        return new PolicyDrill(
+                "policy-kill",
+                "a process is lost at each point of the code that matters, once, and started again",
+                1_500_000,
+                "{}",
+                script.end(4000),
+                USUAL_CHANGES,
+                0.99,
+                0,
+                (findings, lines, rules) -> {
                     TreeSet<String> missed = new TreeSet<>(points);
                     Map<String, String> armed = new TreeMap<>();
                     for (Line line : lines) {
                         if (line.node() < 0 && line.what().equals("armed")) {
-                            armed.put(line.tree().path("on").asText(), line.tree().get("point").asText());
+                            armed.put(
+                                    line.tree().path("on").asText(),
+                                    line.tree().get("point").asText());
                         } else if (line.node() < 0 && line.what().equals("killed")) {
-                            line.tree().get("nodes").forEach(node -> missed.remove(armed.getOrDefault(node.asText(), "")));
+                            line.tree()
+                                    .get("nodes")
+                                    .forEach(node -> missed.remove(armed.getOrDefault(node.asText(), "")));
                         }
                     }
                     findings.note("points", String.valueOf(points.size()));
@@ -164,7 +209,8 @@
     }
 
     private static String usual(int i) {
-        return "{'opTypes':{'orders':{'budgetMs':" + (1500 + 20 * (i % 10)) + "}},'sends':{'most':" + (3 + i % 2) + "}}";
+        return "{'opTypes':{'orders':{'budgetMs':" + (1500 + 20 * (i % 10)) + "}},'sends':{'most':" + (3 + i % 2)
+                + "}}";
     }
 
     /** Processes that stand still past the end of their lease, at a time that the log's own stages set. */
@@ -174,11 +220,22 @@
         String[] whom = {"['n4']", "['n5','n6']", "['leader']", "['follower','n7']"};
         for (int i = 0; i < USUAL_CHANGES; i++) {
             String change = script.change(script.after(1500), 3 + i % 6);
-            script.step("stop" + i, Script.seen(change, "any", "'what':'log','stage':'" + stages[i % 4] + "','leading':true", 20 * (i % 5)),
+            script.step(
+                    "stop" + i,
+                    Script.seen(
+                            change, "any", "'what':'log','stage':'" + stages[i % 4] + "','leading':true", 20 * (i % 5)),
                     "'do':'stop','nodes':" + whom[i / 2 % 4] + ",'lastsMs':" + (4000 + 500 * (i % 4)));
         }
-        return new PolicyDrill("policy-stall", "processes stand still past their lease, before and after a decision, and wake with a full queue",
-                900_000, "{}", script.end(8000), USUAL_CHANGES, 0.99, 10_000, (findings, lines, rules) -> { });
+        return new PolicyDrill(
+                "policy-stall",
+                "processes stand still past their lease, before and after a decision, and wake with a full queue",
+                900_000,
+                "{}",
+                script.end(8000),
+                USUAL_CHANGES,
+                0.99,
+                10_000,
+                (findings, lines, rules) -> {});
     }
 
     private static PolicyDrill cut() {
@@ -186,12 +243,23 @@
         String[] whom = {"['leader','n3','n4']", "['n5','n6']", "['follower','n8']", "['leader']"};
         for (int i = 0; i < USUAL_CHANGES; i++) {
             String change = script.change(script.after(2500), 3 + i % 6);
-            script.step("cut" + i, i % 2 == 0 ? "{'step':'" + change + "','afterMs':" + 15 * i + "}"
-                    : Script.seen(change, "any", "'what':'log','stage':'DECIDED','leading':true", 10 * i),
+            script.step(
+                    "cut" + i,
+                    i % 2 == 0
+                            ? "{'step':'" + change + "','afterMs':" + 15 * i + "}"
+                            : Script.seen(change, "any", "'what':'log','stage':'DECIDED','leading':true", 10 * i),
                     "'do':'cut','nodes':" + whom[i % 4] + ",'lastsMs':" + (5000 + 300 * i));
         }
-        return new PolicyDrill("policy-cut", "the leader is cut off with clients on its side, or some others are, before and after a decision",
-                900_000, "{}", script.end(12_000), USUAL_CHANGES, 0.99, 16_000, (findings, lines, rules) -> { });
+        return new PolicyDrill(
+                "policy-cut",
+                "the leader is cut off with clients on its side, or some others are, before and after a decision",
+                900_000,
+                "{}",
+                script.end(12_000),
+                USUAL_CHANGES,
+                0.99,
+                16_000,
+                (findings, lines, rules) -> {});
     }
 
     private static PolicyDrill oneWay() {
@@ -199,15 +267,30 @@
         for (int i = 0; i < USUAL_CHANGES; i++) {
             String change = script.change(script.after(2500), 3 + i % 6);
             String far = i % 2 == 0 ? "['n1','n2','n3','n4']" : "['n0','n2','n5','n6']";
-            script.step("way" + i, i % 3 == 0 ? "{'step':'" + change + "','afterMs':" + 15 * i + "}"
-                    : Script.seen(change, "any", "'what':'log','stage':'DECIDED','leading':true", 0),
-                    i % 4 < 2 ? "'do':'one-way','nodes':['leader'],'others':" + far + ",'lastsMs':" + (4000 + 200 * i)
+            script.step(
+                    "way" + i,
+                    i % 3 == 0
+                            ? "{'step':'" + change + "','afterMs':" + 15 * i + "}"
+                            : Script.seen(change, "any", "'what':'log','stage':'DECIDED','leading':true", 0),
+                    i % 4 < 2
+                            ? "'do':'one-way','nodes':['leader'],'others':" + far + ",'lastsMs':" + (4000 + 200 * i)
                             : "'do':'one-way','nodes':" + far + ",'others':['leader'],'lastsMs':" + (4000 + 200 * i));
-            script.step("late" + i, "{'step':'" + change + "','afterMs':100}", "'do':'link','nodes':['n7','n8'],'others':['n0','n1','n2'],"
-                    + "'twice':0.5,'jitterMs':400,'loss':0.1,'lastsMs':3000");
+            script.step(
+                    "late" + i,
+                    "{'step':'" + change + "','afterMs':100}",
+                    "'do':'link','nodes':['n7','n8'],'others':['n0','n1','n2'],"
+                            + "'twice':0.5,'jitterMs':400,'loss':0.1,'lastsMs':3000");
         }
-        return new PolicyDrill("policy-oneway", "the leader is heard by half and hears the other half; decisions come late, twice and mixed up",
-                900_000, "{}", script.end(12_000), USUAL_CHANGES, 0.99, 16_000, (findings, lines, rules) -> { });
+        return new PolicyDrill(
+                "policy-oneway",
+                "the leader is heard by half and hears the other half; decisions come late, twice and mixed up",
+                900_000,
+                "{}",
+                script.end(12_000),
+                USUAL_CHANGES,
+                0.99,
+                16_000,
+                (findings, lines, rules) -> {});
     }
 
     private static PolicyDrill majorityLost() {
@@ -215,15 +298,32 @@
         for (int i = 0; i < USUAL_CHANGES; i++) {
             String change = script.change(script.after(3500), 3 + i % 6);
             String lost = "lost" + i;
-            script.step(lost, i % 2 == 0 ? "{'step':'" + change + "','afterMs':" + 40 * i + "}"
-                    : Script.seen(change, "any", "'what':'log','stage':'DECIDED','leading':true", 10 * i),
+            script.step(
+                    lost,
+                    i % 2 == 0
+                            ? "{'step':'" + change + "','afterMs':" + 40 * i + "}"
+                            : Script.seen(change, "any", "'what':'log','stage':'DECIDED','leading':true", 10 * i),
                     "'do':'kill','nodes':['n" + i % 3 + "','n" + (i + 1) % 3 + "']");
             script.again(lost, 6000);
         }
-        return new PolicyDrill("policy-majority-lost", "two of the three that decide are killed in the middle of each change, for 6 s",
-                1_200_000, "{}", script.end(6000), USUAL_CHANGES, 0.95, 20_000, (findings, lines, rules) ->
-                findings.least("nodes that served out of touch", 4, lines.stream().filter(line -> line.what().equals("policy")
-                        && line.tree().get("by").asText().endsWith("?")).map(Line::node).distinct().count()));
+        return new PolicyDrill(
+                "policy-majority-lost",
+                "two of the three that decide are killed in the middle of each change, for 6 s",
+                1_200_000,
+                "{}",
+                script.end(6000),
+                USUAL_CHANGES,
+                0.95,
+                20_000,
+                (findings, lines, rules) -> findings.least(
+                        "nodes that served out of touch",
+                        4,
+                        lines.stream()
+                                .filter(line -> line.what().equals("policy")
+                                        && line.tree().get("by").asText().endsWith("?"))
+                                .map(Line::node)
+                                .distinct()
+                                .count()));
     }
 
     private static PolicyDrill rejoin() {
@@ -232,7 +332,8 @@
             if (i % 5 == 0) {
                 script.step("down" + i, script.after(2500), "'do':'kill','nodes':['n5','n6']");
             }
-            String change = script.change(i % 5 == 0 ? "{'step':'down" + i + "','afterMs':200}" : script.after(1500), 3 + i % 2);
+            String change = script.change(
+                    i % 5 == 0 ? "{'step':'down" + i + "','afterMs':200}" : script.after(1500), 3 + i % 2);
             if (i % 5 == 3) {
                 // Three versions later they come back while the majority is out, and it comes back after them.
                 script.step("out" + i, script.after(300), "'do':'kill','nodes':['n0','n1']");
@@ -242,30 +343,63 @@
                 i++;
             }
         }
-        return new PolicyDrill("policy-rejoin", "nodes that were down during three changes come back while the majority is out",
-                1_200_000, "{}", script.end(3000), USUAL_CHANGES, 0.95, 0, (findings, lines, rules) -> { });
+        return new PolicyDrill(
+                "policy-rejoin",
+                "nodes that were down during three changes come back while the majority is out",
+                1_200_000,
+                "{}",
+                script.end(3000),
+                USUAL_CHANGES,
+                0.95,
+                0,
+                (findings, lines, rules) -> {});
     }
 
     private static PolicyDrill no() {
         Script script = new Script();
         for (int i = 0; i < USUAL_CHANGES; i++) {
             // Two that were proposed at once have both ended by then.
-            String change = script.change(script.after(i % 4 == 2 ? 8000 : 1200), 3 + i % 6, i % 2 == 0
-                    ? "{'opTypes':{'orders':{'budgetMs':" + (3000 + 10 * i) + "}}}" : usual(i));
+            String change = script.change(
+                    script.after(i % 4 == 2 ? 8000 : 1200),
+                    3 + i % 6,
+                    i % 2 == 0 ? "{'opTypes':{'orders':{'budgetMs':" + (3000 + 10 * i) + "}}}" : usual(i));
             if (i % 4 == 1) {
                 // A second operator at the same moment: either is taken first.
-                script.step("second" + i, "{'step':'" + change + "','afterMs':0}", "'do':'propose','nodes':['n" + (4 + i % 5) + "'],'settings':"
-                        + "{'opTypes':{'orders':{'budgetMs':1000}}}");
+                script.step(
+                        "second" + i,
+                        "{'step':'" + change + "','afterMs':0}",
+                        "'do':'propose','nodes':['n" + (4 + i % 5) + "'],'settings':"
+                                + "{'opTypes':{'orders':{'budgetMs':1000}}}");
             }
         }
-        return new PolicyDrill("policy-no", "every other version cannot be applied by one node; two operators propose at once",
-                900_000, "{'n7':{'opTypes':{'orders':{'timeoutMs':2500}}}}", script.end(4000), USUAL_CHANGES, 0.99, 0,
+        return new PolicyDrill(
+                "policy-no",
+                "every other version cannot be applied by one node; two operators propose at once",
+                900_000,
+                "{'n7':{'opTypes':{'orders':{'timeoutMs':2500}}}}",
+                script.end(4000),
+                USUAL_CHANGES,
+                0.99,
+                0,
                 (findings, lines, rules) -> {
-                    List<JsonNode> ends = lines.stream().filter(line -> line.node() < 0 && line.what().equals("ended")).map(Line::tree).toList();
-                    findings.equal("refused, with the name of the node that said no", 10L, ends.stream().filter(end ->
-                            end.get("stage").asText().equals("REFUSED") && end.path("why").asText().startsWith("n7: ")).count());
-                    findings.equal("of two proposals at once, told of the other one", 5L, ends.stream().filter(end ->
-                            end.get("stage").asText().equals("NOT TAKEN") && end.path("why").asText().contains("is still open")).count());
+                    List<JsonNode> ends = lines.stream()
+                            .filter(line -> line.node() < 0 && line.what().equals("ended"))
+                            .map(Line::tree)
+                            .toList();
+                    findings.equal(
+                            "refused, with the name of the node that said no",
+                            10L,
+                            ends.stream()
+                                    .filter(end -> end.get("stage").asText().equals("REFUSED")
+                                            && end.path("why").asText().startsWith("n7: "))
+                                    .count());
+                    findings.equal(
+                            "of two proposals at once, told of the other one",
+                            5L,
+                            ends.stream()
+                                    .filter(end -> end.get("stage").asText().equals("NOT TAKEN")
+                                            && end.path("why").asText().contains("is still open"))
+                                    .count());
                 });
     }
 
@@ -277,23 +411,55 @@
             String harm = harms[i % harms.length];
             int decider = i % 3;
             script.step("k" + i, script.after(1500), "'do':'kill','nodes':['n" + decider + "']");
-            script.step("h" + i, "{'step':'k" + i + "','afterMs':100}", "'do':'harm','nodes':['n" + decider + "'],'harm':'" + harm + "'");
-            script.step("s" + i, "{'step':'h" + i + "','afterMs':100}", "'do':'start','nodes':['n" + decider + "']"
-                    + (harm.equals("full") ? ",'disk':{'mostBytes':1}" : ""));
+            script.step(
+                    "h" + i,
+                    "{'step':'k" + i + "','afterMs':100}",
+                    "'do':'harm','nodes':['n" + decider + "'],'harm':'" + harm + "'");
+            script.step(
+                    "s" + i,
+                    "{'step':'h" + i + "','afterMs':100}",
+                    "'do':'start','nodes':['n" + decider + "']"
+                            + (harm.equals("full") ? ",'disk':{'mostBytes':1}" : ""));
             script.change("{'step':'s" + i + "','afterMs':1500}", 3 + i % 6);
             script.step("m" + i, script.after(300), "'do':'kill','nodes':['n" + decider + "']");
-            script.step("u" + i, "{'step':'m" + i + "','afterMs':100}", "'do':'harm','nodes':['n" + decider + "'],'harm':'mended'");
+            script.step(
+                    "u" + i,
+                    "{'step':'m" + i + "','afterMs':100}",
+                    "'do':'harm','nodes':['n" + decider + "'],'harm':'mended'");
             script.step("b" + i, "{'step':'u" + i + "','afterMs':100}", "'do':'start','nodes':['n" + decider + "']");
             script.change("{'step':'b" + i + "','afterMs':3500}", 3 + i % 6);
         }
-        return new PolicyDrill("policy-disk", "a deciding node's disk is full, torn, flipped, lost or another node's, and then as it was",
-                1_500_000, "{}", script.end(3000), 2 * USUAL_CHANGES, 0.99, 0, (findings, lines, rules) -> {
+        return new PolicyDrill(
+                "policy-disk",
+                "a deciding node's disk is full, torn, flipped, lost or another node's, and then as it was",
+                1_500_000,
+                "{}",
+                script.end(3000),
+                2 * USUAL_CHANGES,
+                0.99,
+                0,
+                (findings, lines, rules) -> {
                     Map<String, Integer> seen = new TreeMap<>();
-                    lines.stream().filter(line -> line.what().equals("decider")).forEach(line -> seen.merge(line.tree().get("on").asBoolean()
-                            ? "decides" : line.tree().get("why").asText().replaceAll("^.*?: |[0-9]+", "").replaceAll("; .*|:.*", ""), 1, Integer::sum));
+                    lines.stream()
+                            .filter(line -> line.what().equals("decider"))
+                            .forEach(line -> seen.merge(
+                                    line.tree().get("on").asBoolean()
+                                            ? "decides"
+                                            : line.tree()
+                                                    .get("why")
+                                                    .asText()
+                                                    .replaceAll("^.*?: |[0-9]+", "")
+                                                    .replaceAll("; .*|:.*", ""),
+                                    1,
+                                    Integer::sum));
                     findings.note("what deciding nodes said at their starts", seen.toString());
-                    findings.least("starts that refused to vote", 12, seen.entrySet().stream().filter(each -> !each.getKey().equals("decides"))
-                            .mapToInt(Map.Entry::getValue).sum());
+                    findings.least(
+                            "starts that refused to vote",
+                            12,
+                            seen.entrySet().stream()
+                                    .filter(each -> !each.getKey().equals("decides"))
+                                    .mapToInt(Map.Entry::getValue)
+                                    .sum());
                 });
     }
 
@@ -319,14 +485,17 @@
     }
 
     static NodesPlan plan(long seed, String name, double lastsMs, String policy, String own, String steps) {
-        String text = ("{'seed':" + seed + ",'nodes':" + NODES + ",'seeds':2,'lastsMs':" + lastsMs + ",'ends':'last','peers':"
-                + (policy.isEmpty() ? "{}" : "{'policy':" + policy + "}") + ",'own':" + own
-                + ",'fleet':{'layout':{'shards':8,'cells':4,'reach':2},'kinds':{'std':{'cores':2,'workMs':2,'warmMs':1000,"
-                + "'tipMultiple':1000}},'servers':[{'kind':'std','count':8}]},"
-                + "'settings':{'opTypes':[{'name':'orders','budgetMs':2000,'timeoutMs':4000,'floor':0.9}]},"
-                + "'load':{'lagBoundMs':60000,'phases':[{'lastsMs':" + lastsMs + ",'rate':{'shape':'steady','perS':140}}],"
-                + "'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8,'least':3},'clientMs':4000}]},"
-                + "'steps':[" + steps + "]}").replace('\'', '"');
+        String text = ("{'seed':" + seed + ",'nodes':" + NODES + ",'seeds':2,'lastsMs':" + lastsMs
+                        + ",'ends':'last','peers':"
+                        + (policy.isEmpty() ? "{}" : "{'policy':" + policy + "}") + ",'own':" + own
+                        + ",'fleet':{'layout':{'shards':8,'cells':4,'reach':2},'kinds':{'std':{'cores':2,'workMs':2,'warmMs':1000,"
+                        + "'tipMultiple':1000}},'servers':[{'kind':'std','count':8}]},"
+                        + "'settings':{'opTypes':[{'name':'orders','budgetMs':2000,'timeoutMs':4000,'floor':0.9}]},"
+                        + "'load':{'lagBoundMs':60000,'phases':[{'lastsMs':" + lastsMs
+                        + ",'rate':{'shape':'steady','perS':140}}],"
+                        + "'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8,'least':3},'clientMs':4000}]},"
+                        + "'steps':[" + steps + "]}")
+                .replace('\'', '"');
         return NodesPlan.of(Document.parse(name, text.getBytes(StandardCharsets.UTF_8), "nodes"));
     }
 
@@ -342,17 +511,26 @@
             lasted[0] = outcome.lastedMs();
             judge(findings, outcome, lines, rules);
         });
-        ObjectNode still = PeersDrill.played(plan.with(faults, lasted[0]), outcome -> { });
+        ObjectNode still = PeersDrill.played(plan.with(faults, lasted[0]), outcome -> {});
         double without = PeersDrill.served(still);
-        findings.note("served whole of the same faults without a change, share", String.format(Locale.ROOT, "%.4f", without));
+        findings.note(
+                "served whole of the same faults without a change, share", String.format(Locale.ROOT, "%.4f", without));
         findings.least("served whole, share", without * goodput, PeersDrill.served(changing));
     }
 
     private void judge(Findings findings, Rig.Outcome outcome, List<Line> lines, PolicyRules rules) {
-        findings.equal("steps that were not taken", "[]", outcome.notTaken().stream().filter(step -> !step.matches("[rs][0-9]+")
-                || name.equals("policy-disk")).toList().toString());
-        long ended = lines.stream().filter(line -> line.node() < 0 && line.what().equals("ended")
-                && !line.tree().get("stage").asText().equals("UNKNOWN")).count();
+        findings.equal(
+                "steps that were not taken",
+                "[]",
+                outcome.notTaken().stream()
+                        .filter(step -> !step.matches("[rs][0-9]+") || name.equals("policy-disk"))
+                        .toList()
+                        .toString());
+        long ended = lines.stream()
+                .filter(line -> line.node() < 0
+                        && line.what().equals("ended")
+                        && !line.tree().get("stage").asText().equals("UNKNOWN"))
+                .count();
         findings.least("changes that ended", least, ended);
         findings.least("versions that took hold", least / 3, rules.held() - 1);
         findings.least("multigets that were judged", 1000, rules.judged());
@@ -362,7 +540,9 @@
         findings.most("longest from proposal to end with a majority, ms", bounds.endsMs(), rules.slowestMs());
         findings.note("from proposal to hold where no leader was lost, median in ms", String.valueOf(median(lines)));
         wants.judge(findings, lines, rules);
-        outcome.rules().verdicts().forEach(verdict -> findings.equal("broken: " + verdict.rule().text, 0L, verdict.broken()));
+        outcome.rules()
+                .verdicts()
+                .forEach(verdict -> findings.equal("broken: " + verdict.rule().text, 0L, verdict.broken()));
     }
 
     private static long median(List<Line> lines) {
@@ -371,7 +551,9 @@
         for (Line line : lines) {
             if (line.node() < 0 && line.what().equals("proposed")) {
                 from.put(line.tree().get("step").asText(), line.ns());
-            } else if (line.node() < 0 && line.what().equals("ended") && line.tree().get("stage").asText().equals("HOLDS")) {
+            } else if (line.node() < 0
+                    && line.what().equals("ended")
+                    && line.tree().get("stage").asText().equals("HOLDS")) {
                 took.add((line.ns() - from.get(line.tree().get("step").asText())) / 1_000_000);
             }
         }
@@ -382,7 +564,11 @@
     /** What was done to processes and links, at the times when it was; crashes at a point are kills there. */
     static List<NodesPlan.Step> faults(Rig.Outcome outcome, List<Line> lines) {
         List<NodesPlan.Step> faults = new ArrayList<>();
-        long beginNs = lines.stream().filter(line -> line.node() < 0 && line.what().equals("begins")).mapToLong(Line::ns).findFirst().orElse(0);
+        long beginNs = lines.stream()
+                .filter(line -> line.node() < 0 && line.what().equals("begins"))
+                .mapToLong(Line::ns)
+                .findFirst()
+                .orElse(0);
         for (NodesPlan.Step step : outcome.done()) {
             if (!List.of("propose", "abort", "crash", "push", "kill", "harm").contains(step.what())) {
                 faults.add(step);
@@ -391,9 +577,18 @@
         for (Line line : lines) {
             if (line.node() < 0 && line.what().equals("killed")) {
                 List<Integer> nodes = new ArrayList<>();
-                line.tree().get("nodes").forEach(node -> nodes.add(Integer.parseInt(node.asText().substring(1))));
-                faults.add(new NodesPlan.Step("kill" + faults.size(), new NodesPlan.When((line.ns() - beginNs) / 1e6, null, null, null, null, 1,
-                        null, 0), "kill", nodes, List.of(), 0, Document.JSON.createObjectNode()));
+                line.tree()
+                        .get("nodes")
+                        .forEach(
+                                node -> nodes.add(Integer.parseInt(node.asText().substring(1))));
+                faults.add(new NodesPlan.Step(
+                        "kill" + faults.size(),
+                        new NodesPlan.When((line.ns() - beginNs) / 1e6, null, null, null, null, 1, null, 0),
+                        "kill",
+                        nodes,
+                        List.of(),
+                        0,
+                        Document.JSON.createObjectNode()));
             }
         }
         return faults;
--- a/lab/src/main/java/spartrail/lab/drill/PushedDrill.java
+++ b/lab/src/main/java/spartrail/lab/drill/PushedDrill.java
@@ -37,23 +37,49 @@
             double atMs = 2000 + 5000.0 * i;
             int number = i + 1;
             boolean halfway = i % 5 == 4;
-            steps.append("{'when':{'atMs':").append(atMs).append("},'do':'push','nodes':[").append(names(halfway ? 4 : NODES))
-                    .append("],'number':").append(number).append(",'gapMs':80,'settings':{'opTypes':{'orders':{'budgetMs':")
-                    .append(1500 + 20 * i).append("}}}},");
+            steps.append("{'when':{'atMs':")
+                    .append(atMs)
+                    .append("},'do':'push','nodes':[")
+                    .append(names(halfway ? 4 : NODES))
+                    .append("],'number':")
+                    .append(number)
+                    .append(",'gapMs':80,'settings':{'opTypes':{'orders':{'budgetMs':")
+                    .append(1500 + 20 * i)
+                    .append("}}}},");
             if (halfway) {
-                steps.append("{'when':{'atMs':").append(atMs + 600).append("},'do':'abandon','number':").append(number).append("},");
+                steps.append("{'when':{'atMs':")
+                        .append(atMs + 600)
+                        .append("},'do':'abandon','number':")
+                        .append(number)
+                        .append("},");
             }
             int node = 3 + i % 6;
             switch (i % 4) {
-                case 0 -> steps.append("{'when':{'atMs':").append(atMs - 500).append("},'do':'kill','nodes':['n").append(node)
-                        .append("']},{'when':{'atMs':").append(atMs + 1500).append("},'do':'start','nodes':['n").append(node).append("']},");
-                case 1 -> steps.append("{'when':{'atMs':").append(atMs - 200).append("},'do':'stop','nodes':['n").append(node)
+                case 0 -> steps.append("{'when':{'atMs':")
+                        .append(atMs - 500)
+                        .append("},'do':'kill','nodes':['n")
+                        .append(node)
+                        .append("']},{'when':{'atMs':")
+                        .append(atMs + 1500)
+                        .append("},'do':'start','nodes':['n")
+                        .append(node)
+                        .append("']},");
+                case 1 -> steps.append("{'when':{'atMs':")
+                        .append(atMs - 200)
+                        .append("},'do':'stop','nodes':['n")
+                        .append(node)
                         .append("'],'lastsMs':2500},");
-                default -> steps.append("{'when':{'atMs':").append(atMs - 4000).append("},'do':'cut','nodes':['n").append(node)
+                default -> steps.append("{'when':{'atMs':")
+                        .append(atMs - 4000)
+                        .append("},'do':'cut','nodes':['n")
+                        .append(node)
                         .append("'],'lastsMs':8000},");
             }
         }
-        return steps.append("{'name':'last','when':{'atMs':").append(LASTS_MS - 3000).append("},'do':'heal'}").toString();
+        return steps.append("{'name':'last','when':{'atMs':")
+                .append(LASTS_MS - 3000)
+                .append("},'do':'heal'}")
+                .toString();
     }
 
     private static String names(int count) {
@@ -69,11 +95,13 @@
         NodesPlan plan = PolicyDrill.plan(seed, name(), LASTS_MS, "", "{}", steps());
         PeersDrill.played(plan, outcome -> {
             List<Line> lines = outcome.history().inOrder();
-            PolicyRules rules = new PolicyJudge(NODES, List.of(0, 1, 2), PolicyDrill.USUAL_BOUNDS).read(lines, outcome.taken());
+            PolicyRules rules =
+                    new PolicyJudge(NODES, List.of(0, 1, 2), PolicyDrill.USUAL_BOUNDS).read(lines, outcome.taken());
             findings.equal("steps that were not taken", "[]", outcome.notTaken().toString());
             findings.least("multigets that were judged", 1000, rules.judged());
             Map<String, Integer> counts = rules.counts();
-            for (String rule : List.of("(b) refused is never", "(c) one version at an instant", "(e) out of touch it stops")) {
+            for (String rule :
+                    List.of("(b) refused is never", "(c) one version at an instant", "(e) out of touch it stops")) {
                 findings.least("caught: " + rule, 1, counts.getOrDefault(rule, 0));
             }
             findings.note("multigets and pairs of versions that broke a rule", counts.toString());
--- a/lab/src/main/java/spartrail/lab/drill/RulesPlanted.java
+++ b/lab/src/main/java/spartrail/lab/drill/RulesPlanted.java
@@ -63,27 +63,40 @@
     private static Set<Rule> play(CrookedFront.Fault fault, long seed) throws Exception {
         boolean drains = fault == CrookedFront.Fault.SENDS_TO_DRAINED;
         boolean cold = fault == CrookedFront.Fault.FLOODS_COLD;
-        FleetPlan plan = FleetPlan.of(Document.parse("fleet", ("{'seed':" + seed
-                + ",'layout':{'shards':4,'cells':2,'reach':2},'kinds':{'std':{'cores':4,'workMs':1,'coldFrom':0.1,"
-                + "'warmMs':60000,'tipMultiple':2,'tipMs':300}},'servers':[{'kind':'std','count':2}]}")
-                .replace('\'', '"').getBytes(StandardCharsets.UTF_8), "fleet"));
+        FleetPlan plan = FleetPlan.of(Document.parse(
+                "fleet",
+                ("{'seed':" + seed
+                                + ",'layout':{'shards':4,'cells':2,'reach':2},'kinds':{'std':{'cores':4,'workMs':1,'coldFrom':0.1,"
+                                + "'warmMs':60000,'tipMultiple':2,'tipMs':300}},'servers':[{'kind':'std','count':2}]}")
+                        .replace('\'', '"')
+                        .getBytes(StandardCharsets.UTF_8),
+                "fleet"));
         boolean single = fault == CrookedFront.Fault.REPEATS || fault == CrookedFront.Fault.PUSHES_BACK_WHAT_RAN;
-        Terms terms = new Terms(Map.of("orders", new Terms.Op(
-                single ? Terms.Repeat.NON_RETRIABLE : Terms.Repeat.RETRIABLE, 0, 1, 0.9)), 500, 50,
-                single ? 100 : 4, true, Double.POSITIVE_INFINITY, 0, 0);
+        Terms terms = new Terms(
+                Map.of("orders", new Terms.Op(single ? Terms.Repeat.NON_RETRIABLE : Terms.Repeat.RETRIABLE, 0, 1, 0.9)),
+                500,
+                50,
+                single ? 100 : 4,
+                true,
+                Double.POSITIVE_INFINITY,
+                0,
+                0);
         RuleChecker checker = new RuleChecker(terms);
         double clientMs = fault == CrookedFront.Fault.NEVER_ANSWERS ? 300 : 5000;
         LoadPlan load = Plans.parse("{'seed':" + seed + ",'lingerMs':200,'phases':[{'lastsMs':" + (drains ? 3000 : 800)
-                + ",'rate':{'shape':'steady','perS':" + (cold ? 1500 : 100) + "}}],'streams':[{'opTypes':[{'name':'orders'}],"
-                + "'shards':{'of':4,'least':2},'work':{'meanMs':" + (cold ? 5 : 1) + "},'clientMs':" + clientMs + "}]}");
+                + ",'rate':{'shape':'steady','perS':" + (cold ? 1500 : 100)
+                + "}}],'streams':[{'opTypes':[{'name':'orders'}],"
+                + "'shards':{'of':4,'least':2},'work':{'meanMs':" + (cold ? 5 : 1) + "},'clientMs':" + clientMs
+                + "}]}");
         AtomicBoolean told = new AtomicBoolean();
-        try (Fleet fleet = new Fleet(plan, checker); CrookedFront front = new CrookedFront(fleet, fault)) {
+        try (Fleet fleet = new Fleet(plan, checker);
+                CrookedFront front = new CrookedFront(fleet, fault)) {
             if (cold) {
                 fleet.order("restart s-0 1 2");
                 Thread.sleep(50);
             }
-            try (LoadSession session = new LoadSession(Plans.at(load, front.address()), load.arrivals(),
-                    load.lastsMs(), Watcher.class.cast(checker))) {
+            try (LoadSession session = new LoadSession(
+                    Plans.at(load, front.address()), load.arrivals(), load.lastsMs(), Watcher.class.cast(checker))) {
                 if (drains) {
                     fleet.order("drain s-0");
                 }
@@ -91,7 +104,9 @@
             }
         }
         Set<Rule> broken = new LinkedHashSet<>();
-        checker.verdicts().stream().filter(verdict -> verdict.broken() > 0).forEach(verdict -> broken.add(verdict.rule()));
+        checker.verdicts().stream()
+                .filter(verdict -> verdict.broken() > 0)
+                .forEach(verdict -> broken.add(verdict.rule()));
         if (cold) {
             // A server that falls over takes along what it had in hand; only that it was pushed over is asked here.
             broken.remove(Rule.ONE_ANSWER);
--- a/lab/src/main/java/spartrail/lab/drill/SubsetDrill.java
+++ b/lab/src/main/java/spartrail/lab/drill/SubsetDrill.java
@@ -39,45 +39,64 @@
     }
 
     private static String servers(int from, int to) {
-        return IntStream.range(from, to).mapToObj(number -> "'s-" + number + "'").collect(Collectors.joining(",", "[", "]"));
+        return IntStream.range(from, to)
+                .mapToObj(number -> "'s-" + number + "'")
+                .collect(Collectors.joining(",", "[", "]"));
     }
 
     private static String script() {
-        return Stream.of("{'atMs':2000,'do':'kill','servers':" + servers(0, 10) + "}",
-                "{'atMs':2500,'do':'roll-stale','nodes':[1,5],'lastsMs':2500}",
-                "{'atMs':7000,'do':'start','servers':" + servers(0, 10) + "}",
-                "{'atMs':10000,'do':'drain','servers':" + servers(20, 28) + "}",
-                "{'atMs':12000,'do':'roll-silent','nodes':[2,3],'lastsMs':1500}",
-                "{'atMs':13000,'do':'kill','servers':" + servers(30, 36) + "}",
-                "{'atMs':14000,'do':'restart','servers':" + servers(20, 28) + "}",
-                "{'atMs':17000,'do':'start','servers':" + servers(30, 36) + "}").collect(Collectors.joining(",", "[", "]"));
+        return Stream.of(
+                        "{'atMs':2000,'do':'kill','servers':" + servers(0, 10) + "}",
+                        "{'atMs':2500,'do':'roll-stale','nodes':[1,5],'lastsMs':2500}",
+                        "{'atMs':7000,'do':'start','servers':" + servers(0, 10) + "}",
+                        "{'atMs':10000,'do':'drain','servers':" + servers(20, 28) + "}",
+                        "{'atMs':12000,'do':'roll-silent','nodes':[2,3],'lastsMs':1500}",
+                        "{'atMs':13000,'do':'kill','servers':" + servers(30, 36) + "}",
+                        "{'atMs':14000,'do':'restart','servers':" + servers(20, 28) + "}",
+                        "{'atMs':17000,'do':'start','servers':" + servers(30, 36) + "}")
+                .collect(Collectors.joining(",", "[", "]"));
     }
 
     private static NodesPlan plan(long seed, boolean subsets) {
         String subset = subsets ? ",'subset':{'replicasPerShard':" + REPLICAS + ",'leastZones':2}" : "";
         String text = ("{'seed':" + seed + ",'nodes':" + NODES + ",'seeds':2,'lastsMs':" + LASTS_MS
-                + ",'fleet':{'layout':{'shards':8,'cells':4,'reach':1},'kinds':{'std':{'cores':2,'workMs':4,'warmMs':4000,"
-                + "'tipMultiple':2.5,'tipMs':1000}},'servers':[{'kind':'std','count':" + SERVERS + ",'zones':['a','b','c']}],'script':"
-                + script() + "},'settings':{'opTypes':[{'name':'orders','budgetMs':2000,'timeoutMs':4000,'floor':0.9}]" + subset + "},"
-                + "'load':{'lagBoundMs':60000,'phases':[{'lastsMs':" + LASTS_MS + ",'rate':{'shape':'steady','perS':200}}],"
-                + "'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8,'least':3},'clientMs':4000}]},"
-                + "'steps':[]}").replace('\'', '"');
+                        + ",'fleet':{'layout':{'shards':8,'cells':4,'reach':1},'kinds':{'std':{'cores':2,'workMs':4,'warmMs':4000,"
+                        + "'tipMultiple':2.5,'tipMs':1000}},'servers':[{'kind':'std','count':" + SERVERS
+                        + ",'zones':['a','b','c']}],'script':"
+                        + script()
+                        + "},'settings':{'opTypes':[{'name':'orders','budgetMs':2000,'timeoutMs':4000,'floor':0.9}]"
+                        + subset + "},"
+                        + "'load':{'lagBoundMs':60000,'phases':[{'lastsMs':" + LASTS_MS
+                        + ",'rate':{'shape':'steady','perS':200}}],"
+                        + "'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8,'least':3},'clientMs':4000}]},"
+                        + "'steps':[]}")
+                .replace('\'', '"');
         return NodesPlan.of(Document.parse("subset-change", text.getBytes(StandardCharsets.UTF_8), "nodes"));
     }
 
     @Override
     public void run(long seed, Findings findings) throws Exception {
-        ObjectNode without = PeersDrill.played(plan(seed, false), outcome -> { });
+        ObjectNode without = PeersDrill.played(plan(seed, false), outcome -> {});
         ObjectNode with = PeersDrill.played(plan(seed, true), outcome -> {
-            outcome.rules().verdicts().forEach(verdict -> findings.equal("broken: " + verdict.rule().text, 0L, verdict.broken()));
-            findings.equal("nodes alive at the end", NODES,
-                    (int) outcome.nodes().stream().filter(node -> node.get("alive").asBoolean()).count());
-            List<Long> parts = Stream.of(outcome.servers()).flatMap(servers -> {
-                Stream.Builder<JsonNode> each = Stream.builder();
-                servers.forEach(each::add);
-                return each.build();
-            }).map(server -> server.path("parts").asLong()).sorted().toList();
-            findings.least("servers that were sent parts", SERVERS * 3 / 4, parts.stream().filter(count -> count > 0).count());
+            outcome.rules()
+                    .verdicts()
+                    .forEach(verdict -> findings.equal("broken: " + verdict.rule().text, 0L, verdict.broken()));
+            findings.equal("nodes alive at the end", NODES, (int) outcome.nodes().stream()
+                    .filter(node -> node.get("alive").asBoolean())
+                    .count());
+            List<Long> parts = Stream.of(outcome.servers())
+                    .flatMap(servers -> {
+                        Stream.Builder<JsonNode> each = Stream.builder();
+                        servers.forEach(each::add);
+                        return each.build();
+                    })
+                    .map(server -> server.path("parts").asLong())
+                    .sorted()
+                    .toList();
+            findings.least(
+                    "servers that were sent parts",
+                    SERVERS * 3 / 4,
+                    parts.stream().filter(count -> count > 0).count());
         });
         double served = PeersDrill.served(without);
         findings.note("served whole of the day without subsets, share", String.format(Locale.ROOT, "%.4f", served));
--- a/lab/src/main/java/spartrail/lab/experiment/Charts.java
+++ b/lab/src/main/java/spartrail/lab/experiment/Charts.java
@@ -27,19 +27,23 @@
     private static final int WIDTH = 900;
     private static final int HEIGHT = 420;
 
-    private Charts() {
-    }
+    private Charts() {}
 
     private static void save(Chart<?, ?> chart, Path folder, String name) throws IOException {
         chart.getStyler().setChartBackgroundColor(Color.WHITE);
-        VectorGraphicsEncoder.saveVectorGraphic(chart, folder.resolve(name).toString(),
-                VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
+        VectorGraphicsEncoder.saveVectorGraphic(
+                chart, folder.resolve(name).toString(), VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
         BitmapEncoder.saveBitmap(chart, folder.resolve(name).toString(), BitmapEncoder.BitmapFormat.PNG);
     }
 
     private static XYChart chart(String title, String y) {
-        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle("seconds")
-                .yAxisTitle(y).build();
+        XYChart chart = new XYChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title(title)
+                .xAxisTitle("seconds")
+                .yAxisTitle(y)
+                .build();
         chart.getStyler().setLegendPosition(Styler.LegendPosition.OutsideS);
         chart.getStyler().setLegendLayout(Styler.LegendLayout.Horizontal);
         return chart;
@@ -64,29 +68,47 @@
         List<Double> x = new ArrayList<>();
         Map<String, List<Double>> rows = new TreeMap<>();
         double widthS = report.get("slices").size() > 1
-                ? report.get("slices").get(1).get("atMs").asDouble() / 1000 : 1;
+                ? report.get("slices").get(1).get("atMs").asDouble() / 1000
+                : 1;
         for (JsonNode slice : report.get("slices")) {
             x.add(slice.get("atMs").asDouble() / 1000);
             for (String field : List.of("intended", "served", "pushedBack")) {
-                rows.computeIfAbsent(field, key -> new ArrayList<>()).add(slice.get(field).asDouble() / widthS);
+                rows.computeIfAbsent(field, key -> new ArrayList<>())
+                        .add(slice.get(field).asDouble() / widthS);
             }
             for (String field : List.of("p50Ms", "p99Ms")) {
-                rows.computeIfAbsent(field, key -> new ArrayList<>()).add(slice.get(field).asDouble());
+                rows.computeIfAbsent(field, key -> new ArrayList<>())
+                        .add(slice.get(field).asDouble());
             }
         }
         XYChart latency = chart("Latency from the intended time, " + name, "milliseconds");
         line(latency, "p50", x, rows.getOrDefault("p50Ms", List.of()));
         line(latency, "p99", x, rows.getOrDefault("p99Ms", List.of()));
-        events(latency, report, rows.getOrDefault("p99Ms", List.of(1.0)).stream().max(Double::compare).orElse(1.0));
+        events(
+                latency,
+                report,
+                rows.getOrDefault("p99Ms", List.of(1.0)).stream()
+                        .max(Double::compare)
+                        .orElse(1.0));
         save(latency, folder, name + "-latency");
         XYChart rate = chart("Multigets a second, " + name, "a second");
         line(rate, "meant to be sent", x, rows.getOrDefault("intended", List.of()));
         line(rate, "served", x, rows.getOrDefault("served", List.of()));
         line(rate, "pushed back", x, rows.getOrDefault("pushedBack", List.of()));
-        events(rate, report, rows.getOrDefault("intended", List.of(1.0)).stream().max(Double::compare).orElse(1.0));
+        events(
+                rate,
+                report,
+                rows.getOrDefault("intended", List.of(1.0)).stream()
+                        .max(Double::compare)
+                        .orElse(1.0));
         save(rate, folder, name + "-rate");
-        CategoryChart load = new CategoryChartBuilder().width(WIDTH).height(HEIGHT)
-                .title("Parts by server, " + name).xAxisTitle("server").yAxisTitle("parts").build();
+        CategoryChart load = new CategoryChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title("Parts by server, " + name)
+                .xAxisTitle("server")
+                .yAxisTitle("parts")
+                .build();
         load.getStyler().setLegendVisible(false);
         List<String> servers = new ArrayList<>();
         List<Double> parts = new ArrayList<>();
@@ -104,8 +126,10 @@
         Map<String, Map<Double, List<JsonNode>>> versions = new TreeMap<>();
         for (Store.Run run : runs) {
             if (run.report() != null) {
-                versions.computeIfAbsent(run.cell().version() + ", " + run.cell().nodes() + " nodes", key ->
-                        new TreeMap<>()).computeIfAbsent(run.cell().times(), key -> new ArrayList<>()).add(run.report());
+                versions.computeIfAbsent(
+                                run.cell().version() + ", " + run.cell().nodes() + " nodes", key -> new TreeMap<>())
+                        .computeIfAbsent(run.cell().times(), key -> new ArrayList<>())
+                        .add(run.report());
             }
         }
         if (versions.values().stream().allMatch(byTimes -> byTimes.size() < 2)) {
@@ -120,9 +144,16 @@
             List<Double> good = new ArrayList<>();
             List<Double> slow = new ArrayList<>();
             byTimes.values().forEach(reports -> {
-                good.add(reports.stream().mapToDouble(report -> report.at("/served/count").asDouble() * 1000
-                        / report.get("lastedMs").asDouble()).average().orElse(0));
-                slow.add(reports.stream().mapToDouble(report -> report.at("/served/latencyMs/p99").asDouble()).average()
+                good.add(reports.stream()
+                        .mapToDouble(report -> report.at("/served/count").asDouble()
+                                * 1000
+                                / report.get("lastedMs").asDouble())
+                        .average()
+                        .orElse(0));
+                slow.add(reports.stream()
+                        .mapToDouble(
+                                report -> report.at("/served/latencyMs/p99").asDouble())
+                        .average()
                         .orElse(0));
             });
             goodput.addSeries(version, x, good);
@@ -139,8 +170,8 @@
                 + escaped(title) + "</title>\n<style>body{font-family:sans-serif;max-width:60em;margin:2em auto}"
                 + "pre{overflow-x:auto}img{max-width:100%}</style>\n<h1>" + escaped(title) + "</h1>\n<pre>"
                 + escaped(tables) + "</pre>\n");
-        charts.forEach(chart -> page.append(String.format(Locale.ROOT, "<p><img src=\"%s.png\" alt=\"%s\"></p>%n", chart,
-                chart)));
+        charts.forEach(chart ->
+                page.append(String.format(Locale.ROOT, "<p><img src=\"%s.png\" alt=\"%s\"></p>%n", chart, chart)));
         Files.writeString(folder.resolve("index.html"), page.append("</html>\n"));
     }
 
--- a/lab/src/main/java/spartrail/lab/experiment/Compare.java
+++ b/lab/src/main/java/spartrail/lab/experiment/Compare.java
@@ -13,28 +13,40 @@
 /** Holds two groups of runs against each other, metric by metric, with intervals from resampling; no I/O. */
 public final class Compare {
     /** A figure of a run and whether more of it is better. */
-    public record Metric(String name, boolean moreIsBetter, ToDoubleFunction<JsonNode> of) {
-    }
+    public record Metric(String name, boolean moreIsBetter, ToDoubleFunction<JsonNode> of) {}
 
     /** What can be said: the difference (second less first), its 95% interval, and in a word. */
-    public record Line(String metric, double first, double second, double difference, double low, double high,
-            String verdict) {
-    }
+    public record Line(
+            String metric, double first, double second, double difference, double low, double high, String verdict) {}
 
     /** Mean with its 95% interval. */
-    public record Mean(double mean, double low, double high) {
-    }
+    public record Mean(double mean, double low, double high) {}
 
     public static final List<Metric> METRICS = List.of(
-            new Metric("clients served, share", true, tree -> tree.at("/clients/served").asDouble()
-                    / Math.max(1, tree.at("/clients/served").asDouble() + tree.at("/clients/unserved").asDouble())),
-            new Metric("tries served whole, share", true, tree -> tree.at("/kinds/WHOLE").asDouble()
-                    / Math.max(1, tree.get("tries").asDouble())),
-            new Metric("tries pushed back, share", false, tree -> tree.at("/kinds/PUSHED_BACK").asDouble()
-                    / Math.max(1, tree.get("tries").asDouble())),
-            new Metric("served p50, ms", false, tree -> tree.at("/served/latencyMs/p50").asDouble()),
-            new Metric("served p99, ms", false, tree -> tree.at("/served/latencyMs/p99").asDouble()),
-            new Metric("until served p99, ms", false, tree -> tree.at("/clients/untilServedMs/p99").asDouble()),
+            new Metric(
+                    "clients served, share",
+                    true,
+                    tree -> tree.at("/clients/served").asDouble()
+                            / Math.max(
+                                    1,
+                                    tree.at("/clients/served").asDouble()
+                                            + tree.at("/clients/unserved").asDouble())),
+            new Metric(
+                    "tries served whole, share",
+                    true,
+                    tree -> tree.at("/kinds/WHOLE").asDouble()
+                            / Math.max(1, tree.get("tries").asDouble())),
+            new Metric(
+                    "tries pushed back, share",
+                    false,
+                    tree -> tree.at("/kinds/PUSHED_BACK").asDouble()
+                            / Math.max(1, tree.get("tries").asDouble())),
+            new Metric("served p50, ms", false, tree -> tree.at("/served/latencyMs/p50")
+                    .asDouble()),
+            new Metric("served p99, ms", false, tree -> tree.at("/served/latencyMs/p99")
+                    .asDouble()),
+            new Metric("until served p99, ms", false, tree -> tree.at("/clients/untilServedMs/p99")
+                    .asDouble()),
             new Metric("node CPU a try, ms", false, tree -> {
                 double cpuMs = 0;
                 for (JsonNode node : tree.path("nodes")) {
@@ -45,8 +57,7 @@
 
     private static final int RESAMPLES = 10_000;
 
-    private Compare() {
-    }
+    private Compare() {}
 
     /** Runs of the same seed are pairs; a difference is told only where the interval leaves out no difference. */
     public static List<Line> lines(Map<Long, JsonNode> first, Map<Long, JsonNode> second) {
@@ -69,8 +80,8 @@
                 verdict = mean.mean() > 0 == metric.moreIsBetter() ? "better" : "worse";
             }
             int count = Math.max(1, seeds.size());
-            lines.add(new Line(metric.name(), sumFirst / count, sumSecond / count, mean.mean(), mean.low(), mean.high(),
-                    verdict));
+            lines.add(new Line(
+                    metric.name(), sumFirst / count, sumSecond / count, mean.mean(), mean.low(), mean.high(), verdict));
         }
         return lines;
     }
@@ -90,7 +101,9 @@
             means[i] = sum / values.length;
         }
         Arrays.sort(means);
-        return new Mean(Arrays.stream(values).average().orElse(0), means[(int) (RESAMPLES * 0.025)],
+        return new Mean(
+                Arrays.stream(values).average().orElse(0),
+                means[(int) (RESAMPLES * 0.025)],
                 means[(int) (RESAMPLES * 0.975)]);
     }
 
@@ -110,14 +123,24 @@
     public static String table(List<Store.Run> runs) {
         StringBuilder out = new StringBuilder();
         groups(runs).forEach((group, reports) -> {
-            long kept = reports.values().stream().filter(report -> report.at("/rules/kept").asBoolean()).count();
-            long fit = reports.values().stream().filter(report -> report.get("fit").asBoolean()).count();
-            out.append(String.format(Locale.ROOT, "%s: %d runs, rules kept in %d, fit %d%n", group, reports.size(), kept,
-                    fit));
+            long kept = reports.values().stream()
+                    .filter(report -> report.at("/rules/kept").asBoolean())
+                    .count();
+            long fit = reports.values().stream()
+                    .filter(report -> report.get("fit").asBoolean())
+                    .count();
+            out.append(String.format(
+                    Locale.ROOT, "%s: %d runs, rules kept in %d, fit %d%n", group, reports.size(), kept, fit));
             for (Metric metric : METRICS) {
-                Mean mean = mean(reports.values().stream().mapToDouble(metric.of()).toArray());
-                out.append(String.format(Locale.ROOT, "  %-28s %10.4f  (%.4f to %.4f)%n", metric.name(), mean.mean(),
-                        mean.low(), mean.high()));
+                Mean mean =
+                        mean(reports.values().stream().mapToDouble(metric.of()).toArray());
+                out.append(String.format(
+                        Locale.ROOT,
+                        "  %-28s %10.4f  (%.4f to %.4f)%n",
+                        metric.name(),
+                        mean.mean(),
+                        mean.low(),
+                        mean.high()));
             }
         });
         long broken = runs.stream().filter(run -> run.report() == null).count();
@@ -128,13 +151,26 @@
     }
 
     public static String table(String first, String second, List<Line> lines, int pairs) {
-        StringBuilder out = new StringBuilder(String.format(Locale.ROOT, "%d pairs of the same seed; first: %s; second: %s%n",
-                pairs, first, second));
-        out.append(String.format(Locale.ROOT, "%-28s %10s %10s %10s  %-22s %s%n", "", "first", "second", "difference",
-                "95% of resamples", "the second is"));
-        lines.forEach(line -> out.append(String.format(Locale.ROOT, "%-28s %10.4f %10.4f %10.4f  %-22s %s%n",
-                line.metric(), line.first(), line.second(), line.difference(),
-                String.format(Locale.ROOT, "%.4f to %.4f", line.low(), line.high()), line.verdict())));
+        StringBuilder out = new StringBuilder(
+                String.format(Locale.ROOT, "%d pairs of the same seed; first: %s; second: %s%n", pairs, first, second));
+        out.append(String.format(
+                Locale.ROOT,
+                "%-28s %10s %10s %10s  %-22s %s%n",
+                "",
+                "first",
+                "second",
+                "difference",
+                "95% of resamples",
+                "the second is"));
+        lines.forEach(line -> out.append(String.format(
+                Locale.ROOT,
+                "%-28s %10.4f %10.4f %10.4f  %-22s %s%n",
+                line.metric(),
+                line.first(),
+                line.second(),
+                line.difference(),
+                String.format(Locale.ROOT, "%.4f to %.4f", line.low(), line.high()),
+                line.verdict())));
         return out.toString();
     }
 }
--- a/lab/src/main/java/spartrail/lab/experiment/ExperimentPlan.java
+++ b/lab/src/main/java/spartrail/lab/experiment/ExperimentPlan.java
@@ -14,8 +14,16 @@
 import spartrail.lab.plan.LoadPlan;
 
 /** A matrix of runs: versions of the node, numbers of nodes, multiples of the load, seeds. */
-public record ExperimentPlan(String name, FleetPlan fleet, LoadPlan load, NodeSettings node, Map<String, Path> versions,
-        List<Integer> nodes, List<Double> times, List<Long> seeds, JsonNode tree) {
+public record ExperimentPlan(
+        String name,
+        FleetPlan fleet,
+        LoadPlan load,
+        NodeSettings node,
+        Map<String, Path> versions,
+        List<Integer> nodes,
+        List<Double> times,
+        List<Long> seeds,
+        JsonNode tree) {
     /** One cell of the matrix. */
     public record Cell(String version, int nodes, double times, long seed) {
         public String group() {
@@ -32,10 +40,13 @@
         JsonNode matrix = tree.path("matrix");
         matrix.path("versions").fields().forEachRemaining(version -> {
             String jar = version.getValue().asText();
-            Path path = jar.equals("this") ? NodeProcess.ownJar() : file.toAbsolutePath().resolveSibling(jar).normalize();
+            Path path = jar.equals("this")
+                    ? NodeProcess.ownJar()
+                    : file.toAbsolutePath().resolveSibling(jar).normalize();
             if (!Files.isReadable(path)) {
-                throw document.wrong("/matrix/versions/" + version.getKey(), "found '" + jar + "', a readable jar or"
-                        + " \"this\" is expected");
+                throw document.wrong(
+                        "/matrix/versions/" + version.getKey(),
+                        "found '" + jar + "', a readable jar or" + " \"this\" is expected");
             }
             versions.put(version.getKey(), path);
         });
@@ -51,16 +62,24 @@
         ObjectNode whole = tree.deepCopy();
         whole.set("fleet", fleet.tree);
         whole.set("load", load.tree);
-        return new ExperimentPlan(tree.get("name").asText(), FleetPlan.of(fleet), LoadPlan.of(load),
-                new NodeSettings(tree.get("node")), versions, nodes.isEmpty() ? List.of(1) : nodes,
-                times.isEmpty() ? List.of(1.0) : times, seeds.isEmpty() ? List.of(1L) : seeds, whole);
+        return new ExperimentPlan(
+                tree.get("name").asText(),
+                FleetPlan.of(fleet),
+                LoadPlan.of(load),
+                new NodeSettings(tree.get("node")),
+                versions,
+                nodes.isEmpty() ? List.of(1) : nodes,
+                times.isEmpty() ? List.of(1.0) : times,
+                seeds.isEmpty() ? List.of(1L) : seeds,
+                whole);
     }
 
     /** A part that stands in the file, or in one that it names. */
     private static Document part(Document document, Path file, String name, String schema) {
         JsonNode node = document.tree.get(name);
         if (node.isTextual()) {
-            return Document.read(file.toAbsolutePath().resolveSibling(node.asText()).normalize(), schema);
+            return Document.read(
+                    file.toAbsolutePath().resolveSibling(node.asText()).normalize(), schema);
         }
         try {
             return Document.of(document.name + ": /" + name, node, schema);
--- a/lab/src/main/java/spartrail/lab/experiment/NodeProcess.java
+++ b/lab/src/main/java/spartrail/lab/experiment/NodeProcess.java
@@ -36,6 +36,7 @@
     private final Extras extras;
     /** A shell that ends the node when this process has ended, however that came: its standard input then ends. */
     private Process guard;
+
     private ProcessHandle handle;
     private int starts;
     /** CPU of processes of this node that have ended. */
@@ -73,7 +74,8 @@
         for (int i = 0; i < PORT_TRIES; i++) {
             int port = PORTS_FROM + ThreadLocalRandom.current().nextInt(PORTS);
             try (ServerSocket tcp = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
-                    DatagramSocket udp = new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port))) {
+                    DatagramSocket udp =
+                            new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port))) {
                 return port;
             } catch (BindException e) {
                 // Another one.
@@ -98,12 +100,17 @@
     }
 
     /** Started, and perhaps not ready yet: several start side by side. */
-    public static NodeProcess launched(Path jar, ObjectNode config, Path folder, String name, int memoryMb, Extras extras)
-            throws IOException {
+    public static NodeProcess launched(
+            Path jar, ObjectNode config, Path folder, String name, int memoryMb, Extras extras) throws IOException {
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, Document.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(config));
-        NodeProcess node = new NodeProcess(jar, file, folder.resolve(name + ".log"), memoryMb,
-                config.get("listen").asText(), extras);
+        NodeProcess node = new NodeProcess(
+                jar,
+                file,
+                folder.resolve(name + ".log"),
+                memoryMb,
+                config.get("listen").asText(),
+                extras);
         node.launch();
         return node;
     }
@@ -116,20 +123,35 @@
     /** The same with further options of the JVM, for this start only. */
     public void launch(List<String> options) throws IOException {
         int heapMb = Math.max(10, Math.min(48, (memoryMb - 48) / 2));
-        List<String> command = new ArrayList<>(List.of("sh", "-c",
-                "\"$@\" </dev/null >>\"$LOG\" 2>&1 & echo $!; cat >/dev/null; kill -9 $! 2>/dev/null", "node",
+        List<String> command = new ArrayList<>(List.of(
+                "sh",
+                "-c",
+                "\"$@\" </dev/null >>\"$LOG\" 2>&1 & echo $!; cat >/dev/null; kill -9 $! 2>/dev/null",
+                "node",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms" + heapMb + "m", "-Xmx" + heapMb + "m", "-Xss512k",
-                "-XX:MaxDirectMemorySize=12m", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=16m"));
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xms" + heapMb + "m",
+                "-Xmx" + heapMb + "m",
+                "-Xss512k",
+                "-XX:MaxDirectMemorySize=12m",
+                "-XX:MaxMetaspaceSize=40m",
+                "-XX:ReservedCodeCacheSize=16m"));
         StringBuilder path = new StringBuilder(jar.toString());
         if (extras.members() != null) {
-            path.append(':').append(jar.resolveSibling("../../dns/target/spartrail-dns.jar").normalize());
+            path.append(':')
+                    .append(jar.resolveSibling("../../dns/target/spartrail-dns.jar")
+                            .normalize());
         }
         if (extras.peers() != null) {
-            path.append(':').append(jar.resolveSibling("../../peers/target/spartrail-peers.jar").normalize());
+            path.append(':')
+                    .append(jar.resolveSibling("../../peers/target/spartrail-peers.jar")
+                            .normalize());
         }
         if (extras.state() != null) {
-            path.append(':').append(jar.resolveSibling("../../policy/target/spartrail-policy.jar").normalize());
+            path.append(':')
+                    .append(jar.resolveSibling("../../policy/target/spartrail-policy.jar")
+                            .normalize());
         }
         command.addAll(options);
         if (extras.state() != null && options.isEmpty()) {
@@ -141,8 +163,12 @@
         option(command, "--history", extras.history());
         option(command, "--state", extras.state());
         // A record is of one life of a process.
-        option(command, "--record", extras.record() == null ? null
-                : extras.record().resolveSibling(extras.record().getFileName() + "." + starts));
+        option(
+                command,
+                "--record",
+                extras.record() == null
+                        ? null
+                        : extras.record().resolveSibling(extras.record().getFileName() + "." + starts));
         starts++;
         if (guard != null) {
             guard.outputWriter().close();
@@ -151,7 +177,9 @@
         builder.environment().put("LOG", log.toString());
         guard = builder.redirectError(ProcessBuilder.Redirect.DISCARD).start();
         String pid = guard.inputReader().readLine();
-        handle = pid == null ? guard.toHandle() : ProcessHandle.of(Long.parseLong(pid)).orElse(guard.toHandle());
+        handle = pid == null
+                ? guard.toHandle()
+                : ProcessHandle.of(Long.parseLong(pid)).orElse(guard.toHandle());
     }
 
     private static void option(List<String> command, String name, Path file) {
@@ -164,8 +192,11 @@
         long untilNs = System.nanoTime() + (long) (READY_MS * 1e6);
         while (!up()) {
             if (!handle.isAlive()) {
-                throw new IOException("the front node ended at its start: " + Files.readString(log).lines()
-                        .reduce((first, second) -> second).orElse("it said nothing"));
+                throw new IOException("the front node ended at its start: "
+                        + Files.readString(log)
+                                .lines()
+                                .reduce((first, second) -> second)
+                                .orElse("it said nothing"));
             }
             if (System.nanoTime() > untilNs) {
                 handle.destroyForcibly();
@@ -177,8 +208,8 @@
 
     private boolean up() throws IOException {
         try {
-            HttpURLConnection connection = (HttpURLConnection) URI.create("http://" + address + "/up").toURL()
-                    .openConnection();
+            HttpURLConnection connection = (HttpURLConnection)
+                    URI.create("http://" + address + "/up").toURL().openConnection();
             connection.setConnectTimeout(500);
             connection.setReadTimeout(1000);
             return connection.getResponseCode() == 200;
@@ -219,7 +250,9 @@
 
     /** It stands still as a machine does that is out of breath, until it goes on. */
     public void stop(boolean stands) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", stands ? "-STOP" : "-CONT", Long.toString(handle.pid())).start().waitFor(5, TimeUnit.SECONDS);
+        new ProcessBuilder("kill", stands ? "-STOP" : "-CONT", Long.toString(handle.pid()))
+                .start()
+                .waitFor(5, TimeUnit.SECONDS);
     }
 
     /** Whether it has ended within so many seconds. */
@@ -241,15 +274,21 @@
 
     /** CPU used so far, in milliseconds. */
     public double cpuMs() {
-        return cpuBeforeMs + handle.info().totalCpuDuration().map(time -> time.toNanos() / 1e6).orElse(0.0);
+        return cpuBeforeMs
+                + handle.info()
+                        .totalCpuDuration()
+                        .map(time -> time.toNanos() / 1e6)
+                        .orElse(0.0);
     }
 
     /** Memory held, in megabytes, where the system tells; else 0. */
     public double memoryMb() {
         try {
             return Files.readAllLines(Path.of("/proc", Long.toString(handle.pid()), "status")).stream()
-                    .filter(line -> line.startsWith("VmRSS:")).findFirst()
-                    .map(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1024).orElse(0.0);
+                    .filter(line -> line.startsWith("VmRSS:"))
+                    .findFirst()
+                    .map(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1024)
+                    .orElse(0.0);
         } catch (IOException e) {
             return 0;
         }
--- a/lab/src/main/java/spartrail/lab/experiment/NodeSettings.java
+++ b/lab/src/main/java/spartrail/lab/experiment/NodeSettings.java
@@ -14,9 +14,17 @@
 
 /** What front nodes are told, in our words; {@link #config} is the door at which these become the file's names. */
 public final class NodeSettings {
-    record Op(String name, double budgetMs, double timeoutMs, double lateShare, double importance, Terms.Repeat repeat,
-            double dedupMs, double need, double floor, double partialShare) {
-    }
+    record Op(
+            String name,
+            double budgetMs,
+            double timeoutMs,
+            double lateShare,
+            double importance,
+            Terms.Repeat repeat,
+            double dedupMs,
+            double need,
+            double floor,
+            double partialShare) {}
 
     private final JsonNode tree;
     private final List<Op> opTypes = new ArrayList<>();
@@ -25,10 +33,19 @@
         this.tree = tree;
         for (JsonNode op : tree.get("opTypes")) {
             double need = op.path("need").asDouble(1);
-            opTypes.add(new Op(op.get("name").asText(), op.get("budgetMs").asDouble(), op.get("timeoutMs").asDouble(),
-                    op.path("lateShare").asDouble(0.3), op.path("importance").asDouble(1),
-                    Terms.Repeat.valueOf(op.path("repeat").asText("retriable").replace('-', '_').toUpperCase()),
-                    op.path("dedupMs").asDouble(0), need, op.path("floor").asDouble(need),
+            opTypes.add(new Op(
+                    op.get("name").asText(),
+                    op.get("budgetMs").asDouble(),
+                    op.get("timeoutMs").asDouble(),
+                    op.path("lateShare").asDouble(0.3),
+                    op.path("importance").asDouble(1),
+                    Terms.Repeat.valueOf(op.path("repeat")
+                            .asText("retriable")
+                            .replace('-', '_')
+                            .toUpperCase()),
+                    op.path("dedupMs").asDouble(0),
+                    need,
+                    op.path("floor").asDouble(need),
                     op.path("partialShare").asDouble(0.9)));
         }
     }
@@ -42,22 +59,35 @@
         Map<String, Terms.Op> ops = new HashMap<>();
         opTypes.forEach(op -> ops.put(op.name(), new Terms.Op(op.repeat(), op.dedupMs(), op.need(), op.floor())));
         JsonNode budget = tree.path("furtherSends");
-        return new Terms(ops, tree.path("drainGraceMs").asDouble(500), 70, tree.path("mostSends").asInt(4),
-                tree.path("copies").asBoolean(true), budget.path("ratio").asDouble(Double.POSITIVE_INFINITY),
-                budget.path("least").asDouble(0), budget.path("windowMs").asDouble(10_000));
+        return new Terms(
+                ops,
+                tree.path("drainGraceMs").asDouble(500),
+                70,
+                tree.path("mostSends").asInt(4),
+                tree.path("copies").asBoolean(true),
+                budget.path("ratio").asDouble(Double.POSITIVE_INFINITY),
+                budget.path("least").asDouble(0),
+                budget.path("windowMs").asDouble(10_000));
     }
 
     /** The configuration of one node of so many. */
     public ObjectNode config(int node, int nodes, String listen, Fleet fleet, long seed) throws java.io.IOException {
         FleetPlan plan = fleet.plan();
         ObjectNode config = Document.JSON.createObjectNode();
-        config.put("name", "n" + node).put("version", "0").put("listen", listen).put("discovery", fleet.rollAddress(node))
+        config.put("name", "n" + node)
+                .put("version", "0")
+                .put("listen", listen)
+                .put("discovery", fleet.rollAddress(node))
                 .put("seed", Long.toHexString(seed * 1_000_003 + node));
-        config.putObject("limits").put("cores", tree.path("cores").asDouble(1)).put("memory_mb", memoryMb())
+        config.putObject("limits")
+                .put("cores", tree.path("cores").asDouble(1))
+                .put("memory_mb", memoryMb())
                 .put("sockets", tree.path("sockets").asInt(1024));
         config.set("known", Document.JSON.readTree(fleet.list(node)));
         ObjectNode settings = config.putObject("settings");
-        settings.put("tick", 0.005).put("peers-total", nodes).put("discovery", "push")
+        settings.put("tick", 0.005)
+                .put("peers-total", nodes)
+                .put("discovery", "push")
                 .put("zone", zones(plan).get(node % zones(plan).size()));
         ArrayNode areas = settings.putArray("areas");
         zones(plan).forEach(areas::add);
@@ -66,20 +96,29 @@
         }
         ArrayNode classes = settings.putArray("classes");
         ObjectNode family = settings.putObject("family-info");
-        family.put("slabs", plan.shards()).put("sets", plan.cells()).put("width", plan.reach())
-                .put("batch", tree.path("partsInACall").asInt(4)).put("call", 0.0);
+        family.put("slabs", plan.shards())
+                .put("sets", plan.cells())
+                .put("width", plan.reach())
+                .put("batch", tree.path("partsInACall").asInt(4))
+                .put("call", 0.0);
         ArrayNode need = family.putArray("class-need");
         ArrayNode floor = family.putArray("class-floor");
         ArrayNode partial = family.putArray("class-partial");
         ArrayNode second = family.putArray("fetch-parts");
         for (Op op : opTypes) {
-            ObjectNode line = classes.addObject().put("name", op.name()).put("aim", op.budgetMs() / 1000)
-                    .put("deadline", op.timeoutMs() / 1000).put("late-share", op.lateShare())
-                    .put("worth", op.importance()).put("effect", switch (op.repeat()) {
-                        case RETRIABLE -> "free";
-                        case DEDUPED -> "guarded";
-                        default -> "single_shot";
-                    });
+            ObjectNode line = classes.addObject()
+                    .put("name", op.name())
+                    .put("aim", op.budgetMs() / 1000)
+                    .put("deadline", op.timeoutMs() / 1000)
+                    .put("late-share", op.lateShare())
+                    .put("worth", op.importance())
+                    .put(
+                            "effect",
+                            switch (op.repeat()) {
+                                case RETRIABLE -> "free";
+                                case DEDUPED -> "guarded";
+                                default -> "single_shot";
+                            });
             if (op.dedupMs() > 0) {
                 line.put("key-ttl", op.dedupMs() / 1000);
             }
@@ -88,17 +127,27 @@
             partial.add(op.partialShare());
             second.add(0);
         }
-        settings.putObject("bounds").put("cancelling", true).put("connect-timeout", 0.25).put("keepalive", 30.0)
+        settings.putObject("bounds")
+                .put("cancelling", true)
+                .put("connect-timeout", 0.25)
+                .put("keepalive", 30.0)
                 .put("max-retry-after", tree.path("mostComebackMs").asDouble(1000) / 1000)
-                .put("open-cap", tree.path("openCap").asInt(2000)).put("parallel-tries", terms().parallel())
-                .put("retry-after", true).put("streams-per-conn", 100).put("try-limit", terms().mostSends());
+                .put("open-cap", tree.path("openCap").asInt(2000))
+                .put("parallel-tries", terms().parallel())
+                .put("retry-after", true)
+                .put("streams-per-conn", 100)
+                .put("try-limit", terms().mostSends());
         var traits = plan.servers().get(0).traits();
-        ObjectNode rules = settings.putObject("rules").put("cold-share", traits.coldFrom())
-                .put("warm-within", traits.warmMs() / 1000).put("tip-multiple", traits.tipMultiple())
-                .put("fall", traits.tipMs() / 1000).put("stop-sending-within", terms().graceMs() / 1000)
+        ObjectNode rules = settings.putObject("rules")
+                .put("cold-share", traits.coldFrom())
+                .put("warm-within", traits.warmMs() / 1000)
+                .put("tip-multiple", traits.tipMultiple())
+                .put("fall", traits.tipMs() / 1000)
+                .put("stop-sending-within", terms().graceMs() / 1000)
                 .put("answer-slack", 0.02);
         if (Double.isFinite(terms().furtherRatio())) {
-            rules.put("further-ratio", terms().furtherRatio()).put("min-extra", terms().furtherLeast())
+            rules.put("further-ratio", terms().furtherRatio())
+                    .put("min-extra", terms().furtherLeast())
                     .put("budget-window", terms().furtherWindowMs() / 1000);
         }
         return config;
@@ -106,6 +155,9 @@
 
     /** The zones that a fleet's servers are in. */
     public static List<String> zones(FleetPlan plan) {
-        return plan.servers().stream().map(FleetPlan.ServerLine::zone).distinct().toList();
+        return plan.servers().stream()
+                .map(FleetPlan.ServerLine::zone)
+                .distinct()
+                .toList();
     }
 }
--- a/lab/src/main/java/spartrail/lab/experiment/Runner.java
+++ b/lab/src/main/java/spartrail/lab/experiment/Runner.java
@@ -21,8 +21,7 @@
 /** Plays one cell of a matrix: a fleet, front nodes, load, rules. */
 public final class Runner {
     /** What was done by the script, and when. */
-    private record Event(double atMs, String what) {
-    }
+    private record Event(double atMs, String what) {}
 
     private final ExperimentPlan plan;
     private final Consumer<LoadSession.Glance> progress;
@@ -46,12 +45,18 @@
             for (int node = 0; node < cell.nodes(); node++) {
                 int port = NodeProcess.freePort();
                 ObjectNode config = plan.node().config(node, cell.nodes(), "127.0.0.1:" + port, fleet, cell.seed());
-                nodes.add(NodeProcess.start(plan.versions().get(cell.version()), config, folder, "n" + node,
+                nodes.add(NodeProcess.start(
+                        plan.versions().get(cell.version()),
+                        config,
+                        folder,
+                        "n" + node,
                         plan.node().memoryMb()));
                 List<String> zones = NodeSettings.zones(fleetPlan);
                 targets.add(new LoadPlan.Target("127.0.0.1", port, zones.get(node % zones.size())));
             }
-            LoadPlan load = plan.load().varied(plan.load().seed() * 31 + cell.seed(), cell.times()).against(targets);
+            LoadPlan load = plan.load()
+                    .varied(plan.load().seed() * 31 + cell.seed(), cell.times())
+                    .against(targets);
             double[] cpuMs = nodes.stream().mapToDouble(NodeProcess::cpuMs).toArray();
             try (LoadSession session = new LoadSession(load, load.arrivals(), load.lastsMs(), checker)) {
                 double startMs = fleet.loop().nowMs();
@@ -64,15 +69,20 @@
                 }
                 ObjectNode report = session.report();
                 ObjectNode servers = fleet.figures();
-                servers.forEach(server -> checker.cold(server.path("worstColdLoad").asDouble()));
+                servers.forEach(
+                        server -> checker.cold(server.path("worstColdLoad").asDouble()));
                 report.set("servers", servers);
                 ArrayNode processes = report.putArray("nodes");
                 for (int i = 0; i < nodes.size(); i++) {
-                    processes.addObject().put("cpuMs", Math.round(nodes.get(i).cpuMs() - cpuMs[i]))
-                            .put("memoryMb", Math.round(nodes.get(i).memoryMb())).put("alive", nodes.get(i).handle().isAlive());
+                    processes
+                            .addObject()
+                            .put("cpuMs", Math.round(nodes.get(i).cpuMs() - cpuMs[i]))
+                            .put("memoryMb", Math.round(nodes.get(i).memoryMb()))
+                            .put("alive", nodes.get(i).handle().isAlive());
                 }
                 ArrayNode deeds = report.putArray("events");
-                List.copyOf(events).forEach(event -> deeds.addObject().put("atMs", Math.round(event.atMs() - startMs))
+                List.copyOf(events).forEach(event -> deeds.addObject()
+                        .put("atMs", Math.round(event.atMs() - startMs))
                         .put("what", event.what()));
                 report.set("rules", rules(checker));
                 return report;
@@ -92,7 +102,9 @@
         tree.put("kept", checker.kept());
         ArrayNode verdicts = tree.putArray("verdicts");
         checker.verdicts().forEach(verdict -> {
-            ObjectNode line = verdicts.addObject().put("rule", verdict.rule().name()).put("asked", verdict.asked())
+            ObjectNode line = verdicts.addObject()
+                    .put("rule", verdict.rule().name())
+                    .put("asked", verdict.asked())
                     .put("broken", verdict.broken());
             ArrayNode examples = line.putArray("examples");
             verdict.examples().forEach(examples::add);
@@ -113,8 +125,8 @@
             }
 
             @Override
-            public void ended(int node, String server, String partId,
-                    spartrail.lab.fleet.ServerModel.End end, double atMs) {
+            public void ended(
+                    int node, String server, String partId, spartrail.lab.fleet.ServerModel.End end, double atMs) {
                 checker.ended(node, server, partId, end, atMs);
             }
 
--- a/lab/src/main/java/spartrail/lab/experiment/Showing.java
+++ b/lab/src/main/java/spartrail/lab/experiment/Showing.java
@@ -11,8 +11,7 @@
 
 /** Puts an experiment into one folder: tables, charts, a page. */
 public final class Showing {
-    private Showing() {
-    }
+    private Showing() {}
 
     /** The tables of an experiment: each group, and each version against the first one where loads are the same. */
     public static String tables(List<Store.Run> runs) {
@@ -23,12 +22,15 @@
             String rest = run.cell().nodes() + "/" + run.cell().times();
             String group = run.cell().group();
             String first = firstOf.putIfAbsent(rest, group);
-            if (first != null && !first.equals(group) && groups.containsKey(group) && groups.containsKey(first)
+            if (first != null
+                    && !first.equals(group)
+                    && groups.containsKey(group)
+                    && groups.containsKey(first)
                     && firstOf.putIfAbsent(rest + group, group) == null) {
                 Map<Long, JsonNode> one = groups.get(first);
                 Map<Long, JsonNode> other = groups.get(group);
-                out.append('\n').append(Compare.table(first, group, Compare.lines(one, other),
-                        (int) one.keySet().stream().filter(other::containsKey).count()));
+                out.append('\n').append(Compare.table(first, group, Compare.lines(one, other), (int)
+                        one.keySet().stream().filter(other::containsKey).count()));
             }
         }
         return out.toString();
@@ -38,9 +40,12 @@
         Files.createDirectories(folder);
         List<String> charts = new ArrayList<>(Charts.saturation(runs, folder));
         Map<String, Store.Run> firsts = new LinkedHashMap<>();
-        runs.stream().filter(run -> run.report() != null).forEach(run -> firsts.putIfAbsent(run.cell().group(), run));
+        runs.stream()
+                .filter(run -> run.report() != null)
+                .forEach(run -> firsts.putIfAbsent(run.cell().group(), run));
         for (Store.Run run : firsts.values()) {
-            String name = (run.cell().version() + "-" + run.cell().nodes() + "-x" + run.cell().times())
+            String name = (run.cell().version() + "-" + run.cell().nodes() + "-x"
+                            + run.cell().times())
                     .replaceAll("[^0-9A-Za-z.-]", "_");
             charts.addAll(Charts.run(run.report(), folder, name));
         }
