--- a/lab/src/main/java/spartrail/lab/experiment/Store.java
+++ b/lab/src/main/java/spartrail/lab/experiment/Store.java
@@ -23,22 +23,22 @@
  */
 public final class Store implements AutoCloseable {
     /** What is kept of an experiment. */
-    public record Kept(long id, String name, String startedAt, int runs, int done) {
-    }
+    public record Kept(long id, String name, String startedAt, int runs, int done) {}
 
     /** One run; its report is null where it was broken off. */
-    public record Run(ExperimentPlan.Cell cell, JsonNode report) {
-    }
+    public record Run(ExperimentPlan.Cell cell, JsonNode report) {}
 
     private static final int VERSION = 1;
     private final Connection connection;
 
     public Store(Path file) throws SQLException {
-        if (file.toAbsolutePath().getParent() == null || !Files.isDirectory(file.toAbsolutePath().getParent())) {
+        if (file.toAbsolutePath().getParent() == null
+                || !Files.isDirectory(file.toAbsolutePath().getParent())) {
             throw new BadInput(file + ": there is no such folder");
         }
         // Danger: with its usual delay a run that was completed half a second before a kill would be lost.
-        connection = DriverManager.getConnection("jdbc:h2:file:" + file.toAbsolutePath() + ";DB_CLOSE_ON_EXIT=FALSE;WRITE_DELAY=0", "", "");
+        connection = DriverManager.getConnection(
+                "jdbc:h2:file:" + file.toAbsolutePath() + ";DB_CLOSE_ON_EXIT=FALSE;WRITE_DELAY=0", "", "");
         try (Statement statement = connection.createStatement()) {
             statement.execute("create table if not exists form (version int primary key)");
             ResultSet found = statement.executeQuery("select max(version) from form");
@@ -68,15 +68,20 @@
         try (PreparedStatement insert = connection.prepareStatement(
                 "insert into experiment (name, started_at, plan) values (?, ?, ?)", Statement.RETURN_GENERATED_KEYS)) {
             insert.setString(1, name);
-            insert.setString(2, Instant.now().truncatedTo(java.time.temporal.ChronoUnit.SECONDS).toString());
+            insert.setString(
+                    2,
+                    Instant.now()
+                            .truncatedTo(java.time.temporal.ChronoUnit.SECONDS)
+                            .toString());
             insert.setString(3, plan.toString());
             return key(insert);
         }
     }
 
     public long begin(long experiment, ExperimentPlan.Cell cell) throws SQLException {
-        try (PreparedStatement insert = connection.prepareStatement("insert into run (experiment, version, nodes, times,"
-                + " seed) values (?, ?, ?, ?, ?)", Statement.RETURN_GENERATED_KEYS)) {
+        try (PreparedStatement insert = connection.prepareStatement(
+                "insert into run (experiment, version, nodes, times," + " seed) values (?, ?, ?, ?, ?)",
+                Statement.RETURN_GENERATED_KEYS)) {
             insert.setLong(1, experiment);
             insert.setString(2, cell.version());
             insert.setInt(3, cell.nodes());
@@ -104,11 +109,13 @@
 
     public List<Kept> list() throws SQLException {
         List<Kept> list = new ArrayList<>();
-        try (Statement statement = connection.createStatement(); ResultSet rows = statement.executeQuery(
-                "select e.id, e.name, e.started_at, count(r.id), count(r.report) from experiment e left join run r"
-                        + " on r.experiment = e.id group by e.id, e.name, e.started_at order by e.id")) {
+        try (Statement statement = connection.createStatement();
+                ResultSet rows = statement.executeQuery(
+                        "select e.id, e.name, e.started_at, count(r.id), count(r.report) from experiment e left join run r"
+                                + " on r.experiment = e.id group by e.id, e.name, e.started_at order by e.id")) {
             while (rows.next()) {
-                list.add(new Kept(rows.getLong(1), rows.getString(2), rows.getString(3), rows.getInt(4), rows.getInt(5)));
+                list.add(new Kept(
+                        rows.getLong(1), rows.getString(2), rows.getString(3), rows.getInt(4), rows.getInt(5)));
             }
         }
         return list;
@@ -137,8 +144,10 @@
             try (ResultSet rows = select.executeQuery()) {
                 while (rows.next()) {
                     String report = rows.getString(5);
-                    runs.add(new Run(new ExperimentPlan.Cell(rows.getString(1), rows.getInt(2), rows.getDouble(3),
-                            rows.getLong(4)), report == null ? null : Document.JSON.readTree(report)));
+                    runs.add(new Run(
+                            new ExperimentPlan.Cell(
+                                    rows.getString(1), rows.getInt(2), rows.getDouble(3), rows.getLong(4)),
+                            report == null ? null : Document.JSON.readTree(report)));
                 }
             }
         }
@@ -147,8 +156,8 @@
 
     /** Keeps the newest so many experiments; how many went. */
     public int prune(int keep) throws SQLException {
-        try (PreparedStatement delete = connection.prepareStatement("delete from experiment where id not in"
-                + " (select id from experiment order by id desc limit ?)")) {
+        try (PreparedStatement delete = connection.prepareStatement(
+                "delete from experiment where id not in" + " (select id from experiment order by id desc limit ?)")) {
             delete.setInt(1, keep);
             int gone = delete.executeUpdate();
             try (Statement statement = connection.createStatement()) {
--- a/lab/src/main/java/spartrail/lab/file/Document.java
+++ b/lab/src/main/java/spartrail/lab/file/Document.java
@@ -22,9 +22,11 @@
 
 /** A JSON file checked by one of our schemas (JSON Schema 2020-12); its places are named by JSON pointers (RFC 6901). */
 public final class Document {
-    public static final ObjectMapper JSON = JsonMapper.builder().enable(JsonParser.Feature.ALLOW_COMMENTS)
+    public static final ObjectMapper JSON = JsonMapper.builder()
+            .enable(JsonParser.Feature.ALLOW_COMMENTS)
             .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
-            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
 
     public final String name;
     public final JsonNode tree;
@@ -50,8 +52,13 @@
         try {
             tree = JSON.readTree(bytes);
         } catch (JsonProcessingException e) {
-            throw new BadInput(name + ":" + e.getLocation().getLineNr() + ": no JSON: " + e.getOriginalMessage()
-                    .lines().findFirst().orElse("").replaceAll(" \\(for .*", "").trim());
+            throw new BadInput(name + ":" + e.getLocation().getLineNr() + ": no JSON: "
+                    + e.getOriginalMessage()
+                            .lines()
+                            .findFirst()
+                            .orElse("")
+                            .replaceAll(" \\(for .*", "")
+                            .trim());
         } catch (IOException e) {
             throw new BadInput(name + ": no JSON");
         }
@@ -63,16 +70,17 @@
             throw new BadInput(name + ": is empty, a JSON object is expected");
         }
         List<ValidationMessage> faults = schema(schema).validate(tree).stream()
-                .sorted(Comparator.comparing((ValidationMessage fault) -> fault.getInstanceLocation().toString())
-                        .thenComparing(ValidationMessage::getMessage)).toList();
+                .sorted(Comparator.comparing((ValidationMessage fault) ->
+                                fault.getInstanceLocation().toString())
+                        .thenComparing(ValidationMessage::getMessage))
+                .toList();
         if (!faults.isEmpty()) {
             ValidationMessage first = faults.get(0);
             String place = first.getInstanceLocation().toString();
             JsonNode found = first.getInstanceNode();
             String what = found == null || found.isContainerNode() ? "" : ", found " + found;
             String more = faults.size() == 1 ? "" : " (and " + (faults.size() - 1) + " more)";
-            throw new BadInput(name + ": " + (place.isEmpty() ? "/" : place) + ": "
-                    + text(first, place) + what + more);
+            throw new BadInput(name + ": " + (place.isEmpty() ? "/" : place) + ": " + text(first, place) + what + more);
         }
         return new Document(name, tree);
     }
@@ -89,9 +97,12 @@
 
     private static JsonSchema schema(String name) {
         try (InputStream in = Document.class.getResourceAsStream("/schema/" + name + ".json")) {
-            SchemaValidatorsConfig how = SchemaValidatorsConfig.builder().pathType(PathType.JSON_POINTER)
-                    .locale(Locale.ENGLISH).build();
-            return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in, how);
+            SchemaValidatorsConfig how = SchemaValidatorsConfig.builder()
+                    .pathType(PathType.JSON_POINTER)
+                    .locale(Locale.ENGLISH)
+                    .build();
+            return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+                    .getSchema(in, how);
         } catch (IOException e) {
             throw new IllegalStateException("schema " + name, e);
         }
--- a/lab/src/main/java/spartrail/lab/fleet/CrookedFront.java
+++ b/lab/src/main/java/spartrail/lab/fleet/CrookedFront.java
@@ -20,8 +20,19 @@
  */
 public final class CrookedFront implements AutoCloseable {
     /** What it does wrong; NOTHING keeps all rules as long as no server drains. */
-    public enum Fault { NOTHING, ANSWERS_TWICE, NEVER_ANSWERS, REPEATS, PUSHES_BACK_WHAT_RAN, SENDS_TO_DRAINED, FLOODS_COLD,
-        CALLS_PART_WHOLE, UNDER_LEAST_SHARE, COPIES, CHANGES_VALUES }
+    public enum Fault {
+        NOTHING,
+        ANSWERS_TWICE,
+        NEVER_ANSWERS,
+        REPEATS,
+        PUSHES_BACK_WHAT_RAN,
+        SENDS_TO_DRAINED,
+        FLOODS_COLD,
+        CALLS_PART_WHOLE,
+        UNDER_LEAST_SHARE,
+        COPIES,
+        CHANGES_VALUES
+    }
 
     /** Further sends of each part, where these are planted. */
     private static final int COPIES = 5;
@@ -38,6 +49,7 @@
         private int parts;
         /** Copies of a part that a server has turned away, by shard. */
         private final Map<Integer, Integer> turnedAway = new HashMap<>();
+
         private final Map<Integer, String> values = new TreeMap<>();
     }
 
@@ -54,7 +66,8 @@
             System.arraycopy(bytes, 0, more, 0, bytes.length);
             in.get(more, bytes.length, in.remaining());
             bytes = more;
-            while (bytes.length >= 4 && bytes.length >= 4 + ByteBuffer.wrap(bytes).getInt()) {
+            while (bytes.length >= 4
+                    && bytes.length >= 4 + ByteBuffer.wrap(bytes).getInt()) {
                 int length = ByteBuffer.wrap(bytes).getInt();
                 String text = new String(bytes, 5, length - 1, StandardCharsets.UTF_8);
                 bytes = java.util.Arrays.copyOfRange(bytes, 4 + length, bytes.length);
@@ -92,7 +105,7 @@
             try {
                 roll.connect(new InetSocketAddress(address[0], Integer.parseInt(address[1])));
                 roll.write(ByteBuffer.wrap(("GET /discovery/hosts HTTP/1.1\r\nHost: r\r\n\r\n"
-                        + "GET /discovery/hosts?since=1&timeout_ms=60000 HTTP/1.1\r\nHost: r\r\n\r\n")
+                                + "GET /discovery/hosts?since=1&timeout_ms=60000 HTTP/1.1\r\nHost: r\r\n\r\n")
                         .getBytes(StandardCharsets.US_ASCII)));
             } catch (IOException e) {
                 throw new java.io.UncheckedIOException(e);
@@ -115,7 +128,8 @@
             Open asked = new Open();
             asked.request = request;
             List<Integer> shards = new ArrayList<>();
-            tree.get("segments").forEach(segment -> shards.add(segment.get("segment").asInt()));
+            tree.get("segments")
+                    .forEach(segment -> shards.add(segment.get("segment").asInt()));
             if (fault == Fault.CALLS_PART_WHOLE || fault == Fault.UNDER_LEAST_SHARE) {
                 shards.subList(1, shards.size()).clear();
             }
@@ -138,10 +152,14 @@
 
     private void send(String id, int shard, byte[] text) throws IOException {
         FleetPlan plan = fleet.plan();
-        String server = plan.servers().stream().filter(line -> {
-            int back = Math.floorMod(line.cell() - shard, plan.cells());
-            return back < plan.reach();
-        }).findFirst().orElseThrow().id();
+        String server = plan.servers().stream()
+                .filter(line -> {
+                    int back = Math.floorMod(line.cell() - shard, plan.cells());
+                    return back < plan.reach();
+                })
+                .findFirst()
+                .orElseThrow()
+                .id();
         Server link = servers.get(server);
         if (link == null) {
             link = new Server();
@@ -151,7 +169,12 @@
         }
         String line = id + "." + shard + " " + shard + " d=1000 " + text.length + "\n";
         byte[] head = line.getBytes(StandardCharsets.US_ASCII);
-        link.write(PartFrames.frame('R', ByteBuffer.allocate(head.length + text.length).put(head).put(text).array()));
+        link.write(PartFrames.frame(
+                'R',
+                ByteBuffer.allocate(head.length + text.length)
+                        .put(head)
+                        .put(text)
+                        .array()));
     }
 
     private void part(String partId, String value) {
@@ -164,7 +187,8 @@
         if (value != null) {
             asked.values.put(Integer.parseInt(partId.substring(dot + 1)), fault == Fault.CHANGES_VALUES ? "0" : value);
         } else if (fault == Fault.COPIES) {
-            // Danger: a busy server turns some copies away, and a front that then leaves the part out breaks more rules than the
+            // Danger: a busy server turns some copies away, and a front that then leaves the part out breaks more rules
+            // than the
             // one that is planted.
             if (asked.turnedAway.merge(Integer.parseInt(partId.substring(dot + 1)), 1, Integer::sum) > COPIES) {
                 open.remove(id);
@@ -187,7 +211,11 @@
         }
         StringBuilder body = new StringBuilder("{\"all_in\":" + (fault != Fault.UNDER_LEAST_SHARE) + ",\"matches\":[");
         asked.values.forEach((shard, text) -> body.append(body.charAt(body.length() - 1) == '[' ? "" : ",")
-                .append("{\"segment\":").append(shard).append(",\"payload\":\"").append(text).append("\"}"));
+                .append("{\"segment\":")
+                .append(shard)
+                .append(",\"payload\":\"")
+                .append(text)
+                .append("\"}"));
         byte[] bytes = body.append("]}").toString().getBytes(StandardCharsets.UTF_8);
         if (fault == Fault.ANSWERS_TWICE) {
             asked.request.answerTwice(bytes);
--- a/lab/src/main/java/spartrail/lab/fleet/Fleet.java
+++ b/lab/src/main/java/spartrail/lab/fleet/Fleet.java
@@ -41,8 +41,12 @@
                 for (ServerStand stand : servers.values()) {
                     lines.add(new Roll.Line(stand.line, "127.0.0.1:" + stand.port(node)));
                 }
-                rolls.add(new Roll(loop, node, new InetSocketAddress("127.0.0.1",
-                        plan.rollPort() == 0 ? 0 : plan.rollPort() + node), lines, watcher));
+                rolls.add(new Roll(
+                        loop,
+                        node,
+                        new InetSocketAddress("127.0.0.1", plan.rollPort() == 0 ? 0 : plan.rollPort() + node),
+                        lines,
+                        watcher));
             }
         } catch (IOException e) {
             loop.close();
@@ -100,11 +104,31 @@
         }
     }
 
-    static final List<String> DEEDS = List.of("slow", "pause", "neighbour", "error", "spoil", "hang", "silent", "handshake",
-            "drain", "undrain", "restart", "kill", "start", "remove", "roll-silent", "roll-stale");
+    static final List<String> DEEDS = List.of(
+            "slow",
+            "pause",
+            "neighbour",
+            "error",
+            "spoil",
+            "hang",
+            "silent",
+            "handshake",
+            "drain",
+            "undrain",
+            "restart",
+            "kill",
+            "start",
+            "remove",
+            "roll-silent",
+            "roll-stale");
 
     private List<Roll> rollsOf(FleetPlan.Deed deed) {
-        return deed.nodes().isEmpty() ? rolls : deed.nodes().stream().filter(node -> node < rolls.size()).map(rolls::get).toList();
+        return deed.nodes().isEmpty()
+                ? rolls
+                : deed.nodes().stream()
+                        .filter(node -> node < rolls.size())
+                        .map(rolls::get)
+                        .toList();
     }
 
     private void carryOut(FleetPlan.Deed deed) {
@@ -164,7 +188,7 @@
                 tell(id, "DELETED", 0, plan.silentNoticeMs());
             }
             case "start" -> start(server);
-            // A planned restart: it drains, is gone for a while and comes back cold under its name.
+                // A planned restart: it drains, is gone for a while and comes back cold under its name.
             default -> {
                 tell(id, "DRAINING", 0, plan.noticeMs());
                 after(Math.max(1, lastsMs / 2), () -> {
@@ -214,13 +238,30 @@
 
     /** One line a server. */
     public String text() {
-        StringBuilder out = new StringBuilder(String.format(Locale.ROOT, "%-8s %10s %10s %8s %8s %8s %12s %10s%n", "server",
-                "parts", "OK", "ERROR", "REJECTED", "falls", "work done ms", "cold load"));
-        figures().fields().forEachRemaining(field -> out.append(String.format(Locale.ROOT,
-                "%-8s %10d %10d %8d %8d %8d %12d %10.3f%n", field.getKey(), field.getValue().path("parts").asLong(),
-                field.getValue().path("OK").asLong(), field.getValue().path("ERROR").asLong(),
-                field.getValue().path("REJECTED").asLong(), field.getValue().path("falls").asLong(),
-                field.getValue().path("workDoneMs").asLong(), field.getValue().path("worstColdLoad").asDouble())));
+        StringBuilder out = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%-8s %10s %10s %8s %8s %8s %12s %10s%n",
+                "server",
+                "parts",
+                "OK",
+                "ERROR",
+                "REJECTED",
+                "falls",
+                "work done ms",
+                "cold load"));
+        figures()
+                .fields()
+                .forEachRemaining(field -> out.append(String.format(
+                        Locale.ROOT,
+                        "%-8s %10d %10d %8d %8d %8d %12d %10.3f%n",
+                        field.getKey(),
+                        field.getValue().path("parts").asLong(),
+                        field.getValue().path("OK").asLong(),
+                        field.getValue().path("ERROR").asLong(),
+                        field.getValue().path("REJECTED").asLong(),
+                        field.getValue().path("falls").asLong(),
+                        field.getValue().path("workDoneMs").asLong(),
+                        field.getValue().path("worstColdLoad").asDouble())));
         return out.toString();
     }
 
--- a/lab/src/main/java/spartrail/lab/fleet/FleetPlan.java
+++ b/lab/src/main/java/spartrail/lab/fleet/FleetPlan.java
@@ -17,14 +17,23 @@
  * @param noticeMs how long the roll takes to tell of a change that it was told itself
  * @param silentNoticeMs how long it takes to find out that a server has gone without a word
  */
-public record FleetPlan(long seed, int shards, int cells, int reach, int nodes, int firstPort, int rollPort,
-        double noticeMs, double silentNoticeMs, List<ServerLine> servers, List<Deed> script) {
-    public record ServerLine(String id, int cell, String zone, Traits traits, double rating) {
-    }
+public record FleetPlan(
+        long seed,
+        int shards,
+        int cells,
+        int reach,
+        int nodes,
+        int firstPort,
+        int rollPort,
+        double noticeMs,
+        double silentNoticeMs,
+        List<ServerLine> servers,
+        List<Deed> script) {
+    public record ServerLine(String id, int cell, String zone, Traits traits, double rating) {}
 
     /** What is done to some servers, or to the lists of some nodes (of all where none is named), and when. */
-    public record Deed(double atMs, String what, List<String> servers, List<Integer> nodes, double by, double lastsMs) {
-    }
+    public record Deed(
+            double atMs, String what, List<String> servers, List<Integer> nodes, double by, double lastsMs) {}
 
     public static FleetPlan read(Path file) {
         return of(Document.read(file, "fleet"));
@@ -33,8 +42,9 @@
     public static FleetPlan of(Document document) {
         JsonNode tree = document.tree;
         Map<String, Traits> kinds = new LinkedHashMap<>();
-        tree.get("kinds").fields().forEachRemaining(kind -> kinds.put(kind.getKey(),
-                traits(kind.getKey(), kind.getValue())));
+        tree.get("kinds")
+                .fields()
+                .forEachRemaining(kind -> kinds.put(kind.getKey(), traits(kind.getKey(), kind.getValue())));
         JsonNode layout = tree.get("layout");
         int cells = layout.get("cells").asInt();
         List<ServerLine> servers = new ArrayList<>();
@@ -42,15 +52,19 @@
         for (JsonNode group : tree.get("servers")) {
             Traits traits = kinds.get(group.get("kind").asText());
             if (traits == null) {
-                throw document.wrong("/servers/" + at + "/kind", "found '" + group.get("kind").asText()
-                        + "', one of " + kinds.keySet() + " is expected");
+                throw document.wrong(
+                        "/servers/" + at + "/kind",
+                        "found '" + group.get("kind").asText() + "', one of " + kinds.keySet() + " is expected");
             }
             List<String> zones = new ArrayList<>();
             group.path("zones").forEach(zone -> zones.add(zone.asText()));
             for (int i = 0; i < group.path("count").asInt(1); i++) {
                 int number = servers.size();
-                servers.add(new ServerLine("s-" + number, group.path("cell").asInt(number % cells),
-                        zones.isEmpty() ? "a" : zones.get(i % zones.size()), traits,
+                servers.add(new ServerLine(
+                        "s-" + number,
+                        group.path("cell").asInt(number % cells),
+                        zones.isEmpty() ? "a" : zones.get(i % zones.size()),
+                        traits,
                         group.path("rating").asDouble(1)));
             }
             at++;
@@ -61,34 +75,59 @@
             List<String> whom = new ArrayList<>();
             for (JsonNode id : deed.path("servers")) {
                 if (!ids.contains(id.asText())) {
-                    throw document.wrong("/script/" + script.size() + "/servers/" + whom.size(), "found '" + id.asText()
-                            + "', one of s-0 to s-" + (ids.size() - 1) + " is expected");
+                    throw document.wrong(
+                            "/script/" + script.size() + "/servers/" + whom.size(),
+                            "found '" + id.asText() + "', one of s-0 to s-" + (ids.size() - 1) + " is expected");
                 }
                 whom.add(id.asText());
             }
             List<Integer> nodes = new ArrayList<>();
             deed.path("nodes").forEach(node -> nodes.add(node.asInt()));
-            script.add(new Deed(deed.get("atMs").asDouble(), deed.get("do").asText(), whom, nodes,
-                    deed.path("by").asDouble(1), deed.path("lastsMs").asDouble(0)));
+            script.add(new Deed(
+                    deed.get("atMs").asDouble(),
+                    deed.get("do").asText(),
+                    whom,
+                    nodes,
+                    deed.path("by").asDouble(1),
+                    deed.path("lastsMs").asDouble(0)));
         }
         JsonNode roll = tree.path("roll");
-        return new FleetPlan(tree.path("seed").asLong(1), layout.get("shards").asInt(), cells,
-                layout.path("reach").asInt(1), tree.path("nodes").asInt(1), tree.path("firstPort").asInt(0),
-                roll.path("port").asInt(0), roll.path("noticeMs").asDouble(0),
-                roll.path("silentNoticeMs").asDouble(2000), servers, script);
+        return new FleetPlan(
+                tree.path("seed").asLong(1),
+                layout.get("shards").asInt(),
+                cells,
+                layout.path("reach").asInt(1),
+                tree.path("nodes").asInt(1),
+                tree.path("firstPort").asInt(0),
+                roll.path("port").asInt(0),
+                roll.path("noticeMs").asDouble(0),
+                roll.path("silentNoticeMs").asDouble(2000),
+                servers,
+                script);
     }
 
     private static Traits traits(String name, JsonNode node) {
         int cores = node.path("cores").asInt(2);
         double downMs = node.path("downMs").asDouble(0);
-        return new Traits(name, cores, node.path("speed").asDouble(1), cores * node.path("slotsPerCore").asInt(3),
-                cores * node.path("queuePerCore").asInt(12), node.path("workMs").asDouble(5),
-                node.path("variation").asDouble(0), node.path("callMs").asDouble(0),
-                node.path("coldFrom").asDouble(0.2), node.path("warmMs").asDouble(10_000),
-                node.path("tipMultiple").asDouble(2.5), node.path("tipMs").asDouble(2000),
-                downMs == 0 ? Double.POSITIVE_INFINITY : downMs, node.path("handshakeMs").asDouble(0),
-                node.path("connections").asInt(1000), node.path("errorShare").asDouble(0),
-                node.path("pauseMs").asDouble(0), node.path("pauseEveryMs").asDouble(0),
+        return new Traits(
+                name,
+                cores,
+                node.path("speed").asDouble(1),
+                cores * node.path("slotsPerCore").asInt(3),
+                cores * node.path("queuePerCore").asInt(12),
+                node.path("workMs").asDouble(5),
+                node.path("variation").asDouble(0),
+                node.path("callMs").asDouble(0),
+                node.path("coldFrom").asDouble(0.2),
+                node.path("warmMs").asDouble(10_000),
+                node.path("tipMultiple").asDouble(2.5),
+                node.path("tipMs").asDouble(2000),
+                downMs == 0 ? Double.POSITIVE_INFINITY : downMs,
+                node.path("handshakeMs").asDouble(0),
+                node.path("connections").asInt(1000),
+                node.path("errorShare").asDouble(0),
+                node.path("pauseMs").asDouble(0),
+                node.path("pauseEveryMs").asDouble(0),
                 node.path("reportLateMs").asDouble(0));
     }
 
@@ -99,6 +138,8 @@
 
     /** Milliseconds of work that all servers do in one when warm. */
     public double capacity() {
-        return servers.stream().mapToDouble(line -> line.traits().cores() * line.traits().speed()).sum();
+        return servers.stream()
+                .mapToDouble(line -> line.traits().cores() * line.traits().speed())
+                .sum();
     }
 }
--- a/lab/src/main/java/spartrail/lab/fleet/FrontLayer.java
+++ b/lab/src/main/java/spartrail/lab/fleet/FrontLayer.java
@@ -64,7 +64,8 @@
     private boolean closed;
 
     /** Listens at a port of the loopback (0: a free one) for these nodes; changes count after {@code noticeMs}. */
-    public FrontLayer(SocketLoop loop, int port, List<InetSocketAddress> addresses, double noticeMs) throws IOException {
+    public FrontLayer(SocketLoop loop, int port, List<InetSocketAddress> addresses, double noticeMs)
+            throws IOException {
         this.loop = loop;
         this.noticeMs = noticeMs;
         addresses.forEach(address -> nodes.add(new Node(address)));
--- a/lab/src/main/java/spartrail/lab/fleet/HttpStand.java
+++ b/lab/src/main/java/spartrail/lab/fleet/HttpStand.java
@@ -98,7 +98,8 @@
                 open = new Request(this, words[0], words[1]);
                 for (int i = 1; i < lines.length; i++) {
                     int colon = lines[i].indexOf(':');
-                    open.headers.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
+                    open.headers.put(
+                            lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
                             lines[i].substring(colon + 1).trim());
                 }
                 needed = Integer.parseInt(open.headers.getOrDefault("content-length", "0"));
--- a/lab/src/main/java/spartrail/lab/fleet/NullResponder.java
+++ b/lab/src/main/java/spartrail/lab/fleet/NullResponder.java
@@ -20,7 +20,17 @@
     }
 
     /** How answers go wrong. */
-    public enum Manner { RIGHT, TWICE, CUT, NO_LENGTH, HUGE, GARBLED, CLOSED, SILENT, WRONG_VALUE }
+    public enum Manner {
+        RIGHT,
+        TWICE,
+        CUT,
+        NO_LENGTH,
+        HUGE,
+        GARBLED,
+        CLOSED,
+        SILENT,
+        WRONG_VALUE
+    }
 
     private final SocketLoop loop = new SocketLoop("spartrail-responder", true);
     private final HttpStand stand;
@@ -80,14 +90,17 @@
             case HUGE -> raw(request, "HTTP/1.1 200 OK\r\nContent-Length: 4294967296\r\n\r\n", body);
             case GARBLED -> raw(request, "what is this?\r\n\r\n", body);
             case CLOSED -> request.from.close();
-            case SILENT -> { }
+            case SILENT -> {}
             default -> request.answer(200, "", body);
         }
     }
 
     private static void raw(HttpStand.Request request, String head, byte[] body) {
         byte[] bytes = head.getBytes(StandardCharsets.US_ASCII);
-        request.from.write(ByteBuffer.allocate(bytes.length + body.length).put(bytes).put(body).flip());
+        request.from.write(ByteBuffer.allocate(bytes.length + body.length)
+                .put(bytes)
+                .put(body)
+                .flip());
     }
 
     private static byte[] body(HttpStand.Request request, boolean wrong) {
@@ -99,8 +112,12 @@
             boolean first = true;
             for (JsonNode segment : tree.get("segments")) {
                 int shard = segment.get("segment").asInt();
-                body.append(first ? "" : ",").append("{\"segment\":").append(shard).append(",\"payload\":\"")
-                        .append(wrong ? "0" : Arrival.value(id + '.' + shard, shard, text)).append("\"}");
+                body.append(first ? "" : ",")
+                        .append("{\"segment\":")
+                        .append(shard)
+                        .append(",\"payload\":\"")
+                        .append(wrong ? "0" : Arrival.value(id + '.' + shard, shard, text))
+                        .append("\"}");
                 first = false;
             }
         } catch (IOException e) {
--- a/lab/src/main/java/spartrail/lab/fleet/PartFrames.java
+++ b/lab/src/main/java/spartrail/lab/fleet/PartFrames.java
@@ -9,8 +9,7 @@
 /** The frames between front nodes and servers, seen from a server: a length, a letter, the rest. */
 final class PartFrames {
     /** A part as it was sent. */
-    record Sent(String id, int shard, double waitMs, byte[] text) {
-    }
+    record Sent(String id, int shard, double waitMs, byte[] text) {}
 
     /** What came is none. */
     static final class Unusable extends Exception {
@@ -77,7 +76,10 @@
                     for (String word : words[2].split(",")) {
                         waitMs = word.startsWith("d=") ? Double.parseDouble(word.substring(2)) : waitMs;
                     }
-                    parts.add(new Sent(words[0], Integer.parseInt(words[1]), waitMs,
+                    parts.add(new Sent(
+                            words[0],
+                            Integer.parseInt(words[1]),
+                            waitMs,
                             Arrays.copyOfRange(bytes, lf + 1, lf + 1 + size)));
                     at = lf + 1 + size;
                 } catch (RuntimeException e) {
@@ -94,7 +96,11 @@
     }
 
     static ByteBuffer frame(char letter, byte[] rest) {
-        return ByteBuffer.allocate(5 + rest.length).putInt(1 + rest.length).put((byte) letter).put(rest).flip();
+        return ByteBuffer.allocate(5 + rest.length)
+                .putInt(1 + rest.length)
+                .put((byte) letter)
+                .put(rest)
+                .flip();
     }
 
     static ByteBuffer frame(char letter, String rest) {
--- a/lab/src/main/java/spartrail/lab/fleet/Roll.java
+++ b/lab/src/main/java/spartrail/lab/fleet/Roll.java
@@ -29,8 +29,7 @@
         }
     }
 
-    private record Watch(HttpStand.Request request, long since, Timetable.Due end) {
-    }
+    private record Watch(HttpStand.Request request, long since, Timetable.Due end) {}
 
     private final SocketLoop loop;
     private final int node;
@@ -91,7 +90,8 @@
         Map<String, Long> query = new HashMap<>();
         int mark = request.path.indexOf('?');
         try {
-            for (String pair : mark < 0 ? new String[0] : request.path.substring(mark + 1).split("&")) {
+            for (String pair :
+                    mark < 0 ? new String[0] : request.path.substring(mark + 1).split("&")) {
                 query.put(pair.substring(0, pair.indexOf('=')), Long.parseLong(pair.substring(pair.indexOf('=') + 1)));
             }
         } catch (RuntimeException e) {
@@ -139,26 +139,41 @@
         for (int i = 0; i < news.size(); i++) {
             body.append(i == 0 ? "" : ",").append(json(news.get(i)));
         }
-        watch.request().answer(200, "Content-Type: application/json\r\n",
-                body.append("]}").toString().getBytes(StandardCharsets.UTF_8));
+        watch.request()
+                .answer(
+                        200,
+                        "Content-Type: application/json\r\n",
+                        body.append("]}").toString().getBytes(StandardCharsets.UTF_8));
         news.forEach(line -> watcher.told(node, line.server.id(), line.state, line.bornMs, line.changedMs, nowMs));
         if (all) {
-            lines.values().stream().filter(line -> line.state.equals("DELETED")).forEach(line ->
-                    watcher.told(node, line.server.id(), line.state, line.bornMs, line.changedMs, nowMs));
+            lines.values().stream()
+                    .filter(line -> line.state.equals("DELETED"))
+                    .forEach(line ->
+                            watcher.told(node, line.server.id(), line.state, line.bornMs, line.changedMs, nowMs));
         }
     }
 
     private static String json(Line line) {
-        return String.format(Locale.ROOT, "{\"uid\":\"%s\",\"endpoint\":\"%s\",\"az\":\"%s\",\"model\":\"%s\","
-                + "\"pod_group\":%d,\"state\":\"%s\",\"capacity_hint\":%s,\"boot_ms\":%d}", line.server.id(),
-                line.endpoint, line.server.zone(), line.server.traits().name(), line.server.cell(), line.state,
-                line.server.rating(), line.bornMs);
+        return String.format(
+                Locale.ROOT,
+                "{\"uid\":\"%s\",\"endpoint\":\"%s\",\"az\":\"%s\",\"model\":\"%s\","
+                        + "\"pod_group\":%d,\"state\":\"%s\",\"capacity_hint\":%s,\"boot_ms\":%d}",
+                line.server.id(),
+                line.endpoint,
+                line.server.zone(),
+                line.server.traits().name(),
+                line.server.cell(),
+                line.state,
+                line.server.rating(),
+                line.bornMs);
     }
 
     /** The whole list in the roll's form. */
     String list() {
         StringBuilder body = new StringBuilder("{\"rev\":" + version + ",\"all\":true,\"targets\":[");
-        List<Line> listed = lines.values().stream().filter(line -> !line.state.equals("DELETED")).toList();
+        List<Line> listed = lines.values().stream()
+                .filter(line -> !line.state.equals("DELETED"))
+                .toList();
         for (int i = 0; i < listed.size(); i++) {
             body.append(i == 0 ? "" : ",").append(json(listed.get(i)));
         }
--- a/lab/src/main/java/spartrail/lab/fleet/ServerModel.java
+++ b/lab/src/main/java/spartrail/lab/fleet/ServerModel.java
@@ -24,13 +24,18 @@
  */
 public final class ServerModel {
     /** How a part ended at the server. */
-    public enum End { OK, ERROR, REJECTED }
+    public enum End {
+        OK,
+        ERROR,
+        REJECTED
+    }
 
     /** A part at the server. */
     public static final class Job {
         public final String id;
         /** What the host keeps for it. */
         public final Object carrier;
+
         final double untilMs;
         double leftMs;
         public End end;
@@ -53,6 +58,7 @@
     private final Deque<Job> waiting = new ArrayDeque<>();
     /** Work sent lately while cold: time and amount. */
     private final Deque<double[]> sent = new ArrayDeque<>();
+
     private double sentSum;
     private double nowMs;
     private double bornMs;
@@ -76,7 +82,8 @@
 
     private void drawPause() {
         nextPauseMs = traits.pauseMs() > 0 && traits.pauseEveryMs() > 0
-                ? nowMs - Math.log(1 - chance.nextDouble()) * traits.pauseEveryMs() : Double.MAX_VALUE;
+                ? nowMs - Math.log(1 - chance.nextDouble()) * traits.pauseEveryMs()
+                : Double.MAX_VALUE;
     }
 
     // ---- What is done to it ----
@@ -148,7 +155,10 @@
     }
 
     public String report() {
-        return String.format(Locale.ROOT, "inflight=%d,util=%.2f", inFlight(),
+        return String.format(
+                Locale.ROOT,
+                "inflight=%d,util=%.2f",
+                inFlight(),
                 Math.min(1, running.size() / (double) traits.cores()));
     }
 
--- a/lab/src/main/java/spartrail/lab/fleet/ServerStand.java
+++ b/lab/src/main/java/spartrail/lab/fleet/ServerStand.java
@@ -23,8 +23,7 @@
     /** Ways in which an answer can be spoilt. */
     private static final int SPOILS = 6;
 
-    private record Sent(PartFrames.Sent part, Wire wire) {
-    }
+    private record Sent(PartFrames.Sent part, Wire wire) {}
 
     /** A connection from a front node. */
     private final class Wire extends Link {
@@ -87,8 +86,8 @@
     private double spoilShare;
     private double handshakeMs;
 
-    ServerStand(SocketLoop loop, FleetPlan.ServerLine line, RandomGenerator chance, FleetWatcher watcher,
-            Runnable onFall) {
+    ServerStand(
+            SocketLoop loop, FleetPlan.ServerLine line, RandomGenerator chance, FleetWatcher watcher, Runnable onFall) {
         this.loop = loop;
         this.line = line;
         this.chance = chance;
@@ -103,8 +102,8 @@
     void listen(int nodes, int firstPort) throws IOException {
         for (int node = 0; node < nodes; node++) {
             int from = node;
-            ServerSocketChannel channel = loop.listen(new InetSocketAddress("127.0.0.1",
-                    firstPort == 0 ? 0 : firstPort + node), 1024, accepted -> {
+            ServerSocketChannel channel = loop.listen(
+                    new InetSocketAddress("127.0.0.1", firstPort == 0 ? 0 : firstPort + node), 1024, accepted -> {
                         Wire wire = new Wire(from);
                         try {
                             wire.accepted(accepted);
@@ -159,7 +158,8 @@
         for (PartFrames.Sent part : parts) {
             count("parts");
             watcher.part(wire.node, line.id(), part.id(), nowMs);
-            double workMs = model.draw(told(part.text())) + (first ? line.traits().callMs() : 0);
+            double workMs =
+                    model.draw(told(part.text())) + (first ? line.traits().callMs() : 0);
             first = false;
             ServerModel.Job job = new ServerModel.Job(part.id(), new Sent(part, wire), workMs, nowMs + part.waitMs());
             model.take(job, nowMs);
@@ -225,16 +225,21 @@
             return;
         }
         String value = job.end == ServerModel.End.OK
-                ? Arrival.value(job.id, sent.part().shard(), sent.part().text()) : "";
-        sent.wire().write(PartFrames.frame('Y', job.id + " " + job.end + " " + chance.nextInt(1 << 30) + " "
-                + report() + "\n" + value));
+                ? Arrival.value(job.id, sent.part().shard(), sent.part().text())
+                : "";
+        sent.wire()
+                .write(PartFrames.frame(
+                        'Y', job.id + " " + job.end + " " + chance.nextInt(1 << 30) + " " + report() + "\n" + value));
     }
 
     private void spoil(Sent sent) {
         Wire wire = sent.wire();
         switch (chance.nextInt(SPOILS)) {
             case 0 -> wire.write(ByteBuffer.wrap(noise(40)));
-            case 1 -> wire.write(ByteBuffer.allocate(5).putInt(Integer.MAX_VALUE).put((byte) 'Y').flip());
+            case 1 -> wire.write(ByteBuffer.allocate(5)
+                    .putInt(Integer.MAX_VALUE)
+                    .put((byte) 'Y')
+                    .flip());
             case 2 -> wire.write(PartFrames.frame('Q', "what is this"));
             case 3 -> wire.write(PartFrames.frame('Y', "no line"));
             case 4 -> wire.write(PartFrames.frame('Y', "0000.77 OK 1 -\n" + "x"));
--- a/lab/src/main/java/spartrail/lab/fleet/Traits.java
+++ b/lab/src/main/java/spartrail/lab/fleet/Traits.java
@@ -19,8 +19,23 @@
  * @param pauseMs length of the pauses it makes on its own, about every {@code pauseEveryMs}; 0 makes none
  * @param reportLateMs age of the load reports it sends along
  */
-public record Traits(String name, int cores, double speed, int slots, int queue, double workMs, double variation,
-        double callMs, double coldFrom, double warmMs, double tipMultiple, double tipMs, double downMs,
-        double handshakeMs, int connections, double errorShare, double pauseMs, double pauseEveryMs,
-        double reportLateMs) {
-}
+public record Traits(
+        String name,
+        int cores,
+        double speed,
+        int slots,
+        int queue,
+        double workMs,
+        double variation,
+        double callMs,
+        double coldFrom,
+        double warmMs,
+        double tipMultiple,
+        double tipMs,
+        double downMs,
+        double handshakeMs,
+        int connections,
+        double errorShare,
+        double pauseMs,
+        double pauseEveryMs,
+        double reportLateMs) {}
--- a/lab/src/main/java/spartrail/lab/load/AnswerReader.java
+++ b/lab/src/main/java/spartrail/lab/load/AnswerReader.java
@@ -27,6 +27,7 @@
     private int size;
     /** Where the body begins; 0 while the head is not there. */
     private int bodyAt;
+
     private int status;
     private long length;
     private boolean chunked;
@@ -62,8 +63,8 @@
         if (length < 0 || size - bodyAt < length) {
             return null;
         }
-        Answer answer = new Answer(status, Arrays.copyOfRange(bytes, bodyAt, bodyAt + (int) length), comebackMs, lasts,
-                false);
+        Answer answer =
+                new Answer(status, Arrays.copyOfRange(bytes, bodyAt, bodyAt + (int) length), comebackMs, lasts, false);
         done(bodyAt + (int) length);
         return answer;
     }
@@ -71,7 +72,8 @@
     /** The answer that the end of the connection completes, or null where it is cut. */
     public Answer atEnd() {
         return bodyAt > 0 && !chunked && length < 0
-                ? new Answer(status, Arrays.copyOfRange(bytes, bodyAt, size), comebackMs, false, true) : null;
+                ? new Answer(status, Arrays.copyOfRange(bytes, bodyAt, size), comebackMs, false, true)
+                : null;
     }
 
     private void done(int end) {
@@ -113,7 +115,7 @@
                     case "transfer-encoding" -> chunked = value.equalsIgnoreCase("chunked");
                     case "connection" -> lasts = !value.equalsIgnoreCase("close");
                     case "retry-after" -> comebackMs = 1000 * Double.parseDouble(value);
-                    default -> { }
+                    default -> {}
                 }
             }
         } catch (RuntimeException e) {
@@ -149,8 +151,8 @@
             }
             int count;
             try {
-                count = Integer.parseInt(new String(bytes, at, lf - at, StandardCharsets.ISO_8859_1).split(";")[0]
-                        .trim(), 16);
+                count = Integer.parseInt(
+                        new String(bytes, at, lf - at, StandardCharsets.ISO_8859_1).split(";")[0].trim(), 16);
             } catch (NumberFormatException e) {
                 throw new Unusable(Kind.GARBLED, "a chunk without its length");
             }
--- a/lab/src/main/java/spartrail/lab/load/Ask.java
+++ b/lab/src/main/java/spartrail/lab/load/Ask.java
@@ -12,20 +12,24 @@
     final int tryNumber;
     /** When it was meant to be sent, and when the first try of its client was. */
     final double intendedMs;
+
     final double storyMs;
     final String id;
     /** The generator's own part of the delay so far. */
     double lagMs;
+
     double sentMs = Double.NaN;
     double writtenMs = Double.NaN;
     /** It was sent once more, as the connection closed under it. */
     boolean resent;
     /** Its client does not wait any more, but an answer is still looked for. */
     boolean lapsed;
+
     boolean over;
     Conn conn;
     /** The node that it was sent to last. */
     LoadPlan.Target target;
+
     private String text;
     Timetable.Due end;
     Timetable.Due leave;
--- a/lab/src/main/java/spartrail/lab/load/Check.java
+++ b/lab/src/main/java/spartrail/lab/load/Check.java
@@ -12,8 +12,7 @@
 /** Reads an answer as a client does and holds its values against what our stand-in servers make for this very request. */
 public final class Check {
     /** A readable answer of 200: whether it says that it is whole, and the values by shard. */
-    public record Body(boolean whole, Map<Integer, String> values) {
-    }
+    public record Body(boolean whole, Map<Integer, String> values) {}
 
     private static final JsonFactory JSON = new JsonFactory();
 
--- a/lab/src/main/java/spartrail/lab/load/Conn.java
+++ b/lab/src/main/java/spartrail/lab/load/Conn.java
@@ -8,6 +8,7 @@
     final boolean own;
     /** What the host that carries it keeps for it. */
     public Object carrier;
+
     Ask ask;
     boolean up;
     boolean used;
--- a/lab/src/main/java/spartrail/lab/load/Generator.java
+++ b/lab/src/main/java/spartrail/lab/load/Generator.java
@@ -155,7 +155,10 @@
         }
         if (conns.size() >= plan.connections()) {
             // One that is idle for another zone makes room.
-            Deque<Conn> other = idle.values().stream().filter(queue -> !queue.isEmpty()).findFirst().orElse(null);
+            Deque<Conn> other = idle.values().stream()
+                    .filter(queue -> !queue.isEmpty())
+                    .findFirst()
+                    .orElse(null);
             if (other == null) {
                 recorder.capBound++;
                 waiting.computeIfAbsent(zone, name -> new ArrayDeque<>()).add(ask);
@@ -332,7 +335,8 @@
     }
 
     private String zoneOf(Conn conn) {
-        boolean zoned = conn.target != null && plan.streams().stream().anyMatch(stream -> stream.zone.equals(conn.target.zone()));
+        boolean zoned = conn.target != null
+                && plan.streams().stream().anyMatch(stream -> stream.zone.equals(conn.target.zone()));
         return zoned ? conn.target.zone() : "";
     }
 
--- a/lab/src/main/java/spartrail/lab/load/HttpSockets.java
+++ b/lab/src/main/java/spartrail/lab/load/HttpSockets.java
@@ -131,10 +131,13 @@
         double rest = 1;
         for (int i = 0; i < arrival.shards().length; i++) {
             // Rounded weights still sum up to one: the last takes the rest.
-            double weight = i == arrival.shards().length - 1 ? Math.max(0, rest)
-                    : Math.round(arrival.weights()[i] * 1e6) / 1e6;
+            double weight =
+                    i == arrival.shards().length - 1 ? Math.max(0, rest) : Math.round(arrival.weights()[i] * 1e6) / 1e6;
             rest -= weight;
-            body.append(i == 0 ? "" : ",").append("{\"segment\":").append(arrival.shards()[i]).append(",\"boost\":")
+            body.append(i == 0 ? "" : ",")
+                    .append("{\"segment\":")
+                    .append(arrival.shards()[i])
+                    .append(",\"boost\":")
                     .append(Math.round(weight * 1e6) / 1e6);
             if (arrival.hintMs() > 0) {
                 body.append(",\"work\":").append(Math.round(1000 * arrival.hintMs()));
@@ -149,7 +152,10 @@
                 + (ask.tryNumber() > 1 ? "\r\nReq-Retry: 1" : "") + (conn.own ? "\r\nConnection: close" : "")
                 + "\r\nContent-Length: " + bytes.length + "\r\n\r\n";
         byte[] headBytes = head.getBytes(StandardCharsets.US_ASCII);
-        return ByteBuffer.allocate(headBytes.length + bytes.length).put(headBytes).put(bytes).flip();
+        return ByteBuffer.allocate(headBytes.length + bytes.length)
+                .put(headBytes)
+                .put(bytes)
+                .flip();
     }
 
     /** Seconds to three digits; a formatter took a tenth of the generator's time. */
--- a/lab/src/main/java/spartrail/lab/load/LoadSession.java
+++ b/lab/src/main/java/spartrail/lab/load/LoadSession.java
@@ -12,9 +12,16 @@
 /** One run of a plan against front nodes, from its start to its report. */
 public final class LoadSession implements AutoCloseable {
     /** What a run looks like while it goes. */
-    public record Glance(double ms, double lastsMs, long tries, int inFlight, int connections, double p50Ms,
-            double p99Ms, double lagP99Ms, Map<Kind, Long> kinds) {
-    }
+    public record Glance(
+            double ms,
+            double lastsMs,
+            long tries,
+            int inFlight,
+            int connections,
+            double p50Ms,
+            double p99Ms,
+            double lagP99Ms,
+            Map<Kind, Long> kinds) {}
 
     private static final long REHEARSED_NS = 400_000_000;
     private static final int REHEARSED = 2000;
@@ -102,9 +109,16 @@
                     kinds.put(kind, recorder.count(kind));
                 }
             }
-            glance[0] = new Glance(loop.nowMs() - startMs, lastsMs, recorder.all(), generator.inFlight(),
-                    generator.connections(), all.getValueAtPercentile(50) / 1000.0,
-                    all.getValueAtPercentile(99) / 1000.0, recorder.lag.getValueAtPercentile(99) / 1000.0, kinds);
+            glance[0] = new Glance(
+                    loop.nowMs() - startMs,
+                    lastsMs,
+                    recorder.all(),
+                    generator.inFlight(),
+                    generator.connections(),
+                    all.getValueAtPercentile(50) / 1000.0,
+                    all.getValueAtPercentile(99) / 1000.0,
+                    recorder.lag.getValueAtPercentile(99) / 1000.0,
+                    kinds);
         });
         return glance[0];
     }
--- a/lab/src/main/java/spartrail/lab/load/Recorder.java
+++ b/lab/src/main/java/spartrail/lab/load/Recorder.java
@@ -45,6 +45,7 @@
     public final Histogram lag = new Histogram(3);
     /** A client's whole course, until it was served, and how many tries it took; of those that were not, the number. */
     public final Histogram served = new Histogram(3);
+
     public final Histogram tries = new Histogram(2);
     public long unserved;
     public long opened;
@@ -71,8 +72,8 @@
     }
 
     void ended(Ask ask, Kind kind, double nowMs) {
-        Times times = groups.computeIfAbsent(new Group(ask.arrival.phase(), ask.arrival.opType(), kind),
-                group -> new Times());
+        Times times = groups.computeIfAbsent(
+                new Group(ask.arrival.phase(), ask.arrival.opType(), kind), group -> new Times());
         times.latency.recordValue(micros(nowMs - ask.intendedMs));
         if (!Double.isNaN(ask.writtenMs)) {
             times.service.recordValue(micros(nowMs - ask.writtenMs));
@@ -136,12 +137,16 @@
     }
 
     public long count(Kind kind) {
-        return groups.entrySet().stream().filter(entry -> entry.getKey().kind() == kind)
-                .mapToLong(entry -> entry.getValue().latency.getTotalCount()).sum();
+        return groups.entrySet().stream()
+                .filter(entry -> entry.getKey().kind() == kind)
+                .mapToLong(entry -> entry.getValue().latency.getTotalCount())
+                .sum();
     }
 
     public long all() {
-        return groups.values().stream().mapToLong(times -> times.latency.getTotalCount()).sum();
+        return groups.values().stream()
+                .mapToLong(times -> times.latency.getTotalCount())
+                .sum();
     }
 
     /** Latencies, or service times, of all tries of these kinds. */
--- a/lab/src/main/java/spartrail/lab/load/Report.java
+++ b/lab/src/main/java/spartrail/lab/load/Report.java
@@ -11,8 +11,7 @@
 public final class Report {
     public static final double[] PERCENTILES = {50, 90, 99, 99.9, 100};
 
-    private Report() {
-    }
+    private Report() {}
 
     public static ObjectNode tree(LoadPlan plan, Recorder recorder, String fault, double lastedMs) {
         ObjectNode tree = Document.JSON.createObjectNode();
@@ -20,9 +19,15 @@
         boolean fit = lagP99 <= plan.lagBoundMs() && fault == null;
         tree.put("fit", fit);
         if (!fit) {
-            tree.put("unfitWhy", fault != null ? fault : String.format(Locale.ROOT,
-                    "the generator itself was %.3f ms late at the 99th percentile, its bound is %.3f ms", lagP99,
-                    plan.lagBoundMs()));
+            tree.put(
+                    "unfitWhy",
+                    fault != null
+                            ? fault
+                            : String.format(
+                                    Locale.ROOT,
+                                    "the generator itself was %.3f ms late at the 99th percentile, its bound is %.3f ms",
+                                    lagP99,
+                                    plan.lagBoundMs()));
         }
         tree.put("seed", plan.seed());
         tree.put("lastedMs", round(lastedMs));
@@ -68,8 +73,7 @@
             ObjectNode line = slices.addObject();
             line.put("atMs", round(atMs));
             line.put("intended", slice.intended);
-            line.put("served", slice.kinds.getOrDefault(Kind.WHOLE, 0L)
-                    + slice.kinds.getOrDefault(Kind.PARTIAL, 0L));
+            line.put("served", slice.kinds.getOrDefault(Kind.WHOLE, 0L) + slice.kinds.getOrDefault(Kind.PARTIAL, 0L));
             line.put("pushedBack", slice.kinds.getOrDefault(Kind.PUSHED_BACK, 0L));
             line.put("p50Ms", slice.latency.getValueAtPercentile(50) / 1000.0);
             line.put("p99Ms", slice.latency.getValueAtPercentile(99) / 1000.0);
@@ -81,15 +85,20 @@
     static ObjectNode percentiles(Histogram histogram) {
         ObjectNode node = Document.JSON.createObjectNode();
         for (double percentile : PERCENTILES) {
-            node.put(name(percentile), histogram.getTotalCount() == 0 ? 0
-                    : histogram.getValueAtPercentile(percentile) / 1000.0);
+            node.put(
+                    name(percentile),
+                    histogram.getTotalCount() == 0 ? 0 : histogram.getValueAtPercentile(percentile) / 1000.0);
         }
         return node;
     }
 
     public static String name(double percentile) {
-        return percentile == 100 ? "max" : "p" + (percentile == (long) percentile
-                ? Long.toString((long) percentile) : Double.toString(percentile));
+        return percentile == 100
+                ? "max"
+                : "p"
+                        + (percentile == (long) percentile
+                                ? Long.toString((long) percentile)
+                                : Double.toString(percentile));
     }
 
     private static double round(double value) {
@@ -102,9 +111,14 @@
         if (!tree.get("fit").asBoolean()) {
             out.append("UNFIT: ").append(tree.get("unfitWhy").asText()).append('\n');
         }
-        out.append(String.format(Locale.ROOT, "%d tries in %.1f s (%.1f a second), %d served; clients served %d, unserved %d%n",
-                tree.get("tries").asLong(), tree.get("lastedMs").asDouble() / 1000, tree.get("perS").asDouble(),
-                tree.at("/served/count").asLong(), tree.at("/clients/served").asLong(),
+        out.append(String.format(
+                Locale.ROOT,
+                "%d tries in %.1f s (%.1f a second), %d served; clients served %d, unserved %d%n",
+                tree.get("tries").asLong(),
+                tree.get("lastedMs").asDouble() / 1000,
+                tree.get("perS").asDouble(),
+                tree.at("/served/count").asLong(),
+                tree.at("/clients/served").asLong(),
                 tree.at("/clients/unserved").asLong()));
         out.append(String.format(Locale.ROOT, "%-28s %9s", "milliseconds", "count"));
         for (double percentile : PERCENTILES) {
@@ -116,19 +130,27 @@
         line(out, "all, from last byte", tree.get("tries").asLong(), tree.at("/allTries/serviceMs"));
         line(out, "served, from intended", tree.at("/served/count").asLong(), tree.at("/served/latencyMs"));
         for (var group : tree.get("groups")) {
-            line(out, group.get("phase").asText() + " " + group.get("opType").asText() + " "
-                    + group.get("kind").asText(), group.get("count").asLong(), group.get("latencyMs"));
+            line(
+                    out,
+                    group.get("phase").asText() + " " + group.get("opType").asText() + " "
+                            + group.get("kind").asText(),
+                    group.get("count").asLong(),
+                    group.get("latencyMs"));
         }
         StringBuilder others = new StringBuilder();
         tree.get("connections").fields().forEachRemaining(field -> others.append(others.length() == 0 ? "" : ", ")
-                .append(field.getKey()).append(' ').append(field.getValue().asLong()));
+                .append(field.getKey())
+                .append(' ')
+                .append(field.getValue().asLong()));
         return out.append("connections: ").append(others).append('\n').toString();
     }
 
-    private static void line(StringBuilder out, String name, long count, com.fasterxml.jackson.databind.JsonNode times) {
+    private static void line(
+            StringBuilder out, String name, long count, com.fasterxml.jackson.databind.JsonNode times) {
         out.append(String.format(Locale.ROOT, "%-28s %9d", name, count));
         for (double percentile : PERCENTILES) {
-            out.append(String.format(Locale.ROOT, " %10.3f", times.get(name(percentile)).asDouble()));
+            out.append(String.format(
+                    Locale.ROOT, " %10.3f", times.get(name(percentile)).asDouble()));
         }
         out.append('\n');
     }
--- a/lab/src/main/java/spartrail/lab/load/VirtualSockets.java
+++ b/lab/src/main/java/spartrail/lab/load/VirtualSockets.java
@@ -67,11 +67,14 @@
 
     /** By way of its bytes, so that a virtual run goes through all that a real one does but sockets. */
     private static Answer decoded(byte[] body) {
-        byte[] head = ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII);
+        byte[] head =
+                ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
         AnswerReader reader = new AnswerReader();
         try {
-            reader.take(ByteBuffer.allocate(head.length + body.length).put(head).put(body).flip());
+            reader.take(ByteBuffer.allocate(head.length + body.length)
+                    .put(head)
+                    .put(body)
+                    .flip());
             return reader.next();
         } catch (AnswerReader.Unusable e) {
             throw new IllegalStateException(e);
@@ -89,8 +92,12 @@
         StringBuilder body = new StringBuilder("{\"all_in\":true,\"matches\":[");
         for (int i = 0; i < ask.arrival.shards().length; i++) {
             int shard = ask.arrival.shards()[i];
-            body.append(i == 0 ? "" : ",").append("{\"segment\":").append(shard).append(",\"payload\":\"")
-                    .append(Arrival.value(ask.id() + '.' + shard, shard, text)).append("\"}");
+            body.append(i == 0 ? "" : ",")
+                    .append("{\"segment\":")
+                    .append(shard)
+                    .append(",\"payload\":\"")
+                    .append(Arrival.value(ask.id() + '.' + shard, shard, text))
+                    .append("\"}");
         }
         return body.append("]}").toString().getBytes(StandardCharsets.UTF_8);
     }
--- a/lab/src/main/java/spartrail/lab/model/PolicyModel.java
+++ b/lab/src/main/java/spartrail/lab/model/PolicyModel.java
@@ -36,8 +36,7 @@
     }
 
     /** What came of a search: how many states there are, and the shortest way to one that must not be, or empty. */
-    public record Found(long states, String broken, List<String> trace) {
-    }
+    public record Found(long states, String broken, List<String> trace) {}
 
     // What a lease or an answer is on.
     private static final int NONE = 0;
@@ -53,6 +52,7 @@
 
     /** Bits of a node: stands still, lease, ticks left of it, its lag used, what is under way, ticks left of that, its lag used. */
     private static final int STILL = 1;
+
     private static final int LEASE_AT = 1;
     private static final int LEFT_AT = 3;
     private static final int LAGGED = 1 << 5;
@@ -74,6 +74,7 @@
     private boolean fast;
     /** The log as a leader that was replaced still has it, and one; 0 for none. */
     private int former;
+
     private int at;
 
     private PolicyModel(int size, int lease, Set<Left> left) {
@@ -92,7 +93,8 @@
      * @param leaving these steps are left out
      */
     public static Found search(int size, int lease, Set<Left> leaving) {
-        return new PolicyModel(size, lease, leaving.isEmpty() ? EnumSet.noneOf(Left.class) : EnumSet.copyOf(leaving)).search();
+        return new PolicyModel(size, lease, leaving.isEmpty() ? EnumSet.noneOf(Left.class) : EnumSet.copyOf(leaving))
+                .search();
     }
 
     private Found search() {
@@ -130,9 +132,16 @@
         String[] leases = {"-", "old", "both", "new", "asks"};
         StringBuilder text = new StringBuilder(stages[stage]).append(stage == DECIDED ? " " + waited : "");
         for (int node : nodes) {
-            text.append(" [").append(leases[node >> LEASE_AT & 3]).append(' ').append(node >> LEFT_AT & 3)
-                    .append((node & STILL) != 0 ? " still" : "").append(flight(node) == NONE ? "" : " < " + leases[flight(node)] + ' '
-                            + (node >> FLIGHT_LEFT_AT & 3)).append(']');
+            text.append(" [")
+                    .append(leases[node >> LEASE_AT & 3])
+                    .append(' ')
+                    .append(node >> LEFT_AT & 3)
+                    .append((node & STILL) != 0 ? " still" : "")
+                    .append(
+                            flight(node) == NONE
+                                    ? ""
+                                    : " < " + leases[flight(node)] + ' ' + (node >> FLIGHT_LEFT_AT & 3))
+                    .append(']');
         }
         return text.toString();
     }
@@ -227,8 +236,11 @@
     /** A lease that is over and no message under way are one state each. */
     private int tidy(int node) {
         int tidied = (node >> LEFT_AT & 3) == 0 ? node & ~(3 << LEASE_AT | LAGGED) : node;
-        boolean useless = flight(tidied) != NONE && (tidied >> FLIGHT_LEFT_AT & 3) == 0 && !left.contains(Left.FROM_ANSWER);
-        return flight(tidied) == NONE || useless ? tidied & ~(7 << FLIGHT_AT | 3 << FLIGHT_LEFT_AT | FLIGHT_LAGGED) : tidied;
+        boolean useless =
+                flight(tidied) != NONE && (tidied >> FLIGHT_LEFT_AT & 3) == 0 && !left.contains(Left.FROM_ANSWER);
+        return flight(tidied) == NONE || useless
+                ? tidied & ~(7 << FLIGHT_AT | 3 << FLIGHT_LEFT_AT | FLIGHT_LAGGED)
+                : tidied;
     }
 
     private static int flies(int node, int what) {
@@ -258,7 +270,9 @@
             }
         } else if (flight != NONE && !still) {
             int ticks = left.contains(Left.FROM_ANSWER) ? lease : node >> FLIGHT_LEFT_AT & 3;
-            int told = node & ~(3 << LEASE_AT | 3 << LEFT_AT | LAGGED) | flight << LEASE_AT | ticks << LEFT_AT
+            int told = node & ~(3 << LEASE_AT | 3 << LEFT_AT | LAGGED)
+                    | flight << LEASE_AT
+                    | ticks << LEFT_AT
                     | ((node & FLIGHT_LAGGED) != 0 ? LAGGED : 0);
             reach(i, flies(told, NONE));
         }
@@ -300,7 +314,10 @@
     private int ticked(int node, boolean lags) {
         int holds = node >> LEFT_AT & 3;
         int flies = node >> FLIGHT_LEFT_AT & 3;
-        if (lags && (holds == 0 && flies == 0 || holds > 0 && (node & LAGGED) != 0 || flies > 0 && (node & FLIGHT_LAGGED) != 0)) {
+        if (lags
+                && (holds == 0 && flies == 0
+                        || holds > 0 && (node & LAGGED) != 0
+                        || flies > 0 && (node & FLIGHT_LAGGED) != 0)) {
             return -1;
         }
         if (left.contains(Left.NO_LOOK) && (node & STILL) != 0) {
--- a/lab/src/main/java/spartrail/lab/net/Link.java
+++ b/lab/src/main/java/spartrail/lab/net/Link.java
@@ -28,8 +28,7 @@
     }
 
     /** The connection is up. */
-    protected void connected() {
-    }
+    protected void connected() {}
 
     /** Bytes have come; all of them are to be taken. */
     protected abstract void bytes(ByteBuffer in);
@@ -38,8 +37,7 @@
     protected abstract void ended(String why);
 
     /** All that was given to be written has been handed to the system. */
-    protected void written() {
-    }
+    protected void written() {}
 
     /** Begins to connect. An IOException tells that no socket is to be had at all. */
     public final void connect(InetSocketAddress address) throws IOException {
--- a/lab/src/main/java/spartrail/lab/net/SocketLoop.java
+++ b/lab/src/main/java/spartrail/lab/net/SocketLoop.java
@@ -23,6 +23,7 @@
     private static final System.Logger LOG = System.getLogger("spartrail.lab.net");
     /** Below this the selector's whole milliseconds are too coarse, and the thread naps in between. */
     private static final double FINE_MS = 1.5;
+
     private static final long NAP_NS = 40_000;
     /** A loop that is awake waits only where nothing is due for so long. */
     private static final double AWAKE_MS = 1000;
@@ -45,6 +46,7 @@
     private final boolean awake;
     /** When an awake loop last looked round without waiting, and the longest it did not. */
     private double lookedMs = Double.NaN;
+
     private double standstillMs;
     /** Made once: a loop that makes garbage at each round stands still for the collector. */
     private final Runnable due = () -> timetable.run(nowMs());
--- a/lab/src/main/java/spartrail/lab/nodes/Flood.java
+++ b/lab/src/main/java/spartrail/lab/nodes/Flood.java
@@ -24,23 +24,33 @@
     Flood(double perS, String manner, List<Integer> ports, String fleet, long seed) throws IOException {
         DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
         RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
-        thread = new Thread(() -> {
-            try (socket) {
-                long startNs = System.nanoTime();
-                for (long sent = 0; !ended; sent++) {
-                    byte[] bytes = bytes(manner.equals("all") ? List.of("garbage", "fleet", "names", "words", "large")
-                            .get((int) (sent % 5)) : manner, fleet, sent, socket.getLocalPort(), chance);
-                    socket.send(new DatagramPacket(bytes, bytes.length, InetAddress.getLoopbackAddress(),
-                            ports.get((int) (sent % ports.size()))));
-                    long dueNs = startNs + (long) (1e9 * (sent + 1) / perS);
-                    while (System.nanoTime() < dueNs && !ended) {
-                        LockSupport.parkNanos(Math.max(1, dueNs - System.nanoTime()));
+        thread = new Thread(
+                () -> {
+                    try (socket) {
+                        long startNs = System.nanoTime();
+                        for (long sent = 0; !ended; sent++) {
+                            byte[] bytes = bytes(
+                                    manner.equals("all")
+                                            ? List.of("garbage", "fleet", "names", "words", "large")
+                                                    .get((int) (sent % 5))
+                                            : manner,
+                                    fleet,
+                                    sent,
+                                    socket.getLocalPort(),
+                                    chance);
+                            socket.send(new DatagramPacket(
+                                    bytes, bytes.length, InetAddress.getLoopbackAddress(), ports.get((int)
+                                            (sent % ports.size()))));
+                            long dueNs = startNs + (long) (1e9 * (sent + 1) / perS);
+                            while (System.nanoTime() < dueNs && !ended) {
+                                LockSupport.parkNanos(Math.max(1, dueNs - System.nanoTime()));
+                            }
+                        }
+                    } catch (IOException e) {
+                        // Nobody listens any more.
                     }
-                }
-            } catch (IOException e) {
-                // Nobody listens any more.
-            }
-        }, "spartrail-flood");
+                },
+                "spartrail-flood");
         thread.setDaemon(true);
         thread.start();
     }
@@ -56,12 +66,28 @@
                 return new byte[20_000];
             }
             default -> {
-                Card from = new Card("invented-" + number, "127.0.0.1:" + port, "", 1, "", "", new Life(1_000_000 + number, 1), 0);
-                // Names that exist, in lives that are over or never were: whoever believed them would hold live nodes for gone.
-                List<Word> words = manner.equals("words") ? List.of(new Word(new Card("n" + number % 7, "127.0.0.1:" + port, "", 1,
-                        "", "", new Life(9_000_000_000_000L, 1), 0), Standing.GONE, 0, "invented-1")) : List.of();
-                return Frames.peers(manner.equals("fleet") ? "another" : fleet, new Message(Message.Kind.PING, from,
-                        Standing.ALIVE, 1000, "n0", number, 0, null, words));
+                Card from = new Card(
+                        "invented-" + number, "127.0.0.1:" + port, "", 1, "", "", new Life(1_000_000 + number, 1), 0);
+                // Names that exist, in lives that are over or never were: whoever believed them would hold live nodes
+                // for gone.
+                List<Word> words = manner.equals("words")
+                        ? List.of(new Word(
+                                new Card(
+                                        "n" + number % 7,
+                                        "127.0.0.1:" + port,
+                                        "",
+                                        1,
+                                        "",
+                                        "",
+                                        new Life(9_000_000_000_000L, 1),
+                                        0),
+                                Standing.GONE,
+                                0,
+                                "invented-1"))
+                        : List.of();
+                return Frames.peers(
+                        manner.equals("fleet") ? "another" : fleet,
+                        new Message(Message.Kind.PING, from, Standing.ALIVE, 1000, "n0", number, 0, null, words));
             }
         }
     }
--- a/lab/src/main/java/spartrail/lab/nodes/Harm.java
+++ b/lab/src/main/java/spartrail/lab/nodes/Harm.java
@@ -11,16 +11,15 @@
 final class Harm {
     private static final String LOG = "policy.log";
 
-    private Harm() {
-    }
+    private Harm() {}
 
     static void to(Path folder, int node, String harm) throws IOException {
         Path state = folder.resolve("n" + node + ".state");
         Path log = state.resolve(LOG);
         Path kept = state.resolve(LOG + ".kept");
         switch (harm) {
-            case "full" -> { }
-            // What a crash in the middle of a write leaves: the beginning of a record that was never synced.
+            case "full" -> {}
+                // What a crash in the middle of a write leaves: the beginning of a record that was never synced.
             case "torn" -> Files.write(log, new byte[] {0, 0, 0, 100, 1, 2, 3, 4, 5, 6, 7}, StandardOpenOption.APPEND);
             case "flipped" -> {
                 Files.copy(log, kept, StandardCopyOption.REPLACE_EXISTING);
@@ -31,7 +30,10 @@
             case "lost" -> Files.move(log, kept, StandardCopyOption.REPLACE_EXISTING);
             case "swapped" -> {
                 Files.copy(log, kept, StandardCopyOption.REPLACE_EXISTING);
-                Files.copy(folder.resolve("n" + (node + 1) % 3 + ".state").resolve(LOG), log, StandardCopyOption.REPLACE_EXISTING);
+                Files.copy(
+                        folder.resolve("n" + (node + 1) % 3 + ".state").resolve(LOG),
+                        log,
+                        StandardCopyOption.REPLACE_EXISTING);
             }
             case "mended" -> {
                 // Only where the node refused to use what it found, so that nothing was added meanwhile.
--- a/lab/src/main/java/spartrail/lab/nodes/History.java
+++ b/lab/src/main/java/spartrail/lab/nodes/History.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
 import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,8 +21,7 @@
      * @param node whose, or -1 for the rig's own
      * @param what {@code began}, {@code standing} or {@code view} of a node; of the rig what it did
      */
-    public record Line(long ns, int node, String what, JsonNode tree) {
-    }
+    public record Line(long ns, int node, String what, JsonNode tree) {}
 
     /** A file that grows, and how far it has been read. */
     private static final class Tail {
@@ -48,8 +47,11 @@
         for (String text : Files.readAllLines(file)) {
             JsonNode tree = Document.JSON.readTree(text);
             String node = tree.get("node").asText();
-            lines.add(new Line(tree.get("ns").asLong(), node.equals("rig") ? -1 : Integer.parseInt(node.substring(1)),
-                    tree.get("what").asText(), tree));
+            lines.add(new Line(
+                    tree.get("ns").asLong(),
+                    node.equals("rig") ? -1 : Integer.parseInt(node.substring(1)),
+                    tree.get("what").asText(),
+                    tree));
         }
         return lines;
     }
@@ -115,8 +117,14 @@
     public String text() throws IOException {
         StringBuilder text = new StringBuilder();
         for (Line line : inOrder()) {
-            JsonNode tree = line.node() < 0 ? Document.JSON.createObjectNode().put("ns", line.ns()).put("what", line.what())
-                    .put("node", "rig").setAll((com.fasterxml.jackson.databind.node.ObjectNode) line.tree()) : line.tree();
+            JsonNode tree = line.node() < 0
+                    ? Document.JSON
+                            .createObjectNode()
+                            .put("ns", line.ns())
+                            .put("what", line.what())
+                            .put("node", "rig")
+                            .setAll((com.fasterxml.jackson.databind.node.ObjectNode) line.tree())
+                    : line.tree();
             text.append(Document.JSON.writeValueAsString(tree)).append('\n');
         }
         return text.toString();
--- a/lab/src/main/java/spartrail/lab/nodes/Judge.java
+++ b/lab/src/main/java/spartrail/lab/nodes/Judge.java
@@ -18,18 +18,30 @@
  */
 public final class Judge {
     /** What the rig does that is no trouble. */
-    private static final Set<String> HARMLESS = Set.of("started", "begins", "flooded", "flood ends", "proposed", "ended",
-            "aborted", "pushed", "armed", "harmed", "abandoned");
+    private static final Set<String> HARMLESS = Set.of(
+            "started",
+            "begins",
+            "flooded",
+            "flood ends",
+            "proposed",
+            "ended",
+            "aborted",
+            "pushed",
+            "armed",
+            "harmed",
+            "abandoned");
 
     private final PeersRules rules;
     private final List<String> names = new ArrayList<>();
     private final Map<Integer, Boolean> asked = new HashMap<>();
     /** Which name each machine's process bears, and which machine's process has a name. */
     private final Map<Integer, Integer> bears = new HashMap<>();
+
     private final Map<Integer, Integer> has = new HashMap<>();
     private final Map<Integer, Life> lives = new HashMap<>();
     /** What the process on each machine holds, whether it takes part or not. */
     private final Map<Integer, Map<Integer, PeersRules.Held>> holds = new HashMap<>();
+
     private double lastMs;
 
     public Judge(int size) {
@@ -62,7 +74,8 @@
             int machine = names.indexOf(machines.get(i).asText());
             if (line.what().equals("started")) {
                 JsonNode as = line.tree().path("as");
-                bears.put(machine, as.has(i) ? names.indexOf(as.get(i).asText()) : bears.getOrDefault(machine, machine));
+                bears.put(
+                        machine, as.has(i) ? names.indexOf(as.get(i).asText()) : bears.getOrDefault(machine, machine));
             }
             int node = bears.getOrDefault(machine, machine);
             if (!line.what().equals("started") && has.getOrDefault(node, machine) != machine) {
@@ -77,12 +90,12 @@
                     asked.remove(node);
                 }
                 case "killed" -> rules.ended(node, asked.containsKey(node), lastMs);
-                // It serves on while it drains; others may hold it for left as soon as it says so.
+                    // It serves on while it drains; others may hold it for left as soon as it says so.
                 case "asked to end" -> {
                     asked.put(node, true);
                     rules.ended(node, true, lastMs);
                 }
-                default -> { }
+                default -> {}
             }
         }
         if (!HARMLESS.contains(line.what())) {
@@ -92,7 +105,9 @@
 
     /** The process on this machine has begun a life. */
     private void began(int machine, int node, Life life) {
-        if (has.getOrDefault(node, machine) != machine && lives.containsKey(node) && life.compareTo(lives.get(node)) <= 0) {
+        if (has.getOrDefault(node, machine) != machine
+                && lives.containsKey(node)
+                && life.compareTo(lives.get(node)) <= 0) {
             return;
         }
         if (has.getOrDefault(node, machine) != machine) {
@@ -105,7 +120,9 @@
     }
 
     private static PeersRules.Held held(JsonNode tree) {
-        return new PeersRules.Held(new Life(tree.get("startMs").asLong(), tree.get("nonce").asInt()), tree.get("turn").asInt(),
+        return new PeersRules.Held(
+                new Life(tree.get("startMs").asLong(), tree.get("nonce").asInt()),
+                tree.get("turn").asInt(),
                 Standing.valueOf(tree.get("is").asText()));
     }
 
@@ -122,7 +139,10 @@
             }
         }
         if (line.what().equals("began")) {
-            began(line.node(), viewer, new Life(tree.get("startMs").asLong(), tree.get("nonce").asInt()));
+            began(
+                    line.node(),
+                    viewer,
+                    new Life(tree.get("startMs").asLong(), tree.get("nonce").asInt()));
         }
         if (has.getOrDefault(viewer, line.node()) != line.node()) {
             return;
@@ -131,16 +151,25 @@
             case "standing" -> {
                 int other = names.indexOf(tree.get("of").asText());
                 if (other < 0) {
-                    rules.breach(lastMs, "3 only known words", tree.get("node").asText() + " holds " + tree.get("of").asText()
-                            + " for " + tree.get("is").asText() + ", which does not exist");
+                    rules.breach(
+                            lastMs,
+                            "3 only known words",
+                            tree.get("node").asText() + " holds "
+                                    + tree.get("of").asText() + " for "
+                                    + tree.get("is").asText() + ", which does not exist");
                 } else if (other != viewer && tree.get("is").isNull()) {
                     rules.forgotten(viewer, other);
                 } else if (other != viewer) {
-                    rules.changed(new PeersRules.Change(lastMs, viewer, other, held(tree), tree.get("by").asText().equals(tree.get("node").asText()),
+                    rules.changed(new PeersRules.Change(
+                            lastMs,
+                            viewer,
+                            other,
+                            held(tree),
+                            tree.get("by").asText().equals(tree.get("node").asText()),
                             tree.get("doubt").asText()));
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 }
--- a/lab/src/main/java/spartrail/lab/nodes/Links.java
+++ b/lab/src/main/java/spartrail/lab/nodes/Links.java
@@ -36,6 +36,7 @@
         double bytesPerS;
         /** Only messages of this kind; null for all. */
         String kind;
+
         double heldUntilMs;
         private double freeMs;
     }
@@ -136,7 +137,8 @@
                 timetable.run(clock.nowMs());
             } catch (IOException e) {
                 if (!ended) {
-                    System.getLogger("spartrail.lab.nodes").log(System.Logger.Level.WARNING, "links: " + e.getMessage());
+                    System.getLogger("spartrail.lab.nodes")
+                            .log(System.Logger.Level.WARNING, "links: " + e.getMessage());
                 }
             }
         }
@@ -186,7 +188,8 @@
             }
             return;
         }
-        byte[] carried = datagram.length > trouble.mostBytes ? java.util.Arrays.copyOf(datagram, trouble.mostBytes) : datagram;
+        byte[] carried =
+                datagram.length > trouble.mostBytes ? java.util.Arrays.copyOf(datagram, trouble.mostBytes) : datagram;
         if (chance.nextDouble() < trouble.flipped) {
             carried = carried.clone();
             carried[chance.nextInt(carried.length)] ^= (byte) (1 << chance.nextInt(8));
@@ -210,7 +213,10 @@
 
     private String kind(byte[] datagram) {
         try {
-            return Frames.read(datagram, datagram.length, fleet, LONGEST).message().kind().name();
+            return Frames.read(datagram, datagram.length, fleet, LONGEST)
+                    .message()
+                    .kind()
+                    .name();
         } catch (Frames.Unusable e) {
             return "";
         }
@@ -218,7 +224,10 @@
 
     private void forward(byte[] datagram, int from, int to) {
         try {
-            doors.get(from).send(ByteBuffer.wrap(datagram), new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(to)));
+            doors.get(from)
+                    .send(
+                            ByteBuffer.wrap(datagram),
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(to)));
         } catch (IOException e) {
             // As on a wire: nobody is told.
             synchronized (this) {
--- a/lab/src/main/java/spartrail/lab/nodes/NodesPlan.java
+++ b/lab/src/main/java/spartrail/lab/nodes/NodesPlan.java
@@ -19,14 +19,25 @@
  * @param ends the run ends when the step of this name is taken, or {@code all} are; null: at its time
  * @param load null for none
  */
-public record NodesPlan(long seed, int nodes, int seeds, double lastsMs, String ends, JsonNode peers, JsonNode own, FleetPlan fleet,
-        NodeSettings settings, LoadPlan load, List<Step> steps) {
+public record NodesPlan(
+        long seed,
+        int nodes,
+        int seeds,
+        double lastsMs,
+        String ends,
+        JsonNode peers,
+        JsonNode own,
+        FleetPlan fleet,
+        NodeSettings settings,
+        LoadPlan load,
+        List<Step> steps) {
     /**
      * When a step is taken: at a time after all nodes are up, or so long after something was seen, or after another step.
      * Seen is what a node says: that it holds another one (or anybody) for this, by its own history; or a line of it that has
      * all these values; with a step, after that only.
      */
-    public record When(double atMs, String node, String of, String is, JsonNode line, int times, String step, double afterMs) {
+    public record When(
+            double atMs, String node, String of, String is, JsonNode line, int times, String step, double afterMs) {
         boolean seen() {
             return node != null;
         }
@@ -34,16 +45,23 @@
 
     /** Who wrote what the step waited for; and all whose processes do not run. */
     public static final int SEEN = -1;
+
     public static final int DOWN = -2;
     /** Who leads those that decide about policy, as far as the rig was told; and one of the others of them. */
     public static final int LEADER = -3;
+
     public static final int FOLLOWER = -4;
     private static final List<String> WORDS = List.of("seen", "down", "leader", "follower");
 
     /** What is done, to whom; {@code others} are the far ends of links, all other nodes where empty. */
-    public record Step(String name, When when, String what, List<Integer> nodes, List<Integer> others, double lastsMs,
-            JsonNode how) {
-    }
+    public record Step(
+            String name,
+            When when,
+            String what,
+            List<Integer> nodes,
+            List<Integer> others,
+            double lastsMs,
+            JsonNode how) {}
 
     public static NodesPlan read(Path file) {
         return of(Document.read(file, "nodes"));
@@ -59,21 +77,44 @@
             JsonNode seen = when.path("seen");
             String after = when.path("step").asText(null);
             if (after != null && steps.stream().noneMatch(each -> each.name().equals(after))) {
-                throw document.wrong(place + "/when/step", "found '" + after + "', the name of an earlier step is expected");
+                throw document.wrong(
+                        place + "/when/step", "found '" + after + "', the name of an earlier step is expected");
             }
-            if (step.has("as") && numbers(document, step.get("as"), count, place + "/as").size() != step.path("nodes").size()) {
-                throw document.wrong(place + "/as", "found " + step.get("as").size() + " names, one for each of /nodes is expected");
+            if (step.has("as")
+                    && numbers(document, step.get("as"), count, place + "/as").size()
+                            != step.path("nodes").size()) {
+                throw document.wrong(
+                        place + "/as", "found " + step.get("as").size() + " names, one for each of /nodes is expected");
             }
-            steps.add(new Step(step.path("name").asText("step-" + steps.size()),
-                    new When(when.path("atMs").asDouble(-1), seen.path("node").asText(null), seen.path("of").asText(null),
-                            seen.path("is").asText(null), seen.get("line"), seen.path("times").asInt(1), after, when.path("afterMs").asDouble(0)),
-                    step.get("do").asText(), numbers(document, step.path("nodes"), count, place + "/nodes"),
-                    numbers(document, step.path("others"), count, place + "/others"), step.path("lastsMs").asDouble(0), step));
+            steps.add(new Step(
+                    step.path("name").asText("step-" + steps.size()),
+                    new When(
+                            when.path("atMs").asDouble(-1),
+                            seen.path("node").asText(null),
+                            seen.path("of").asText(null),
+                            seen.path("is").asText(null),
+                            seen.get("line"),
+                            seen.path("times").asInt(1),
+                            after,
+                            when.path("afterMs").asDouble(0)),
+                    step.get("do").asText(),
+                    numbers(document, step.path("nodes"), count, place + "/nodes"),
+                    numbers(document, step.path("others"), count, place + "/others"),
+                    step.path("lastsMs").asDouble(0),
+                    step));
         }
-        return new NodesPlan(tree.path("seed").asLong(1), count, tree.path("seeds").asInt(2), tree.get("lastsMs").asDouble(),
-                tree.path("ends").asText(null), tree.path("peers").isObject() ? tree.get("peers") : null, tree.path("own"), FleetPlan.of(part(document, "fleet")),
+        return new NodesPlan(
+                tree.path("seed").asLong(1),
+                count,
+                tree.path("seeds").asInt(2),
+                tree.get("lastsMs").asDouble(),
+                tree.path("ends").asText(null),
+                tree.path("peers").isObject() ? tree.get("peers") : null,
+                tree.path("own"),
+                FleetPlan.of(part(document, "fleet")),
                 new NodeSettings(tree.get("settings")),
-                tree.has("load") ? LoadPlan.of(part(document, "load")) : null, List.copyOf(steps));
+                tree.has("load") ? LoadPlan.of(part(document, "load")) : null,
+                List.copyOf(steps));
     }
 
     private static Document part(Document document, String name) {
@@ -87,9 +128,12 @@
                 numbers.add(-1 - WORDS.indexOf(name.asText()));
                 continue;
             }
-            if (!name.asText().matches("n[0-9]{1,4}") || Integer.parseInt(name.asText().substring(1)) >= count) {
-                throw document.wrong(place + "/" + numbers.size(), "found '" + name.asText() + "', one of n0 to n" + (count - 1)
-                        + ", or one of " + WORDS + " is expected");
+            if (!name.asText().matches("n[0-9]{1,4}")
+                    || Integer.parseInt(name.asText().substring(1)) >= count) {
+                throw document.wrong(
+                        place + "/" + numbers.size(),
+                        "found '" + name.asText() + "', one of n0 to n" + (count - 1) + ", or one of " + WORDS
+                                + " is expected");
             }
             numbers.add(Integer.parseInt(name.asText().substring(1)));
         }
--- a/lab/src/main/java/spartrail/lab/nodes/Orders.java
+++ b/lab/src/main/java/spartrail/lab/nodes/Orders.java
@@ -43,15 +43,23 @@
                 String came = order(operator, via, Op.Kind.PROPOSE, 0, settings.toString());
                 ObjectNode line = Document.JSON.createObjectNode().put("step", step);
                 if (came.startsWith("!")) {
-                    history.done("ended", line.put("number", 0).put("stage", "NOT TAKEN").put("why", came.substring(1)));
+                    history.done(
+                            "ended",
+                            line.put("number", 0).put("stage", "NOT TAKEN").put("why", came.substring(1)));
                     return;
                 }
                 history.done("proposed", line.deepCopy().put("number", Long.parseLong(came)));
                 last = Long.parseLong(came);
                 follow(operator, line, last);
             } catch (IOException e) {
-                history.done("ended", Document.JSON.createObjectNode().put("step", step).put("number", 0).put("stage", "UNKNOWN")
-                        .put("why", String.valueOf(e.getMessage())));
+                history.done(
+                        "ended",
+                        Document.JSON
+                                .createObjectNode()
+                                .put("step", step)
+                                .put("number", 0)
+                                .put("stage", "UNKNOWN")
+                                .put("why", String.valueOf(e.getMessage())));
             }
         });
     }
@@ -60,10 +68,16 @@
     void abort(String step, int via, long number) {
         operators.execute(() -> {
             try (Operator operator = new Operator(new OperatorForm("rig"), true)) {
-                history.done("aborted", Document.JSON.createObjectNode().put("step", step).put("came",
-                        order(operator, via, Op.Kind.ABORT, number < 0 ? last : number, "")));
+                history.done(
+                        "aborted",
+                        Document.JSON
+                                .createObjectNode()
+                                .put("step", step)
+                                .put("came", order(operator, via, Op.Kind.ABORT, number < 0 ? last : number, "")));
             } catch (IOException e) {
-                history.done("aborted", Document.JSON.createObjectNode().put("step", step).put("came", "!" + e.getMessage()));
+                history.done(
+                        "aborted",
+                        Document.JSON.createObjectNode().put("step", step).put("came", "!" + e.getMessage()));
             }
         });
     }
@@ -86,7 +100,8 @@
         IOException last = null;
         for (int i = 0; i < ports.size() && !ended; i++) {
             try {
-                return operator.order("127.0.0.1:" + ports.get((via + i) % ports.size()), kind, number, text, "operator", where);
+                return operator.order(
+                        "127.0.0.1:" + ports.get((via + i) % ports.size()), kind, number, text, "operator", where);
             } catch (IOException e) {
                 last = e;
             }
@@ -100,8 +115,11 @@
                 JsonNode page = Document.JSON.readTree(operator.glance("127.0.0.1:" + ports.get(node)));
                 for (JsonNode entry : page.get("entries")) {
                     if (entry.get("number").asLong() == number) {
-                        history.done("ended", line.put("number", number).put("stage", entry.get("stage").asText())
-                                .put("why", entry.get("why").asText()));
+                        history.done(
+                                "ended",
+                                line.put("number", number)
+                                        .put("stage", entry.get("stage").asText())
+                                        .put("why", entry.get("why").asText()));
                         return;
                     }
                 }
--- a/lab/src/main/java/spartrail/lab/nodes/PolicyJudge.java
+++ b/lab/src/main/java/spartrail/lab/nodes/PolicyJudge.java
@@ -15,7 +15,8 @@
  */
 public final class PolicyJudge {
     /** The rig's lines that take a link away, and give it back. */
-    private static final Map<String, Integer> LINKS = Map.of("cut", 1, "cut ends", -1, "one-way", 1, "one-way ends", -1);
+    private static final Map<String, Integer> LINKS =
+            Map.of("cut", 1, "cut ends", -1, "one-way", 1, "one-way ends", -1);
 
     private final int size;
     private final List<Integer> deciders;
@@ -135,8 +136,13 @@
     }
 
     private boolean majority(int decider) {
-        return runs[decider] && !stands[decider] && 2 * deciders.stream().filter(other -> runs[other] && !stands[other]
-                && linked(decider, other)).count() > deciders.size();
+        return runs[decider]
+                && !stands[decider]
+                && 2
+                                * deciders.stream()
+                                        .filter(other -> runs[other] && !stands[other] && linked(decider, other))
+                                        .count()
+                        > deciders.size();
     }
 
     private void look(long ns) {
--- a/lab/src/main/java/spartrail/lab/nodes/Pushed.java
+++ b/lab/src/main/java/spartrail/lab/nodes/Pushed.java
@@ -10,15 +10,16 @@
 
 /** The easy way to change policy: another file, and SIGHUP. What the drills of policy are measured against. */
 final class Pushed {
-    private Pushed() {
-    }
+    private Pushed() {}
 
     /** Times of op types, in a node's configuration. */
     static void change(ObjectNode config, JsonNode settings) {
         for (JsonNode line : config.get("settings").get("classes")) {
             JsonNode changed = settings.path("opTypes").path(line.get("name").asText());
-            changed.fields().forEachRemaining(field -> ((ObjectNode) line).put(field.getKey().equals("budgetMs") ? "aim" : "deadline",
-                    field.getValue().asDouble() / 1000));
+            changed.fields().forEachRemaining(field -> ((ObjectNode) line)
+                    .put(
+                            field.getKey().equals("budgetMs") ? "aim" : "deadline",
+                            field.getValue().asDouble() / 1000));
         }
     }
 
--- a/lab/src/main/java/spartrail/lab/nodes/Rig.java
+++ b/lab/src/main/java/spartrail/lab/nodes/Rig.java
@@ -22,7 +22,6 @@
 import spartrail.lab.file.Document;
 import spartrail.lab.fleet.Fleet;
 import spartrail.lab.load.LoadSession;
-import spartrail.lab.load.Watcher;
 import spartrail.lab.nodes.History.Line;
 import spartrail.lab.nodes.NodesPlan.Step;
 import spartrail.lab.plan.LoadPlan;
@@ -36,13 +35,21 @@
  */
 public final class Rig implements AutoCloseable {
     /** What was seen of a run, beside the history. */
-    public record Outcome(History history, RuleChecker rules, ObjectNode load, ObjectNode servers, List<ObjectNode> nodes,
-            List<String> notTaken, List<Step> done, List<PolicyRules.Taken> taken, double lastedMs) {
-    }
+    public record Outcome(
+            History history,
+            RuleChecker rules,
+            ObjectNode load,
+            ObjectNode servers,
+            List<ObjectNode> nodes,
+            List<String> notTaken,
+            List<Step> done,
+            List<PolicyRules.Taken> taken,
+            double lastedMs) {}
 
     private static final double LOOK_MS = 5;
     /** A process is ended, or goes on, so much later at the most than the rig asks for it. */
     private static final double EXCUSED_MS = 500;
+
     private static final double KNOWN_WITHIN_MS = 20_000;
 
     /** A step that has not been taken yet, and how often what it waits for was seen. */
@@ -58,8 +65,7 @@
         }
     }
 
-    private record Due(double atMs, Runnable what) {
-    }
+    private record Due(double atMs, Runnable what) {}
 
     private final NodesPlan plan;
     private final Path folder;
@@ -78,10 +84,12 @@
     private Orders orders;
     /** Steps as they were taken: when, and whom they concerned. */
     private final List<Step> steps = new ArrayList<>();
+
     private final Set<Integer> over = new HashSet<>();
     private int leader = -1;
     /** All that are not known to be over ran then. */
     private double aliveMs;
+
     private double startMs;
 
     /** Starts servers, links and processes; returns when all nodes serve, and, where they talk, know each other. */
@@ -90,8 +98,9 @@
         this.folder = folder;
         this.progress = progress;
         this.checker = new RuleChecker(plan.settings().terms());
-        this.fleet = new Fleet(plan.fleet().varied(plan.seed(), plan.nodes()), Runner.watching(checker,
-                (what, atMs) -> progress.accept("servers: " + what)));
+        this.fleet = new Fleet(
+                plan.fleet().varied(plan.seed(), plan.nodes()),
+                Runner.watching(checker, (what, atMs) -> progress.accept("servers: " + what)));
         Links made = null;
         try {
             for (int node = 0; node < plan.nodes(); node++) {
@@ -115,7 +124,10 @@
 
     private void launch(Links made) throws IOException, InterruptedException {
         List<String> zones = NodeSettings.zones(plan.fleet());
-        List<String> seeds = Stream.iterate(0, node -> node + 1).limit(Math.min(plan.seeds(), plan.nodes())).map(made::address).toList();
+        List<String> seeds = Stream.iterate(0, node -> node + 1)
+                .limit(Math.min(plan.seeds(), plan.nodes()))
+                .map(made::address)
+                .toList();
         for (int node = 0; node < plan.nodes(); node++) {
             int port = NodeProcess.freePort();
             targets.add(new LoadPlan.Target("127.0.0.1", port, zones.get(node % zones.size())));
@@ -131,8 +143,10 @@
             if (plan.peers() != null) {
                 peers = folder.resolve("n" + node + ".peers.json");
                 kept = folder.resolve("n" + node + ".history");
-                Files.writeString(peers, plan.peersFile(node, "127.0.0.1:" + talkPorts.get(node), made.address(node), seeds)
-                        .toPrettyString());
+                Files.writeString(
+                        peers,
+                        plan.peersFile(node, "127.0.0.1:" + talkPorts.get(node), made.address(node), seeds)
+                                .toPrettyString());
                 history.follow(node, kept);
             }
             history.done("started", whom(node));
@@ -140,7 +154,12 @@
             if (plan.own().has("n" + node)) {
                 Pushed.change(config, plan.own().get("n" + node));
             }
-            nodes.add(NodeProcess.launched(NodeProcess.ownJar(), config, folder, "n" + node, plan.settings().memoryMb(),
+            nodes.add(NodeProcess.launched(
+                    NodeProcess.ownJar(),
+                    config,
+                    folder,
+                    "n" + node,
+                    plan.settings().memoryMb(),
                     new NodeProcess.Extras(null, peers, kept, state, folder.resolve("n" + node + ".record"))));
         }
         for (NodeProcess node : nodes) {
@@ -183,7 +202,8 @@
             for (Line line : history.more()) {
                 leads(line);
                 if (line.what().equals("view")) {
-                    if (line.tree().get("there").asInt() == plan.nodes() && line.tree().get("doubt").asText().isEmpty()) {
+                    if (line.tree().get("there").asInt() == plan.nodes()
+                            && line.tree().get("doubt").asText().isEmpty()) {
                         knowing.add(line.node());
                     } else {
                         knowing.remove(line.node());
@@ -191,8 +211,8 @@
                 }
             }
             if (sinceMs() > KNOWN_WITHIN_MS) {
-                throw new IOException("after " + KNOWN_WITHIN_MS / 1000 + " s only " + knowing.size() + " of " + plan.nodes()
-                        + " nodes know all others; their logs are in " + folder);
+                throw new IOException("after " + KNOWN_WITHIN_MS / 1000 + " s only " + knowing.size() + " of "
+                        + plan.nodes() + " nodes know all others; their logs are in " + folder);
             }
             pause();
         }
@@ -217,9 +237,11 @@
         history.done("begins", Document.JSON.createObjectNode());
         startMs = now();
         fleet.play();
-        try (LoadSession session = load == null ? null : new LoadSession(load, load.arrivals(), load.lastsMs(), checker)) {
+        try (LoadSession session =
+                load == null ? null : new LoadSession(load, load.arrivals(), load.lastsMs(), checker)) {
             double toldMs = 0;
-            while (sinceMs() < plan.lastsMs() && !taken.containsKey(String.valueOf(plan.ends()))
+            while (sinceMs() < plan.lastsMs()
+                    && !taken.containsKey(String.valueOf(plan.ends()))
                     && !("all".equals(plan.ends()) && pending.isEmpty())) {
                 look(pending);
                 if (sinceMs() - toldMs > 10_000) {
@@ -240,15 +262,27 @@
         List<ObjectNode> figures = new ArrayList<>();
         for (int node = 0; node < nodes.size(); node++) {
             boolean alive = nodes.get(node).handle().isAlive();
-            figures.add(Document.JSON.createObjectNode().put("name", "n" + node).put("alive", alive)
+            figures.add(Document.JSON
+                    .createObjectNode()
+                    .put("name", "n" + node)
+                    .put("alive", alive)
                     .put("cpuMs", alive ? Math.round(nodes.get(node).cpuMs()) : 0)
-                    .put("memoryMb", alive ? Math.round(nodes.get(node).memoryMb()) : 0).put("sentBytes", links.bytes(node))
+                    .put("memoryMb", alive ? Math.round(nodes.get(node).memoryMb()) : 0)
+                    .put("sentBytes", links.bytes(node))
                     .put("sentMessages", links.messages(node)));
         }
         ObjectNode servers = fleet.figures();
         servers.forEach(server -> checker.cold(server.path("worstColdLoad").asDouble()));
-        return new Outcome(history, checker, session == null ? null : session.report(), servers, figures,
-                pending.stream().map(each -> each.step.name()).toList(), List.copyOf(steps), records(), sinceMs());
+        return new Outcome(
+                history,
+                checker,
+                session == null ? null : session.report(),
+                servers,
+                figures,
+                pending.stream().map(each -> each.step.name()).toList(),
+                List.copyOf(steps),
+                records(),
+                sinceMs());
     }
 
     /** By what every life of every node decided its multigets. */
@@ -261,7 +295,11 @@
                         // A line torn by a kill is none.
                         if (line.endsWith("}") && line.contains("\"policy\"")) {
                             JsonNode tree = Document.JSON.readTree(line);
-                            all.add(new PolicyRules.Taken(tree.get("ns").asLong(), node, life, tree.get("policy").asText()));
+                            all.add(new PolicyRules.Taken(
+                                    tree.get("ns").asLong(),
+                                    node,
+                                    life,
+                                    tree.get("policy").asText()));
                         }
                     }
                 } catch (IOException e) {
@@ -307,8 +345,11 @@
             if (node >= 0) {
                 whom.add(node);
             } else if (node == NodesPlan.LEADER || node == NodesPlan.FOLLOWER) {
-                plan.deciders().stream().map(name -> Integer.parseInt(name.substring(1))).filter(decider -> (decider == leader)
-                        == (node == NodesPlan.LEADER)).filter(decider -> nodes.get(decider).handle().isAlive()).findFirst()
+                plan.deciders().stream()
+                        .map(name -> Integer.parseInt(name.substring(1)))
+                        .filter(decider -> (decider == leader) == (node == NodesPlan.LEADER))
+                        .filter(decider -> nodes.get(decider).handle().isAlive())
+                        .findFirst()
                         .ifPresent(whom::add);
             } else if (node == NodesPlan.SEEN && each.who >= 0) {
                 whom.add(each.who);
@@ -325,9 +366,10 @@
     }
 
     private static boolean has(Line line, JsonNode values) {
-        for (var fields = values.fields(); fields.hasNext();) {
+        for (var fields = values.fields(); fields.hasNext(); ) {
             var field = fields.next();
-            JsonNode found = field.getKey().equals("what") ? com.fasterxml.jackson.databind.node.TextNode.valueOf(line.what())
+            JsonNode found = field.getKey().equals("what")
+                    ? com.fasterxml.jackson.databind.node.TextNode.valueOf(line.what())
                     : line.tree().path(field.getKey());
             if (!found.asText().equals(field.getValue().asText())) {
                 return false;
@@ -357,14 +399,18 @@
         }
         if (when.line() != null) {
             String of = line.node() < 0 ? "rig" : "n" + line.node();
-            if ((when.node().equals("any") || when.node().equals(of)) && has(line, when.line()) && ++each.seen >= when.times()) {
+            if ((when.node().equals("any") || when.node().equals(of))
+                    && has(line, when.line())
+                    && ++each.seen >= when.times()) {
                 each.who = line.node();
                 each.dueMs = sinceMs() + when.afterMs();
             }
             return;
         }
-        if (!line.what().equals("standing") || line.node() < 0
-                || !when.node().equals("any") && !when.node().equals(line.tree().get("node").asText())
+        if (!line.what().equals("standing")
+                || line.node() < 0
+                || !when.node().equals("any")
+                        && !when.node().equals(line.tree().get("node").asText())
                 || when.of() != null && !when.of().equals(line.tree().get("of").asText())
                 || when.is() != null && !when.is().equals(line.tree().get("is").asText())) {
             return;
@@ -378,10 +424,20 @@
     // ---- Steps ----
 
     private void take(Step step) throws IOException, InterruptedException {
-        steps.add(new Step(step.name(), new NodesPlan.When(sinceMs(), null, null, null, null, 1, null, 0), step.what(), step.nodes(),
-                step.others(), step.lastsMs(), step.how()));
-        progress.accept(step.what() + " " + step.nodes().stream().map(node -> "n" + node).toList()
-                + (step.others().isEmpty() ? "" : " and " + step.others().stream().map(node -> "n" + node).toList()));
+        steps.add(new Step(
+                step.name(),
+                new NodesPlan.When(sinceMs(), null, null, null, null, 1, null, 0),
+                step.what(),
+                step.nodes(),
+                step.others(),
+                step.lastsMs(),
+                step.how()));
+        progress.accept(step.what() + " "
+                + step.nodes().stream().map(node -> "n" + node).toList()
+                + (step.others().isEmpty()
+                        ? ""
+                        : " and "
+                                + step.others().stream().map(node -> "n" + node).toList()));
         switch (step.what()) {
             case "kill" -> {
                 excuse(step, 0);
@@ -422,20 +478,33 @@
                 excuse(step, step.lastsMs() > 0 ? step.lastsMs() : plan.lastsMs());
                 done(step, "slowed");
                 slowed.addAll(step.nodes());
-                Thread slowing = new Thread(() -> slow(step, step.how().path("share").asDouble(0.05)), "spartrail-slowing");
+                Thread slowing =
+                        new Thread(() -> slow(step, step.how().path("share").asDouble(0.05)), "spartrail-slowing");
                 slowing.setDaemon(true);
                 slowing.start();
                 later(step, "quick again", () -> slowed.removeAll(step.nodes()));
             }
             case "flood" -> {
                 done(step, "flooded");
-                Flood flood = new Flood(step.how().path("perS").asDouble(2000), step.how().path("manner").asText("names"),
-                        step.nodes().stream().map(node -> PORT_OF.apply(links.address(node))).toList(), "rig", plan.seed());
+                Flood flood = new Flood(
+                        step.how().path("perS").asDouble(2000),
+                        step.how().path("manner").asText("names"),
+                        step.nodes().stream()
+                                .map(node -> PORT_OF.apply(links.address(node)))
+                                .toList(),
+                        "rig",
+                        plan.seed());
                 floods.add(flood);
                 later(step, "flood ends", flood::close);
             }
-            case "propose" -> orders.propose(step.name(), step.nodes().isEmpty() ? 0 : step.nodes().get(0), step.how().get("settings"));
-            case "abort" -> orders.abort(step.name(), step.nodes().isEmpty() ? 0 : step.nodes().get(0), step.how().path("number").asLong());
+            case "propose" -> orders.propose(
+                    step.name(),
+                    step.nodes().isEmpty() ? 0 : step.nodes().get(0),
+                    step.how().get("settings"));
+            case "abort" -> orders.abort(
+                    step.name(),
+                    step.nodes().isEmpty() ? 0 : step.nodes().get(0),
+                    step.how().path("number").asLong());
             case "push" -> push(step);
             case "abandon" -> done(step, "abandoned");
             case "harm" -> {
@@ -444,7 +513,10 @@
                 }
                 done(step, "harmed");
             }
-            case "crash" -> orders.arm(step.name(), step.nodes().isEmpty() ? leader : step.nodes().get(0), step.how().path("point").asText());
+            case "crash" -> orders.arm(
+                    step.name(),
+                    step.nodes().isEmpty() ? leader : step.nodes().get(0),
+                    step.how().path("point").asText());
             case "heal" -> {
                 links.setAll(node -> true, node -> true, () -> null);
                 done(step, "healed");
@@ -459,13 +531,19 @@
         List<Integer> all = step.nodes();
         double atMs = 0;
         for (int node : all) {
-            dues.add(new Due(sinceMs() + atMs, () -> each(new Step(step.name(), step.when(), "push", List.of(node), List.of(), 0,
-                    step.how()), one -> {
-                        if (nodes.get(one).handle().isAlive()) {
-                            Pushed.write(nodes.get(one).config(), step.how().get("settings"), step.how().path("number").asLong());
-                            nodes.get(one).hangUp();
-                        }
-                    })));
+            dues.add(new Due(
+                    sinceMs() + atMs,
+                    () -> each(
+                            new Step(step.name(), step.when(), "push", List.of(node), List.of(), 0, step.how()),
+                            one -> {
+                                if (nodes.get(one).handle().isAlive()) {
+                                    Pushed.write(
+                                            nodes.get(one).config(),
+                                            step.how().get("settings"),
+                                            step.how().path("number").asLong());
+                                    nodes.get(one).hangUp();
+                                }
+                            })));
             atMs += step.how().path("gapMs").asDouble(0);
         }
     }
@@ -476,7 +554,9 @@
     /** What this node does not answer meanwhile is the rig's doing. */
     private void excuse(Step step, double lastsMs) {
         double nowMs = fleet.loop().nowMs();
-        step.nodes().forEach(node -> checker.excuse(targets.get(node).toString(), nowMs - LOOK_MS, nowMs + lastsMs + EXCUSED_MS));
+        step.nodes()
+                .forEach(node ->
+                        checker.excuse(targets.get(node).toString(), nowMs - LOOK_MS, nowMs + lastsMs + EXCUSED_MS));
     }
 
     private interface Deed {
@@ -545,7 +625,8 @@
     }
 
     private void connect(Step step, boolean both, java.util.function.Supplier<Links.Trouble> trouble) {
-        java.util.function.Predicate<Integer> far = node -> step.others().isEmpty() ? !step.nodes().contains(node)
+        java.util.function.Predicate<Integer> far = node -> step.others().isEmpty()
+                ? !step.nodes().contains(node)
                 : step.others().contains(node);
         links.setAll(step.nodes()::contains, far, trouble);
         if (both) {
@@ -556,21 +637,28 @@
     /** The process on this machine bears another name from its next start on. */
     private void named(int node, String name) throws IOException {
         Path file = folder.resolve("n" + node + ".peers.json");
-        Files.writeString(file, ((ObjectNode) Document.JSON.readTree(Files.readString(file))).put("name", name).toPrettyString());
+        Files.writeString(
+                file,
+                ((ObjectNode) Document.JSON.readTree(Files.readString(file)))
+                        .put("name", name)
+                        .toPrettyString());
     }
 
     /** How far the machine's clock is from the right time, how fast the node's own one runs, and what room its disk has. */
     private static List<String> machine(JsonNode how) {
         List<String> options = new ArrayList<>(List.of("-D" + CrashPoint.ALLOWED + "=true"));
         if (how.has("clock")) {
-            options.add("-Dspartrail.clock.aheadMs=" + how.get("clock").path("aheadMs").asLong(0));
-            options.add("-Dspartrail.clock.pace=" + how.get("clock").path("pace").asDouble(1));
+            options.add("-Dspartrail.clock.aheadMs="
+                    + how.get("clock").path("aheadMs").asLong(0));
+            options.add(
+                    "-Dspartrail.clock.pace=" + how.get("clock").path("pace").asDouble(1));
         }
         if (how.has("point")) {
             options.add("-Dspartrail.crash.at=" + how.get("point").asText());
         }
         if (how.has("disk")) {
-            options.add("-Dspartrail.disk.mostBytes=" + how.get("disk").path("mostBytes").asLong());
+            options.add("-Dspartrail.disk.mostBytes="
+                    + how.get("disk").path("mostBytes").asLong());
         }
         return options;
     }
@@ -595,7 +683,8 @@
             dues.add(new Due(sinceMs() + step.lastsMs(), () -> {
                 deed.run();
                 done(step, what);
-                progress.accept(what + " " + step.nodes().stream().map(node -> "n" + node).toList());
+                progress.accept(what + " "
+                        + step.nodes().stream().map(node -> "n" + node).toList());
             }));
         }
     }
--- a/lab/src/main/java/spartrail/lab/plan/Arrival.java
+++ b/lab/src/main/java/spartrail/lab/plan/Arrival.java
@@ -12,8 +12,21 @@
  * @param clientMs how long the client waits for an answer
  * @param chance seed of all that is still to be drawn for it
  */
-public record Arrival(long number, double atMs, int phase, Stream stream, String opType, String key, int[] shards,
-        double[] weights, double workMs, double hintMs, int textBytes, double clientMs, boolean fresh, long chance) {
+public record Arrival(
+        long number,
+        double atMs,
+        int phase,
+        Stream stream,
+        String opType,
+        String key,
+        int[] shards,
+        double[] weights,
+        double workMs,
+        double hintMs,
+        int textBytes,
+        double clientMs,
+        boolean fresh,
+        long chance) {
     private static final char[] HEX = "0123456789abcdef".toCharArray();
 
     /** A fresh id for each try, made so that no two plans with other seeds share ids. */
--- a/lab/src/main/java/spartrail/lab/plan/Arrivals.java
+++ b/lab/src/main/java/spartrail/lab/plan/Arrivals.java
@@ -20,11 +20,13 @@
     private final List<Stream> streams;
     /** Times of crowds, in order, with the stream of each. */
     private final List<double[]> crowd;
+
     private int crowdAt;
     private int phase;
     private double phaseFromMs;
     /** In the present phase: how far it is, and how many arrivals of its sum lie behind. */
     private double ms;
+
     private double toCome;
     private long number;
     private double nextMs;
--- a/lab/src/main/java/spartrail/lab/plan/Habit.java
+++ b/lab/src/main/java/spartrail/lab/plan/Habit.java
@@ -13,10 +13,23 @@
  * @param leavesAt after which share of its time it then does
  * @param ownConnection each try comes on a connection of its own, closed after it
  */
-public record Habit(int tries, Wait pause, double waitMs, double factor, double mostWaitMs, double jitter, double heeds,
-        double leavesShare, double leavesAt, boolean ownConnection) {
+public record Habit(
+        int tries,
+        Wait pause,
+        double waitMs,
+        double factor,
+        double mostWaitMs,
+        double jitter,
+        double heeds,
+        double leavesShare,
+        double leavesAt,
+        boolean ownConnection) {
     /** Kinds of wait before a further try. */
-    public enum Wait { NONE, FIXED, EXPONENTIAL }
+    public enum Wait {
+        NONE,
+        FIXED,
+        EXPONENTIAL
+    }
 
     public static final Habit ONCE = new Habit(1, Wait.NONE, 0, 1, 0, 0, 0, 0, 1, false);
 }
--- a/lab/src/main/java/spartrail/lab/plan/LoadPlan.java
+++ b/lab/src/main/java/spartrail/lab/plan/LoadPlan.java
@@ -17,15 +17,22 @@
  * @param lagBoundMs a run whose own lag at the 99th percentile is longer is unfit
  * @param lingerMs how long an answer is still looked for after its client's time
  */
-public record LoadPlan(long seed, List<Phase> phases, Gaps gaps, double variation, List<Stream> streams,
-        List<Crowd> crowds, List<Target> targets, int connections, double connectMs, double lagBoundMs,
+public record LoadPlan(
+        long seed,
+        List<Phase> phases,
+        Gaps gaps,
+        double variation,
+        List<Stream> streams,
+        List<Crowd> crowds,
+        List<Target> targets,
+        int connections,
+        double connectMs,
+        double lagBoundMs,
         double lingerMs) {
-    public record Phase(String name, double lastsMs, Rate rate) {
-    }
+    public record Phase(String name, double lastsMs, Rate rate) {}
 
     /** Clients who all come within a time, each on a connection of its own. */
-    public record Crowd(double atMs, double withinMs, int clients, int stream) {
-    }
+    public record Crowd(double atMs, double withinMs, int clients, int stream) {}
 
     public record Target(String host, int port, String zone) {
         @Override
@@ -42,7 +49,9 @@
         JsonNode tree = document.tree;
         List<Phase> phases = new ArrayList<>();
         for (JsonNode phase : tree.get("phases")) {
-            phases.add(new Phase(phase.path("name").asText("phase " + phases.size()), phase.get("lastsMs").asDouble(),
+            phases.add(new Phase(
+                    phase.path("name").asText("phase " + phases.size()),
+                    phase.get("lastsMs").asDouble(),
                     rate(document, phase.get("rate"), "/phases/" + phases.size() + "/rate")));
         }
         List<Stream> streams = new ArrayList<>();
@@ -62,18 +71,28 @@
             if (at < 0) {
                 throw document.wrong("/crowds/" + crowds.size() + "/stream", "no stream is named '" + name + "'");
             }
-            crowds.add(new Crowd(crowd.get("atMs").asDouble(), crowd.get("withinMs").asDouble(),
-                    crowd.get("clients").asInt(), at));
+            crowds.add(new Crowd(
+                    crowd.get("atMs").asDouble(),
+                    crowd.get("withinMs").asDouble(),
+                    crowd.get("clients").asInt(),
+                    at));
         }
         List<Target> targets = new ArrayList<>();
         for (JsonNode target : tree.path("targets")) {
             targets.add(target(document, target, "/targets/" + targets.size()));
         }
         JsonNode gaps = tree.path("gaps");
-        return new LoadPlan(tree.path("seed").asLong(1), phases,
-                Gaps.valueOf(gaps.path("kind").asText("poisson").toUpperCase()), gaps.path("variation").asDouble(1),
-                streams, crowds, targets, tree.path("connections").path("most").asInt(1000),
-                tree.path("connections").path("connectMs").asDouble(1000), tree.path("lagBoundMs").asDouble(5),
+        return new LoadPlan(
+                tree.path("seed").asLong(1),
+                phases,
+                Gaps.valueOf(gaps.path("kind").asText("poisson").toUpperCase()),
+                gaps.path("variation").asDouble(1),
+                streams,
+                crowds,
+                targets,
+                tree.path("connections").path("most").asInt(1000),
+                tree.path("connections").path("connectMs").asDouble(1000),
+                tree.path("lagBoundMs").asDouble(5),
                 tree.path("lingerMs").asDouble(1000));
     }
 
@@ -89,8 +108,8 @@
             // Said below.
         }
         if (!host.matches("127(\\.[0-9]{1,3}){3}") || port < 1 || port > 65_535) {
-            throw document.wrong(place, "found '" + text + "', an address of the loopback such as 127.0.0.1:3000"
-                    + " is expected");
+            throw document.wrong(
+                    place, "found '" + text + "', an address of the loopback such as 127.0.0.1:3000" + " is expected");
         }
         return new Target(host, port, node.path("zone").asText(""));
     }
@@ -107,24 +126,34 @@
             case "steady":
                 return new Rate.Steady(node.get("perS").asDouble());
             case "ramp":
-                return new Rate.Ramp(node.get("fromPerS").asDouble(), node.get("toPerS").asDouble());
+                return new Rate.Ramp(
+                        node.get("fromPerS").asDouble(), node.get("toPerS").asDouble());
             case "step":
                 List<Double> levels = new ArrayList<>();
                 node.get("levelsPerS").forEach(level -> levels.add(level.asDouble()));
                 return new Rate.Step(levels);
             case "burst":
-                return new Rate.Burst(node.get("onPerS").asDouble(), node.get("onMs").asDouble(),
-                        node.path("offPerS").asDouble(0), node.get("offMs").asDouble());
+                return new Rate.Burst(
+                        node.get("onPerS").asDouble(),
+                        node.get("onMs").asDouble(),
+                        node.path("offPerS").asDouble(0),
+                        node.get("offMs").asDouble());
             case "wave":
-                Rate.Wave wave = new Rate.Wave(node.get("meanPerS").asDouble(), node.get("swingPerS").asDouble(),
+                Rate.Wave wave = new Rate.Wave(
+                        node.get("meanPerS").asDouble(),
+                        node.get("swingPerS").asDouble(),
                         node.get("periodMs").asDouble());
                 if (wave.swingPerS() > wave.meanPerS()) {
-                    throw document.wrong(place + "/swingPerS", "found " + wave.swingPerS()
-                            + ", at most the mean of " + wave.meanPerS() + " is expected, as no rate is below 0");
+                    throw document.wrong(
+                            place + "/swingPerS",
+                            "found " + wave.swingPerS() + ", at most the mean of " + wave.meanPerS()
+                                    + " is expected, as no rate is below 0");
                 }
                 return wave;
             default:
-                return new Rate.Spike(node.get("peakPerS").asDouble(), node.path("atMs").asDouble(0),
+                return new Rate.Spike(
+                        node.get("peakPerS").asDouble(),
+                        node.path("atMs").asDouble(0),
                         node.get("halfLifeMs").asDouble());
         }
     }
@@ -138,42 +167,67 @@
             phases.add(name.asText());
         }
         List<Stream.Share<String>> opTypes = new ArrayList<>();
-        node.get("opTypes").forEach(one -> opTypes.add(
-                new Stream.Share<>(one.get("name").asText(), one.path("share").asDouble(1))));
+        node.get("opTypes")
+                .forEach(one -> opTypes.add(new Stream.Share<>(
+                        one.get("name").asText(), one.path("share").asDouble(1))));
         JsonNode shards = node.get("shards");
         int of = shards.get("of").asInt();
         int least = shards.path("least").asInt(1);
         int most = shards.path("most").asInt(least);
         if (least > most || most > of) {
-            throw document.wrong(place + "/shards", "least " + least + ", most " + most + ", of " + of
-                    + "; least <= most <= of is expected");
+            throw document.wrong(
+                    place + "/shards",
+                    "least " + least + ", most " + most + ", of " + of + "; least <= most <= of is expected");
         }
         JsonNode work = node.path("work");
         JsonNode keys = node.path("keys");
         List<Stream.Share<Integer>> texts = new ArrayList<>();
-        node.path("texts").forEach(one -> texts.add(
-                new Stream.Share<>(one.get("bytes").asInt(), one.path("share").asDouble(1))));
+        node.path("texts")
+                .forEach(one -> texts.add(new Stream.Share<>(
+                        one.get("bytes").asInt(), one.path("share").asDouble(1))));
         if (texts.isEmpty()) {
             texts.add(new Stream.Share<>(16, 1));
         }
-        return new Stream(node.path("name").asText("stream"), node.path("share").asDouble(1), phases, opTypes,
-                new Stream.Touches(of, least, most, shards.path("exponent").asDouble(1.5),
+        return new Stream(
+                node.path("name").asText("stream"),
+                node.path("share").asDouble(1),
+                phases,
+                opTypes,
+                new Stream.Touches(
+                        of,
+                        least,
+                        most,
+                        shards.path("exponent").asDouble(1.5),
                         !"scattered".equals(shards.path("spread").asText("run"))),
                 !"drawn".equals(node.path("weights").asText("even")),
-                new Stream.Work(work.path("meanMs").asDouble(0), work.path("variation").asDouble(0),
-                        work.path("hintShare").asDouble(0), work.path("hintNoise").asDouble(0)),
-                new Stream.Keys(keys.path("count").asInt(1000), keys.path("zipf").asDouble(0.9),
+                new Stream.Work(
+                        work.path("meanMs").asDouble(0),
+                        work.path("variation").asDouble(0),
+                        work.path("hintShare").asDouble(0),
+                        work.path("hintNoise").asDouble(0)),
+                new Stream.Keys(
+                        keys.path("count").asInt(1000),
+                        keys.path("zipf").asDouble(0.9),
                         keys.path("hotMovesEveryMs").asDouble(0)),
-                texts, node.path("zone").asText(""), node.get("clientMs").asDouble(), habit(node.path("habit")));
+                texts,
+                node.path("zone").asText(""),
+                node.get("clientMs").asDouble(),
+                habit(node.path("habit")));
     }
 
     private static Habit habit(JsonNode node) {
         JsonNode leaves = node.path("leaves");
-        return new Habit(node.path("tries").asInt(1),
-                Habit.Wait.valueOf(node.path("wait").asText("none").toUpperCase()), node.path("waitMs").asDouble(0),
-                node.path("factor").asDouble(2), node.path("mostWaitMs").asDouble(60_000),
-                node.path("jitter").asDouble(0), node.path("heeds").asDouble(1), leaves.path("share").asDouble(0),
-                leaves.path("at").asDouble(0.5), node.path("ownConnection").asBoolean(false));
+        return new Habit(
+                node.path("tries").asInt(1),
+                Habit.Wait.valueOf(node.path("wait").asText("none").toUpperCase()),
+                node.path("waitMs").asDouble(0),
+                node.path("factor").asDouble(2),
+                node.path("mostWaitMs").asDouble(60_000),
+                node.path("jitter").asDouble(0),
+                node.path("heeds").asDouble(1),
+                leaves.path("share").asDouble(0),
+                leaves.path("at").asDouble(0.5),
+                node.path("ownConnection").asBoolean(false));
     }
 
     public double lastsMs() {
@@ -201,16 +255,27 @@
         if (nodes.isEmpty()) {
             throw new BadInput("no front node to send to: give 'targets' in the plan");
         }
-        return new LoadPlan(seed, phases, gaps, variation, streams, crowds, nodes, connections, connectMs, lagBoundMs,
-                lingerMs);
+        return new LoadPlan(
+                seed, phases, gaps, variation, streams, crowds, nodes, connections, connectMs, lagBoundMs, lingerMs);
     }
 
     /** The same plan from another seed and with all rates times so much. */
     public LoadPlan varied(long newSeed, double times) {
-        List<Phase> scaled = phases.stream().map(phase -> times == 1 ? phase
-                : new Phase(phase.name(), phase.lastsMs(), times(phase.rate(), times))).toList();
-        return new LoadPlan(newSeed, scaled, gaps, variation, streams, crowds, targets, connections, connectMs,
-                lagBoundMs, lingerMs);
+        List<Phase> scaled = phases.stream()
+                .map(phase -> times == 1 ? phase : new Phase(phase.name(), phase.lastsMs(), times(phase.rate(), times)))
+                .toList();
+        return new LoadPlan(
+                newSeed,
+                scaled,
+                gaps,
+                variation,
+                streams,
+                crowds,
+                targets,
+                connections,
+                connectMs,
+                lagBoundMs,
+                lingerMs);
     }
 
     private static Rate times(Rate rate, double times) {
--- a/lab/src/main/java/spartrail/lab/plan/Rate.java
+++ b/lab/src/main/java/spartrail/lab/plan/Rate.java
@@ -66,8 +66,10 @@
         public double until(double ms, double lastsMs) {
             double rounds = Math.floor(ms / (onMs + offMs));
             double rest = ms - rounds * (onMs + offMs);
-            return (rounds * (onPerS * onMs + offPerS * offMs) + onPerS * Math.min(rest, onMs)
-                    + offPerS * Math.max(0, rest - onMs)) / 1000;
+            return (rounds * (onPerS * onMs + offPerS * offMs)
+                            + onPerS * Math.min(rest, onMs)
+                            + offPerS * Math.max(0, rest - onMs))
+                    / 1000;
         }
     }
 
@@ -93,7 +95,8 @@
 
         @Override
         public double until(double ms, double lastsMs) {
-            return ms < atMs ? 0
+            return ms < atMs
+                    ? 0
                     : peakPerS * halfLifeMs / Math.log(2) * (1 - Math.pow(0.5, (ms - atMs) / halfLifeMs)) / 1000;
         }
     }
--- a/lab/src/main/java/spartrail/lab/plan/Story.java
+++ b/lab/src/main/java/spartrail/lab/plan/Story.java
@@ -30,7 +30,8 @@
     /** A try begins; after how much of the client's time it leaves, infinite if it stays. */
     public double tries(double clientMs) {
         tries++;
-        return habit.leavesShare() > 0 && chance.nextDouble() < habit.leavesShare() ? habit.leavesAt() * clientMs
+        return habit.leavesShare() > 0 && chance.nextDouble() < habit.leavesShare()
+                ? habit.leavesAt() * clientMs
                 : Double.POSITIVE_INFINITY;
     }
 
@@ -39,11 +40,12 @@
         if (tries >= habit.tries()) {
             return -1;
         }
-        double wait = switch (habit.pause()) {
-            case NONE -> 0;
-            case FIXED -> habit.waitMs();
-            case EXPONENTIAL -> habit.waitMs() * Math.pow(habit.factor(), tries - 1);
-        };
+        double wait =
+                switch (habit.pause()) {
+                    case NONE -> 0;
+                    case FIXED -> habit.waitMs();
+                    case EXPONENTIAL -> habit.waitMs() * Math.pow(habit.factor(), tries - 1);
+                };
         wait = Math.min(wait, habit.mostWaitMs());
         wait *= 1 + habit.jitter() * (2 * chance.nextDouble() - 1);
         boolean heeds = comebackMs > 0 && chance.nextDouble() < habit.heeds();
--- a/lab/src/main/java/spartrail/lab/plan/Stream.java
+++ b/lab/src/main/java/spartrail/lab/plan/Stream.java
@@ -11,20 +11,16 @@
 /** One kind of traffic within a plan: what its clients ask and how they behave. Draws are in a fixed order. */
 public final class Stream {
     /** A value and how often it is drawn, as a part of the sum of all shares. */
-    public record Share<T>(T value, double share) {
-    }
+    public record Share<T>(T value, double share) {}
 
     /** How many shards a multiget touches: from least to most, fixed where they are equal, else with a Pareto tail. */
-    public record Touches(int of, int least, int most, double exponent, boolean run) {
-    }
+    public record Touches(int of, int least, int most, double exponent, boolean run) {}
 
     /** Keys by Zipf; the hot ones become others each time so long has passed (0: never). */
-    public record Keys(int count, double exponent, double hotMovesEveryMs) {
-    }
+    public record Keys(int count, double exponent, double hotMovesEveryMs) {}
 
     /** Work of a part: lognormal by mean and coefficient of variation; hinted in this share of multigets. */
-    public record Work(double meanMs, double variation, double hintShare, double hintNoise) {
-    }
+    public record Work(double meanMs, double variation, double hintShare, double hintNoise) {}
 
     public final String name;
     public final double share;
@@ -39,8 +35,18 @@
     public final double clientMs;
     public final Habit habit;
 
-    public Stream(String name, double share, List<String> phases, List<Share<String>> opTypes, Touches touches,
-            boolean evenWeights, Work work, Keys keys, List<Share<Integer>> texts, String zone, double clientMs,
+    public Stream(
+            String name,
+            double share,
+            List<String> phases,
+            List<Share<String>> opTypes,
+            Touches touches,
+            boolean evenWeights,
+            Work work,
+            Keys keys,
+            List<Share<Integer>> texts,
+            String zone,
+            double clientMs,
             Habit habit) {
         this.name = name;
         this.share = share;
@@ -79,7 +85,8 @@
         Arrival next(long number, double atMs, int phase, boolean fresh) {
             String opType = pick(opTypes, chance);
             int rank = zipf.sample() - 1;
-            // Danger: a hot set that moves by one would be nearly the same set; it moves by a step prime to most counts.
+            // Danger: a hot set that moves by one would be nearly the same set; it moves by a step prime to most
+            // counts.
             long moves = keys.hotMovesEveryMs() > 0 ? (long) (atMs / keys.hotMovesEveryMs()) : 0;
             long key = Math.floorMod(rank + moves * 7_919, (long) keys.count());
             int[] shards = shards();
@@ -88,8 +95,21 @@
             boolean hinted = work.hintShare() > 0 && chance.nextDouble() < work.hintShare();
             double hintMs = hinted ? workMs * lognormal(work.hintNoise()) : 0;
             int textBytes = pick(texts, chance);
-            return new Arrival(number, atMs, phase, Stream.this, opType, "k" + key, shards, weights, workMs, hintMs,
-                    textBytes, clientMs, fresh, chance.nextLong());
+            return new Arrival(
+                    number,
+                    atMs,
+                    phase,
+                    Stream.this,
+                    opType,
+                    "k" + key,
+                    shards,
+                    weights,
+                    workMs,
+                    hintMs,
+                    textBytes,
+                    clientMs,
+                    fresh,
+                    chance.nextLong());
         }
 
         private double lognormal(double variation) {
--- a/lab/src/main/java/spartrail/lab/rules/PeersRules.java
+++ b/lab/src/main/java/spartrail/lab/rules/PeersRules.java
@@ -24,12 +24,10 @@
     }
 
     /** What a node holds of another one. */
-    public record Held(Life life, int turn, Standing standing) {
-    }
+    public record Held(Life life, int turn, Standing standing) {}
 
     /** A node came to hold this of another one, by its own verdict or by what it was told; why it doubts itself, or empty. */
-    public record Change(double atMs, int viewer, int other, Held now, boolean own, String doubt) {
-    }
+    public record Change(double atMs, int viewer, int other, Held now, boolean own, String doubt) {}
 
     private static final int MOST_BREACHES = 20;
 
@@ -112,13 +110,16 @@
     public void changed(Change change) {
         asked++;
         int other = change.other();
-        String names = "n" + change.viewer() + " holds n" + other + " for " + change.now().standing();
+        String names = "n" + change.viewer() + " holds n" + other + " for "
+                + change.now().standing();
         Held before = held.get(change.viewer()).put(other, change.now());
         if (before != null && compare(change.now(), before) <= 0) {
             breach(change.atMs(), "1 never back", names + " in " + change.now() + " after " + before);
         }
         Standing is = change.now().standing();
-        if (change.own() && (is == Standing.SUSPECT || is == Standing.GONE) && !change.doubt().isEmpty()) {
+        if (change.own()
+                && (is == Standing.SUSPECT || is == Standing.GONE)
+                && !change.doubt().isEmpty()) {
             breach(change.atMs(), "4 no verdict in doubt", names + " while in doubt: " + change.doubt());
         }
         if (change.own() && (is == Standing.SUSPECT || is == Standing.GONE) && deaf[change.viewer()]) {
@@ -145,7 +146,9 @@
 
     private static int compare(Held one, Held other) {
         int order = one.life().compareTo(other.life());
-        order = order != 0 ? order : Boolean.compare(one.standing() == Standing.LEFT, other.standing() == Standing.LEFT);
+        order = order != 0
+                ? order
+                : Boolean.compare(one.standing() == Standing.LEFT, other.standing() == Standing.LEFT);
         order = order != 0 ? order : Integer.compare(one.turn(), other.turn());
         return order != 0 ? order : one.standing().compareTo(other.standing());
     }
@@ -162,8 +165,14 @@
                 boolean current = of != null && of.life().equals(lives[other]);
                 if (other != viewer && runs[other] && (!current || of.standing() != Standing.ALIVE)) {
                     breach(atMs, "views agree", "n" + viewer + " holds n" + other + " for " + of + ", and it runs");
-                } else if (other != viewer && !runs[other] && of != null && of.standing().there()) {
-                    breach(atMs, "views agree", "n" + viewer + " holds n" + other + " for " + of + ", and it has ended");
+                } else if (other != viewer
+                        && !runs[other]
+                        && of != null
+                        && of.standing().there()) {
+                    breach(
+                            atMs,
+                            "views agree",
+                            "n" + viewer + " holds n" + other + " for " + of + ", and it has ended");
                 }
             }
         }
--- a/lab/src/main/java/spartrail/lab/rules/PolicyRules.java
+++ b/lab/src/main/java/spartrail/lab/rules/PolicyRules.java
@@ -50,17 +50,15 @@
     }
 
     /** Times bounds rest on, in milliseconds. */
-    public record Bounds(double leaseMs, double overlapMs, double endsMs) {
-    }
+    public record Bounds(double leaseMs, double overlapMs, double endsMs) {}
 
-    private record Out(int node, long fromNs, long toNs) {
-    }
+    private record Out(int node, long fromNs, long toNs) {}
 
-    private record Proposal(long fromNs, long toNs) {
-    }
+    private record Proposal(long fromNs, long toNs) {}
 
     /** A process looks at its clock and then writes what it decided by: so late may the line's time be at the most. */
     private static final double SLACK_MS = 5;
+
     private static final int MOST_EXAMPLES = 3;
 
     private final Bounds bounds;
@@ -129,7 +127,10 @@
         order(sorted);
         for (List<Taken> each : transitions) {
             if (held.indexOf(each.get(1).base()) > held.indexOf(each.get(0).base()) + 1) {
-                breach("(a) one order", "n" + each.get(0).node() + " went from " + each.get(0).by() + " to " + each.get(1).by() + " and skipped some");
+                breach(
+                        "(a) one order",
+                        "n" + each.get(0).node() + " went from " + each.get(0).by() + " to "
+                                + each.get(1).by() + " and skipped some");
             }
         }
         refused(sorted);
@@ -139,8 +140,10 @@
             double tookMs = (each.getValue().toNs - each.getValue().fromNs) / 1e6;
             slowestMs = Math.max(slowestMs, tookMs);
             if (tookMs > bounds.endsMs()) {
-                breach("(f) every proposal ends", String.format(Locale.ROOT, "%s after %.0f ms, at most %.0f", each.getKey(), tookMs,
-                        bounds.endsMs()));
+                breach(
+                        "(f) every proposal ends",
+                        String.format(
+                                Locale.ROOT, "%s after %.0f ms, at most %.0f", each.getKey(), tookMs, bounds.endsMs()));
             }
         }
     }
@@ -164,7 +167,9 @@
     private void refused(List<Taken> sorted) {
         for (Taken each : sorted) {
             if (ended.containsKey(each.base()) || each.leased() && ended.containsKey(each.next()) && each.next() >= 0) {
-                breach("(b) refused is never", "n" + each.node() + " decided by " + each.by() + ", of which one was " + ended);
+                breach(
+                        "(b) refused is never",
+                        "n" + each.node() + " decided by " + each.by() + ", of which one was " + ended);
             }
         }
     }
@@ -178,8 +183,9 @@
             if (!each.leased()) {
                 continue;
             }
-            long[] span = (each.guarded() ? between : alone).computeIfAbsent(each.guarded() ? each.next() : each.base(),
-                    number -> new long[] {each.ns(), each.ns()});
+            long[] span = (each.guarded() ? between : alone)
+                    .computeIfAbsent(
+                            each.guarded() ? each.next() : each.base(), number -> new long[] {each.ns(), each.ns()});
             span[1] = Math.max(span[1], each.ns());
             if (!each.guarded()) {
                 latest.put(each.base(), each);
@@ -188,8 +194,15 @@
         long before = -1;
         for (Map.Entry<Long, long[]> each : alone.entrySet()) {
             if (before >= 0 && alone.get(before)[1] > each.getValue()[0]) {
-                breach("(c) one version at an instant", String.format(Locale.ROOT, "n%d decided by %d for %.1f ms after somebody by %d",
-                        latest.get(before).node(), before, (alone.get(before)[1] - each.getValue()[0]) / 1e6, each.getKey()));
+                breach(
+                        "(c) one version at an instant",
+                        String.format(
+                                Locale.ROOT,
+                                "n%d decided by %d for %.1f ms after somebody by %d",
+                                latest.get(before).node(),
+                                before,
+                                (alone.get(before)[1] - each.getValue()[0]) / 1e6,
+                                each.getKey()));
             }
             before = each.getKey();
         }
@@ -200,24 +213,38 @@
             for (Map.Entry<Long, long[]> other : alone.entrySet()) {
                 boolean allowed = other.getKey() == next || held.indexOf(other.getKey()) == held.indexOf(next) - 1;
                 if (!allowed && other.getValue()[0] < span[1] && span[0] < other.getValue()[1]) {
-                    breach("(c) one version at an instant", "some decided between others and " + next + " while some decided by "
-                            + other.getKey());
+                    breach(
+                            "(c) one version at an instant",
+                            "some decided between others and " + next + " while some decided by " + other.getKey());
                 }
             }
         }
         if (widestMs > bounds.overlapMs()) {
-            breach("(c) one version at an instant", String.format(Locale.ROOT, "guarded between two versions for %.0f ms, at most %.0f",
-                    widestMs, bounds.overlapMs()));
+            breach(
+                    "(c) one version at an instant",
+                    String.format(
+                            Locale.ROOT,
+                            "guarded between two versions for %.0f ms, at most %.0f",
+                            widestMs,
+                            bounds.overlapMs()));
         }
     }
 
     private void outOfTouch(List<Taken> sorted) {
         for (Taken each : sorted) {
             for (Out out : outs) {
-                if (each.leased() && out.node == each.node() && each.ns() < out.toNs
+                if (each.leased()
+                        && out.node == each.node()
+                        && each.ns() < out.toNs
                         && each.ns() > out.fromNs + 1e6 * (bounds.leaseMs() + SLACK_MS)) {
-                    breach("(e) out of touch it stops", String.format(Locale.ROOT, "n%d decided by %s %.0f ms after it could last hear",
-                            each.node(), each.by(), (each.ns() - out.fromNs) / 1e6));
+                    breach(
+                            "(e) out of touch it stops",
+                            String.format(
+                                    Locale.ROOT,
+                                    "n%d decided by %s %.0f ms after it could last hear",
+                                    each.node(),
+                                    each.by(),
+                                    (each.ns() - out.fromNs) / 1e6));
                 }
             }
         }
--- a/lab/src/main/java/spartrail/lab/rules/RuleChecker.java
+++ b/lab/src/main/java/spartrail/lab/rules/RuleChecker.java
@@ -40,8 +40,7 @@
     }
 
     /** How a rule fared: how often it was asked, how often it did not hold, and the first few breaches. */
-    public record Verdict(Rule rule, long asked, long broken, List<String> examples) {
-    }
+    public record Verdict(Rule rule, long asked, long broken, List<String> examples) {}
 
     private static final class Tallied {
         private long asked;
@@ -79,14 +78,14 @@
         }
     }
 
-    private record Standing(String state, double toldMs) {
-    }
+    private record Standing(String state, double toldMs) {}
 
     private static final int MOST_EXAMPLES = 5;
     private static final double KEPT_MS = 20_000;
     private static final int MOST_KEPT = 400_000;
     /** Whatever can be told counts as told so long afterwards, whether the node asked or not. */
     private static final double DEEMED_MS = 6000;
+
     private static final double ROUNDING = 2e-3;
 
     private final Terms terms;
@@ -94,6 +93,7 @@
     private final LinkedHashMap<String, Asked> asked = new LinkedHashMap<>();
     /** By node and server. */
     private final Map<String, Standing> told = new HashMap<>();
+
     private final Map<String, Standing> deemed = new HashMap<>();
     /** When a node was ended or stopped on purpose; an empty target stands for all. */
     private record Excuse(String target, double fromMs, double toMs) {
@@ -103,8 +103,7 @@
     }
 
     /** An answer that is missing and not excused so far. */
-    private record Missed(String target, double atMs, double endedMs, String example) {
-    }
+    private record Missed(String target, double atMs, double endedMs, String example) {}
 
     private static final int MOST_MISSED = 1000;
 
@@ -191,7 +190,8 @@
         String who = ask.id() + " (" + one.opType + ") ";
         if (kind != Kind.LEFT) {
             boolean inTime = !kind.unanswered() || kind == Kind.LATE && -ask.leftMs(nowMs) <= terms.slackMs();
-            boolean isExcused = !inTime && excused.stream().anyMatch(excuse -> excuse.covers(ask.target(), one.atMs, nowMs));
+            boolean isExcused =
+                    !inTime && excused.stream().anyMatch(excuse -> excuse.covers(ask.target(), one.atMs, nowMs));
             if (!inTime && !isExcused && missed.size() < MOST_MISSED) {
                 missed.add(new Missed(ask.target(), one.atMs, nowMs, who + "ended as " + kind));
             }
@@ -224,10 +224,18 @@
         for (Integer shard : body.values().keySet()) {
             weight += one.weights.getOrDefault(shard, 0.0);
         }
-        boolean whole = op.need() < 1 ? weight >= op.need() - ROUNDING : body.values().size() >= one.weights.size();
-        hold(Rule.LEAST_SHARE, weight >= Math.min(op.floor(), op.need()) - ROUNDING && (whole || !body.whole()),
-                String.format(Locale.ROOT, "%swas answered with %.3f of its weight, least %.3f, %s", who, weight,
-                        op.floor(), body.whole() ? "called whole" : "called partial"));
+        boolean whole =
+                op.need() < 1 ? weight >= op.need() - ROUNDING : body.values().size() >= one.weights.size();
+        hold(
+                Rule.LEAST_SHARE,
+                weight >= Math.min(op.floor(), op.need()) - ROUNDING && (whole || !body.whole()),
+                String.format(
+                        Locale.ROOT,
+                        "%swas answered with %.3f of its weight, least %.3f, %s",
+                        who,
+                        weight,
+                        op.floor(),
+                        body.whole() ? "called whole" : "called partial"));
     }
 
     @Override
@@ -238,8 +246,7 @@
     // ---- Servers and roll ----
 
     @Override
-    public synchronized void told(int node, String server, String state, double bornMs, double changedMs,
-            double atMs) {
+    public synchronized void told(int node, String server, String state, double bornMs, double changedMs, double atMs) {
         String key = node + "/" + server;
         Standing before = told.get(key);
         if (before == null || !before.state().equals(state)) {
@@ -287,28 +294,50 @@
 
     private void drained(int node, String server, String partId, double atMs) {
         Standing standing = told.get(node + "/" + server);
-        double sinceMs = standing == null || standing.state().equals("SERVING") ? Double.POSITIVE_INFINITY
-                : standing.toldMs();
+        double sinceMs =
+                standing == null || standing.state().equals("SERVING") ? Double.POSITIVE_INFINITY : standing.toldMs();
         Standing must = deemed.get(node + "/" + server);
         sinceMs = must == null ? sinceMs : Math.min(sinceMs, must.toldMs());
-        hold(Rule.DRAINED, atMs <= sinceMs + terms.graceMs() + terms.slackMs(), String.format(Locale.ROOT,
-                "%s reached %s from node %d, %.0f ms after its end was told", partId, server, node, atMs - sinceMs));
+        hold(
+                Rule.DRAINED,
+                atMs <= sinceMs + terms.graceMs() + terms.slackMs(),
+                String.format(
+                        Locale.ROOT,
+                        "%s reached %s from node %d, %.0f ms after its end was told",
+                        partId,
+                        server,
+                        node,
+                        atMs - sinceMs));
     }
 
     private void again(Asked one, String partId, List<Sent> before, double atMs) {
         Terms.Op op = terms.opTypes().get(one.opType);
         boolean out = before.stream().anyMatch(sent -> sent.end == null);
         if (op != null && op.repeat() == Terms.Repeat.NON_RETRIABLE) {
-            hold(Rule.NO_EFFECT_TWICE, before.stream().noneMatch(Sent::mayHaveRun),
+            hold(
+                    Rule.NO_EFFECT_TWICE,
+                    before.stream().noneMatch(Sent::mayHaveRun),
                     partId + " was sent again though it may have run");
         } else if (op != null && op.repeat() == Terms.Repeat.DEDUPED) {
-            double firstMs = before.stream().filter(Sent::mayHaveRun).mapToDouble(sent -> sent.atMs).min()
+            double firstMs = before.stream()
+                    .filter(Sent::mayHaveRun)
+                    .mapToDouble(sent -> sent.atMs)
+                    .min()
                     .orElse(Double.POSITIVE_INFINITY);
-            hold(Rule.NO_EFFECT_TWICE, atMs <= firstMs + op.dedupMs() + terms.slackMs(), String.format(Locale.ROOT,
-                    "%s was sent again %.0f ms after a send that may have run", partId, atMs - firstMs));
-        }
-        hold(Rule.BUDGET, before.size() < terms.mostSends() && (terms.parallel() || !out), partId + " was sent "
-                + (before.size() + 1) + " times" + (out && !terms.parallel() ? ", two of them at a time" : ""));
+            hold(
+                    Rule.NO_EFFECT_TWICE,
+                    atMs <= firstMs + op.dedupMs() + terms.slackMs(),
+                    String.format(
+                            Locale.ROOT,
+                            "%s was sent again %.0f ms after a send that may have run",
+                            partId,
+                            atMs - firstMs));
+        }
+        hold(
+                Rule.BUDGET,
+                before.size() < terms.mostSends() && (terms.parallel() || !out),
+                partId + " was sent " + (before.size() + 1) + " times"
+                        + (out && !terms.parallel() ? ", two of them at a time" : ""));
     }
 
     /** Multigets taken and further sends of the window that ends now. */
@@ -325,8 +354,10 @@
             furtherSum -= (long) gone[2];
         }
         if (more > 0) {
-            hold(Rule.BUDGET, furtherSum <= terms.furtherLeast() + terms.furtherRatio() * takenSum, furtherSum
-                    + " further sends for " + takenSum + " multigets within the window");
+            hold(
+                    Rule.BUDGET,
+                    furtherSum <= terms.furtherLeast() + terms.furtherRatio() * takenSum,
+                    furtherSum + " further sends for " + takenSum + " multigets within the window");
         }
     }
 
@@ -367,8 +398,8 @@
 
     public synchronized List<Verdict> verdicts() {
         List<Verdict> verdicts = new ArrayList<>();
-        tallies.forEach((rule, tally) -> verdicts.add(new Verdict(rule, tally.asked, tally.broken,
-                List.copyOf(tally.examples))));
+        tallies.forEach((rule, tally) ->
+                verdicts.add(new Verdict(rule, tally.asked, tally.broken, List.copyOf(tally.examples))));
         return verdicts;
     }
 
@@ -383,11 +414,17 @@
     public synchronized String text() {
         StringBuilder out = new StringBuilder(String.format(Locale.ROOT, "%-72s %9s %7s%n", "rule", "asked", "broken"));
         for (Verdict verdict : verdicts()) {
-            out.append(String.format(Locale.ROOT, "%-72s %9d %7d%n", verdict.rule().text, verdict.asked(),
-                    verdict.broken()));
-            verdict.examples().forEach(example -> out.append("    ").append(example).append('\n'));
-        }
-        return out.append(String.format(Locale.ROOT, "nearest to a fall %.3f of it; parts nobody asked for %d; parts after"
-                + " their answer %d%n", worstCold, strayParts, lateParts)).toString();
+            out.append(String.format(
+                    Locale.ROOT, "%-72s %9d %7d%n", verdict.rule().text, verdict.asked(), verdict.broken()));
+            verdict.examples()
+                    .forEach(example -> out.append("    ").append(example).append('\n'));
+        }
+        return out.append(String.format(
+                        Locale.ROOT,
+                        "nearest to a fall %.3f of it; parts nobody asked for %d; parts after" + " their answer %d%n",
+                        worstCold,
+                        strayParts,
+                        lateParts))
+                .toString();
     }
 }
--- a/lab/src/main/java/spartrail/lab/rules/Terms.java
+++ b/lab/src/main/java/spartrail/lab/rules/Terms.java
@@ -12,16 +12,26 @@
  * @param furtherRatio further sends allowed for each multiget taken, and {@code furtherLeast} however few there are,
  *        both within {@code furtherWindowMs}; infinite without a budget
  */
-public record Terms(Map<String, Op> opTypes, double graceMs, double slackMs, int mostSends, boolean parallel,
-        double furtherRatio, double furtherLeast, double furtherWindowMs) {
+public record Terms(
+        Map<String, Op> opTypes,
+        double graceMs,
+        double slackMs,
+        int mostSends,
+        boolean parallel,
+        double furtherRatio,
+        double furtherLeast,
+        double furtherWindowMs) {
     /** What a repeat of a part does. */
-    public enum Repeat { RETRIABLE, DEDUPED, NON_RETRIABLE }
+    public enum Repeat {
+        RETRIABLE,
+        DEDUPED,
+        NON_RETRIABLE
+    }
 
     /**
      * @param dedupMs servers discard repeats for so long
      * @param need share of the weight that makes a whole answer
      * @param floor least share of an answer
      */
-    public record Op(Repeat repeat, double dedupMs, double need, double floor) {
-    }
+    public record Op(Repeat repeat, double dedupMs, double need, double floor) {}
 }
--- a/lab/src/main/java/spartrail/lab/scale/Benchmarks.java
+++ b/lab/src/main/java/spartrail/lab/scale/Benchmarks.java
@@ -14,7 +14,8 @@
 final class Benchmarks {
     /** How thorough a run is; the quick form is for tests of the tests. */
     enum Effort {
-        FULL(1, 2, 5, 1000), QUICK(0, 1, 1, 50);
+        FULL(1, 2, 5, 1000),
+        QUICK(0, 1, 1, 50);
 
         final int forks;
         final int warmups;
@@ -29,15 +30,21 @@
         }
     }
 
-    private Benchmarks() {
-    }
+    private Benchmarks() {}
 
     /** Microseconds of one call, on average. */
-    static double microseconds(Class<?> benchmark, String method, Map<String, Integer> parameters, Effort effort) throws RunnerException {
-        ChainedOptionsBuilder options = new OptionsBuilder().include("^" + benchmark.getName().replace(".", "\\.") + "\\." + method + "$")
-                .forks(effort.forks).warmupIterations(effort.warmups).measurementIterations(effort.iterations)
-                .warmupTime(TimeValue.milliseconds(effort.iterationMs)).measurementTime(TimeValue.milliseconds(effort.iterationMs))
-                .jvmArgs("-Xms2g", "-Xmx2g", "-XX:+UseSerialGC").verbosity(VerboseMode.SILENT).shouldFailOnError(true);
+    static double microseconds(Class<?> benchmark, String method, Map<String, Integer> parameters, Effort effort)
+            throws RunnerException {
+        ChainedOptionsBuilder options = new OptionsBuilder()
+                .include("^" + benchmark.getName().replace(".", "\\.") + "\\." + method + "$")
+                .forks(effort.forks)
+                .warmupIterations(effort.warmups)
+                .measurementIterations(effort.iterations)
+                .warmupTime(TimeValue.milliseconds(effort.iterationMs))
+                .measurementTime(TimeValue.milliseconds(effort.iterationMs))
+                .jvmArgs("-Xms2g", "-Xmx2g", "-XX:+UseSerialGC")
+                .verbosity(VerboseMode.SILENT)
+                .shouldFailOnError(true);
         parameters.forEach((name, value) -> options.param(name, String.valueOf(value)));
         Collection<RunResult> results = new Runner(options.build()).run();
         return results.iterator().next().getPrimaryResult().getScore();
--- a/lab/src/main/java/spartrail/lab/scale/Fit.java
+++ b/lab/src/main/java/spartrail/lab/scale/Fit.java
@@ -7,8 +7,7 @@
 /** A curve through measured points: a line or a power, whichever leaves the smaller relative residuals. */
 public record Fit(String formula, DoubleUnaryOperator at, List<Double> residuals) {
     /** A measured figure at a size. */
-    public record Point(double size, double figure) {
-    }
+    public record Point(double size, double figure) {}
 
     /** Needs two points or more of different sizes. */
     public static Fit of(List<Point> points) {
@@ -20,24 +19,39 @@
 
     /** Root of the mean square of the residuals. */
     public double error() {
-        return Math.sqrt(residuals.stream().mapToDouble(residual -> residual * residual).average().orElse(0));
+        return Math.sqrt(residuals.stream()
+                .mapToDouble(residual -> residual * residual)
+                .average()
+                .orElse(0));
     }
 
     /** Weighted by the inverse square of the figure: the small sizes count as much as the large ones. */
     private static Fit line(List<Point> points) {
         double[] line = regression(points, false);
-        return fit(String.format(Locale.ROOT, "%.4g + %.4g * size", line[0], line[1]), size -> line[0] + line[1] * size, points);
+        return fit(
+                String.format(Locale.ROOT, "%.4g + %.4g * size", line[0], line[1]),
+                size -> line[0] + line[1] * size,
+                points);
     }
 
     private static Fit power(List<Point> points) {
         double[] line = regression(points, true);
         double factor = Math.exp(line[0]);
-        return fit(String.format(Locale.ROOT, "%.4g * size^%.3f", factor, line[1]), size -> factor * Math.pow(size, line[1]), points);
+        return fit(
+                String.format(Locale.ROOT, "%.4g * size^%.3f", factor, line[1]),
+                size -> factor * Math.pow(size, line[1]),
+                points);
     }
 
     private static Fit fit(String formula, DoubleUnaryOperator at, List<Point> points) {
-        return new Fit(formula, at, points.stream().map(point -> point.figure == 0 ? at.applyAsDouble(point.size)
-                : (at.applyAsDouble(point.size) - point.figure) / point.figure).toList());
+        return new Fit(
+                formula,
+                at,
+                points.stream()
+                        .map(point -> point.figure == 0
+                                ? at.applyAsDouble(point.size)
+                                : (at.applyAsDouble(point.size) - point.figure) / point.figure)
+                        .toList());
     }
 
     private static double[] regression(List<Point> points, boolean logarithms) {
--- a/lab/src/main/java/spartrail/lab/scale/HollowNode.java
+++ b/lab/src/main/java/spartrail/lab/scale/HollowNode.java
@@ -19,10 +19,12 @@
 public final class HollowNode {
     /** Shards of the target; a query goes to one server of each. */
     public static final int SHARDS = 250;
+
     public static final int ZONES = 32;
     private static final int LEAST_ZONES = 2;
     /** Changes of state of one server by turns, so that each is one. */
     private static final String CHANGED = "s-7";
+
     private static final int CHANGED_NUMBER = 7;
 
     private final OpType opType = opType();
@@ -35,14 +37,20 @@
     /** Subsets of so many replicas of each shard; 0 for all of them. */
     public HollowNode(int servers, int replicasPerShard) {
         filter = replicasPerShard == 0 ? null : filter(replicasPerShard);
-        coordinator = new WindowCoordinator(new Random(1), List.of(opType)).nodes(3900, 1).layout(SHARDS, SHARDS, 1, 1)
-                .sends(3, true, true).coldStart(0.2, 10_000, 2, 1000).comeback(true, 1000);
+        coordinator = new WindowCoordinator(new Random(1), List.of(opType))
+                .nodes(3900, 1)
+                .layout(SHARDS, SHARDS, 1, 1)
+                .sends(3, true, true)
+                .coldStart(0.2, 10_000, 2, 1000)
+                .comeback(true, 1000);
         wholeList(HollowServers.list(servers, SHARDS, ZONES));
     }
 
     /** The subset of one node at the target's layout. */
     public static SubsetFilter filter(int replicasPerShard) {
-        return new SubsetFilter(new SubsetSelector("node-1", new SubsetSettings(replicasPerShard, LEAST_ZONES), SHARDS, SHARDS, 1), 1000);
+        return new SubsetFilter(
+                new SubsetSelector("node-1", new SubsetSettings(replicasPerShard, LEAST_ZONES), SHARDS, SHARDS, 1),
+                1000);
     }
 
     private static OpType opType() {
@@ -75,8 +83,8 @@
     public Decisions oneChange() {
         draining = !draining;
         Server.State state = draining ? Server.State.DRAINING : Server.State.LIVE;
-        EndpointList change = new EndpointList(2, false,
-                List.of(HollowServers.endpoint(CHANGED, CHANGED_NUMBER, SHARDS, ZONES, state, 0)));
+        EndpointList change = new EndpointList(
+                2, false, List.of(HollowServers.endpoint(CHANGED, CHANGED_NUMBER, SHARDS, ZONES, state, 0)));
         return wholeList(change);
     }
 
--- a/lab/src/main/java/spartrail/lab/scale/HollowServers.java
+++ b/lab/src/main/java/spartrail/lab/scale/HollowServers.java
@@ -9,8 +9,7 @@
 
 /** Lists of index servers of any size, without sockets: shards in turn, then zones in turn. */
 public final class HollowServers {
-    private HollowServers() {
-    }
+    private HollowServers() {}
 
     /** The server of this number. */
     public static Endpoint endpoint(int number, int shards, int zones) {
@@ -19,7 +18,8 @@
 
     /** A server that stands in the place of this number. */
     public static Endpoint endpoint(String id, int number, int shards, int zones, Server.State state, long bootMs) {
-        InetSocketAddress address = new InetSocketAddress("10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255), 7000);
+        InetSocketAddress address =
+                new InetSocketAddress("10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255), 7000);
         return new Endpoint(id, address, "zone-" + number / shards % zones, "std", number % shards, state, 1, bootMs);
     }
 
@@ -34,14 +34,28 @@
 
     /** The same list in the form in which discovery sends it. */
     public static String json(EndpointList list) {
-        StringBuilder text = new StringBuilder("{\"rev\":").append(list.version()).append(",\"all\":").append(list.all())
+        StringBuilder text = new StringBuilder("{\"rev\":")
+                .append(list.version())
+                .append(",\"all\":")
+                .append(list.all())
                 .append(",\"targets\":[");
         for (Endpoint line : list.lines()) {
-            text.append(text.charAt(text.length() - 1) == '[' ? "" : ",").append("{\"uid\":\"").append(line.id())
-                    .append("\",\"endpoint\":\"").append(line.address().getAddress().getHostAddress()).append(':')
-                    .append(line.address().getPort()).append("\",\"az\":\"").append(line.zone()).append("\",\"model\":\"")
-                    .append(line.kind()).append("\",\"pod_group\":").append(line.cell())
-                    .append(",\"state\":\"SERVING\",\"capacity_hint\":1.0,\"boot_ms\":").append(line.bootMs()).append('}');
+            text.append(text.charAt(text.length() - 1) == '[' ? "" : ",")
+                    .append("{\"uid\":\"")
+                    .append(line.id())
+                    .append("\",\"endpoint\":\"")
+                    .append(line.address().getAddress().getHostAddress())
+                    .append(':')
+                    .append(line.address().getPort())
+                    .append("\",\"az\":\"")
+                    .append(line.zone())
+                    .append("\",\"model\":\"")
+                    .append(line.kind())
+                    .append("\",\"pod_group\":")
+                    .append(line.cell())
+                    .append(",\"state\":\"SERVING\",\"capacity_hint\":1.0,\"boot_ms\":")
+                    .append(line.bootMs())
+                    .append('}');
         }
         return text.append("]}").toString();
     }
--- a/lab/src/main/java/spartrail/lab/scale/ListBenchmark.java
+++ b/lab/src/main/java/spartrail/lab/scale/ListBenchmark.java
@@ -57,7 +57,12 @@
     public Object subsetAfterOneChange() {
         draining = !draining;
         Server.State state = draining ? Server.State.DRAINING : Server.State.LIVE;
-        return filter.own(new EndpointList(2, false, List.of(
-                HollowServers.endpoint("s-" + CHANGED, CHANGED, HollowNode.SHARDS, HollowNode.ZONES, state, 0))), 0);
+        return filter.own(
+                new EndpointList(
+                        2,
+                        false,
+                        List.of(HollowServers.endpoint(
+                                "s-" + CHANGED, CHANGED, HollowNode.SHARDS, HollowNode.ZONES, state, 0))),
+                0);
     }
 }
--- a/lab/src/main/java/spartrail/lab/scale/ScaleResult.java
+++ b/lab/src/main/java/spartrail/lab/scale/ScaleResult.java
@@ -10,7 +10,10 @@
 public record ScaleResult(ScaleTest test, int replicasPerShard, List<Fit.Point> points, Fit fit) {
     /** The figure at the target: measured where that size was run, else by the fit. */
     public double atTarget() {
-        return points.stream().filter(point -> point.size() == test.target()).mapToDouble(Fit.Point::figure).findFirst()
+        return points.stream()
+                .filter(point -> point.size() == test.target())
+                .mapToDouble(Fit.Point::figure)
+                .findFirst()
                 .orElseGet(() -> fit.at().applyAsDouble(test.target()));
     }
 
@@ -19,24 +22,54 @@
     }
 
     public void print(PrintStream out) {
-        out.printf(Locale.ROOT, "%n%s: %s%s%n%n| %s | %s | fit | residual |%n|---|---|---|---|%n", test.name(), test.summary(),
-                replicasPerShard > 0 ? ", subsets of " + replicasPerShard : "", test.size(), test.unit());
+        out.printf(
+                Locale.ROOT,
+                "%n%s: %s%s%n%n| %s | %s | fit | residual |%n|---|---|---|---|%n",
+                test.name(),
+                test.summary(),
+                replicasPerShard > 0 ? ", subsets of " + replicasPerShard : "",
+                test.size(),
+                test.unit());
         for (int i = 0; i < points.size(); i++) {
             Fit.Point point = points.get(i);
-            out.printf(Locale.ROOT, "| %.0f | %.4g | %.4g | %+.0f%% |%n", point.size(), point.figure(),
-                    fit.at().applyAsDouble(point.size()), 100 * fit.residuals().get(i));
+            out.printf(
+                    Locale.ROOT,
+                    "| %.0f | %.4g | %.4g | %+.0f%% |%n",
+                    point.size(),
+                    point.figure(),
+                    fit.at().applyAsDouble(point.size()),
+                    100 * fit.residuals().get(i));
         }
-        out.printf(Locale.ROOT, "%nFit: %s. At the target, %d %s: %.4g %s (%s; largest size run %.0f).%n", fit.formula(), test.target(),
-                test.size(), atTarget(), test.unit(), largestRun() >= test.target() ? "measured" : "by the fit", largestRun());
+        out.printf(
+                Locale.ROOT,
+                "%nFit: %s. At the target, %d %s: %.4g %s (%s; largest size run %.0f).%n",
+                fit.formula(),
+                test.target(),
+                test.size(),
+                atTarget(),
+                test.unit(),
+                largestRun() >= test.target() ? "measured" : "by the fit",
+                largestRun());
     }
 
     public ObjectNode json() {
-        ObjectNode node = Document.JSON.createObjectNode().put("test", test.name()).put("size", test.size()).put("unit", test.unit())
-                .put("replicasPerShard", replicasPerShard).put("fit", fit.formula()).put("error", fit.error())
-                .put("target", test.target()).put("atTarget", atTarget()).put("largestRun", largestRun());
+        ObjectNode node = Document.JSON
+                .createObjectNode()
+                .put("test", test.name())
+                .put("size", test.size())
+                .put("unit", test.unit())
+                .put("replicasPerShard", replicasPerShard)
+                .put("fit", fit.formula())
+                .put("error", fit.error())
+                .put("target", test.target())
+                .put("atTarget", atTarget())
+                .put("largestRun", largestRun());
         var array = node.putArray("points");
         for (int i = 0; i < points.size(); i++) {
-            array.addObject().put("size", points.get(i).size()).put("figure", points.get(i).figure()).put("residual", fit.residuals().get(i));
+            array.addObject()
+                    .put("size", points.get(i).size())
+                    .put("figure", points.get(i).figure())
+                    .put("residual", fit.residuals().get(i));
         }
         return node;
     }
--- a/lab/src/main/java/spartrail/lab/scale/ScaleTests.java
+++ b/lab/src/main/java/spartrail/lab/scale/ScaleTests.java
@@ -20,6 +20,7 @@
     private static final int TARGET_PARTS = 250;
     /** Where the number of parts is the size, and no subsets are asked for. */
     private static final int SERVERS_OF_PARTS = 16_000;
+
     private static final int PEER_RUNS = 2;
     private static final String CALM = "none";
     private static final String LOSS = "a tenth loses 0.3 of what it sends";
@@ -43,35 +44,94 @@
     /** The one of this name. */
     public static ScaleTest named(String name, int replicasPerShard) {
         List<ScaleTest> all = all(replicasPerShard);
-        return all.stream().filter(test -> test.name().equals(name)).findFirst().orElseThrow(() ->
-                new BadInput("no scale test is named '" + name + "'; there are " + all.stream().map(ScaleTest::name).toList()));
+        return all.stream()
+                .filter(test -> test.name().equals(name))
+                .findFirst()
+                .orElseThrow(() -> new BadInput("no scale test is named '" + name + "'; there are "
+                        + all.stream().map(ScaleTest::name).toList()));
     }
 
     List<ScaleTest> list() {
         return List.of(
                 servers("module-heap", "memory of the decision module", "MB", this::moduleHeap),
-                servers("module-whole-list", "the module takes the whole list", "us", size -> module("wholeList", size, TARGET_PARTS)),
-                servers("module-list-change", "the module takes a change of one server", "us", size -> module("oneChange", size, TARGET_PARTS)),
-                servers("module-tick", "the module's tick with nothing in hand", "us", size -> module("idleTick", size, TARGET_PARTS)),
-                servers("module-part", "a part of a query over 250 shards, placed and answered", "us",
+                servers(
+                        "module-whole-list",
+                        "the module takes the whole list",
+                        "us",
+                        size -> module("wholeList", size, TARGET_PARTS)),
+                servers(
+                        "module-list-change",
+                        "the module takes a change of one server",
+                        "us",
+                        size -> module("oneChange", size, TARGET_PARTS)),
+                servers(
+                        "module-tick",
+                        "the module's tick with nothing in hand",
+                        "us",
+                        size -> module("idleTick", size, TARGET_PARTS)),
+                servers(
+                        "module-part",
+                        "a part of a query over 250 shards, placed and answered",
+                        "us",
                         size -> module("query", size, TARGET_PARTS) / TARGET_PARTS),
-                new ScaleTest("module-query", "a query of so many parts, placed and answered, " + SERVERS_OF_PARTS + " servers", "parts", "us",
-                        PARTS, TARGET_PARTS, parts -> module("query", SERVERS_OF_PARTS, parts)),
-                servers("list-bytes", "discovery's whole list as it is sent", "MB", size -> body(size).length / BYTES_IN_MB),
+                new ScaleTest(
+                        "module-query",
+                        "a query of so many parts, placed and answered, " + SERVERS_OF_PARTS + " servers",
+                        "parts",
+                        "us",
+                        PARTS,
+                        TARGET_PARTS,
+                        parts -> module("query", SERVERS_OF_PARTS, parts)),
+                servers(
+                        "list-bytes",
+                        "discovery's whole list as it is sent",
+                        "MB",
+                        size -> body(size).length / BYTES_IN_MB),
                 servers("list-decode", "the whole list read from its JSON", "us", size -> list("decode", size)),
-                servers("list-heap", "the whole list in memory", "MB", size -> megabytes(EndpointList.decode(body(size)))),
-                servers("subset-whole-list", "the subset chosen from the whole list", "us", size -> list("subsetOfWholeList", size)),
-                servers("subset-list-change", "the subset after a change of one server", "us", size -> list("subsetAfterOneChange", size)),
+                servers(
+                        "list-heap",
+                        "the whole list in memory",
+                        "MB",
+                        size -> megabytes(EndpointList.decode(body(size)))),
+                servers(
+                        "subset-whole-list",
+                        "the subset chosen from the whole list",
+                        "us",
+                        size -> list("subsetOfWholeList", size)),
+                servers(
+                        "subset-list-change",
+                        "the subset after a change of one server",
+                        "us",
+                        size -> list("subsetAfterOneChange", size)),
                 servers("subset-heap", "memory of the subset, its spares included", "MB", this::subsetHeap),
-                nodes("peers-bytes-calm", "bytes a second of a node's talk, no fault", "bytes/s", size -> peers(size, CALM).bytesPerS()),
-                nodes("peers-bytes-loss", "bytes a second of a node's talk, a tenth of the nodes loses 0.3 of its messages", "bytes/s",
+                nodes("peers-bytes-calm", "bytes a second of a node's talk, no fault", "bytes/s", size -> peers(
+                                size, CALM)
+                        .bytesPerS()),
+                nodes(
+                        "peers-bytes-loss",
+                        "bytes a second of a node's talk, a tenth of the nodes loses 0.3 of its messages",
+                        "bytes/s",
                         size -> peers(size, LOSS).bytesPerS()),
-                nodes("peers-false-calm", "nodes wrongly held to be gone, an hour and node, no fault", "1/h", size -> peers(size, CALM).endsAnHour()),
-                nodes("peers-false-loss", "nodes wrongly held to be gone, an hour and node, a tenth loses 0.3 of its messages", "1/h",
+                nodes(
+                        "peers-false-calm",
+                        "nodes wrongly held to be gone, an hour and node, no fault",
+                        "1/h",
+                        size -> peers(size, CALM).endsAnHour()),
+                nodes(
+                        "peers-false-loss",
+                        "nodes wrongly held to be gone, an hour and node, a tenth loses 0.3 of its messages",
+                        "1/h",
                         size -> peers(size, LOSS).endsAnHour()),
-                nodes("peers-cpu-calm", "processor time of a node's talk with the virtual network's own, no fault", "% of a core",
+                nodes(
+                        "peers-cpu-calm",
+                        "processor time of a node's talk with the virtual network's own, no fault",
+                        "% of a core",
                         size -> peersProcessorShare(size, CALM)),
-                nodes("peers-cpu-loss", "the same, a tenth loses 0.3 of its messages", "% of a core", size -> peersProcessorShare(size, LOSS)));
+                nodes(
+                        "peers-cpu-loss",
+                        "the same, a tenth loses 0.3 of its messages",
+                        "% of a core",
+                        size -> peersProcessorShare(size, LOSS)));
     }
 
     private static ScaleTest servers(String name, String summary, String unit, ScaleTest.Measurement measurement) {
@@ -83,11 +143,16 @@
     }
 
     private double module(String method, int servers, int parts) throws Exception {
-        return Benchmarks.microseconds(ModuleBenchmark.class, method, Map.of("servers", servers, "replicas", replicas, "parts", parts), effort);
+        return Benchmarks.microseconds(
+                ModuleBenchmark.class,
+                method,
+                Map.of("servers", servers, "replicas", replicas, "parts", parts),
+                effort);
     }
 
     private double list(String method, int servers) throws Exception {
-        return Benchmarks.microseconds(ListBenchmark.class, method, Map.of("servers", servers, "replicas", Math.max(8, replicas)), effort);
+        return Benchmarks.microseconds(
+                ListBenchmark.class, method, Map.of("servers", servers, "replicas", Math.max(8, replicas)), effort);
     }
 
     private double moduleHeap(int servers) {
@@ -101,7 +166,8 @@
     }
 
     private static byte[] body(int servers) {
-        return HollowServers.json(HollowServers.list(servers, HollowNode.SHARDS, HollowNode.ZONES)).getBytes(StandardCharsets.UTF_8);
+        return HollowServers.json(HollowServers.list(servers, HollowNode.SHARDS, HollowNode.ZONES))
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     private static double megabytes(Object root) {
@@ -114,7 +180,8 @@
 
     /** Processor time of the whole run over all nodes and the seconds that passed for them. */
     private static double peersProcessorShare(int nodes, String fault) {
-        var system = (com.sun.management.OperatingSystemMXBean) java.lang.management.ManagementFactory.getOperatingSystemMXBean();
+        var system = (com.sun.management.OperatingSystemMXBean)
+                java.lang.management.ManagementFactory.getOperatingSystemMXBean();
         long fromNs = system.getProcessCpuTime();
         PeersFigures.of(nodes, fault, PEER_RUNS, PeerTimes.USUAL);
         double usedS = (system.getProcessCpuTime() - fromNs) / 1e9;
--- a/lab/src/main/java/spartrail/lab/subset/SubsetCheck.java
+++ b/lab/src/main/java/spartrail/lab/subset/SubsetCheck.java
@@ -40,8 +40,8 @@
         for (int shard = 0; shard < shape.shards(); shard++) {
             shards.add(new HashMap<>());
         }
-        all.values().stream().filter(line -> line.state() == Server.State.LIVE)
-                .forEach(line -> shards.get(line.cell()).put(line.id(), line.zone()));
+        all.values().stream().filter(line -> line.state() == Server.State.LIVE).forEach(line -> shards.get(line.cell())
+                .put(line.id(), line.zone()));
         return shards;
     }
 
@@ -69,7 +69,8 @@
     /** What a change by the list's own lines has moved. */
     void moved(String what, EndpointList change, int opened) {
         if (!change.all() && opened > 2 * change.lines().size()) {
-            breaches.add("4: " + what + ": " + opened + " opened for " + change.lines().size() + " changes");
+            breaches.add("4: " + what + ": " + opened + " opened for "
+                    + change.lines().size() + " changes");
         }
     }
 
--- a/lab/src/main/java/spartrail/lab/subset/SubsetFault.java
+++ b/lab/src/main/java/spartrail/lab/subset/SubsetFault.java
@@ -14,12 +14,14 @@
     NONE("as it is", node -> node.filter()::own),
     SPARES_FORGOTTEN("no spare follows one that is gone", node -> {
         SubsetFilter filter = node.filter();
-        return (list, nowMs) -> list.all() ? filter.own(list, nowMs)
+        return (list, nowMs) -> list.all()
+                ? filter.own(list, nowMs)
                 : only(filter.own(list, nowMs), line -> line.state() != Server.State.LIVE || named(list, line.id()));
     }),
     ZONE_IGNORED("zones do not count", node -> {
         SubsetSettings settings = node.shape().settings();
-        return new SubsetFilter(node.shape().selector(node.number(), new SubsetSettings(settings.replicasPerShard(), 1)),
+        return new SubsetFilter(
+                node.shape().selector(node.number(), new SubsetSettings(settings.replicasPerShard(), 1)),
                 FleetShape.LONGEST_OUT_MS)::own;
     }),
     DRAINING_KEPT("a draining server stays in use", node -> {
@@ -84,7 +86,8 @@
     }
 
     private static EndpointList only(EndpointList list, java.util.function.Predicate<Endpoint> kept) {
-        return new EndpointList(list.version(), list.all(), list.lines().stream().filter(kept).toList());
+        return new EndpointList(
+                list.version(), list.all(), list.lines().stream().filter(kept).toList());
     }
 
     private static boolean named(EndpointList list, String id) {
@@ -100,7 +103,8 @@
     }
 
     private static Endpoint with(Endpoint line, Server.State state) {
-        return new Endpoint(line.id(), line.address(), line.zone(), line.kind(), line.cell(), state, line.rating(), line.bootMs());
+        return new Endpoint(
+                line.id(), line.address(), line.zone(), line.kind(), line.cell(), state, line.rating(), line.bootMs());
     }
 
     /** Chooses anew in another order with each version of the list. */
@@ -125,8 +129,8 @@
                 }
             }
             FleetShape shape = node.shape();
-            var selector = new spartrail.subset.SubsetSelector(shape.node(node.number()) + list.version(), shape.settings(), shape.shards(),
-                    shape.shards(), 1);
+            var selector = new spartrail.subset.SubsetSelector(
+                    shape.node(node.number()) + list.version(), shape.settings(), shape.shards(), shape.shards(), 1);
             EndpointList fresh = new SubsetFilter(selector, FleetShape.LONGEST_OUT_MS)
                     .own(new EndpointList(list.version(), true, List.copyOf(all.values())), nowMs);
             List<Endpoint> lines = new ArrayList<>(fresh.lines());
--- a/lab/src/main/java/spartrail/lab/subset/SubsetFigures.java
+++ b/lab/src/main/java/spartrail/lab/subset/SubsetFigures.java
@@ -24,19 +24,30 @@
      * One way to choose in one fleet; moves are connections that all nodes together open beyond those to the new server itself,
      * for one server that joins, leaves or is replaced.
      */
-    public record Row(String strategy, int least, double mean, int p99, int most, double connections, int leastZones, int emptyShards,
-            double movedByJoin, double movedByLeave, double movedByReplacement) {
+    public record Row(
+            String strategy,
+            int least,
+            double mean,
+            int p99,
+            int most,
+            double connections,
+            int leastZones,
+            int emptyShards,
+            double movedByJoin,
+            double movedByLeave,
+            double movedByReplacement) {
         public double mostOverMean() {
             return mean == 0 ? 0 : most / mean;
         }
     }
 
-    private SubsetFigures() {
-    }
+    private SubsetFigures() {}
 
     /** Every way to choose, for fleets that together are one: one, or one for each region. */
     public static List<Row> of(List<FleetShape> regions) {
-        return Arrays.stream(SubsetStrategy.values()).map(strategy -> row(strategy, regions)).toList();
+        return Arrays.stream(SubsetStrategy.values())
+                .map(strategy -> row(strategy, regions))
+                .toList();
     }
 
     private static Row row(SubsetStrategy strategy, List<FleetShape> regions) {
@@ -49,41 +60,63 @@
         sharing.sort(null);
         double mean = sharing.stream().mapToInt(each -> each).average().orElse(0);
         double[] moves = moves(strategy, regions.get(0));
-        return new Row(strategy.summary, sharing.get(0), mean, sharing.get((int) (0.99 * (sharing.size() - 1))),
-                sharing.get(sharing.size() - 1), connections.get() / (double) nodes, leastZones.get(), empty.get(), moves[0], moves[1], moves[2]);
+        return new Row(
+                strategy.summary,
+                sharing.get(0),
+                mean,
+                sharing.get((int) (0.99 * (sharing.size() - 1))),
+                sharing.get(sharing.size() - 1),
+                connections.get() / (double) nodes,
+                leastZones.get(),
+                empty.get(),
+                moves[0],
+                moves[1],
+                moves[2]);
     }
 
     private static List<LiveServer> replicas(FleetShape shape, int shard) {
         List<LiveServer> replicas = new ArrayList<>();
         for (int number = shard; number < shape.servers(); number += shape.shards()) {
-            var line = HollowServers.endpoint(shape.region() + "s-" + number, number, shape.shards(), shape.zones(),
-                    spartrail.model.Server.State.LIVE, 0);
+            var line = HollowServers.endpoint(
+                    shape.region() + "s-" + number,
+                    number,
+                    shape.shards(),
+                    shape.zones(),
+                    spartrail.model.Server.State.LIVE,
+                    0);
             replicas.add(new LiveServer(line.id(), line.zone(), line.cell(), line.rating()));
         }
         return replicas;
     }
 
-    private static List<Integer> sharing(SubsetStrategy strategy, FleetShape shape, AtomicLong connections, AtomicInteger leastZones,
+    private static List<Integer> sharing(
+            SubsetStrategy strategy,
+            FleetShape shape,
+            AtomicLong connections,
+            AtomicInteger leastZones,
             AtomicInteger empty) {
         List<Integer> all = new ArrayList<>();
-        List<AtomicIntegerArray> counts = IntStream.range(0, shape.shards()).parallel().mapToObj(shard -> {
-            List<LiveServer> replicas = replicas(shape, shard);
-            Map<String, Integer> places = new HashMap<>();
-            replicas.forEach(server -> places.put(server.id(), places.size()));
-            AtomicIntegerArray ofShard = new AtomicIntegerArray(replicas.size());
-            for (int node = 0; node < shape.nodes(); node++) {
-                List<String> chosen = strategy.choose(node, shape.node(node), replicas, shape.settings());
-                Set<String> zones = new HashSet<>();
-                for (String id : chosen) {
-                    ofShard.incrementAndGet(places.get(id));
-                    zones.add(replicas.get(places.get(id)).zone());
-                }
-                connections.addAndGet(chosen.size());
-                leastZones.accumulateAndGet(zones.size(), Math::min);
-                empty.addAndGet(chosen.isEmpty() ? 1 : 0);
-            }
-            return ofShard;
-        }).toList();
+        List<AtomicIntegerArray> counts = IntStream.range(0, shape.shards())
+                .parallel()
+                .mapToObj(shard -> {
+                    List<LiveServer> replicas = replicas(shape, shard);
+                    Map<String, Integer> places = new HashMap<>();
+                    replicas.forEach(server -> places.put(server.id(), places.size()));
+                    AtomicIntegerArray ofShard = new AtomicIntegerArray(replicas.size());
+                    for (int node = 0; node < shape.nodes(); node++) {
+                        List<String> chosen = strategy.choose(node, shape.node(node), replicas, shape.settings());
+                        Set<String> zones = new HashSet<>();
+                        for (String id : chosen) {
+                            ofShard.incrementAndGet(places.get(id));
+                            zones.add(replicas.get(places.get(id)).zone());
+                        }
+                        connections.addAndGet(chosen.size());
+                        leastZones.accumulateAndGet(zones.size(), Math::min);
+                        empty.addAndGet(chosen.isEmpty() ? 1 : 0);
+                    }
+                    return ofShard;
+                })
+                .toList();
         for (AtomicIntegerArray ofShard : counts) {
             for (int i = 0; i < ofShard.length(); i++) {
                 all.add(ofShard.get(i));
@@ -113,12 +146,16 @@
         return Arrays.stream(moved).mapToDouble(each -> each / (double) shards).toArray();
     }
 
-    private static long moved(SubsetStrategy strategy, FleetShape shape, List<LiveServer> before, List<LiveServer> after, String fresh) {
+    private static long moved(
+            SubsetStrategy strategy, FleetShape shape, List<LiveServer> before, List<LiveServer> after, String fresh) {
         SubsetSettings settings = shape.settings();
-        return IntStream.range(0, shape.nodes()).parallel().mapToLong(node -> {
-            List<String> chosen = new ArrayList<>(strategy.choose(node, shape.node(node), after, settings));
-            chosen.remove(fresh);
-            return SubsetStrategy.opened(strategy.choose(node, shape.node(node), before, settings), chosen);
-        }).sum();
+        return IntStream.range(0, shape.nodes())
+                .parallel()
+                .mapToLong(node -> {
+                    List<String> chosen = new ArrayList<>(strategy.choose(node, shape.node(node), after, settings));
+                    chosen.remove(fresh);
+                    return SubsetStrategy.opened(strategy.choose(node, shape.node(node), before, settings), chosen);
+                })
+                .sum();
     }
 }
