--- a/lab/src/main/java/spartrail/lab/subset/SubsetRun.java
+++ b/lab/src/main/java/spartrail/lab/subset/SubsetRun.java
@@ -21,11 +21,11 @@
     private static final double DEAF_SHARE = 0.1;
     /** A figure for the ramp so far above the mean slows cold servers down for nothing. */
     private static final int MANY_DEVIATIONS = 8;
+
     private static final int SLACK = 12;
 
     /** What was found: a hash of all that every node was told, and broken promises with the first few of each. */
-    public record Outcome(long seed, long hash, int steps, long checks, int breaches, List<String> examples) {
-    }
+    public record Outcome(long seed, long hash, int steps, long checks, int breaches, List<String> examples) {}
 
     private final FleetShape shape;
     private final SubsetFault fault;
@@ -70,7 +70,12 @@
                 continue;
             }
             boolean meets = parts && i == deafTo;
-            EndpointList list = meets ? new EndpointList(step.change().version(), true, List.copyOf(step.after().values())) : step.change();
+            EndpointList list = meets
+                    ? new EndpointList(
+                            step.change().version(),
+                            true,
+                            List.copyOf(step.after().values()))
+                    : step.change();
             EndpointList own = lists.own(list, step.atMs());
             check.leaving(step.what(), own, usedAmong(reader, own), step.after());
             check.moved(step.what(), list, reader.take(own));
@@ -80,10 +85,13 @@
         }
         hash.addAndGet(told * (2L * number + 1));
         for (int shard = 0; shard < shape.shards(); shard++) {
-            reader.live(shard).forEach(id -> sharing.getOrDefault(id, new AtomicInteger()).incrementAndGet());
+            reader.live(shard)
+                    .forEach(id -> sharing.getOrDefault(id, new AtomicInteger()).incrementAndGet());
         }
         if (!check.breaches().isEmpty()) {
-            note(check.breaches().size(), "node " + number + ": " + check.examples().get(0));
+            note(
+                    check.breaches().size(),
+                    "node " + number + ": " + check.examples().get(0));
         }
     }
 
@@ -124,7 +132,11 @@
         if (most > figure) {
             note(1, "6: " + most + " nodes share a server, the ramp counts " + figure);
         }
-        int fewest = live.get(live.size() - 1).stream().mapToInt(Map::size).filter(size -> size > 0).min().orElse(1);
+        int fewest = live.get(live.size() - 1).stream()
+                .mapToInt(Map::size)
+                .filter(size -> size > 0)
+                .min()
+                .orElse(1);
         double mean = shape.nodes() * Math.min(1, shape.settings().replicasPerShard() / (double) fewest);
         if (figure > Math.min(shape.nodes(), mean + MANY_DEVIATIONS * Math.sqrt(mean) + SLACK) && figure > mean) {
             note(1, "6: the ramp counts " + figure + " nodes where " + Math.round(mean) + " share a server on average");
--- a/lab/src/main/java/spartrail/lab/subset/SubsetScript.java
+++ b/lab/src/main/java/spartrail/lab/subset/SubsetScript.java
@@ -20,8 +20,7 @@
     private static final double STEP_MS = 300;
 
     /** A step, what it changes, and the lines of all servers after it by their names. */
-    record Step(String what, double atMs, EndpointList change, Map<String, Endpoint> after) {
-    }
+    record Step(String what, double atMs, EndpointList change, Map<String, Endpoint> after) {}
 
     private final FleetShape shape;
     private final SplittableRandom random;
@@ -66,11 +65,13 @@
     }
 
     private Endpoint line(int place, int name, long bootMs, Server.State state) {
-        return HollowServers.endpoint(shape.region() + "s-" + name, place, shape.shards(), shape.zones(), state, bootMs);
+        return HollowServers.endpoint(
+                shape.region() + "s-" + name, place, shape.shards(), shape.zones(), state, bootMs);
     }
 
     private static Endpoint with(Endpoint line, Server.State state) {
-        return new Endpoint(line.id(), line.address(), line.zone(), line.kind(), line.cell(), state, line.rating(), line.bootMs());
+        return new Endpoint(
+                line.id(), line.address(), line.zone(), line.kind(), line.cell(), state, line.rating(), line.bootMs());
     }
 
     private void step(String what, List<Endpoint> lines) {
@@ -95,8 +96,15 @@
         Endpoint line = any();
         switch (random.nextInt(4)) {
             case 0 -> {
-                Endpoint next = new Endpoint(shape.region() + "r-" + replaced++, line.address(), line.zone(), line.kind(), line.cell(),
-                        Server.State.LIVE, line.rating(), steps.size());
+                Endpoint next = new Endpoint(
+                        shape.region() + "r-" + replaced++,
+                        line.address(),
+                        line.zone(),
+                        line.kind(),
+                        line.cell(),
+                        Server.State.LIVE,
+                        line.rating(),
+                        steps.size());
                 step("replacement", List.of(with(line, Server.State.GONE), next));
             }
             case 1 -> step("drain", List.of(with(line, Server.State.DRAINING)));
@@ -111,20 +119,36 @@
     }
 
     private List<Endpoint> zone() {
-        List<String> zones = new ArrayList<>(new TreeSet<>(present.values().stream().map(Endpoint::zone).toList()));
+        List<String> zones = new ArrayList<>(
+                new TreeSet<>(present.values().stream().map(Endpoint::zone).toList()));
         String lost = zones.get(random.nextInt(zones.size()));
-        return present.values().stream().filter(line -> line.zone().equals(lost)).toList();
+        return present.values().stream()
+                .filter(line -> line.zone().equals(lost))
+                .toList();
     }
 
     private List<Endpoint> lost = List.of();
 
     private void lose(String what, List<Endpoint> servers) {
         lost = servers;
-        step(what + " lost", servers.stream().map(line -> with(line, Server.State.GONE)).toList());
+        step(
+                what + " lost",
+                servers.stream().map(line -> with(line, Server.State.GONE)).toList());
     }
 
     private void back(String what) {
-        step(what + " back", lost.stream().map(line -> new Endpoint(line.id(), line.address(), line.zone(), line.kind(), line.cell(),
-                Server.State.LIVE, line.rating(), steps.size())).toList());
+        step(
+                what + " back",
+                lost.stream()
+                        .map(line -> new Endpoint(
+                                line.id(),
+                                line.address(),
+                                line.zone(),
+                                line.kind(),
+                                line.cell(),
+                                Server.State.LIVE,
+                                line.rating(),
+                                steps.size()))
+                        .toList());
     }
 }
--- a/lab/src/main/java/spartrail/lab/subset/SubsetStrategy.java
+++ b/lab/src/main/java/spartrail/lab/subset/SubsetStrategy.java
@@ -16,7 +16,11 @@
         @Override
         List<String> choose(int ordinal, String node, List<LiveServer> replicas, SubsetSettings settings) {
             SubsetSelector selector = new SubsetSelector(node, settings, 1, 1, 1);
-            selector.apply(replicas.stream().map(server -> new LiveServer(server.id(), server.zone(), 0, server.weight())).toList(), List.of());
+            selector.apply(
+                    replicas.stream()
+                            .map(server -> new LiveServer(server.id(), server.zone(), 0, server.weight()))
+                            .toList(),
+                    List.of());
             return selector.selected(0);
         }
     },
@@ -29,8 +33,11 @@
     RANDOM("random, by the node's own seed") {
         @Override
         List<String> choose(int ordinal, String node, List<LiveServer> replicas, SubsetSettings settings) {
-            List<String> ids = new ArrayList<>(replicas.stream().map(LiveServer::id).toList());
-            Collections.shuffle(ids, new Random(node.hashCode() * 1_000_003L + replicas.get(0).cell()));
+            List<String> ids =
+                    new ArrayList<>(replicas.stream().map(LiveServer::id).toList());
+            Collections.shuffle(
+                    ids,
+                    new Random(node.hashCode() * 1_000_003L + replicas.get(0).cell()));
             return ids.subList(0, Math.min(settings.replicasPerShard(), ids.size()));
         }
     },
@@ -39,8 +46,10 @@
         List<String> choose(int ordinal, String node, List<LiveServer> replicas, SubsetSettings settings) {
             int size = Math.min(settings.replicasPerShard(), replicas.size());
             int subsets = Math.max(1, replicas.size() / size);
-            List<String> ids = new ArrayList<>(replicas.stream().map(LiveServer::id).toList());
-            Collections.shuffle(ids, new Random(ordinal / subsets * 7919L + replicas.get(0).cell()));
+            List<String> ids =
+                    new ArrayList<>(replicas.stream().map(LiveServer::id).toList());
+            Collections.shuffle(
+                    ids, new Random(ordinal / subsets * 7919L + replicas.get(0).cell()));
             int from = ordinal % subsets * size;
             return ids.subList(from, from + size);
         }
--- a/lab/src/main/java/spartrail/lab/trace/Reorder.java
+++ b/lab/src/main/java/spartrail/lab/trace/Reorder.java
@@ -20,8 +20,7 @@
  * </pre>
  */
 final class Reorder {
-    private record Entry(double atMs, long number, TraceLine line) {
-    }
+    private record Entry(double atMs, long number, TraceLine line) {}
 
     /** Late lines in a row that make a step of the clock rather than stragglers. */
     static final int STEP_AFTER = 20;
@@ -33,8 +32,8 @@
     private final double squeezeMs;
     private final boolean keepDuplicates;
     private final Consumer<TraceLine> out;
-    private final PriorityQueue<Entry> held = new PriorityQueue<>((a, b) -> a.atMs() != b.atMs()
-            ? Double.compare(a.atMs(), b.atMs()) : Long.compare(a.number(), b.number()));
+    private final PriorityQueue<Entry> held = new PriorityQueue<>(
+            (a, b) -> a.atMs() != b.atMs() ? Double.compare(a.atMs(), b.atMs()) : Long.compare(a.number(), b.number()));
     private final Set<Long> seen = new HashSet<>();
     private final Deque<double[]> seenWhen = new ArrayDeque<>();
     private final Deque<Long> seenHash = new ArrayDeque<>();
@@ -73,9 +72,14 @@
         }
         if (atMs < newestMs - windowMs) {
             if (!clamp) {
-                throw new BadInput(String.format(java.util.Locale.ROOT, "%s:%d: this line is %.3f ms earlier than one"
-                        + " before it, at most %.3f ms can be put into order; give a larger --reorder-ms, or --clamp",
-                        place, number, newestMs - atMs, windowMs));
+                throw new BadInput(String.format(
+                        java.util.Locale.ROOT,
+                        "%s:%d: this line is %.3f ms earlier than one"
+                                + " before it, at most %.3f ms can be put into order; give a larger --reorder-ms, or --clamp",
+                        place,
+                        number,
+                        newestMs - atMs,
+                        windowMs));
             }
             if (++lateInARow >= STEP_AFTER) {
                 steps++;
@@ -95,8 +99,8 @@
         newestMs = Math.max(newestMs, atMs);
         held.add(new Entry(atMs, number, line));
         if (held.size() > MOST_HELD) {
-            throw new BadInput(place + ":" + number + ": more than " + MOST_HELD + " lines within the reorder window of "
-                    + windowMs + " ms; give a smaller --reorder-ms");
+            throw new BadInput(place + ":" + number + ": more than " + MOST_HELD
+                    + " lines within the reorder window of " + windowMs + " ms; give a smaller --reorder-ms");
         }
         release(newestMs - windowMs);
     }
--- a/lab/src/main/java/spartrail/lab/trace/TraceFile.java
+++ b/lab/src/main/java/spartrail/lab/trace/TraceFile.java
@@ -27,8 +27,7 @@
     private static final int LINE = 1;
     private static final int LINE_WEIGHTED = 2;
 
-    private TraceFile() {
-    }
+    private TraceFile() {}
 
     static final class Writer implements AutoCloseable {
         private final DataOutputStream out;
@@ -131,8 +130,15 @@
                         weights[i] = in.readFloat();
                     }
                 }
-                TraceLine line = new TraceLine(atMs, opTypes.get(opType), key, shards, weights, number() / 1000.0,
-                        (int) number(), number() / 1000.0);
+                TraceLine line = new TraceLine(
+                        atMs,
+                        opTypes.get(opType),
+                        key,
+                        shards,
+                        weights,
+                        number() / 1000.0,
+                        (int) number(),
+                        number() / 1000.0);
                 count++;
                 return line;
             } catch (EOFException e) {
--- a/lab/src/main/java/spartrail/lab/trace/TraceImport.java
+++ b/lab/src/main/java/spartrail/lab/trace/TraceImport.java
@@ -33,20 +33,39 @@
      * @param shards how many there are; 0 takes any
      * @param skipUnknown leaves out what is unknown instead of refusing the trace
      */
-    public record Columns(String at, String unit, String opType, String key, String shardList, String weights,
-            String workMs, String textBytes, String clientMs, List<String> opTypes, int shards, boolean skipUnknown,
+    public record Columns(
+            String at,
+            String unit,
+            String opType,
+            String key,
+            String shardList,
+            String weights,
+            String workMs,
+            String textBytes,
+            String clientMs,
+            List<String> opTypes,
+            int shards,
+            boolean skipUnknown,
             double clientDefaultMs) {
         public static Columns of(Document document) {
             JsonNode tree = document.tree;
             JsonNode names = tree.path("columns");
             List<String> known = new ArrayList<>();
             tree.path("opTypes").forEach(one -> known.add(one.asText()));
-            return new Columns(names.path("at").asText("atMs"), tree.path("unit").asText("ms"),
-                    names.path("opType").asText("opType"), names.path("key").asText("key"),
-                    names.path("shards").asText("shards"), names.path("weights").asText("weights"),
-                    names.path("workMs").asText("workMs"), names.path("textBytes").asText("textBytes"),
-                    names.path("clientMs").asText("clientMs"), known, tree.path("shards").asInt(0),
-                    tree.path("unknown").asText("refuse").equals("skip"), tree.path("clientMs").asDouble(2000));
+            return new Columns(
+                    names.path("at").asText("atMs"),
+                    tree.path("unit").asText("ms"),
+                    names.path("opType").asText("opType"),
+                    names.path("key").asText("key"),
+                    names.path("shards").asText("shards"),
+                    names.path("weights").asText("weights"),
+                    names.path("workMs").asText("workMs"),
+                    names.path("textBytes").asText("textBytes"),
+                    names.path("clientMs").asText("clientMs"),
+                    known,
+                    tree.path("shards").asInt(0),
+                    tree.path("unknown").asText("refuse").equals("skip"),
+                    tree.path("clientMs").asDouble(2000));
         }
 
         /** Our own names, as a front node's record has them. */
@@ -71,8 +90,15 @@
     }
 
     /** Imports a file; what was odd about it comes back as counts. */
-    public static ObjectNode run(Path from, Path to, Columns columns, double reorderMs, boolean clamp, double squeezeMs,
-            boolean keepDuplicates) throws IOException {
+    public static ObjectNode run(
+            Path from,
+            Path to,
+            Columns columns,
+            double reorderMs,
+            boolean clamp,
+            double squeezeMs,
+            boolean keepDuplicates)
+            throws IOException {
         if (!Files.isReadable(from)) {
             throw new BadInput(from + ": cannot be read");
         }
@@ -97,16 +123,24 @@
     }
 
     private ObjectNode counts() {
-        return Document.JSON.createObjectNode().put("lines", lines).put("multigets", reorder.count)
-                .put("putIntoOrder", reorder.sorted).put("clamped", reorder.clamped)
-                .put("clockSteps", reorder.steps).put("duplicates", reorder.duplicates)
-                .put("gapsSqueezed", reorder.squeezed).put("unknownLeftOut", unknown).put("tornLastLine", torn);
+        return Document.JSON
+                .createObjectNode()
+                .put("lines", lines)
+                .put("multigets", reorder.count)
+                .put("putIntoOrder", reorder.sorted)
+                .put("clamped", reorder.clamped)
+                .put("clockSteps", reorder.steps)
+                .put("duplicates", reorder.duplicates)
+                .put("gapsSqueezed", reorder.squeezed)
+                .put("unknownLeftOut", unknown)
+                .put("tornLastLine", torn);
     }
 
     private void read(Path from) throws IOException {
         try (var raw = Files.newInputStream(from);
                 var in = from.toString().endsWith(".gz") ? new GZIPInputStream(raw) : raw;
-                BufferedReader reader = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16)) {
+                BufferedReader reader =
+                        new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16)) {
             reader.mark(4);
             int first = reader.read();
             if (first != 0xFEFF) {
@@ -163,8 +197,14 @@
     }
 
     private void csv(BufferedReader reader) throws IOException {
-        CSVFormat format = CSVFormat.DEFAULT.builder().setHeader().setSkipHeaderRecord(true).setTrim(true).get();
-        try (CSVParser parser = CSVParser.builder().setReader(reader).setFormat(format).get()) {
+        CSVFormat format = CSVFormat.DEFAULT
+                .builder()
+                .setHeader()
+                .setSkipHeaderRecord(true)
+                .setTrim(true)
+                .get();
+        try (CSVParser parser =
+                CSVParser.builder().setReader(reader).setFormat(format).get()) {
             if (!parser.getHeaderMap().containsKey(columns.at())) {
                 throw new BadInput(name + ":1: no column '" + columns.at() + "', found " + parser.getHeaderNames());
             }
@@ -192,7 +232,9 @@
                         torn++;
                     } else {
                         CSVRecord line = before;
-                        take(beforeLine, String.join(",", line.values()),
+                        take(
+                                beforeLine,
+                                String.join(",", line.values()),
                                 column -> line.isMapped(column) ? line.get(column) : "");
                     }
                 }
@@ -226,8 +268,10 @@
             try {
                 shards[i] = Integer.parseInt(list[i]);
             } catch (NumberFormatException e) {
-                throw wrong(number, columns.shardList(), "found '" + row.get(columns.shardList())
-                        + "', numbers with ; between them are expected");
+                throw wrong(
+                        number,
+                        columns.shardList(),
+                        "found '" + row.get(columns.shardList()) + "', numbers with ; between them are expected");
             }
             if (shards[i] < 0 || columns.shards() > 0 && shards[i] >= columns.shards()) {
                 leaveOut(number, "unknown shard " + shards[i] + ", there are 0 to " + (columns.shards() - 1));
@@ -248,16 +292,25 @@
         }
         String work = row.get(columns.workMs());
         int semicolon = work.indexOf(';');
-        reorder.take(new TraceLine(atMs, opType, row.get(columns.key()), shards, weights,
-                number(number, columns.workMs(), semicolon < 0 ? work : work.substring(0, semicolon), 0),
-                (int) number(number, columns.textBytes(), row.get(columns.textBytes()), 16),
-                number(number, columns.clientMs(), row.get(columns.clientMs()), columns.clientDefaultMs())),
-                number, hash(raw), name);
+        reorder.take(
+                new TraceLine(
+                        atMs,
+                        opType,
+                        row.get(columns.key()),
+                        shards,
+                        weights,
+                        number(number, columns.workMs(), semicolon < 0 ? work : work.substring(0, semicolon), 0),
+                        (int) number(number, columns.textBytes(), row.get(columns.textBytes()), 16),
+                        number(number, columns.clientMs(), row.get(columns.clientMs()), columns.clientDefaultMs())),
+                number,
+                hash(raw),
+                name);
     }
 
     private void leaveOut(long number, String why) {
         if (!columns.skipUnknown()) {
-            throw new BadInput(name + ":" + number + ": " + why + "; \"unknown\": \"skip\" in the columns leaves it out");
+            throw new BadInput(
+                    name + ":" + number + ": " + why + "; \"unknown\": \"skip\" in the columns leaves it out");
         }
         unknown++;
     }
@@ -272,7 +325,8 @@
                 Instant at = Instant.parse(text);
                 return at.getEpochSecond() * 1000.0 + at.getNano() / 1e6;
             } catch (DateTimeParseException e) {
-                throw wrong(number, columns.at(), "found '" + text + "', a time such as 2026-06-24T18:00:00Z is expected");
+                throw wrong(
+                        number, columns.at(), "found '" + text + "', a time such as 2026-06-24T18:00:00Z is expected");
             }
         }
         double value = number(number, columns.at(), text, Double.NaN);
--- a/lab/src/main/java/spartrail/lab/trace/TraceLine.java
+++ b/lab/src/main/java/spartrail/lab/trace/TraceLine.java
@@ -5,7 +5,14 @@
  *
  * @param atMs any clock's milliseconds; only differences count
  */
-record TraceLine(double atMs, String opType, String key, int[] shards, double[] weights, double workMs, int textBytes,
+record TraceLine(
+        double atMs,
+        String opType,
+        String key,
+        int[] shards,
+        double[] weights,
+        double workMs,
+        int textBytes,
         double clientMs) {
     TraceLine at(double ms) {
         return new TraceLine(ms, opType, key, shards, weights, workMs, textBytes, clientMs);
--- a/lab/src/main/java/spartrail/lab/trace/TraceReplay.java
+++ b/lab/src/main/java/spartrail/lab/trace/TraceReplay.java
@@ -46,9 +46,19 @@
         this.share = share;
         this.copies = copies;
         this.chance = new SplittableRandom(seed);
-        this.stream = new Stream("trace", 1, List.of(), List.of(new Stream.Share<>("any", 1)),
-                new Stream.Touches(1, 1, 1, 1, true), true, new Stream.Work(0, 0, 0, 0), new Stream.Keys(1, 1, 0),
-                List.of(new Stream.Share<>(16, 1)), "", 0, habit);
+        this.stream = new Stream(
+                "trace",
+                1,
+                List.of(),
+                List.of(new Stream.Share<>("any", 1)),
+                new Stream.Touches(1, 1, 1, 1, true),
+                true,
+                new Stream.Work(0, 0, 0, 0),
+                new Stream.Keys(1, 1, 0),
+                List.of(new Stream.Share<>(16, 1)),
+                "",
+                0,
+                habit);
         this.reader = new TraceFile.Reader(file);
         fill();
     }
@@ -113,8 +123,21 @@
             weights[i] = sum > 0 ? weights[i] / sum : 1.0 / weights.length;
         }
         String key = copy == 0 ? line.key() : line.key() + "~" + copy;
-        return new Arrival(number++, atMs, 0, stream, line.opType(), key, line.shards(), weights, line.workMs(),
-                line.workMs(), Math.max(1, line.textBytes()), line.clientMs(), false, chance.nextLong());
+        return new Arrival(
+                number++,
+                atMs,
+                0,
+                stream,
+                line.opType(),
+                key,
+                line.shards(),
+                weights,
+                line.workMs(),
+                line.workMs(),
+                Math.max(1, line.textBytes()),
+                line.clientMs(),
+                false,
+                chance.nextLong());
     }
 
     @Override
--- a/lab/src/main/java/spartrail/lab/virtual/Exploration.java
+++ b/lab/src/main/java/spartrail/lab/virtual/Exploration.java
@@ -15,15 +15,12 @@
 /** Many seeds, side by side. */
 public final class Exploration {
     /** A seed that broke something, and what it broke first. */
-    public record Found(long seed, int size, PeersRules.Breach first) {
-    }
+    public record Found(long seed, int size, PeersRules.Breach first) {}
 
     /** What came of the seeds. */
-    public record Result(long played, long messages, long hash, long changes, Map<Long, Found> found) {
-    }
+    public record Result(long played, long messages, long hash, long changes, Map<Long, Found> found) {}
 
-    private Exploration() {
-    }
+    private Exploration() {}
 
     /** Plays so many seeds with so many nodes each, at the least and at the most. The hash is that of all runs, in the order of their seeds. */
     public static Result of(long from, long count, int least, int most, LongConsumer done) {
@@ -31,17 +28,22 @@
         AtomicLong messages = new AtomicLong();
         AtomicLong changes = new AtomicLong();
         AtomicLong played = new AtomicLong();
-        long hash = LongStream.range(from, from + count).parallel().map(seed -> {
-            PeersTrial trial = PeersTrial.drawn(seed, least, most);
-            PeersTrial.Outcome outcome = trial.play(PeerTimes.USUAL, false);
-            messages.addAndGet(outcome.messages());
-            changes.addAndGet(outcome.scene().rules().asked());
-            if (!outcome.breaches().isEmpty()) {
-                found.put(seed, new Found(seed, trial.size(), outcome.breaches().get(0)));
-            }
-            done.accept(played.incrementAndGet());
-            return outcome.hash() * (2 * seed + 1);
-        }).sum();
+        long hash = LongStream.range(from, from + count)
+                .parallel()
+                .map(seed -> {
+                    PeersTrial trial = PeersTrial.drawn(seed, least, most);
+                    PeersTrial.Outcome outcome = trial.play(PeerTimes.USUAL, false);
+                    messages.addAndGet(outcome.messages());
+                    changes.addAndGet(outcome.scene().rules().asked());
+                    if (!outcome.breaches().isEmpty()) {
+                        found.put(
+                                seed,
+                                new Found(seed, trial.size(), outcome.breaches().get(0)));
+                    }
+                    done.accept(played.incrementAndGet());
+                    return outcome.hash() * (2 * seed + 1);
+                })
+                .sum();
         return new Result(count, messages.get(), hash, changes.get(), found);
     }
 
@@ -49,7 +51,8 @@
     public static String firstBreach(long from, long count, int most) {
         for (long seed = from; seed < from + count; seed++) {
             PeersTrial trial = PeersTrial.drawn(seed, most);
-            List<PeersRules.Breach> breaches = trial.play(PeerTimes.USUAL, false).breaches();
+            List<PeersRules.Breach> breaches =
+                    trial.play(PeerTimes.USUAL, false).breaches();
             if (!breaches.isEmpty()) {
                 return seed + "\t" + breaches.get(0).rule() + "\t" + trial.size();
             }
@@ -60,7 +63,10 @@
     /** A seed's shortest script that still breaks the rule which it broke first; the trial itself where it breaks none. */
     public static PeersTrial shrunk(long seed, int least, int most) {
         PeersTrial trial = PeersTrial.drawn(seed, least, most);
-        List<PeersRules.Breach> breaches = new ArrayList<>(trial.play(PeerTimes.USUAL, false).breaches());
-        return breaches.isEmpty() ? trial : trial.shrunk(PeerTimes.USUAL, breaches.get(0).rule(), UnaryOperator.identity());
+        List<PeersRules.Breach> breaches =
+                new ArrayList<>(trial.play(PeerTimes.USUAL, false).breaches());
+        return breaches.isEmpty()
+                ? trial
+                : trial.shrunk(PeerTimes.USUAL, breaches.get(0).rule(), UnaryOperator.identity());
     }
 }
--- a/lab/src/main/java/spartrail/lab/virtual/Fault.java
+++ b/lab/src/main/java/spartrail/lab/virtual/Fault.java
@@ -41,7 +41,13 @@
 
     @Override
     public String toString() {
-        return String.format(java.util.Locale.ROOT, "%.0f ms %s %s%s%s%s", atMs, kind, nodes, others.isEmpty() ? "" : " from " + others,
+        return String.format(
+                java.util.Locale.ROOT,
+                "%.0f ms %s %s%s%s%s",
+                atMs,
+                kind,
+                nodes,
+                others.isEmpty() ? "" : " from " + others,
                 lastsMs > 0 ? String.format(java.util.Locale.ROOT, " for %.0f ms", lastsMs) : "",
                 size > 0 ? String.format(java.util.Locale.ROOT, " by %.3g", size) : "");
     }
--- a/lab/src/main/java/spartrail/lab/virtual/Guest.java
+++ b/lab/src/main/java/spartrail/lab/virtual/Guest.java
@@ -5,8 +5,7 @@
 /** What lives on a virtual node: an I/O-free part of the program. Times are the node's own clock. */
 public interface Guest<M> {
     /** A message and the address that it goes to. */
-    record Parcel<M>(String address, M message) {
-    }
+    record Parcel<M>(String address, M message) {}
 
     void heard(M message, double nowMs);
 
@@ -19,6 +18,5 @@
     List<Parcel<M>> sent();
 
     /** It is asked to end. */
-    default void leave(double nowMs) {
-    }
+    default void leave(double nowMs) {}
 }
--- a/lab/src/main/java/spartrail/lab/virtual/PeersFigures.java
+++ b/lab/src/main/java/spartrail/lab/virtual/PeersFigures.java
@@ -15,9 +15,20 @@
 /** How soon fleets of a size know of a crash, how often they err under a fault, and what their talk costs. */
 public final class PeersFigures {
     /** A row of a table; times in milliseconds, rates by hour and node, bytes by second and node. */
-    public record Row(int size, String fault, int runs, long known, double p50Ms, double p99Ms, double mostMs, double boundMs,
-            double suspicionsAnHour, double endsAnHour, double bytesPerS, double mostBytesPerS, double boundBytesPerS) {
-    }
+    public record Row(
+            int size,
+            String fault,
+            int runs,
+            long known,
+            double p50Ms,
+            double p99Ms,
+            double mostMs,
+            double boundMs,
+            double suspicionsAnHour,
+            double endsAnHour,
+            double bytesPerS,
+            double mostBytesPerS,
+            double boundBytesPerS) {}
 
     private static final double BEGINS_MS = 20_000;
     private static final double LASTS_MS = 60_000;
@@ -26,8 +37,7 @@
     /** IPv4 and UDP heads. */
     private static final int HEADS = 28;
 
-    private PeersFigures() {
-    }
+    private PeersFigures() {}
 
     /** What a fault does to a tenth of the nodes, one at least. */
     private static List<Fault> faults(String name, int size, RandomGenerator chance) {
@@ -38,11 +48,15 @@
         }
         return switch (name) {
             case "none" -> List.of();
-            case "crash of one" -> List.of(new Fault(BEGINS_MS, Fault.Kind.CRASH, tenth.subList(0, 1), List.of(), 0, 0));
+            case "crash of one" -> List.of(
+                    new Fault(BEGINS_MS, Fault.Kind.CRASH, tenth.subList(0, 1), List.of(), 0, 0));
             case "crash of a tenth" -> List.of(new Fault(BEGINS_MS, Fault.Kind.CRASH, tenth, List.of(), 0, 0));
-            case "a tenth loses 0.3 of what it sends" -> List.of(new Fault(BEGINS_MS, Fault.Kind.LOSS, tenth, List.of(), LASTS_MS, 0.3));
-            case "a tenth sends up to 300 ms late" -> List.of(new Fault(BEGINS_MS, Fault.Kind.DELAY, tenth, List.of(), LASTS_MS, 300));
-            case "a tenth takes 25 ms a step" -> List.of(new Fault(BEGINS_MS, Fault.Kind.SLOW, tenth, List.of(), LASTS_MS, 25));
+            case "a tenth loses 0.3 of what it sends" -> List.of(
+                    new Fault(BEGINS_MS, Fault.Kind.LOSS, tenth, List.of(), LASTS_MS, 0.3));
+            case "a tenth sends up to 300 ms late" -> List.of(
+                    new Fault(BEGINS_MS, Fault.Kind.DELAY, tenth, List.of(), LASTS_MS, 300));
+            case "a tenth takes 25 ms a step" -> List.of(
+                    new Fault(BEGINS_MS, Fault.Kind.SLOW, tenth, List.of(), LASTS_MS, 25));
             case "a tenth stands still for 1 s in 5" -> {
                 List<Fault> stalls = new ArrayList<>();
                 for (int i = 0; i < LASTS_MS / 5000; i++) {
@@ -54,29 +68,47 @@
         };
     }
 
-    public static final List<String> FAULTS = List.of("none", "crash of one", "crash of a tenth",
-            "a tenth loses 0.3 of what it sends", "a tenth sends up to 300 ms late", "a tenth takes 25 ms a step",
+    public static final List<String> FAULTS = List.of(
+            "none",
+            "crash of one",
+            "crash of a tenth",
+            "a tenth loses 0.3 of what it sends",
+            "a tenth sends up to 300 ms late",
+            "a tenth takes 25 ms a step",
             "a tenth stands still for 1 s in 5");
 
-    private record Run(List<Double> knownMs, long suspicions, long ends, double bytes, double mostBytes) {
-    }
+    private record Run(List<Double> knownMs, long suspicions, long ends, double bytes, double mostBytes) {}
 
     /** So many runs, each from a seed of its own. */
     public static Row of(int size, String fault, int runs, PeerTimes times) {
-        List<Run> all = LongStream.rangeClosed(1, runs).parallel().mapToObj(seed -> run(size, fault, seed, times)).toList();
+        List<Run> all = LongStream.rangeClosed(1, runs)
+                .parallel()
+                .mapToObj(seed -> run(size, fault, seed, times))
+                .toList();
         List<Double> known = new ArrayList<>();
         all.forEach(run -> known.addAll(run.knownMs()));
         Collections.sort(known);
         double hours = runs * LASTS_MS / 3_600_000 * size;
-        return new Row(size, fault, runs, known.size(), at(known, 0.5), at(known, 0.99), at(known, 1),
-                times.knownWithinMs(size), all.stream().mapToLong(Run::suspicions).sum() / hours,
-                all.stream().mapToLong(Run::ends).sum() / hours, all.stream().mapToDouble(Run::bytes).average().orElse(0),
+        return new Row(
+                size,
+                fault,
+                runs,
+                known.size(),
+                at(known, 0.5),
+                at(known, 0.99),
+                at(known, 1),
+                times.knownWithinMs(size),
+                all.stream().mapToLong(Run::suspicions).sum() / hours,
+                all.stream().mapToLong(Run::ends).sum() / hours,
+                all.stream().mapToDouble(Run::bytes).average().orElse(0),
                 all.stream().mapToDouble(Run::mostBytes).max().orElse(0),
                 Peers.mostMessagesPerS(times) * (Frames.MOST_BYTES + HEADS));
     }
 
     private static double at(List<Double> sorted, double part) {
-        return sorted.isEmpty() ? Double.NaN : sorted.get((int) Math.min(sorted.size() - 1, Math.floor(part * sorted.size())));
+        return sorted.isEmpty()
+                ? Double.NaN
+                : sorted.get((int) Math.min(sorted.size() - 1, Math.floor(part * sorted.size())));
     }
 
     private static Run run(int size, String fault, long seed, PeerTimes times) {
@@ -108,8 +140,13 @@
         for (long each : ofNode) {
             most = Math.max(most, each);
         }
-        return new Run(scene.rules().knownMs(), scene.rules().falseSuspicions(),
-                scene.rules().falseEnds().values().stream().mapToInt(each -> each).sum(), bytes[0] * 1000.0 / LASTS_MS / size,
+        return new Run(
+                scene.rules().knownMs(),
+                scene.rules().falseSuspicions(),
+                scene.rules().falseEnds().values().stream()
+                        .mapToInt(each -> each)
+                        .sum(),
+                bytes[0] * 1000.0 / LASTS_MS / size,
                 most * 1000.0 / LASTS_MS);
     }
 }
--- a/lab/src/main/java/spartrail/lab/virtual/PeersScene.java
+++ b/lab/src/main/java/spartrail/lab/virtual/PeersScene.java
@@ -68,6 +68,7 @@
 
     /** A node asks so many suspects a round; and each of few at least once in so many rounds. */
     private static final int FEW_SUSPECTS = 4;
+
     private static final double SUSPECT_ROUNDS = 3;
 
     private final int size;
@@ -85,6 +86,7 @@
     private long calmWords;
     /** Whom each node suspects by its own verdict, since when; and whom it asked when. */
     private final List<Map<String, Double>> suspectedMs = new ArrayList<>();
+
     private final List<Map<String, Double>> askedMs = new ArrayList<>();
 
     /** What is planted may change each message that a node takes in, or drop it (null), to see whether a fault is caught. */
@@ -129,13 +131,23 @@
         for (int i = 0; i < Math.min(seeds, size); i++) {
             addresses.add(World.address(i));
         }
-        return new PeersGuest(new Peers(new Card("n" + node, address, "z" + node % 2, 1, "1", "", life, 0), addresses,
-                times, chance, nodeMs), planted, () -> rules.heard(node));
+        return new PeersGuest(
+                new Peers(
+                        new Card("n" + node, address, "z" + node % 2, 1, "1", "", life, 0),
+                        addresses,
+                        times,
+                        chance,
+                        nodeMs),
+                planted,
+                () -> rules.heard(node));
     }
 
     @Override
     public long mark(Message message) {
-        return message.nonce() ^ message.digest() * 31 + message.kind().ordinal() * 7L + message.words().size();
+        return message.nonce()
+                ^ message.digest() * 31
+                        + message.kind().ordinal() * 7L
+                        + message.words().size();
     }
 
     @Override
@@ -161,8 +173,10 @@
         if (ends && fault.kind() == Fault.Kind.STALL && fault.lastsMs() > 2 * times.stoodMs() + times.roundMs()) {
             fault.nodes().forEach(rules::woke);
         }
-        if (!ends && (fault.kind() == Fault.Kind.CRASH || fault.kind() == Fault.Kind.LEAVE
-                || fault.kind() == Fault.Kind.SET_BACK)) {
+        if (!ends
+                && (fault.kind() == Fault.Kind.CRASH
+                        || fault.kind() == Fault.Kind.LEAVE
+                        || fault.kind() == Fault.Kind.SET_BACK)) {
             fault.nodes().forEach(node -> rules.ended(node, fault.kind() == Fault.Kind.LEAVE, worldMs));
         }
     }
@@ -191,14 +205,22 @@
             if (other != node && event.is() == null) {
                 rules.forgotten(node, other);
             } else if (other != node) {
-                rules.changed(new PeersRules.Change(worldMs, node, other,
+                rules.changed(new PeersRules.Change(
+                        worldMs,
+                        node,
+                        other,
                         new PeersRules.Held(event.card().life(), event.card().turn(), event.is()),
-                        event.by().equals("n" + node), event.doubt()));
+                        event.by().equals("n" + node),
+                        event.doubt()));
             }
         }
         if (!suspectedMs.get(node).isEmpty() && peers.nextMs() > nodeMs) {
             PeersView view = peers.view(nodeMs);
-            if (view.standing() != Standing.LEFT && view.peers().stream().filter(seen -> seen.standing() == Standing.SUSPECT).count() <= FEW_SUSPECTS) {
+            if (view.standing() != Standing.LEFT
+                    && view.peers().stream()
+                                    .filter(seen -> seen.standing() == Standing.SUSPECT)
+                                    .count()
+                            <= FEW_SUSPECTS) {
                 suspectsAsked(node, worldMs);
             }
         }
@@ -209,8 +231,11 @@
         suspectedMs.get(node).forEach((other, sinceMs) -> {
             double silentMs = worldMs - Math.max(sinceMs, askedMs.get(node).getOrDefault(other, 0.0));
             if (silentMs > SUSPECT_ROUNDS * times.roundMs()) {
-                rules.breach(worldMs, "suspects are asked", "n" + node + " suspects " + other + " and has not asked it for "
-                        + Math.round(silentMs) + " ms");
+                rules.breach(
+                        worldMs,
+                        "suspects are asked",
+                        "n" + node + " suspects " + other + " and has not asked it for " + Math.round(silentMs)
+                                + " ms");
             }
         });
     }
@@ -229,9 +254,14 @@
         }
         // A round is a question and its answer; every other one asks one of the lost, too, and tells it how it is held.
         double most = running * lastedMs / 1000 * 4 * 1000 / times.roundMs() + 10;
-        if (running > 1 && rules.breaches().isEmpty() && (world.messages() - calmMessages > most || words - calmWords > 0.25 * most)) {
-            rules.breach(world.nowMs(), "calm is cheap", (world.messages() - calmMessages) + " messages and "
-                    + (words - calmWords) + " words while nothing happened, at most " + Math.round(most));
+        if (running > 1
+                && rules.breaches().isEmpty()
+                && (world.messages() - calmMessages > most || words - calmWords > 0.25 * most)) {
+            rules.breach(
+                    world.nowMs(),
+                    "calm is cheap",
+                    (world.messages() - calmMessages) + " messages and " + (words - calmWords)
+                            + " words while nothing happened, at most " + Math.round(most));
         }
     }
 
@@ -243,7 +273,12 @@
             running += rules.runs(node) ? 1 : 0;
         }
         for (int node = 0; node < size && running > 1; node++) {
-            String doubt = rules.runs(node) ? ((PeersGuest) world.guest(node)).peers.view(world.clock(node)).doubt() : "";
+            String doubt = rules.runs(node)
+                    ? ((PeersGuest) world.guest(node))
+                            .peers
+                            .view(world.clock(node))
+                            .doubt()
+                    : "";
             if (!doubt.isEmpty()) {
                 rules.breach(world.nowMs(), "doubt ends", "n" + node + " is still in doubt: " + doubt);
             }
--- a/lab/src/main/java/spartrail/lab/virtual/PeersTrial.java
+++ b/lab/src/main/java/spartrail/lab/virtual/PeersTrial.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
-import java.util.function.UnaryOperator;
 import spartrail.lab.rules.PeersRules;
 import spartrail.peers.Message;
 import spartrail.peers.PeerTimes;
@@ -14,13 +14,14 @@
 public record PeersTrial(long seed, int size, List<Fault> faults) {
     /** Nodes start within the first second; up to a hundred know each other after this, when faults begin. */
     private static final double QUIET_MS = 12_000;
+
     private static final double FAULTS_MS = 30_000;
     private static final double CALM_MS = 5000;
     private static final double ALONE_MS = 15_000;
 
     /** How a trial went. */
-    public record Outcome(List<PeersRules.Breach> breaches, long hash, long messages, PeersScene scene, double lastedMs) {
-    }
+    public record Outcome(
+            List<PeersRules.Breach> breaches, long hash, long messages, PeersScene scene, double lastedMs) {}
 
     /** What a seed stands for: 3 to {@code most} nodes, none to six faults of any kind. */
     public static PeersTrial drawn(long seed, int most) {
@@ -41,20 +42,30 @@
                 // Single links only: helpers must find whoever is behind one.
                 for (int i = 0; i < 2 && size > 4; i++) {
                     List<Integer> pair = some(2, size, chance);
-                    faults.add(new Fault(quietMs + 1000 * i, i == 0 ? Fault.Kind.CUT : Fault.Kind.ONE_WAY, pair.subList(0, 1),
-                            pair.subList(1, 2), 8000, 0));
+                    faults.add(new Fault(
+                            quietMs + 1000 * i,
+                            i == 0 ? Fault.Kind.CUT : Fault.Kind.ONE_WAY,
+                            pair.subList(0, 1),
+                            pair.subList(1, 2),
+                            8000,
+                            0));
                 }
                 return new PeersTrial(seed, size, List.copyOf(faults));
             }
             case 1 -> {
                 // One leaves, and that is all.
-                return new PeersTrial(seed, size, List.of(new Fault(quietMs, Fault.Kind.LEAVE, some(1, size, chance), List.of(), 0, 0)));
+                return new PeersTrial(
+                        seed,
+                        size,
+                        List.of(new Fault(quietMs, Fault.Kind.LEAVE, some(1, size, chance), List.of(), 0, 0)));
             }
             case 2 -> {
-                // All seeds are over, and then the fleet is cut in two: nobody but those behind the cut can tell of them.
+                // All seeds are over, and then the fleet is cut in two: nobody but those behind the cut can tell of
+                // them.
                 if (size > 6) {
                     faults.add(new Fault(quietMs, Fault.Kind.CRASH, List.of(0, 1, 2), List.of(), 0, 0));
-                    faults.add(new Fault(quietMs + 3000, Fault.Kind.CUT, some(size / 2, size, chance), List.of(), 20_000, 0));
+                    faults.add(new Fault(
+                            quietMs + 3000, Fault.Kind.CUT, some(size / 2, size, chance), List.of(), 20_000, 0));
                     return new PeersTrial(seed, size, List.copyOf(faults));
                 }
             }
@@ -67,7 +78,7 @@
                     return new PeersTrial(seed, size, List.copyOf(faults));
                 }
             }
-            default -> { }
+            default -> {}
         }
         for (int i = 0; i < count; i++) {
             faults.add(fault(kinds[chance.nextInt(kinds.length)], size, quietMs, chance));
@@ -86,14 +97,18 @@
         switch (kind) {
             case CRASH -> lastsMs = chance.nextInt(3) == 0 ? 0 : Math.round(50 + chance.nextDouble() * lastsMs);
             case LEAVE -> lastsMs = 0;
-            case CUT, ONE_WAY -> others = chance.nextBoolean() ? List.of() : some(1 + chance.nextInt(most), size, chance).stream()
-                    .filter(other -> !nodes.contains(other)).toList();
+            case CUT, ONE_WAY -> others = chance.nextBoolean()
+                    ? List.of()
+                    : some(1 + chance.nextInt(most), size, chance).stream()
+                            .filter(other -> !nodes.contains(other))
+                            .toList();
             case LOSS -> number = 0.05 + 0.9 * chance.nextDouble();
             case DELAY -> number = Math.round(10 + 1000 * chance.nextDouble());
             case TWICE -> number = chance.nextDouble();
             case HELD -> {
                 lastsMs = Math.min(lastsMs, 3000);
-                number = Math.round(lastsMs + chance.nextDouble() * (chance.nextInt(50) == 0 && size < 10 ? 3_600_000 : 15_000));
+                number = Math.round(
+                        lastsMs + chance.nextDouble() * (chance.nextInt(50) == 0 && size < 10 ? 3_600_000 : 15_000));
             }
             case SLOW -> number = Math.round(1 + 30 * chance.nextDouble());
             case SET_BACK -> {
@@ -104,7 +119,7 @@
                 lastsMs = 0;
                 number = 0.98 + 0.04 * chance.nextDouble();
             }
-            default -> { }
+            default -> {}
         }
         return new Fault(atMs, kind, nodes, others, lastsMs, number);
     }
@@ -156,16 +171,28 @@
         scene.calm();
         world.run(endMs + CALM_MS);
         scene.calmEnded(CALM_MS);
-        if (faults.stream().allMatch(PeersTrial::onePair) && (!scene.rules().falseEnds().isEmpty()
-                || scene.rules().suspicionsInFault() > 0)) {
-            scene.rules().breach(endMs, "helpers find it", "suspected or held for gone though only single links were cut: "
-                    + scene.rules().falseEnds() + ", suspicions " + scene.rules().suspicionsInFault());
+        if (faults.stream().allMatch(PeersTrial::onePair)
+                && (!scene.rules().falseEnds().isEmpty() || scene.rules().suspicionsInFault() > 0)) {
+            scene.rules()
+                    .breach(
+                            endMs,
+                            "helpers find it",
+                            "suspected or held for gone though only single links were cut: "
+                                    + scene.rules().falseEnds() + ", suspicions "
+                                    + scene.rules().suspicionsInFault());
         }
-        if (faults.size() == size && faults.stream().allMatch(fault -> fault.lastsMs() == ALONE_MS)
+        if (faults.size() == size
+                && faults.stream().allMatch(fault -> fault.lastsMs() == ALONE_MS)
                 && !scene.rules().falseEnds().isEmpty()) {
-            scene.rules().breach(endMs, "alone it ends nobody", "nodes all alone held for gone " + scene.rules().falseEnds());
+            scene.rules()
+                    .breach(
+                            endMs,
+                            "alone it ends nobody",
+                            "nodes all alone held for gone " + scene.rules().falseEnds());
         }
-        if (faults.size() == 1 && faults.get(0).kind() == Fault.Kind.LEAVE && scene.rules().goneThoughSaid() > 0) {
+        if (faults.size() == 1
+                && faults.get(0).kind() == Fault.Kind.LEAVE
+                && scene.rules().goneThoughSaid() > 0) {
             scene.rules().breach(endMs, "leaving is told", "held for gone, and it had said that it leaves");
         }
         return new Outcome(List.copyOf(scene.rules().breaches()), world.hash(), world.messages(), scene, endMs);
@@ -177,7 +204,8 @@
     }
 
     private static boolean onePair(Fault fault) {
-        return (fault.kind() == Fault.Kind.CUT || fault.kind() == Fault.Kind.ONE_WAY) && fault.nodes().size() == 1
+        return (fault.kind() == Fault.Kind.CUT || fault.kind() == Fault.Kind.ONE_WAY)
+                && fault.nodes().size() == 1
                 && fault.others().size() == 1;
     }
 
@@ -188,7 +216,8 @@
         while (smaller) {
             smaller = false;
             for (PeersTrial next : least.simpler()) {
-                if (next.play(times, false, planted).breaches().stream().anyMatch(breach -> breach.rule().equals(rule))) {
+                if (next.play(times, false, planted).breaches().stream()
+                        .anyMatch(breach -> breach.rule().equals(rule))) {
                     least = next;
                     smaller = true;
                     break;
@@ -205,13 +234,25 @@
             Fault fault = fewer.remove(i);
             simpler.add(new PeersTrial(seed, size, List.copyOf(fewer)));
             if (fault.nodes().size() > 1) {
-                fewer.add(i, new Fault(fault.atMs(), fault.kind(), fault.nodes().subList(0, fault.nodes().size() / 2), fault.others(),
-                        fault.lastsMs(), fault.size()));
+                fewer.add(
+                        i,
+                        new Fault(
+                                fault.atMs(),
+                                fault.kind(),
+                                fault.nodes().subList(0, fault.nodes().size() / 2),
+                                fault.others(),
+                                fault.lastsMs(),
+                                fault.size()));
                 simpler.add(new PeersTrial(seed, size, List.copyOf(fewer)));
             }
         }
-        int most = faults.stream().flatMap(fault -> java.util.stream.Stream.concat(fault.nodes().stream(), fault.others().stream()))
-                .mapToInt(node -> node).max().orElse(0) + 1;
+        int most = faults.stream()
+                        .flatMap(fault ->
+                                java.util.stream.Stream.concat(fault.nodes().stream(), fault.others().stream()))
+                        .mapToInt(node -> node)
+                        .max()
+                        .orElse(0)
+                + 1;
         for (int fewer : new int[] {Math.max(3, most), (size + Math.max(3, most)) / 2, size - 1}) {
             if (fewer < size && fewer >= Math.max(3, most)) {
                 simpler.add(new PeersTrial(seed, fewer, faults));
--- a/lab/src/main/java/spartrail/lab/virtual/Plants.java
+++ b/lab/src/main/java/spartrail/lab/virtual/Plants.java
@@ -37,25 +37,62 @@
 
     /** Faults of peers. */
     public static final List<Plant> ALL = List.of(
-            new Plant("older news replaces newer", "member.card, member.standing) <= 0) {", "member.card, member.standing) == 0) {"),
-            new Plant("a node in doubt ends suspicions", "        if (!judges()) {\n            // In doubt", "        if (false) {\n            // In doubt"),
-            new Plant("a node in doubt suspects", "member.card.life().equals(ended.life) && judges()) {", "member.card.life().equals(ended.life)) {"),
+            new Plant(
+                    "older news replaces newer",
+                    "member.card, member.standing) <= 0) {",
+                    "member.card, member.standing) == 0) {"),
+            new Plant(
+                    "a node in doubt ends suspicions",
+                    "        if (!judges()) {\n            // In doubt",
+                    "        if (false) {\n            // In doubt"),
+            new Plant(
+                    "a node in doubt suspects",
+                    "member.card.life().equals(ended.life) && judges()) {",
+                    "member.card.life().equals(ended.life)) {"),
             new Plant("a standstill is not noticed", "if (lateMs > times.stoodMs()) {", "if (lateMs > 1e12) {"),
-            new Plant("nothing is refuted", "            reborn(self.at(self.life(), word.card().turn() + 1));\n            // Danger", "            // Danger"),
-            new Plant("refuted with the same turn", "reborn(self.at(self.life(), word.card().turn() + 1));", "reborn(self.at(self.life(), word.card().turn()));"),
-            new Plant("nobody looks for the lost", "        lookForLost();\n        Member next", "        Member next"),
-            new Plant("what a new answer says of this node is not heard", "if (trusted || proof && word", "if (trusted || false && word"),
+            new Plant(
+                    "nothing is refuted",
+                    "            reborn(self.at(self.life(), word.card().turn() + 1));\n            // Danger",
+                    "            // Danger"),
+            new Plant(
+                    "refuted with the same turn",
+                    "reborn(self.at(self.life(), word.card().turn() + 1));",
+                    "reborn(self.at(self.life(), word.card().turn()));"),
+            new Plant(
+                    "nobody looks for the lost", "        lookForLost();\n        Member next", "        Member next"),
+            new Plant(
+                    "what a new answer says of this node is not heard",
+                    "if (trusted || proof && word",
+                    "if (trusted || false && word"),
             new Plant("helpers are not asked", "if (asking != round || asking.answered) {", "if (true) {"),
-            new Plant("a helper's find does not count", "        if (about.life().compareTo(round.life) >= 0) {", "        if (false) {"),
-            new Plant("the digest leaves out who is new", "member.hash = is.there() ? hash(card, is) : 0;", "member.hash = was != null && is.there() ? hash(card, is) : 0;"),
+            new Plant(
+                    "a helper's find does not count",
+                    "        if (about.life().compareTo(round.life) >= 0) {",
+                    "        if (false) {"),
+            new Plant(
+                    "the digest leaves out who is new",
+                    "member.hash = is.there() ? hash(card, is) : 0;",
+                    "member.hash = was != null && is.there() ? hash(card, is) : 0;"),
             new Plant("news is passed on for ever", "                member.passedOn++;\n", ""),
-            new Plant("who leaves does not say so", "        standing = Standing.LEFT;\n", "        standing = Standing.ALIVE;\n"),
+            new Plant(
+                    "who leaves does not say so",
+                    "        standing = Standing.LEFT;\n",
+                    "        standing = Standing.ALIVE;\n"),
             new Plant("a former life's later start is not outbid", "            begin(other.life());\n", ""),
-            new Plant("a suspicion never ends", "() -> unrefuted(member));\n    }\n\n    private void unrefuted", "() -> { });\n    }\n\n    private void unrefuted"),
+            new Plant(
+                    "a suspicion never ends",
+                    "() -> unrefuted(member));\n    }\n\n    private void unrefuted",
+                    "() -> { });\n    }\n\n    private void unrefuted"),
             new Plant("a node that is cut off does not notice", "unanswered >= UNANSWERED", "unanswered >= 1000"),
             new Plant("suspicions go on where doubt ends", "if (doubted && !inDoubtOfItself()) {", "if (false) {"),
-            new Plant("suspects are not asked again", "this::askSuspects);\n        if (standing == Standing.LEFT ||", "this::askSuspects);\n        if (true ||"),
-            new Plant("strangers are not met", "            Contact met = meet(message.from().address());", "            Contact met = null;"));
+            new Plant(
+                    "suspects are not asked again",
+                    "this::askSuspects);\n        if (standing == Standing.LEFT ||",
+                    "this::askSuspects);\n        if (true ||"),
+            new Plant(
+                    "strangers are not met",
+                    "            Contact met = meet(message.from().address());",
+                    "            Contact met = null;"));
 
     private static final String FOLLOWER = "policy/PolicyFollower";
     private static final String LEADER = "policy/PolicyLeader";
@@ -63,26 +100,75 @@
 
     /** Faults of versions of policy. */
     public static final List<Plant> POLICY = List.of(
-            new Plant(LEADER, "a version holds as soon as it is decided", "nowMs - knownMs < times.overMs() ?", "false ?"),
-            new Plant("policy/PolicyTimes", "the leader waits for half a lease", "return leaseMs * (1 + drift) / (1 - drift);", "return leaseMs / 2;"),
-            new Plant("policy/PolicyTimes", "the leader's wait leaves drift out", "return leaseMs * (1 + drift) / (1 - drift);", "return leaseMs;"),
-            new Plant(FOLLOWER, "a lease counts from the answer", "sinceMs + times.leaseMs()", "nowMs + times.leaseMs()"),
-            new Plant(FOLLOWER, "a lease does not end", "decided ? guarded : holds, decided, leaseMs, after);", "decided ? guarded : holds, decided, Double.POSITIVE_INFINITY, after);"),
-            new Plant(FOLLOWER, "what was overtaken is taken up", "last != null && told.index() < last.index()", "false"),
-            new Plant(FOLLOWER, "nobody is guarded after the decision", "last.open().stage() == Stage.DECIDED;\n        String named", "false;\n        String named"),
-            new Plant(FOLLOWER, "out of touch the proposal is forgotten", "new Ruling(named + \"?\", guarded, true", "new Ruling(named + \"?\", holds, true"),
-            new Plant(FOLLOWER, "a node that starts is ready at once", "nowMs - bornMs >= times.readyMs()", "nowMs >= bornMs"),
-            new Plant(FOLLOWER, "a node that heard nothing is not guarded", "new Ruling(\"0?\", own, true,", "new Ruling(\"0\", own, false,"),
+            new Plant(
+                    LEADER,
+                    "a version holds as soon as it is decided",
+                    "nowMs - knownMs < times.overMs() ?",
+                    "false ?"),
+            new Plant(
+                    "policy/PolicyTimes",
+                    "the leader waits for half a lease",
+                    "return leaseMs * (1 + drift) / (1 - drift);",
+                    "return leaseMs / 2;"),
+            new Plant(
+                    "policy/PolicyTimes",
+                    "the leader's wait leaves drift out",
+                    "return leaseMs * (1 + drift) / (1 - drift);",
+                    "return leaseMs;"),
+            new Plant(
+                    FOLLOWER, "a lease counts from the answer", "sinceMs + times.leaseMs()", "nowMs + times.leaseMs()"),
+            new Plant(
+                    FOLLOWER,
+                    "a lease does not end",
+                    "decided ? guarded : holds, decided, leaseMs, after);",
+                    "decided ? guarded : holds, decided, Double.POSITIVE_INFINITY, after);"),
+            new Plant(
+                    FOLLOWER, "what was overtaken is taken up", "last != null && told.index() < last.index()", "false"),
+            new Plant(
+                    FOLLOWER,
+                    "nobody is guarded after the decision",
+                    "last.open().stage() == Stage.DECIDED;\n        String named",
+                    "false;\n        String named"),
+            new Plant(
+                    FOLLOWER,
+                    "out of touch the proposal is forgotten",
+                    "new Ruling(named + \"?\", guarded, true",
+                    "new Ruling(named + \"?\", holds, true"),
+            new Plant(
+                    FOLLOWER,
+                    "a node that starts is ready at once",
+                    "nowMs - bornMs >= times.readyMs()",
+                    "nowMs >= bornMs"),
+            new Plant(
+                    FOLLOWER,
+                    "a node that heard nothing is not guarded",
+                    "new Ruling(\"0?\", own, true,",
+                    "new Ruling(\"0\", own, false,"),
             new Plant(FOLLOWER, "nobody says that it can", "        vote = number;\n", ""),
             new Plant(LEADER, "a no is not heard", "if (!vote.no().isEmpty()) {", "if (false) {"),
             new Plant(LEADER, "nobody is waited for", "if (missing.isEmpty() && nowMs", "if (nowMs"),
-            new Plant(LEADER, "a proposal that not all answer stays open", "return nowMs - knownMs < times.prepareMs() ? null", "return true ? null"),
-            new Plant(LOG, "any stage leads to any other", "if (decided != (op.kind() == Op.Kind.HOLD)) {", "if (false) {"),
-            new Plant(LOG, "the same proposal sent twice is two", "            if (entry.token().equals(op.token())) {", "            if (false) {"),
-            new Plant("policy/Terms", "guarded is the looser of two times", "case LESS, SHARE_LESS, COUNT_LESS -> Math.min(", "case LESS, SHARE_LESS, COUNT_LESS -> Math.max("));
+            new Plant(
+                    LEADER,
+                    "a proposal that not all answer stays open",
+                    "return nowMs - knownMs < times.prepareMs() ? null",
+                    "return true ? null"),
+            new Plant(
+                    LOG,
+                    "any stage leads to any other",
+                    "if (decided != (op.kind() == Op.Kind.HOLD)) {",
+                    "if (false) {"),
+            new Plant(
+                    LOG,
+                    "the same proposal sent twice is two",
+                    "            if (entry.token().equals(op.token())) {",
+                    "            if (false) {"),
+            new Plant(
+                    "policy/Terms",
+                    "guarded is the looser of two times",
+                    "case LESS, SHARE_LESS, COUNT_LESS -> Math.min(",
+                    "case LESS, SHARE_LESS, COUNT_LESS -> Math.max("));
 
-    private Plants() {
-    }
+    private Plants() {}
 
     /** Plays the seeds with each fault planted. */
     public static List<Caught> play(Path root, List<Plant> plants, long from, long count, int most) throws Exception {
@@ -95,12 +181,13 @@
             String text = Files.readString(source);
             int at = text.indexOf(plant.text());
             if (at < 0 || text.indexOf(plant.text(), at + 1) >= 0) {
-                throw new BadInput("the fault '" + plant.name() + "' does not fit the source any more: its text is there "
-                        + (at < 0 ? "never" : "twice"));
+                throw new BadInput("the fault '" + plant.name()
+                        + "' does not fit the source any more: its text is there " + (at < 0 ? "never" : "twice"));
             }
             plays.add(() -> played(plant, text.replace(plant.text(), plant.instead()), from, count, most));
         }
-        ExecutorService players = Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors());
+        ExecutorService players =
+                Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors());
         try {
             List<Caught> caught = new ArrayList<>();
             for (Future<Caught> played : players.invokeAll(plays)) {
@@ -115,12 +202,14 @@
     private static Caught played(Plant plant, String text, long from, long count, int most) throws Exception {
         Path folder = Files.createTempDirectory("spartrail-plant");
         try {
-            Path file = Files.createDirectories(folder.resolve("source")).resolve(plant.file().replaceAll(".*/", "") + ".java");
+            Path file = Files.createDirectories(folder.resolve("source"))
+                    .resolve(plant.file().replaceAll(".*/", "") + ".java");
             Files.writeString(file, text);
             Path classes = Files.createDirectories(folder.resolve("classes"));
             String path = System.getProperty("java.class.path");
             JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
-            if (compiler == null || compiler.run(null, null, null, "-cp", path, "-d", classes.toString(), file.toString()) != 0) {
+            if (compiler == null
+                    || compiler.run(null, null, null, "-cp", path, "-d", classes.toString(), file.toString()) != 0) {
                 throw new IOException("the source with '" + plant.name() + "' does not compile");
             }
             List<URL> urls = new ArrayList<>();
@@ -128,15 +217,19 @@
             for (String entry : path.split(java.io.File.pathSeparator)) {
                 urls.add(Path.of(entry).toUri().toURL());
             }
-            try (URLClassLoader loader = new URLClassLoader(urls.toArray(new URL[0]), ClassLoader.getPlatformClassLoader())) {
-                String line = (String) loader.loadClass((plant.file().startsWith("peers") ? Exploration.class : PolicyTrial.class).getName())
-                        .getMethod("firstBreach", long.class, long.class, int.class).invoke(null, from, count, most);
+            try (URLClassLoader loader =
+                    new URLClassLoader(urls.toArray(new URL[0]), ClassLoader.getPlatformClassLoader())) {
+                String line = (String) loader.loadClass(
+                                (plant.file().startsWith("peers") ? Exploration.class : PolicyTrial.class).getName())
+                        .getMethod("firstBreach", long.class, long.class, int.class)
+                        .invoke(null, from, count, most);
                 String[] parts = line.split("\t");
                 return line.isEmpty() ? new Caught(plant, "", "", "") : new Caught(plant, parts[0], parts[1], parts[2]);
             }
         } finally {
             try (Stream<Path> files = Files.walk(folder)) {
-                files.sorted(java.util.Comparator.reverseOrder()).forEach(each -> each.toFile().delete());
+                files.sorted(java.util.Comparator.reverseOrder())
+                        .forEach(each -> each.toFile().delete());
             }
         }
     }
--- a/lab/src/main/java/spartrail/lab/virtual/PolicyScene.java
+++ b/lab/src/main/java/spartrail/lab/virtual/PolicyScene.java
@@ -29,11 +29,11 @@
  */
 public final class PolicyScene implements World.Scene<PolicyScene.Message> {
     /** What nodes send each other about policy; kinds as in the program's wire form. */
-    public record Message(String kind, String from, Ask ask, Told told, String hint) {
-    }
+    public record Message(String kind, String from, Ask ask, Told told, String hint) {}
 
     /** Short times, so that much happens in a short run. */
     static final PolicyTimes TIMES = new PolicyTimes(3000, 500, 8000, 5000, 0.02);
+
     private static final double LOOK_MS = 100;
     private static final double LEADER_LOST_MS = 3000;
     private static final double GONE_MS = 5000;
@@ -87,8 +87,14 @@
 
         private void asked(Message message) {
             if (!leads) {
-                send(Integer.parseInt(message.from().substring(1)), new Message("ELSEWHERE", "n" + node, null, null,
-                        leading >= 0 && world.linked(node, leading) ? "n" + leading : ""));
+                send(
+                        Integer.parseInt(message.from().substring(1)),
+                        new Message(
+                                "ELSEWHERE",
+                                "n" + node,
+                                null,
+                                null,
+                                leading >= 0 && world.linked(node, leading) ? "n" + leading : ""));
                 return;
             }
             leader.leads(true);
@@ -112,7 +118,9 @@
                         if (ask.name().equals("n" + node)) {
                             follower.told(answer, nowMs);
                         } else {
-                            send(Integer.parseInt(ask.name().substring(1)), new Message("TOLD", "n" + node, null, answer, ""));
+                            send(
+                                    Integer.parseInt(ask.name().substring(1)),
+                                    new Message("TOLD", "n" + node, null, answer, ""));
                         }
                     }
                 }
@@ -170,7 +178,10 @@
 
         @Override
         public double nextMs() {
-            return tasks.isEmpty() ? Math.min(Math.min(follower.nextMs(), checkedMs), node < deciders ? nextLookMs : Double.POSITIVE_INFINITY)
+            return tasks.isEmpty()
+                    ? Math.min(
+                            Math.min(follower.nextMs(), checkedMs),
+                            node < deciders ? nextLookMs : Double.POSITIVE_INFINITY)
                     : Double.NEGATIVE_INFINITY;
         }
 
@@ -183,7 +194,9 @@
     }
 
     private static List<String> names(int count) {
-        return java.util.stream.IntStream.range(0, count).mapToObj(node -> "n" + node).toList();
+        return java.util.stream.IntStream.range(0, count)
+                .mapToObj(node -> "n" + node)
+                .toList();
     }
 
     private final int size;
@@ -205,6 +218,7 @@
     private double leaderSeenMs;
     /** When the proposal that is open was taken, and since when the same one leads and reaches a majority. */
     private double openedMs;
+
     private double ledMs;
     private int proposals;
     private int changes;
@@ -284,9 +298,14 @@
     private void look() {
         world.later(LOOK_MS, this::look);
         double mostMs = TIMES.prepareMs() + TIMES.overMs() + 4 * TIMES.askMs();
-        if (log.open() != null && world.nowMs() - Math.max(openedMs, ledMs) > mostMs && leading >= 0 && eligible(leading)) {
-            breach("(f) every proposal ends", log.open().number() + " is " + log.open().stage() + " after "
-                    + Math.round(world.nowMs() - openedMs) + " ms");
+        if (log.open() != null
+                && world.nowMs() - Math.max(openedMs, ledMs) > mostMs
+                && leading >= 0
+                && eligible(leading)) {
+            breach(
+                    "(f) every proposal ends",
+                    log.open().number() + " is " + log.open().stage() + " after " + Math.round(world.nowMs() - openedMs)
+                            + " ms");
             openedMs = Double.POSITIVE_INFINITY;
         }
         if (leading < 0 || !eligible(leading)) {
@@ -301,7 +320,8 @@
             if (node < deciders && world.runs(node) && guest(node).leads && node != leading && eligible(node)) {
                 guest(node).leads = false;
             }
-            isolatedMs[node] = !isolated(node) ? Double.NaN : Double.isNaN(isolatedMs[node]) ? world.nowMs() : isolatedMs[node];
+            isolatedMs[node] =
+                    !isolated(node) ? Double.NaN : Double.isNaN(isolatedMs[node]) ? world.nowMs() : isolatedMs[node];
             if (leading >= 0 && world.runs(node) && world.linked(leading, node)) {
                 seenMs[node] = world.nowMs();
             }
@@ -382,7 +402,8 @@
     private void commit(Op op) {
         Entry was = log.open();
         String came = log.apply(++index, op);
-        openedMs = log.open() != null && (was == null || was.number() != log.open().number()) ? world.nowMs() : openedMs;
+        openedMs =
+                log.open() != null && (was == null || was.number() != log.open().number()) ? world.nowMs() : openedMs;
         if (op.kind() == Op.Kind.LED) {
             return;
         }
@@ -391,7 +412,10 @@
         if (op.kind() == Op.Kind.PROPOSE && open != null) {
             budgets.put(open.number(), Terms.parse(open.settings()).number(BUDGET));
         }
-        if (op.kind() == Op.Kind.DECIDE && open != null && open.stage() == Stage.DECIDED && was.stage() == Stage.PROPOSED) {
+        if (op.kind() == Op.Kind.DECIDE
+                && open != null
+                && open.stage() == Stage.DECIDED
+                && was.stage() == Stage.PROPOSED) {
             votes(open);
             if (cutAt >= 0) {
                 world.script(List.of(new Fault(world.nowMs(), Fault.Kind.CUT, List.of(cutAt), List.of(), 5000, 0)));
@@ -405,7 +429,10 @@
         }
         List<Entry> ended = log.entries();
         for (Entry entry : ended) {
-            if (ended.stream().filter(other -> other.token().equals(entry.token())).count() > 1) {
+            if (ended.stream()
+                            .filter(other -> other.token().equals(entry.token()))
+                            .count()
+                    > 1) {
                 breach("one proposal counts once", entry.number() + " was there before");
             }
         }
@@ -424,12 +451,18 @@
                 continue;
             }
             Ruling ruling = guest(node).follower.ruling();
-            boolean touch = ruling != null && !ruling.at(world.clock(node)).name().endsWith("?") && world.linked(node, leading)
-                    && world.nowMs() - seenMs[node] < LOOK_MS * 2 && !world.stands(node);
+            boolean touch = ruling != null
+                    && !ruling.at(world.clock(node)).name().endsWith("?")
+                    && world.linked(node, leading)
+                    && world.nowMs() - seenMs[node] < LOOK_MS * 2
+                    && !world.stands(node);
             if (touch && guest(node).checking < decided.number()) {
                 breach("all are asked", "n" + node + " was not asked about " + decided.number());
             }
-            if (touch && node == unfit && decided.number() == guest(node).checking && budgets.get(decided.number()) > 2500) {
+            if (touch
+                    && node == unfit
+                    && decided.number() == guest(node).checking
+                    && budgets.get(decided.number()) > 2500) {
                 breach("one no refuses", "n" + node + " cannot apply " + decided.number());
             }
         }
@@ -472,7 +505,10 @@
 
     @Override
     public long mark(Message message) {
-        return message.kind().hashCode() ^ (message.ask() != null ? message.ask().nonce() : message.told() != null ? message.told().nonce() : 7);
+        return message.kind().hashCode()
+                ^ (message.ask() != null
+                        ? message.ask().nonce()
+                        : message.told() != null ? message.told().nonce() : 7);
     }
 
     @Override
@@ -483,12 +519,16 @@
     @Override
     public void stepped(int node, Guest<Message> guest, double worldMs, double nodeMs) {
         PolicyGuest stepped = (PolicyGuest) guest;
-        Ruling now = stepped.follower.ruling() == null ? null : stepped.follower.ruling().at(nodeMs);
+        Ruling now = stepped.follower.ruling() == null
+                ? null
+                : stepped.follower.ruling().at(nodeMs);
         String name = now == null ? "" : now.name();
         boolean leased = now != null && !name.endsWith("?");
         double graceMs = TIMES.leaseMs() / (1 - TIMES.drift()) + 2 * LOOK_MS;
         if (leased && worldMs - isolatedMs[node] > graceMs && isolated(node)) {
-            breach("(e) out of touch it stops", "n" + node + " goes by " + name + ", alone for " + Math.round(worldMs - isolatedMs[node]) + " ms");
+            breach(
+                    "(e) out of touch it stops",
+                    "n" + node + " goes by " + name + ", alone for " + Math.round(worldMs - isolatedMs[node]) + " ms");
         }
         if (name.equals(names[node]) || now == null) {
             return;
@@ -496,7 +536,9 @@
         line("n" + node + " goes by " + name);
         changes++;
         if (names[node].isEmpty() && name.equals("0?") && nodeMs - stepped.bornMs < TIMES.readyMs()) {
-            breach("ready late enough", "n" + node + " serves after " + Math.round(nodeMs - stepped.bornMs) + " ms and has heard nothing");
+            breach(
+                    "ready late enough",
+                    "n" + node + " serves after " + Math.round(nodeMs - stepped.bornMs) + " ms and has heard nothing");
         }
         strict(node, now);
         if (leased) {
@@ -524,8 +566,10 @@
         for (long number : numbers(now.name())) {
             double budgetMs = budgets.getOrDefault(number, 0.0);
             if (now.terms().number(BUDGET) > budgetMs + 1e-9) {
-                breach("guarded is the stricter", "n" + node + " by " + now.name() + " has a budget of " + now.terms().number(BUDGET)
-                        + ", " + number + " has " + budgetMs);
+                breach(
+                        "guarded is the stricter",
+                        "n" + node + " by " + now.name() + " has a budget of "
+                                + now.terms().number(BUDGET) + ", " + number + " has " + budgetMs);
             }
         }
         if (now.guarded() != (now.name().contains("|") || now.name().endsWith("?"))) {
@@ -539,7 +583,9 @@
             breach("(a) one order", "n" + node + " goes by " + name + ", and " + base + " never held");
         } else if (base < lastAlone[node]) {
             breach("(a) one order", "n" + node + " goes by " + name + " after " + lastAlone[node]);
-        } else if (!names[node].isEmpty() && !names[node].endsWith("?") && held.indexOf(base) > held.indexOf(numbers(names[node]).get(0)) + 1) {
+        } else if (!names[node].isEmpty()
+                && !names[node].endsWith("?")
+                && held.indexOf(base) > held.indexOf(numbers(names[node]).get(0)) + 1) {
             breach("(a) one order", "n" + node + " goes by " + name + " after " + names[node] + " and skipped some");
         }
         lastAlone[node] = base;
@@ -550,7 +596,9 @@
         log.entries().stream().filter(entry -> entry.stage() != Stage.HOLDS).forEach(entry -> over.add(entry.number()));
         over.retainAll(numbers(name));
         if (!over.isEmpty()) {
-            breach("(b) refused is never", "n" + node + " goes by " + name + ", and " + over + " was refused or aborted");
+            breach(
+                    "(b) refused is never",
+                    "n" + node + " goes by " + name + ", and " + over + " was refused or aborted");
         }
     }
 
@@ -564,23 +612,34 @@
         List<Long> two = numbers(theirs.name());
         boolean same = one.stream().anyMatch(two::contains) && (one.size() > 1 || two.size() > 1 || one.equals(two));
         if (!same) {
-            breach("(c) one version at an instant", "n" + node + " goes by " + name + " while n" + other + " goes by " + theirs.name());
+            breach(
+                    "(c) one version at an instant",
+                    "n" + node + " goes by " + name + " while n" + other + " goes by " + theirs.name());
         }
     }
 
     /** Long after the last fault: nothing is open, and all that run go by what holds. */
     void settled(int lastBudgetMs) {
         if (budgets.get(log.holds().number()) != lastBudgetMs) {
-            breach("what all can apply holds", log.holds().number() + " holds, not the one that was proposed when all was well");
+            breach(
+                    "what all can apply holds",
+                    log.holds().number() + " holds, not the one that was proposed when all was well");
         }
         if (log.open() != null) {
-            breach("(f) every proposal ends", log.open().number() + " is " + log.open().stage());
+            breach(
+                    "(f) every proposal ends",
+                    log.open().number() + " is " + log.open().stage());
         }
         for (int node = 0; node < size; node++) {
             Ruling ruling = world.runs(node) ? guest(node).follower.ruling() : null;
-            String name = ruling == null ? "nothing" : ruling.at(world.clock(node)).name();
-            if (world.runs(node) && guest(node).follower.unfit().isEmpty() && !name.equals(Long.toString(log.holds().number()))) {
-                breach("all go by what holds", "n" + node + " goes by " + name + ", and " + log.holds().number() + " holds");
+            String name =
+                    ruling == null ? "nothing" : ruling.at(world.clock(node)).name();
+            if (world.runs(node)
+                    && guest(node).follower.unfit().isEmpty()
+                    && !name.equals(Long.toString(log.holds().number()))) {
+                breach(
+                        "all go by what holds",
+                        "n" + node + " goes by " + name + ", and " + log.holds().number() + " holds");
             }
         }
     }
--- a/lab/src/main/java/spartrail/lab/virtual/PolicyTrial.java
+++ b/lab/src/main/java/spartrail/lab/virtual/PolicyTrial.java
@@ -17,17 +17,17 @@
     private static final double FAULTS_MS = 40_000;
     /** What was proposed meanwhile has ended so long after the last fault; and one that is proposed then so much later. */
     private static final double CALM_MS = 30_000;
+
     private static final double SETTLES_MS = 25_000;
     private static final int LAST_BUDGET_MS = 1999;
     private static final int FAULT_SIZE_MOST = 30;
 
     /** How a trial went. */
-    public record Outcome(List<Breach> breaches, long hash, long messages, int changes, int versions, List<String> log) {
-    }
+    public record Outcome(
+            List<Breach> breaches, long hash, long messages, int changes, int versions, List<String> log) {}
 
     /** What came of many seeds. */
-    public record Result(long messages, long changes, long versions, long hash, Map<Long, Breach> found) {
-    }
+    public record Result(long messages, long changes, long versions, long hash, Map<Long, Breach> found) {}
 
     /** What a seed stands for. */
     public static PolicyTrial drawn(long seed, int most) {
@@ -51,8 +51,11 @@
                 }
                 case STALL -> lastsMs *= chance.nextInt(3) == 0 ? 4 : 1;
                 case CRASH -> lastsMs = Math.round(50 + chance.nextDouble() * 8000);
-                case CUT, ONE_WAY -> others = chance.nextBoolean() ? List.of() : some(1 + chance.nextInt(size), size, chance).stream()
-                        .filter(other -> !nodes.contains(other)).toList();
+                case CUT, ONE_WAY -> others = chance.nextBoolean()
+                        ? List.of()
+                        : some(1 + chance.nextInt(size), size, chance).stream()
+                                .filter(other -> !nodes.contains(other))
+                                .toList();
                 case LOSS -> number = 0.05 + 0.9 * chance.nextDouble();
                 case DELAY -> number = Math.round(10 + 4000 * chance.nextDouble());
                 case TWICE -> number = chance.nextDouble();
@@ -68,7 +71,7 @@
                     lastsMs = 0;
                     number = chance.nextBoolean() ? 0.9801 : 1.0199;
                 }
-                default -> { }
+                default -> {}
             }
             faults.add(new Fault(atMs, kind, nodes, others, lastsMs, number));
         }
@@ -81,8 +84,12 @@
             faults.add(new Fault(0, Fault.Kind.CLOCK, List.of(size - 1), List.of(), 0, 0.9801));
         }
         faults.sort(java.util.Comparator.comparingDouble(Fault::atMs));
-        return new PolicyTrial(seed, size, !edge && chance.nextInt(4) == 0 ? chance.nextInt(size) : -1,
-                edge && size > deciders, List.copyOf(faults));
+        return new PolicyTrial(
+                seed,
+                size,
+                !edge && chance.nextInt(4) == 0 ? chance.nextInt(size) : -1,
+                edge && size > deciders,
+                List.copyOf(faults));
     }
 
     private static List<Integer> some(int count, int size, RandomGenerator chance) {
@@ -113,7 +120,9 @@
         world.script(faults);
         double endMs = QUIET_MS + FAULTS_MS;
         for (Fault fault : faults) {
-            endMs = Math.max(endMs, fault.atMs() + Math.max(fault.lastsMs(), fault.kind() == Fault.Kind.HELD ? fault.size() : 0));
+            endMs = Math.max(
+                    endMs,
+                    fault.atMs() + Math.max(fault.lastsMs(), fault.kind() == Fault.Kind.HELD ? fault.size() : 0));
         }
         // One change after the other, and some at the same time; the last of them when all is well again.
         for (double atMs = 4000 + 4000 * chance.nextDouble(); atMs < endMs; atMs += 500 + 9000 * chance.nextDouble()) {
@@ -127,7 +136,13 @@
         world.later(endMs + CALM_MS, () -> scene.propose(LAST_BUDGET_MS, false));
         world.run(endMs + CALM_MS + SETTLES_MS);
         scene.settled(LAST_BUDGET_MS);
-        return new Outcome(List.copyOf(scene.breaches()), world.hash(), world.messages(), scene.changes(), scene.versions(), scene.log());
+        return new Outcome(
+                List.copyOf(scene.breaches()),
+                world.hash(),
+                world.messages(),
+                scene.changes(),
+                scene.versions(),
+                scene.log());
     }
 
     /** Plays many seeds, side by side. */
@@ -137,17 +152,20 @@
         AtomicLong changes = new AtomicLong();
         AtomicLong versions = new AtomicLong();
         AtomicLong played = new AtomicLong();
-        long hash = LongStream.range(from, from + count).parallel().map(seed -> {
-            Outcome outcome = drawn(seed, most).play(false);
-            messages.addAndGet(outcome.messages());
-            changes.addAndGet(outcome.changes());
-            versions.addAndGet(outcome.versions());
-            if (!outcome.breaches().isEmpty()) {
-                found.put(seed, outcome.breaches().get(0));
-            }
-            done.accept(played.incrementAndGet());
-            return outcome.hash() * (2 * seed + 1);
-        }).sum();
+        long hash = LongStream.range(from, from + count)
+                .parallel()
+                .map(seed -> {
+                    Outcome outcome = drawn(seed, most).play(false);
+                    messages.addAndGet(outcome.messages());
+                    changes.addAndGet(outcome.changes());
+                    versions.addAndGet(outcome.versions());
+                    if (!outcome.breaches().isEmpty()) {
+                        found.put(seed, outcome.breaches().get(0));
+                    }
+                    done.accept(played.incrementAndGet());
+                    return outcome.hash() * (2 * seed + 1);
+                })
+                .sum();
         return new Result(messages.get(), changes.get(), versions.get(), hash, found);
     }
 
@@ -167,11 +185,12 @@
     public PolicyTrial shrunk() {
         List<Breach> breaches = play(false).breaches();
         PolicyTrial least = this;
-        for (int i = 0; !breaches.isEmpty() && i < least.faults.size();) {
+        for (int i = 0; !breaches.isEmpty() && i < least.faults.size(); ) {
             List<Fault> fewer = new ArrayList<>(least.faults);
             fewer.remove(i);
             PolicyTrial next = new PolicyTrial(seed, size, unfit, edge, List.copyOf(fewer));
-            if (next.play(false).breaches().stream().anyMatch(breach -> breach.rule().equals(breaches.get(0).rule()))) {
+            if (next.play(false).breaches().stream()
+                    .anyMatch(breach -> breach.rule().equals(breaches.get(0).rule()))) {
                 least = next;
             } else {
                 i++;
@@ -182,8 +201,8 @@
 
     /** As a person reads it. */
     public String script() {
-        StringBuilder text = new StringBuilder("seed " + seed + ", " + size + " nodes" + (unfit < 0 ? "" : ", n" + unfit
-                + " cannot apply every version") + "\n");
+        StringBuilder text = new StringBuilder("seed " + seed + ", " + size + " nodes"
+                + (unfit < 0 ? "" : ", n" + unfit + " cannot apply every version") + "\n");
         faults.forEach(fault -> text.append("  ").append(fault).append('\n'));
         return text.toString();
     }
--- a/lab/src/main/java/spartrail/lab/virtual/World.java
+++ b/lab/src/main/java/spartrail/lab/virtual/World.java
@@ -20,14 +20,11 @@
         Guest<M> start(int node, int startNumber, String address, double nodeMs, RandomGenerator chance);
 
         /** After each step of a node. */
-        default void stepped(int node, Guest<M> guest, double worldMs, double nodeMs) {
-        }
+        default void stepped(int node, Guest<M> guest, double worldMs, double nodeMs) {}
 
-        default void faulted(Fault fault, boolean ends, double worldMs) {
-        }
+        default void faulted(Fault fault, boolean ends, double worldMs) {}
 
-        default void sent(int node, M message, double worldMs) {
-        }
+        default void sent(int node, M message, double worldMs) {}
 
         /** What tells a message from others, for the run's hash; the same in every process. */
         long mark(M message);
@@ -78,6 +75,7 @@
 
     /** Where virtual time begins. */
     public static final double UNIX_MS = 1.7e12;
+
     private static final double LEAST_LINK_MS = 0.1;
     private static final double ROUNDED_MS = 0.001;
 
@@ -188,7 +186,11 @@
             node.bornMs = nowMs;
             node.paceOfLife = node.pace;
             node.busyUntilMs = nowMs;
-            node.guest = scene.start(node.number, node.starts++, node.address, node.clock(nowMs),
+            node.guest = scene.start(
+                    node.number,
+                    node.starts++,
+                    node.address,
+                    node.clock(nowMs),
                     RandomGeneratorFactory.of("L64X128MixRandom").create(chance.nextLong()));
             step(node, null);
         }
@@ -276,7 +278,8 @@
         if (to == null || barred[from.number][to.number] > 0 || from.loss > 0 && chance.nextDouble() < from.loss) {
             return;
         }
-        double delayMs = LEAST_LINK_MS + jitterMs * chance.nextDouble() * chance.nextDouble()
+        double delayMs = LEAST_LINK_MS
+                + jitterMs * chance.nextDouble() * chance.nextDouble()
                 + (from.delayMs > 0 ? from.delayMs * chance.nextDouble() : 0);
         double atMs = Math.max(nowMs + delayMs, from.heldUntilMs);
         at(atMs, () -> arrive(to, message));
@@ -339,7 +342,9 @@
                 case CLOCK -> node.pace = fault.size();
                 default -> {
                     for (int other = 0; other < nodes.size(); other++) {
-                        boolean meant = fault.others().isEmpty() ? !fault.nodes().contains(other) : fault.others().contains(other);
+                        boolean meant = fault.others().isEmpty()
+                                ? !fault.nodes().contains(other)
+                                : fault.others().contains(other);
                         if (meant) {
                             barred[number][other] += on ? 1 : -1;
                             barred[other][number] += fault.kind() != Fault.Kind.CUT ? 0 : on ? 1 : -1;
--- a/lab/src/test/java/spartrail/lab/cli/LabCommandLineTest.java
+++ b/lab/src/test/java/spartrail/lab/cli/LabCommandLineTest.java
@@ -19,7 +19,10 @@
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
         int status = LabCommandLine.run(args, out, out);
-        return status + " " + bytes.toString(StandardCharsets.UTF_8).replace(folder.toString(), "FOLDER").strip();
+        return status + " "
+                + bytes.toString(StandardCharsets.UTF_8)
+                        .replace(folder.toString(), "FOLDER")
+                        .strip();
     }
 
     private String file(String name, String text) throws Exception {
@@ -30,19 +33,48 @@
 
     @Test
     void badInputIsOneLineAndStatusTwo() throws Exception {
-        String plan = file("plan.json", "{'phases':[{'lastsMs':10,'rate':{'shape':'steady','perS':1}}],'streams':[{'opTypes':"
-                + "[{'name':'o'}],'shards':{'of':1},'clientMs':10}]}");
-        String fleet = file("fleet.json", "{'layout':{'shards':1,'cells':1},'kinds':{'a':{}},'servers':[{'kind':'b'}]}");
-        String script = file("script.json", "{'layout':{'shards':1,'cells':1},'kinds':{'a':{}},'servers':[{'kind':'a'}],"
-                + "'script':[{'atMs':1,'do':'slow','servers':['s-9']}]}");
-        Table.same("bad-input", String.join("\n", run("launch"), run("load"), run("load", "run"), run("load", "run", "--loud", "x"),
-                run("load", "run", folder.resolve("none").toString()), run("load", "run", plan),
-                run("load", "run", plan, "--target", "192.0.2.1:80"), run("load", "plan", file("bad.json", "{\n'phases': [}")),
-                run("fleet", "run", fleet), run("fleet", "run", script), run("drill", "run", "none"),
-                run("load", "replay", plan + "x", "--target", "127.0.0.1:1"), run("load", "replay", plan, "--target", "127.0.0.1:1",
-                        "--speed", "0"), run("experiment", "show", "none", "--store", folder.resolve("no/store").toString()),
-                run("experiment", "show", "none", "--store", folder.resolve("store").toString()),
-                run("experiment", "prune", "--keep", "-1"), run("drill", "list", "--log", "loud"), run("completion", "tcsh")));
+        String plan = file(
+                "plan.json",
+                "{'phases':[{'lastsMs':10,'rate':{'shape':'steady','perS':1}}],'streams':[{'opTypes':"
+                        + "[{'name':'o'}],'shards':{'of':1},'clientMs':10}]}");
+        String fleet =
+                file("fleet.json", "{'layout':{'shards':1,'cells':1},'kinds':{'a':{}},'servers':[{'kind':'b'}]}");
+        String script = file(
+                "script.json",
+                "{'layout':{'shards':1,'cells':1},'kinds':{'a':{}},'servers':[{'kind':'a'}],"
+                        + "'script':[{'atMs':1,'do':'slow','servers':['s-9']}]}");
+        Table.same(
+                "bad-input",
+                String.join(
+                        "\n",
+                        run("launch"),
+                        run("load"),
+                        run("load", "run"),
+                        run("load", "run", "--loud", "x"),
+                        run("load", "run", folder.resolve("none").toString()),
+                        run("load", "run", plan),
+                        run("load", "run", plan, "--target", "192.0.2.1:80"),
+                        run("load", "plan", file("bad.json", "{\n'phases': [}")),
+                        run("fleet", "run", fleet),
+                        run("fleet", "run", script),
+                        run("drill", "run", "none"),
+                        run("load", "replay", plan + "x", "--target", "127.0.0.1:1"),
+                        run("load", "replay", plan, "--target", "127.0.0.1:1", "--speed", "0"),
+                        run(
+                                "experiment",
+                                "show",
+                                "none",
+                                "--store",
+                                folder.resolve("no/store").toString()),
+                        run(
+                                "experiment",
+                                "show",
+                                "none",
+                                "--store",
+                                folder.resolve("store").toString()),
+                        run("experiment", "prune", "--keep", "-1"),
+                        run("drill", "list", "--log", "loud"),
+                        run("completion", "tcsh")));
     }
 
     @Test
@@ -57,7 +89,8 @@
 
     @Test
     void drillsThatNeedNoClockAreGood() {
-        assertThat(run("drill", "run", "load-trace-order", "rules-planted", "--seed", "3")).startsWith("0 ")
+        assertThat(run("drill", "run", "load-trace-order", "rules-planted", "--seed", "3"))
+                .startsWith("0 ")
                 .doesNotContain("differs");
     }
 }
--- a/lab/src/test/java/spartrail/lab/drill/DnsResolverTest.java
+++ b/lab/src/test/java/spartrail/lab/drill/DnsResolverTest.java
@@ -9,8 +9,9 @@
     /** The troubles that are met on sockets alone; the others are played on virtual time by the resolver's own tests. */
     @Test
     void troublesOnSocketsEmptyNoList() throws Exception {
-        for (Manner manner : new Manner[] {Manner.TRUNCATE, Manner.TRUNCATE_AND_CUT_TCP, Manner.TCP_ONE_OCTET_AT_A_TIME,
-            Manner.SPOOF, Manner.EMPTY}) {
+        for (Manner manner : new Manner[] {
+            Manner.TRUNCATE, Manner.TRUNCATE_AND_CUT_TCP, Manner.TCP_ONE_OCTET_AT_A_TIME, Manner.SPOOF, Manner.EMPTY
+        }) {
             Drill.Findings findings = new Drill.Findings();
             DnsResolver.play(manner, 5, findings);
             assertThat(findings.all()).allMatch(Drill.Finding::good);
--- a/lab/src/test/java/spartrail/lab/experiment/ExperimentTest.java
+++ b/lab/src/test/java/spartrail/lab/experiment/ExperimentTest.java
@@ -20,7 +20,8 @@
     @TempDir
     private Path folder;
 
-    private static final String PLAN = """
+    private static final String PLAN =
+            """
             {"name": "small",
              "fleet": {"layout": {"shards": 4, "cells": 4, "reach": 2}, "roll": {"noticeMs": 50},
                "kinds": {"std": {"cores": 2, "workMs": 1, "warmMs": 2000, "tipMultiple": 50, "tipMs": 2000}},
@@ -44,18 +45,34 @@
     void aRealFrontNodeKeepsItsRulesUnderLoad() throws Exception {
         assumeTrue(Files.isReadable(Path.of("node/target/spartrail.jar")), "the front node's jar is built before");
         ExperimentPlan plan = plan();
-        ObjectNode report = new Runner(plan, glance -> { }, () -> false).play(plan.cells().get(0));
-        assertThat(report.at("/rules/kept").asBoolean()).as(report.get("rules").toString()).isTrue();
-        assertThat(report.at("/clients/served").asLong() + report.at("/clients/unserved").asLong()).isGreaterThan(80);
+        ObjectNode report =
+                new Runner(plan, glance -> {}, () -> false).play(plan.cells().get(0));
+        assertThat(report.at("/rules/kept").asBoolean())
+                .as(report.get("rules").toString())
+                .isTrue();
+        assertThat(report.at("/clients/served").asLong()
+                        + report.at("/clients/unserved").asLong())
+                .isGreaterThan(80);
         assertThat(report.at("/served/count").asLong()).isPositive();
         assertThat(report.get("events").toString()).contains("restart s-1", "drain s-2");
         Path out = folder.resolve("report");
         Showing.folder(out, "small", List.of(new Store.Run(plan.cells().get(0), report)));
-        assertThat(Files.readString(out.resolve("index.html"))).contains("<img src=").doesNotContain("http");
+        assertThat(Files.readString(out.resolve("index.html")))
+                .contains("<img src=")
+                .doesNotContain("http");
         try (var files = Files.list(out)) {
-            assertThat(files.map(path -> path.getFileName().toString().replaceAll(".*-", "")).sorted().toList())
-                    .containsExactly("index.html", "latency.png", "latency.svg", "rate.png", "rate.svg", "servers.png",
-                            "servers.svg", "tables.txt");
+            assertThat(files.map(path -> path.getFileName().toString().replaceAll(".*-", ""))
+                            .sorted()
+                            .toList())
+                    .containsExactly(
+                            "index.html",
+                            "latency.png",
+                            "latency.svg",
+                            "rate.png",
+                            "rate.svg",
+                            "servers.png",
+                            "servers.svg",
+                            "tables.txt");
         }
     }
 
@@ -86,7 +103,10 @@
     private static ObjectNode report(double served, double p99Ms) {
         ObjectNode tree = Document.JSON.createObjectNode();
         tree.put("fit", true).put("tries", 100);
-        tree.putObject("clients").put("served", 100 * served).put("unserved", 100 - 100 * served).putObject("untilServedMs")
+        tree.putObject("clients")
+                .put("served", 100 * served)
+                .put("unserved", 100 - 100 * served)
+                .putObject("untilServedMs")
                 .put("p99", p99Ms);
         tree.putObject("kinds").put("WHOLE", 100 * served).put("PUSHED_BACK", 0);
         tree.putObject("served").putObject("latencyMs").put("p50", 10).put("p99", p99Ms);
@@ -97,14 +117,21 @@
     void aDifferenceIsToldOnlyWhereSeedsAgreeOnIt() throws Exception {
         Map<Long, JsonNode> first = new TreeMap<>();
         Map<Long, JsonNode> second = new TreeMap<>();
-        double[][] values = {{0.90, 100, 0.95, 90}, {0.80, 120, 0.86, 140}, {0.85, 110, 0.90, 105}, {0.88, 105, 0.91, 125},
-            {0.70, 150, 0.78, 135}};
+        double[][] values = {
+            {0.90, 100, 0.95, 90},
+            {0.80, 120, 0.86, 140},
+            {0.85, 110, 0.90, 105},
+            {0.88, 105, 0.91, 125},
+            {0.70, 150, 0.78, 135}
+        };
         for (int i = 0; i < values.length; i++) {
             first.put((long) i, report(values[i][0], values[i][1]));
             second.put((long) i, report(values[i][2], values[i][3]));
         }
-        Table.same("compare", Compare.table("old", "new", Compare.lines(first, second), 5)
-                + Compare.table("new", "old", Compare.lines(second, first), 5)
-                + Compare.table("old", "old", Compare.lines(first, first), 5));
+        Table.same(
+                "compare",
+                Compare.table("old", "new", Compare.lines(first, second), 5)
+                        + Compare.table("new", "old", Compare.lines(second, first), 5)
+                        + Compare.table("old", "old", Compare.lines(first, first), 5));
     }
 }
--- a/lab/src/test/java/spartrail/lab/fleet/FrontLayerTest.java
+++ b/lab/src/test/java/spartrail/lab/fleet/FrontLayerTest.java
@@ -14,22 +14,26 @@
 
 class FrontLayerTest {
     private static InetSocketAddress address(NullResponder responder) {
-        return new InetSocketAddress("127.0.0.1", Integer.parseInt(responder.address().split(":")[1]));
+        return new InetSocketAddress(
+                "127.0.0.1", Integer.parseInt(responder.address().split(":")[1]));
     }
 
     private static long[] play(LoadPlan plan, int port) throws InterruptedException {
-        try (LoadSession session = new LoadSession(Plans.at(plan, "127.0.0.1:" + port), plan.arrivals(), plan.lastsMs(),
-                Watcher.NONE)) {
+        try (LoadSession session =
+                new LoadSession(Plans.at(plan, "127.0.0.1:" + port), plan.arrivals(), plan.lastsMs(), Watcher.NONE)) {
             assertThat(session.await(60_000)).isTrue();
-            return new long[] {session.recorder().count(Kind.WHOLE), session.recorder().all()};
+            return new long[] {
+                session.recorder().count(Kind.WHOLE), session.recorder().all()
+            };
         }
     }
 
     @Test
     void clientsAreSpreadOverNodesThatAreUp() throws Exception {
         long[] taken = new long[2];
-        LoadPlan plan = Plans.parse("{'phases':[{'lastsMs':400,'rate':{'shape':'steady','perS':100}}],'streams':[{'opTypes':"
-                + "[{'name':'orders'}],'shards':{'of':8},'clientMs':20000,'habit':{'ownConnection':true}}]}");
+        LoadPlan plan =
+                Plans.parse("{'phases':[{'lastsMs':400,'rate':{'shape':'steady','perS':100}}],'streams':[{'opTypes':"
+                        + "[{'name':'orders'}],'shards':{'of':8},'clientMs':20000,'habit':{'ownConnection':true}}]}");
         try (SocketLoop loop = new SocketLoop("test-front-layer");
                 NullResponder one = new NullResponder(0, (number, atMs) -> {
                     taken[0]++;
--- a/lab/src/test/java/spartrail/lab/load/AnswerReaderTest.java
+++ b/lab/src/test/java/spartrail/lab/load/AnswerReaderTest.java
@@ -9,7 +9,8 @@
 
 class AnswerReaderTest {
     private static final String LENGTH = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nRetry-After: 0.5\r\n\r\nhello";
-    private static final String CHUNKS = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=1\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+    private static final String CHUNKS =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=1\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
 
     private static String read(String text, int cut) {
         AnswerReader reader = new AnswerReader();
@@ -19,13 +20,19 @@
             for (int[] part : new int[][] {{0, cut}, {cut, bytes.length}}) {
                 reader.take(ByteBuffer.wrap(bytes, part[0], part[1] - part[0]));
                 for (Answer answer = reader.next(); answer != null; answer = reader.next()) {
-                    seen.append(answer.status()).append(' ').append(new String(answer.body(), StandardCharsets.ISO_8859_1))
-                            .append(' ').append(answer.comebackMs()).append(answer.lasts() ? " lasts; " : " last; ");
+                    seen.append(answer.status())
+                            .append(' ')
+                            .append(new String(answer.body(), StandardCharsets.ISO_8859_1))
+                            .append(' ')
+                            .append(answer.comebackMs())
+                            .append(answer.lasts() ? " lasts; " : " last; ");
                 }
             }
             Answer end = reader.atEnd();
-            return seen + (end != null ? "at its end: " + new String(end.body(), StandardCharsets.ISO_8859_1)
-                    : reader.begun() ? "and more" : "");
+            return seen
+                    + (end != null
+                            ? "at its end: " + new String(end.body(), StandardCharsets.ISO_8859_1)
+                            : reader.begun() ? "and more" : "");
         } catch (AnswerReader.Unusable e) {
             return seen + e.kind.name() + ": " + e.getMessage();
         }
@@ -45,12 +52,26 @@
     @Test
     void whatIsOddHasItsName() throws Exception {
         StringBuilder seen = new StringBuilder();
-        for (String text : new String[] {LENGTH, CHUNKS, LENGTH + LENGTH, LENGTH + "x", LENGTH.replace("5", "50"),
-            LENGTH.replace("Content-Length: 5\r\n", ""), LENGTH.replace("5\r", "4294967296\r"), LENGTH.replace("5\r", "-2\r"),
-            LENGTH.replace("5\r", "many\r"), CHUNKS.replace("3;", "zz"), CHUNKS.replace("3;", "fffff;"), "SSH-2.0-x\r\n\r\n",
+        for (String text : new String[] {
+            LENGTH,
+            CHUNKS,
+            LENGTH + LENGTH,
+            LENGTH + "x",
+            LENGTH.replace("5", "50"),
+            LENGTH.replace("Content-Length: 5\r\n", ""),
+            LENGTH.replace("5\r", "4294967296\r"),
+            LENGTH.replace("5\r", "-2\r"),
+            LENGTH.replace("5\r", "many\r"),
+            CHUNKS.replace("3;", "zz"),
+            CHUNKS.replace("3;", "fffff;"),
+            "SSH-2.0-x\r\n\r\n",
             LENGTH.replace("200 OK", "204 none").replace("hello", ""),
-            LENGTH.replace("Retry", "Connection: close\r\nRetry")}) {
-            seen.append(text.replace("\r\n", "|")).append(" -> ").append(read(text, text.length())).append('\n');
+            LENGTH.replace("Retry", "Connection: close\r\nRetry")
+        }) {
+            seen.append(text.replace("\r\n", "|"))
+                    .append(" -> ")
+                    .append(read(text, text.length()))
+                    .append('\n');
         }
         Table.same("answers", seen.toString());
     }
--- a/lab/src/test/java/spartrail/lab/load/GeneratorTest.java
+++ b/lab/src/test/java/spartrail/lab/load/GeneratorTest.java
@@ -51,23 +51,36 @@
 
     @Test
     void answersAfterTheClientsTimeAndNoneAtAllAreToldApart() {
-        assertThat(kinds(virtual(Plans.even(10, 1000, 200, 100, 1), (number, atMs) ->
-                number % 3 == 0 ? atMs + 100 : number % 3 == 1 ? atMs + 300 : Double.POSITIVE_INFINITY)))
+        assertThat(kinds(virtual(
+                        Plans.even(10, 1000, 200, 100, 1),
+                        (number, atMs) -> number % 3 == 0
+                                ? atMs + 100
+                                : number % 3 == 1 ? atMs + 300 : Double.POSITIVE_INFINITY)))
                 .isEqualTo(" WHOLE 4 NONE 3 LATE 3, twice 0, sent once more 0, clients 4 served 6 not");
     }
 
     @Test
     void habitsPlayOut() throws Exception {
         StringBuilder seen = new StringBuilder();
-        for (String habit : new String[] {"{}", "{'tries':3}", "{'tries':3,'wait':'fixed','waitMs':100}",
-            "{'leaves':{'share':1,'at':0.25}}", "{'ownConnection':true}"}) {
+        for (String habit : new String[] {
+            "{}",
+            "{'tries':3}",
+            "{'tries':3,'wait':'fixed','waitMs':100}",
+            "{'leaves':{'share':1,'at':0.25}}",
+            "{'ownConnection':true}"
+        }) {
             LoadPlan plan = Plans.parse("{'gaps':{'kind':'even'},'lingerMs':100,'phases':[{'lastsMs':1000,'rate':"
                     + "{'shape':'steady','perS':10}}],'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8},"
                     + "'clientMs':200,'habit':" + habit + "}]}");
             // Each request that is a multiple of three is answered at once, others never.
             Recorder recorder = virtual(plan, (number, atMs) -> number % 3 == 0 ? atMs + 60 : Double.POSITIVE_INFINITY);
-            seen.append(String.format(Locale.ROOT, "%s:%s, opened %d, most tries %d%n", habit, kinds(recorder),
-                    recorder.opened, recorder.tries.getMaxValue()));
+            seen.append(String.format(
+                    Locale.ROOT,
+                    "%s:%s, opened %d, most tries %d%n",
+                    habit,
+                    kinds(recorder),
+                    recorder.opened,
+                    recorder.tries.getMaxValue()));
         }
         Table.same("habits-played", seen.toString());
     }
@@ -77,15 +90,19 @@
     void oddAnswersAreCountedOnceUnderTheirOwnNames() throws Exception {
         StringBuilder seen = new StringBuilder();
         for (NullResponder.Manner manner : NullResponder.Manner.values()) {
-            LoadPlan plan = Plans.parse("{'gaps':{'kind':'even'},'lingerMs':100,'lagBoundMs':10000,'phases':[{'lastsMs':200,"
-                    + "'rate':{'shape':'steady','perS':25}}],'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8},"
-                    + "'clientMs':" + (manner == NullResponder.Manner.SILENT ? 100 : 30_000) + "}]}");
+            LoadPlan plan =
+                    Plans.parse("{'gaps':{'kind':'even'},'lingerMs':100,'lagBoundMs':10000,'phases':[{'lastsMs':200,"
+                            + "'rate':{'shape':'steady','perS':25}}],'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8},"
+                            + "'clientMs':" + (manner == NullResponder.Manner.SILENT ? 100 : 30_000) + "}]}");
             try (NullResponder responder = new NullResponder(0, (number, atMs) -> atMs)) {
                 responder.behave(manner);
-                try (LoadSession session = new LoadSession(Plans.at(plan, responder.address()), plan.arrivals(), 200,
-                        Watcher.NONE)) {
+                try (LoadSession session =
+                        new LoadSession(Plans.at(plan, responder.address()), plan.arrivals(), 200, Watcher.NONE)) {
                     assertThat(session.await(60_000)).isTrue();
-                    seen.append(manner).append(':').append(kinds(session.recorder()).replaceAll(", clients.*", "")).append('\n');
+                    seen.append(manner)
+                            .append(':')
+                            .append(kinds(session.recorder()).replaceAll(", clients.*", ""))
+                            .append('\n');
                 }
             }
         }
@@ -99,7 +116,8 @@
         try (NullResponder responder = new NullResponder(0, (number, atMs) -> atMs)) {
             port = Integer.parseInt(responder.address().split(":")[1]);
         }
-        try (LoadSession session = new LoadSession(Plans.at(plan, "127.0.0.1:" + port), plan.arrivals(), 100, Watcher.NONE)) {
+        try (LoadSession session =
+                new LoadSession(Plans.at(plan, "127.0.0.1:" + port), plan.arrivals(), 100, Watcher.NONE)) {
             assertThat(session.await(60_000)).isTrue();
             assertThat(kinds(session.recorder())).startsWith(" NO_CONNECTION 5,");
         }
@@ -151,7 +169,8 @@
         }
         assertThat(recorder.lag.getMaxValue() / 1000).isEqualTo(300);
         assertThat(recorder.total(kind -> true, false).getMaxValue()).isZero();
-        assertThat(Report.tree(plan, recorder, null, 1000).get("fit").asBoolean()).isFalse();
+        assertThat(Report.tree(plan, recorder, null, 1000).get("fit").asBoolean())
+                .isFalse();
     }
 
     /** Descriptors run out: what is out is still waited for, nothing further is sent, the report says why. */
@@ -174,14 +193,16 @@
         virtual.play(generator);
         assertThat(generator.fault()).isEqualTo("no socket is to be had with 7 open: Too many open files");
         assertThat(kinds(recorder)).startsWith(" WHOLE 7 NO_CONNECTION 1,");
-        assertThat(Report.text(Report.tree(plan, recorder, generator.fault(), 1000))).startsWith("UNFIT: no socket");
+        assertThat(Report.text(Report.tree(plan, recorder, generator.fault(), 1000)))
+                .startsWith("UNFIT: no socket");
     }
 
     @Test
     void manySecondsBecomeWiderSlices() {
         Recorder recorder = virtual(Plans.even(1, 4_000_000, 1000, 10, 1), (number, atMs) -> atMs + 1);
         assertThat(recorder.slices().size()).isLessThanOrEqualTo(1200);
-        assertThat(recorder.slices().stream().mapToLong(slice -> slice.intended).sum()).isEqualTo(4000);
+        assertThat(recorder.slices().stream().mapToLong(slice -> slice.intended).sum())
+                .isEqualTo(4000);
         assertThat(recorder.sliceMs()).isEqualTo(4000);
     }
 }
--- a/lab/src/test/java/spartrail/lab/model/PolicyModelTest.java
+++ b/lab/src/test/java/spartrail/lab/model/PolicyModelTest.java
@@ -16,7 +16,9 @@
     @Test
     void eachStepIsNeeded() {
         for (Left left : Left.values()) {
-            assertThat(PolicyModel.search(3, 1, Set.of(left)).broken()).as("without " + left.what).isNotEmpty();
+            assertThat(PolicyModel.search(3, 1, Set.of(left)).broken())
+                    .as("without " + left.what)
+                    .isNotEmpty();
         }
     }
 }
--- a/lab/src/test/java/spartrail/lab/nodes/JudgeTest.java
+++ b/lab/src/test/java/spartrail/lab/nodes/JudgeTest.java
@@ -17,17 +17,23 @@
 class JudgeTest {
     private final List<Line> clean = History.kept(Path.of("lab/src/test/resources/history-restart.jsonl"));
 
-    JudgeTest() throws Exception {
-    }
+    JudgeTest() throws Exception {}
 
     private static String judged(List<Line> lines) {
-        return new Judge(4).read(lines, true).breaches().stream().map(breach -> breach.rule()).distinct().toList().toString();
+        return new Judge(4)
+                .read(lines, true).breaches().stream()
+                        .map(breach -> breach.rule())
+                        .distinct()
+                        .toList()
+                        .toString();
     }
 
     private int first(String what, String node, String of, String is) {
         for (int i = 0; i < clean.size(); i++) {
             var tree = clean.get(i).tree();
-            if (clean.get(i).what().equals(what) && tree.path("node").asText().equals(node) && tree.path("of").asText().equals(of)
+            if (clean.get(i).what().equals(what)
+                    && tree.path("node").asText().equals(node)
+                    && tree.path("of").asText().equals(of)
                     && tree.path("is").asText().equals(is)) {
                 return i;
             }
@@ -51,14 +57,21 @@
         int gone = first("standing", "n0", "n3", "GONE");
         int suspect = first("standing", "n0", "n3", "SUSPECT");
         int alive = first("standing", "n0", "n1", "ALIVE");
-        assertThat(judged(planted(suspect, gone + 1, tree -> { }))).contains("1 never back");
-        assertThat(judged(planted(alive, alive + 1, tree -> tree.put("is", "LEFT")))).contains("2 only its own word");
-        assertThat(judged(planted(alive, alive + 1, tree -> tree.put("of", "n9")))).contains("3 only known words");
-        assertThat(judged(planted(gone, gone, tree -> tree.put("doubt", "it stood still").put("by", "n0").put("turn", 0))))
+        assertThat(judged(planted(suspect, gone + 1, tree -> {}))).contains("1 never back");
+        assertThat(judged(planted(alive, alive + 1, tree -> tree.put("is", "LEFT"))))
+                .contains("2 only its own word");
+        assertThat(judged(planted(alive, alive + 1, tree -> tree.put("of", "n9"))))
+                .contains("3 only known words");
+        assertThat(judged(planted(gone, gone, tree -> tree.put("doubt", "it stood still")
+                        .put("by", "n0")
+                        .put("turn", 0))))
                 .contains("4 no verdict in doubt");
-        assertThat(judged(planted(alive, alive + 1, tree -> tree.put("is", "GONE")))).contains("no false end");
+        assertThat(judged(planted(alive, alive + 1, tree -> tree.put("is", "GONE"))))
+                .contains("no false end");
         List<Line> forgetful = new ArrayList<>(clean);
-        forgetful.removeIf(line -> line.what().equals("standing") && line.node() == 2 && line.tree().get("of").asText().equals("n1"));
+        forgetful.removeIf(line -> line.what().equals("standing")
+                && line.node() == 2
+                && line.tree().get("of").asText().equals("n1"));
         assertThat(judged(forgetful)).isEqualTo("[views agree]");
         List<Line> unkilled = new ArrayList<>(clean);
         unkilled.removeIf(line -> line.what().equals("killed"));
--- a/lab/src/test/java/spartrail/lab/nodes/LinksTest.java
+++ b/lab/src/test/java/spartrail/lab/nodes/LinksTest.java
@@ -24,11 +24,10 @@
 class LinksTest {
     private static final String LAST = "last";
     private final DatagramSocket[] sockets = {socket(), socket(), socket()};
-    private final Links links = new Links(List.of(sockets[0].getLocalPort(), sockets[1].getLocalPort(), sockets[2].getLocalPort()),
-            "rig", 1);
+    private final Links links = new Links(
+            List.of(sockets[0].getLocalPort(), sockets[1].getLocalPort(), sockets[2].getLocalPort()), "rig", 1);
 
-    LinksTest() throws IOException {
-    }
+    LinksTest() throws IOException {}
 
     private static DatagramSocket socket() throws IOException {
         DatagramSocket socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -46,7 +45,10 @@
 
     private void send(int from, int to, byte[] bytes) throws IOException {
         String address = links.address(to);
-        sockets[from].send(new DatagramPacket(bytes, bytes.length, InetAddress.getLoopbackAddress(),
+        sockets[from].send(new DatagramPacket(
+                bytes,
+                bytes.length,
+                InetAddress.getLoopbackAddress(),
                 Integer.parseInt(address.substring(address.indexOf(':') + 1))));
     }
 
@@ -76,28 +78,43 @@
     }
 
     private static byte[] message(Message.Kind kind) {
-        return Frames.peers("rig", new Message(kind, new Card("n0", "127.0.0.1:1", "", 1, "", "", new Life(1, 1), 0), Standing.ALIVE,
-                1, "n1", 2, 3, null, List.of()));
+        return Frames.peers(
+                "rig",
+                new Message(
+                        kind,
+                        new Card("n0", "127.0.0.1:1", "", 1, "", "", new Life(1, 1), 0),
+                        Standing.ALIVE,
+                        1,
+                        "n1",
+                        2,
+                        3,
+                        null,
+                        List.of()));
     }
 
     @Test
     void eachTroubleDoesWhatItSaysAndOnlyOneWay() throws IOException {
         byte[] one = "abcdefgh".getBytes(StandardCharsets.US_ASCII);
-        assertThat(through(trouble -> { }, one)).containsExactly(one);
+        assertThat(through(trouble -> {}, one)).containsExactly(one);
         assertThat(through(trouble -> trouble.cut = true, one, one)).isEmpty();
         assertThat(through(trouble -> trouble.loss = 1, one, one)).isEmpty();
         assertThat(through(trouble -> trouble.twice = 1, one)).containsExactly(one, one);
-        assertThat(through(trouble -> trouble.mostBytes = 3, one)).containsExactly("abc".getBytes(StandardCharsets.US_ASCII));
+        assertThat(through(trouble -> trouble.mostBytes = 3, one))
+                .containsExactly("abc".getBytes(StandardCharsets.US_ASCII));
         List<byte[]> flipped = through(trouble -> trouble.flipped = 1, one);
         int bits = 0;
         for (int i = 0; i < one.length; i++) {
             bits += Integer.bitCount((flipped.get(0)[i] ^ one[i]) & 0xff);
         }
         assertThat(bits).isEqualTo(1);
-        assertThat(through(trouble -> {
-            trouble.cut = true;
-            trouble.kind = "PING";
-        }, message(Message.Kind.PING), message(Message.Kind.ACK))).containsExactly(message(Message.Kind.ACK));
+        assertThat(through(
+                        trouble -> {
+                            trouble.cut = true;
+                            trouble.kind = "PING";
+                        },
+                        message(Message.Kind.PING),
+                        message(Message.Kind.ACK)))
+                .containsExactly(message(Message.Kind.ACK));
         links.set(0, 1, null);
         Links.Trouble cut = new Links.Trouble();
         cut.cut = true;
@@ -108,8 +125,10 @@
 
     @Test
     void whatIsHeldOrThrottledComesLaterThanWhatWasSentAfterIt() throws IOException {
-        for (Consumer<Links.Trouble> how : List.<Consumer<Links.Trouble>>of(trouble -> trouble.heldUntilMs = links.nowMs() + 300,
-                trouble -> trouble.delayMs = 300, trouble -> trouble.bytesPerS = 10)) {
+        for (Consumer<Links.Trouble> how : List.<Consumer<Links.Trouble>>of(
+                trouble -> trouble.heldUntilMs = links.nowMs() + 300,
+                trouble -> trouble.delayMs = 300,
+                trouble -> trouble.bytesPerS = 10)) {
             assertThat(through(how, "hold".getBytes(StandardCharsets.US_ASCII))).isEmpty();
             assertThat(next(1)).isEqualTo("hold".getBytes(StandardCharsets.US_ASCII));
         }
--- a/lab/src/test/java/spartrail/lab/nodes/SeveralProcessesTest.java
+++ b/lab/src/test/java/spartrail/lab/nodes/SeveralProcessesTest.java
@@ -22,13 +22,14 @@
             + "'fleet':{'layout':{'shards':4,'cells':2,'reach':2},'kinds':{'std':{'cores':2,'workMs':1,'warmMs':1000,"
             + "'tipMultiple':1000}},'servers':[{'kind':'std','count':4}]},"
             + "'settings':{'opTypes':[{'name':'orders','budgetMs':3000,'timeoutMs':6000,'floor':0.9}]},'steps':[";
+
     @TempDir
     private Path folder;
 
     private Rig.Outcome play(String steps) throws Exception {
-        NodesPlan plan = NodesPlan.of(Document.parse("plan", (PLAN + steps + "]}").replace('\'', '"')
-                .getBytes(StandardCharsets.UTF_8), "nodes"));
-        try (Rig rig = new Rig(plan, folder, line -> { })) {
+        NodesPlan plan = NodesPlan.of(Document.parse(
+                "plan", (PLAN + steps + "]}").replace('\'', '"').getBytes(StandardCharsets.UTF_8), "nodes"));
+        try (Rig rig = new Rig(plan, folder, line -> {})) {
             return rig.play();
         }
     }
@@ -47,27 +48,35 @@
 
     @Test
     void twoSidesOfACutFindEachOtherAgainAndOneThatEndsSaysSo() throws Exception {
-        Rig.Outcome outcome = play("{'name':'cut','when':{'atMs':200},'do':'cut','nodes':['n0','n1'],'others':['n2','n3','n4']},"
-                + "{'name':'gone','when':{'seen':{'node':'n4','of':'n0','is':'GONE'}},'do':'heal'},"
-                + "{'name':'back','when':{'step':'gone','seen':{'node':'n4','of':'n0','is':'ALIVE'}},'do':'terminate','nodes':['n1']},"
-                + "{'name':'last','when':{'seen':{'node':'n4','of':'n1','is':'LEFT'}},'do':'heal'}");
+        Rig.Outcome outcome =
+                play("{'name':'cut','when':{'atMs':200},'do':'cut','nodes':['n0','n1'],'others':['n2','n3','n4']},"
+                        + "{'name':'gone','when':{'seen':{'node':'n4','of':'n0','is':'GONE'}},'do':'heal'},"
+                        + "{'name':'back','when':{'step':'gone','seen':{'node':'n4','of':'n0','is':'ALIVE'}},'do':'terminate','nodes':['n1']},"
+                        + "{'name':'last','when':{'seen':{'node':'n4','of':'n1','is':'LEFT'}},'do':'heal'}");
         assertThat(outcome.notTaken()).isEmpty();
-        assertThat(new Judge(5).read(outcome.history().inOrder(), false).breaches()).isEmpty();
+        assertThat(new Judge(5).read(outcome.history().inOrder(), false).breaches())
+                .isEmpty();
     }
 
     /** The leader is lost the moment it knows of the decision; the version holds all the same, and nobody decides by two at once. */
     @Test
     void aVersionOfPolicyTakesHoldThoughTheLeaderIsLost() throws Exception {
-        NodesPlan plan = NodesPlan.of(Document.parse("plan", (PLAN.replace("'peers':{}", "'peers':{'policy':{'deciders':['n0','n1','n2'],"
-                + "'leaseMs':2000,'askMs':300,'prepareMs':15000}},'load':{'phases':[{'lastsMs':60000,'rate':{'shape':'steady','perS':60}}],"
-                + "'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':4,'least':2},'clientMs':6000}]}")
-                + "{'name':'p','when':{'atMs':200},'do':'propose','nodes':['n4'],'settings':{'opTypes':{'orders':{'budgetMs':1500}}}},"
-                + "{'name':'lost','when':{'step':'p','seen':{'node':'any','line':{'what':'log','stage':'DECIDED','leading':true}}},"
-                + "'do':'kill','nodes':['seen']},"
-                + "{'name':'again','when':{'step':'lost','afterMs':100},'do':'start','nodes':['down']},"
-                + "{'name':'last','when':{'step':'lost','seen':{'node':'any','line':{'what':'policy','by':'1'},'times':5}},'do':'heal'}]}")
-                .replace('\'', '"').getBytes(StandardCharsets.UTF_8), "nodes"));
-        try (Rig rig = new Rig(plan, folder, line -> { })) {
+        NodesPlan plan = NodesPlan.of(Document.parse(
+                "plan",
+                (PLAN.replace(
+                                        "'peers':{}",
+                                        "'peers':{'policy':{'deciders':['n0','n1','n2'],"
+                                                + "'leaseMs':2000,'askMs':300,'prepareMs':15000}},'load':{'phases':[{'lastsMs':60000,'rate':{'shape':'steady','perS':60}}],"
+                                                + "'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':4,'least':2},'clientMs':6000}]}")
+                                + "{'name':'p','when':{'atMs':200},'do':'propose','nodes':['n4'],'settings':{'opTypes':{'orders':{'budgetMs':1500}}}},"
+                                + "{'name':'lost','when':{'step':'p','seen':{'node':'any','line':{'what':'log','stage':'DECIDED','leading':true}}},"
+                                + "'do':'kill','nodes':['seen']},"
+                                + "{'name':'again','when':{'step':'lost','afterMs':100},'do':'start','nodes':['down']},"
+                                + "{'name':'last','when':{'step':'lost','seen':{'node':'any','line':{'what':'policy','by':'1'},'times':5}},'do':'heal'}]}")
+                        .replace('\'', '"')
+                        .getBytes(StandardCharsets.UTF_8),
+                "nodes"));
+        try (Rig rig = new Rig(plan, folder, line -> {})) {
             Rig.Outcome outcome = rig.play();
             PolicyRules rules = new PolicyJudge(5, List.of(0, 1, 2), new PolicyRules.Bounds(2000, 60_000, 90_000))
                     .read(outcome.history().inOrder(), outcome.taken());
@@ -82,12 +91,21 @@
     void whenTheRigIsKilledEveryProcessEnds() throws Exception {
         Path plan = folder.resolve("plan.json");
         Files.writeString(plan, (PLAN + "]}").replace("'ends':'all',", "").replace('\'', '"'));
-        Process rig = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "spartrail.lab.Main", "nodes", "run", plan.toString())
-                .redirectErrorStream(true).start();
+        Process rig = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "spartrail.lab.Main",
+                        "nodes",
+                        "run",
+                        plan.toString())
+                .redirectErrorStream(true)
+                .start();
         List<ProcessHandle> nodes;
         try (BufferedReader lines = rig.inputReader()) {
-            for (String line = lines.readLine(); line != null && !line.contains("know each other"); line = lines.readLine()) {
+            for (String line = lines.readLine();
+                    line != null && !line.contains("know each other");
+                    line = lines.readLine()) {
                 // Until all nodes run.
             }
             nodes = rig.descendants().toList();
@@ -101,13 +119,25 @@
 
     @Test
     void withoutAPeersFileNothingOfItIsLoaded() throws Exception {
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xlog:class+load",
-                "-Xshare:off", "-cp", NodeProcess.ownJar().toString(), "spartrail.Main", "check", "--start", "example/config.json")
-                .redirectErrorStream(true).start();
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xlog:class+load",
+                        "-Xshare:off",
+                        "-cp",
+                        NodeProcess.ownJar().toString(),
+                        "spartrail.Main",
+                        "check",
+                        "--start",
+                        "example/config.json")
+                .redirectErrorStream(true)
+                .start();
         List<String> lines = process.inputReader().lines().collect(Collectors.toList());
         assertThat(process.waitFor()).isZero();
         assertThat(lines).anyMatch(line -> line.contains("spartrail.front.NodeLoop "));
-        assertThat(lines).noneMatch(line -> line.contains("spartrail.peers.") || line.contains("spartrail.peering.")
-                || line.contains("spartrail.policy.") || line.contains("spartrail.governing."));
+        assertThat(lines)
+                .noneMatch(line -> line.contains("spartrail.peers.")
+                        || line.contains("spartrail.peering.")
+                        || line.contains("spartrail.policy.")
+                        || line.contains("spartrail.governing."));
     }
 }
--- a/lab/src/test/java/spartrail/lab/plan/LoadPlanTest.java
+++ b/lab/src/test/java/spartrail/lab/plan/LoadPlanTest.java
@@ -14,12 +14,13 @@
 import spartrail.lab.file.Document;
 
 class LoadPlanTest {
-    private static final String STREAM = "'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8,'least':2,'most':5},"
-            + "'keys':{'count':100,'zipf':1.1},'work':{'meanMs':4,'variation':0.5},'clientMs':1000}]";
+    private static final String STREAM =
+            "'streams':[{'opTypes':[{'name':'orders'}],'shards':{'of':8,'least':2,'most':5},"
+                    + "'keys':{'count':100,'zipf':1.1},'work':{'meanMs':4,'variation':0.5},'clientMs':1000}]";
 
     private static LoadPlan plan(String gaps, String rate, long seed) {
-        return Plans.parse("{'seed':" + seed + ",'gaps':{'kind':'" + gaps + "','variation':2},'phases':[{'lastsMs':4000,'rate':"
-                + rate + "}]," + STREAM + "}");
+        return Plans.parse("{'seed':" + seed + ",'gaps':{'kind':'" + gaps
+                + "','variation':2},'phases':[{'lastsMs':4000,'rate':" + rate + "}]," + STREAM + "}");
     }
 
     private static List<Double> times(LoadPlan plan) {
@@ -30,11 +31,15 @@
 
     @Test
     void evenlySpacedArrivalsFollowEachShape() throws Exception {
-        String[] rates = {"{'shape':'steady','perS':2}", "{'shape':'ramp','fromPerS':0,'toPerS':4}",
-            "{'shape':'step','levelsPerS':[1,4]}", "{'shape':'burst','onPerS':4,'onMs':500,'offMs':1500}",
+        String[] rates = {
+            "{'shape':'steady','perS':2}",
+            "{'shape':'ramp','fromPerS':0,'toPerS':4}",
+            "{'shape':'step','levelsPerS':[1,4]}",
+            "{'shape':'burst','onPerS':4,'onMs':500,'offMs':1500}",
             "{'shape':'wave','meanPerS':2,'swingPerS':2,'periodMs':4000}",
             "{'shape':'spike','peakPerS':4,'atMs':1000,'halfLifeMs':1000}",
-            "{'sum':[{'shape':'steady','perS':1},{'shape':'burst','onPerS':2,'onMs':1000,'offMs':1000}]}"};
+            "{'sum':[{'shape':'steady','perS':1},{'shape':'burst','onPerS':2,'onMs':1000,'offMs':1000}]}"
+        };
         StringBuilder seen = new StringBuilder();
         for (String rate : rates) {
             seen.append(rate).append('\n');
@@ -58,7 +63,9 @@
             double mean = sum / (times.size() - 1);
             double variation = Math.sqrt(Math.max(0, squares / (times.size() - 1) - mean * mean)) / mean;
             assertThat(mean).as(line[0]).isBetween(0.19, 0.21);
-            assertThat(variation).as(line[0]).isBetween(Double.parseDouble(line[1]) - 0.1, Double.parseDouble(line[1]) + 0.1);
+            assertThat(variation)
+                    .as(line[0])
+                    .isBetween(Double.parseDouble(line[1]) - 0.1, Double.parseDouble(line[1]) + 0.1);
         }
     }
 
@@ -68,10 +75,23 @@
         Iterator<Arrival> arrivals = plan.arrivals();
         while (arrivals.hasNext()) {
             Arrival one = arrivals.next();
-            text.append(one.number()).append(' ').append(one.atMs()).append(' ').append(one.opType()).append(' ')
-                    .append(one.key()).append(' ').append(java.util.Arrays.toString(one.shards())).append(' ')
-                    .append(java.util.Arrays.toString(one.weights())).append(' ').append(one.workMs()).append(' ')
-                    .append(one.text()).append(one.id(1)).append('\n');
+            text.append(one.number())
+                    .append(' ')
+                    .append(one.atMs())
+                    .append(' ')
+                    .append(one.opType())
+                    .append(' ')
+                    .append(one.key())
+                    .append(' ')
+                    .append(java.util.Arrays.toString(one.shards()))
+                    .append(' ')
+                    .append(java.util.Arrays.toString(one.weights()))
+                    .append(' ')
+                    .append(one.workMs())
+                    .append(' ')
+                    .append(one.text())
+                    .append(one.id(1))
+                    .append('\n');
         }
         return text.toString();
     }
@@ -79,7 +99,8 @@
     @Test
     void arrivalsAreAPureFunctionOfFileAndSeed() {
         String rate = "{'shape':'wave','meanPerS':50,'swingPerS':40,'periodMs':700}";
-        assertThat(all(plan("poisson", rate, 3))).isEqualTo(all(plan("poisson", rate, 3)))
+        assertThat(all(plan("poisson", rate, 3)))
+                .isEqualTo(all(plan("poisson", rate, 3)))
                 .isNotEqualTo(all(plan("poisson", rate, 4)));
     }
 
@@ -102,8 +123,8 @@
             count[3] += one.opType().equals("y") ? 1 : 0;
             if (run) {
                 (one.phase() == 0 ? hotA : hotB).merge(one.key(), 1, Integer::sum);
-                assertThat(one.shards()).containsExactly(one.shards()[0], (one.shards()[0] + 1) % 10,
-                        (one.shards()[0] + 2) % 10);
+                assertThat(one.shards())
+                        .containsExactly(one.shards()[0], (one.shards()[0] + 1) % 10, (one.shards()[0] + 2) % 10);
             }
             assertThat(java.util.Arrays.stream(one.shards()).distinct().count()).isEqualTo(one.shards().length);
             assertThat(java.util.Arrays.stream(one.weights()).sum()).isBetween(0.999, 1.001);
@@ -112,20 +133,31 @@
         assertThat(count[1]).as("a quarter of the second phase").isBetween(400, 600);
         assertThat(count[2]).as("out of its phase").isZero();
         assertThat(count[3]).as("three quarters of x and y").isBetween(2400, 2800);
-        String hottest = java.util.Collections.max(hotA.entrySet(), java.util.Map.Entry.comparingByValue()).getKey();
-        assertThat(hotA.get(hottest)).as("the hot key of the first phase").isGreaterThan(10 * hotB.getOrDefault(hottest, 0));
+        String hottest = java.util.Collections.max(hotA.entrySet(), java.util.Map.Entry.comparingByValue())
+                .getKey();
+        assertThat(hotA.get(hottest))
+                .as("the hot key of the first phase")
+                .isGreaterThan(10 * hotB.getOrDefault(hottest, 0));
     }
 
     @Test
     void aMistakeIsOneLineWithItsPlace() throws Exception {
         String good = "{'phases':[{'lastsMs':1000,'rate':{'shape':'steady','perS':2}}]," + STREAM + "}";
         StringBuilder seen = new StringBuilder();
-        for (String[] change : new String[][] {{"{'phases'", "{'phases"}, {"'lastsMs':1000", "'lastsMs':-1"},
-            {"'perS':2", "'perS':'two'"}, {"'perS':2", "'perS':2,'colour':1"}, {"'shape':'steady'", "'shape':'odd'"},
-            {"'least':2", "'least':9"}, {"'clientMs':1000", "'clientMs':1000,'phases':['noon']"},
-            {"{'phases'", "{'targets':['10.0.0.1:80'],'phases'"}, {"{'phases'", "{'crowds':[{'atMs':1,'withinMs':1,"
-            + "'clients':1,'stream':'none'}],'phases'"},
-            {"{'shape':'steady','perS':2}", "{'shape':'wave','meanPerS':1,'swingPerS':2,'periodMs':5}"}, {good, "[]"}, {good, ""}}) {
+        for (String[] change : new String[][] {
+            {"{'phases'", "{'phases"},
+            {"'lastsMs':1000", "'lastsMs':-1"},
+            {"'perS':2", "'perS':'two'"},
+            {"'perS':2", "'perS':2,'colour':1"},
+            {"'shape':'steady'", "'shape':'odd'"},
+            {"'least':2", "'least':9"},
+            {"'clientMs':1000", "'clientMs':1000,'phases':['noon']"},
+            {"{'phases'", "{'targets':['10.0.0.1:80'],'phases'"},
+            {"{'phases'", "{'crowds':[{'atMs':1,'withinMs':1," + "'clients':1,'stream':'none'}],'phases'"},
+            {"{'shape':'steady','perS':2}", "{'shape':'wave','meanPerS':1,'swingPerS':2,'periodMs':5}"},
+            {good, "[]"},
+            {good, ""}
+        }) {
             String text = good.replace(change[0], change[1]).replace('\'', '"');
             try {
                 LoadPlan.of(Document.parse("plan.json", text.getBytes(StandardCharsets.UTF_8), "load"));
--- a/lab/src/test/java/spartrail/lab/plan/StoryTest.java
+++ b/lab/src/test/java/spartrail/lab/plan/StoryTest.java
@@ -8,11 +8,14 @@
     /** Each habit's waits after refusals that say nothing, then that ask it to come back after 700 ms. */
     @Test
     void habitsWaitAsTheySay() throws Exception {
-        Habit[] habits = {Habit.ONCE, new Habit(4, Habit.Wait.NONE, 0, 1, 1000, 0, 0, 0, 1, false),
+        Habit[] habits = {
+            Habit.ONCE,
+            new Habit(4, Habit.Wait.NONE, 0, 1, 1000, 0, 0, 0, 1, false),
             new Habit(4, Habit.Wait.FIXED, 100, 1, 1000, 0, 1, 0, 1, false),
             new Habit(5, Habit.Wait.EXPONENTIAL, 100, 3, 500, 0, 1, 0, 1, false),
             new Habit(4, Habit.Wait.FIXED, 100, 1, 1000, 0.5, 0, 0, 1, false),
-            new Habit(3, Habit.Wait.FIXED, 100, 1, 1000, 0, 0, 1, 0.25, false)};
+            new Habit(3, Habit.Wait.FIXED, 100, 1, 1000, 0, 0, 1, 0.25, false)
+        };
         StringBuilder seen = new StringBuilder();
         for (Habit habit : habits) {
             for (double comebackMs : new double[] {0, 700}) {
@@ -22,10 +25,18 @@
                 while (waitMs >= 0) {
                     double leavesMs = story.tries(1000);
                     waitMs = story.unserved(comebackMs);
-                    line.append(Double.isFinite(leavesMs) ? String.format(Locale.ROOT, " leaves after %.0f,", leavesMs) : "")
+                    line.append(
+                                    Double.isFinite(leavesMs)
+                                            ? String.format(Locale.ROOT, " leaves after %.0f,", leavesMs)
+                                            : "")
                             .append(waitMs < 0 ? " over" : String.format(Locale.ROOT, " waits %.0f,", waitMs));
                 }
-                seen.append(habit.pause()).append(" told ").append(Math.round(comebackMs)).append(':').append(line).append('\n');
+                seen.append(habit.pause())
+                        .append(" told ")
+                        .append(Math.round(comebackMs))
+                        .append(':')
+                        .append(line)
+                        .append('\n');
             }
         }
         Table.same("habits", seen.toString());
--- a/lab/src/test/java/spartrail/lab/rules/PolicyRulesTest.java
+++ b/lab/src/test/java/spartrail/lab/rules/PolicyRulesTest.java
@@ -44,13 +44,15 @@
     private static String planted(Taken one) {
         List<Taken> all = clean();
         all.add(one);
-        return judged(all, rules -> { });
+        return judged(all, rules -> {});
     }
 
     @Test
     void cleanIsCleanAndEachPlantedBreachIsCaught() {
-        assertThat(judged(clean(), rules -> { })).isEqualTo("[]");
-        assertThat(planted(taken(20_000.5, 0, "0"))).contains("(a) one order").contains("(c) one version at an instant");
+        assertThat(judged(clean(), rules -> {})).isEqualTo("[]");
+        assertThat(planted(taken(20_000.5, 0, "0")))
+                .contains("(a) one order")
+                .contains("(c) one version at an instant");
         assertThat(planted(taken(13_500.5, 1, "0"))).contains("(c) one version at an instant");
         assertThat(planted(taken(20_000.5, 0, "4"))).contains("(a) one order");
         assertThat(planted(taken(20_000.5, 0, "2"))).contains("(b) refused is never");
@@ -59,14 +61,17 @@
         assertThat(planted(taken(33_006, 1, "1"))).isEqualTo("[(e) out of touch it stops]");
         assertThat(judged(clean(), rules -> rules.ruled(0, "3"))).isEqualTo("[]");
         assertThat(judged(clean(), rules -> {
-            rules.ruled(1, "0");
-            rules.ruled(1, "3");
-        })).isEqualTo("[(a) one order]");
+                    rules.ruled(1, "0");
+                    rules.ruled(1, "3");
+                }))
+                .isEqualTo("[(a) one order]");
         assertThat(judged(clean(), rules -> {
-            rules.ruled(1, "0");
-            rules.ruled(1, "0?");
-            rules.ruled(1, "3");
-        })).isEqualTo("[]");
-        assertThat(judged(clean(), rules -> rules.proposal("p2", 0, 11_000_000_000L))).isEqualTo("[(f) every proposal ends]");
+                    rules.ruled(1, "0");
+                    rules.ruled(1, "0?");
+                    rules.ruled(1, "3");
+                }))
+                .isEqualTo("[]");
+        assertThat(judged(clean(), rules -> rules.proposal("p2", 0, 11_000_000_000L)))
+                .isEqualTo("[(f) every proposal ends]");
     }
 }
--- a/lab/src/test/java/spartrail/lab/trace/TraceTest.java
+++ b/lab/src/test/java/spartrail/lab/trace/TraceTest.java
@@ -20,13 +20,14 @@
     private String run(String text, String columns, double windowMs, boolean clamp, double squeezeMs) throws Exception {
         Path from = folder.resolve("in");
         Files.writeString(from, text);
-        TraceImport.Columns named = TraceImport.Columns.of(Document.parse("columns.json",
-                columns.replace('\'', '"').getBytes(StandardCharsets.UTF_8), "columns"));
+        TraceImport.Columns named = TraceImport.Columns.of(
+                Document.parse("columns.json", columns.replace('\'', '"').getBytes(StandardCharsets.UTF_8), "columns"));
         StringBuilder seen = new StringBuilder();
         try {
-            TraceImport.run(from, folder.resolve("out"), named, windowMs, clamp, squeezeMs, false).fields()
-                    .forEachRemaining(field -> seen.append(field.getValue().asLong() == 0 ? ""
-                            : " " + field.getKey() + " " + field.getValue()));
+            TraceImport.run(from, folder.resolve("out"), named, windowMs, clamp, squeezeMs, false)
+                    .fields()
+                    .forEachRemaining(field -> seen.append(
+                            field.getValue().asLong() == 0 ? "" : " " + field.getKey() + " " + field.getValue()));
             return seen + ":" + replay(1, 1, 1, 1);
         } catch (BadInput e) {
             assertThat(Files.exists(folder.resolve("out.part"))).isFalse();
@@ -55,23 +56,67 @@
             {"a gap of days", head + "0,o,a,1\n172800000,o,b,1\n", "{}", 5.0, false, 0.0},
             {"a gap of days, squeezed", head + "0,o,a,1\n172800000,o,b,1\n", "{}", 5.0, false, 100.0},
             {"an unknown op type", head + "0,o,a,1\n5,x,b,1\n", "{'opTypes':['o']}", 5.0, false, 0.0},
-            {"an unknown op type, skipped", head + "0,o,a,1\n5,x,b,1\n", "{'opTypes':['o'],'unknown':'skip'}", 5.0, false, 0.0},
+            {
+                "an unknown op type, skipped",
+                head + "0,o,a,1\n5,x,b,1\n",
+                "{'opTypes':['o'],'unknown':'skip'}",
+                5.0,
+                false,
+                0.0
+            },
             {"an unknown shard", head + "0,o,a,9\n", "{'shards':4}", 5.0, false, 0.0},
             {"a torn last line", head + "0,o,a,1\n5,o", "{}", 5.0, false, 0.0},
             {"a torn line within", head + "0,o\n5,o,b,1\n", "{}", 5.0, false, 0.0},
             {"no time", head + "noon,o,a,1\n", "{}", 5.0, false, 0.0},
             {"no such column", "when,opType\n0,o\n", "{}", 5.0, false, 0.0},
-            {"seconds", "t,opType,key,shards\n1.5,o,a,1\n1.75,o,b,1\n", "{'unit':'s','columns':{'at':'t'}}", 5.0, false, 0.0},
-            {"times of day", head + "2026-06-24T18:00:00Z,o,a,1\n2026-06-24T18:00:00.250Z,o,b,1\n", "{'unit':'iso'}", 5.0, false, 0.0},
-            {"JSON lines", "{\"atMs\":1,\"opType\":\"o\",\"key\":\"a\",\"shards\":[1,2],\"weights\":[0.2,0.8]}\n"
-                + "{\"atMs\":4,\"opType\":\"o\",\"key\":\"b\",\"shards\":[1]}\n", "{}", 5.0, false, 0.0},
-            {"JSON lines, the last one torn", "{\"atMs\":1,\"opType\":\"o\",\"key\":\"a\",\"shards\":[1]}\n{\"atMs\":4,\"opT", "{}",
-                5.0, false, 0.0},
-            {"JSON lines, one in the middle spoilt", "{\"atMs\":1,\"opT\n{\"atMs\":1,\"opType\":\"o\",\"key\":\"a\",\"shards\":[1]}\n",
-                "{}", 5.0, false, 0.0},
-            {"nothing", "", "{}", 5.0, false, 0.0}}) {
-            seen.append(line[0]).append(':').append(run((String) line[1], (String) line[2], (double) line[3],
-                    (boolean) line[4], (double) line[5])).append('\n');
+            {
+                "seconds",
+                "t,opType,key,shards\n1.5,o,a,1\n1.75,o,b,1\n",
+                "{'unit':'s','columns':{'at':'t'}}",
+                5.0,
+                false,
+                0.0
+            },
+            {
+                "times of day",
+                head + "2026-06-24T18:00:00Z,o,a,1\n2026-06-24T18:00:00.250Z,o,b,1\n",
+                "{'unit':'iso'}",
+                5.0,
+                false,
+                0.0
+            },
+            {
+                "JSON lines",
+                "{\"atMs\":1,\"opType\":\"o\",\"key\":\"a\",\"shards\":[1,2],\"weights\":[0.2,0.8]}\n"
+                        + "{\"atMs\":4,\"opType\":\"o\",\"key\":\"b\",\"shards\":[1]}\n",
+                "{}",
+                5.0,
+                false,
+                0.0
+            },
+            {
+                "JSON lines, the last one torn",
+                "{\"atMs\":1,\"opType\":\"o\",\"key\":\"a\",\"shards\":[1]}\n{\"atMs\":4,\"opT",
+                "{}",
+                5.0,
+                false,
+                0.0
+            },
+            {
+                "JSON lines, one in the middle spoilt",
+                "{\"atMs\":1,\"opT\n{\"atMs\":1,\"opType\":\"o\",\"key\":\"a\",\"shards\":[1]}\n",
+                "{}",
+                5.0,
+                false,
+                0.0
+            },
+            {"nothing", "", "{}", 5.0, false, 0.0}
+        }) {
+            seen.append(line[0])
+                    .append(':')
+                    .append(run(
+                            (String) line[1], (String) line[2], (double) line[3], (boolean) line[4], (double) line[5]))
+                    .append('\n');
         }
         Table.same("trace-rules", seen.toString());
     }
@@ -95,7 +140,8 @@
         Path out = folder.resolve("out");
         byte[] bytes = Files.readAllBytes(out);
         Files.write(out, java.util.Arrays.copyOf(bytes, bytes.length / 2));
-        assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> replay(1, 1, 1, 1))).isInstanceOf(BadInput.class)
+        assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> replay(1, 1, 1, 1)))
+                .isInstanceOf(BadInput.class)
                 .hasMessageMatching(".*out: is cut after [0-9]+ multigets");
     }
 }
--- a/lab/src/test/java/spartrail/lab/virtual/ExplorationTest.java
+++ b/lab/src/test/java/spartrail/lab/virtual/ExplorationTest.java
@@ -10,24 +10,30 @@
 class ExplorationTest {
     @Test
     void noSeedBreaksARuleAndEachIsTheSameRunTwice() {
-        Exploration.Result first = Exploration.of(1, 150, 3, 30, done -> { });
+        Exploration.Result first = Exploration.of(1, 150, 3, 30, done -> {});
         assertThat(first.found()).isEmpty();
         assertThat(first.changes()).isGreaterThan(10_000);
-        assertThat(Exploration.of(1, 150, 3, 30, done -> { }).hash()).isEqualTo(first.hash());
+        assertThat(Exploration.of(1, 150, 3, 30, done -> {}).hash()).isEqualTo(first.hash());
     }
 
     @Test
     void eachPlantedFaultIsFound() throws Exception {
-        assertThat(Plants.play(Path.of("."), Plants.ALL, 1, 120, 60)).allMatch(Plants.Caught::caught).hasSize(Plants.ALL.size());
+        assertThat(Plants.play(Path.of("."), Plants.ALL, 1, 120, 60))
+                .allMatch(Plants.Caught::caught)
+                .hasSize(Plants.ALL.size());
     }
 
     /** Scripts that broke a rule in the peers' first version, as they were shrunk then: seeds draw other scripts since. */
     @Test
     void scriptsThatOnceBrokeARuleHold() {
-        Fault left = new Fault(12_768, Fault.Kind.LEAVE, List.of(2, 4, 5, 7, 8, 9, 10, 11, 13, 15, 16, 17), List.of(), 0, 0);
+        Fault left =
+                new Fault(12_768, Fault.Kind.LEAVE, List.of(2, 4, 5, 7, 8, 9, 10, 11, 13, 15, 16, 17), List.of(), 0, 0);
         Fault cut = new Fault(15_848, Fault.Kind.CUT, List.of(0, 1, 3, 5, 8), List.of(), 5834, 0);
-        for (PeersTrial trial : List.of(new PeersTrial(6, 18, List.of(left, cut)), new PeersTrial(179, 28, List.of()))) {
-            assertThat(trial.play(PeerTimes.USUAL, false).breaches()).as(trial.script()).isEmpty();
+        for (PeersTrial trial :
+                List.of(new PeersTrial(6, 18, List.of(left, cut)), new PeersTrial(179, 28, List.of()))) {
+            assertThat(trial.play(PeerTimes.USUAL, false).breaches())
+                    .as(trial.script())
+                    .isEmpty();
         }
     }
 
--- a/node/src/main/java/spartrail/cli/CheckCommand.java
+++ b/node/src/main/java/spartrail/cli/CheckCommand.java
@@ -38,7 +38,8 @@
             FrontNode.peerTalk().check(peers);
         }
         out.println("usable: node " + deployment.name() + " on " + deployment.listen() + ", op types "
-                + deployment.opTypes().stream().map(op -> op.name).toList() + ", " + deployment.known().lines().size()
+                + deployment.opTypes().stream().map(op -> op.name).toList() + ", "
+                + deployment.known().lines().size()
                 + " servers known");
         if (start) {
             InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
@@ -47,8 +48,12 @@
                 String opType = deployment.opTypes().get(0).name;
                 String body = "{\"segments\":[{\"segment\":0,\"boost\":1.0}],\"text\":\"check\"}";
                 out.println("/up: " + answer(node.address(), "GET /up HTTP/1.1\r\n", ""));
-                out.println("a multiget: " + answer(node.address(), "POST /" + opType + "/check HTTP/1.1\r\nReq-Id: check"
-                        + "\r\nReq-Kind: " + opType + "\r\nReq-Deadline: 1\r\n", body));
+                out.println("a multiget: "
+                        + answer(
+                                node.address(),
+                                "POST /" + opType + "/check HTTP/1.1\r\nReq-Id: check" + "\r\nReq-Kind: " + opType
+                                        + "\r\nReq-Deadline: 1\r\n",
+                                body));
             }
         }
         return 0;
@@ -58,11 +63,14 @@
     private static String answer(InetSocketAddress address, String head, String body) throws IOException {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.setSoTimeout(10_000);
-            String request = head + "Host: check\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n"
-                    + body;
+            String request =
+                    head + "Host: check\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
             InputStream in = socket.getInputStream();
-            return new String(in.readAllBytes(), StandardCharsets.US_ASCII).lines().findFirst().orElse("none");
+            return new String(in.readAllBytes(), StandardCharsets.US_ASCII)
+                    .lines()
+                    .findFirst()
+                    .orElse("none");
         }
     }
 }
--- a/node/src/main/java/spartrail/cli/CommandLine.java
+++ b/node/src/main/java/spartrail/cli/CommandLine.java
@@ -18,18 +18,23 @@
         @SubCommand(name = "simhost", impl = SimHostCommand.class),
         @SubCommand(name = "check", impl = CheckCommand.class),
         @SubCommand(name = "subset", impl = SubsetCommand.class),
-        @SubCommand(name = "version", impl = VersionCommand.class)})
+        @SubCommand(name = "version", impl = VersionCommand.class)
+    })
     private Command command;
 
-    private static final String USAGE = "usage: spartrail serve [--config FILE] [--record FILE] [--members FILE] [--peers FILE]"
-            + " | check [--start] [--members FILE] [--peers FILE] FILE | simhost"
-            + " | subset show --config FILE --list FILE | version; --help behind a command tells its options";
+    private static final String USAGE =
+            "usage: spartrail serve [--config FILE] [--record FILE] [--members FILE] [--peers FILE]"
+                    + " | check [--start] [--members FILE] [--peers FILE] FILE | simhost"
+                    + " | subset show --config FILE --list FILE | version; --help behind a command tells its options";
 
     /** What the command named first takes; without one, which there are. */
     private static void help(String name, PrintStream out) {
         Object command = null;
         try {
-            for (SubCommand known : CommandLine.class.getDeclaredField("command").getAnnotation(SubCommands.class).value()) {
+            for (SubCommand known : CommandLine.class
+                    .getDeclaredField("command")
+                    .getAnnotation(SubCommands.class)
+                    .value()) {
                 if (known.name().equals(name)) {
                     command = known.impl().getDeclaredConstructor().newInstance();
                 }
@@ -41,7 +46,8 @@
             out.println(USAGE);
             return;
         }
-        CmdLineParser parser = new CmdLineParser(command, ParserProperties.defaults().withUsageWidth(110));
+        CmdLineParser parser =
+                new CmdLineParser(command, ParserProperties.defaults().withUsageWidth(110));
         out.print("spartrail " + name);
         parser.printSingleLineUsage(out);
         out.println();
--- a/node/src/main/java/spartrail/cli/ServeCommand.java
+++ b/node/src/main/java/spartrail/cli/ServeCommand.java
@@ -30,16 +30,25 @@
     @Option(name = "--peers", metaVar = "FILE", usage = "talk to the other front nodes, as this file says")
     private Path peers;
 
-    @Option(name = "--history", metaVar = "FILE", usage = "with --peers: a line for each change of what it knows of them")
+    @Option(
+            name = "--history",
+            metaVar = "FILE",
+            usage = "with --peers: a line for each change of what it knows of them")
     private Path history;
 
-    @Option(name = "--state", metaVar = "FOLDER", usage = "with --peers: go by versions of policy, and keep there what must not be forgotten")
+    @Option(
+            name = "--state",
+            metaVar = "FOLDER",
+            usage = "with --peers: go by versions of policy, and keep there what must not be forgotten")
     private Path state;
 
     @Option(name = "--record", metaVar = "FILE", usage = "keep a line for each multiget taken, to replay it elsewhere")
     private Path record;
 
-    @Option(name = "--record-mb", metaVar = "N", usage = "the record, and the history, end at so many megabytes (default 64)")
+    @Option(
+            name = "--record-mb",
+            metaVar = "N",
+            usage = "the record, and the history, end at so many megabytes (default 64)")
     private int recordMb = 64;
 
     @Override
@@ -54,13 +63,17 @@
         CountDownLatch over = new CountDownLatch(1);
         AtomicReference<FrontNode> served = new AtomicReference<>();
         synchronized (ServeCommand.class) {
-            // Danger: a JVM that nobody told otherwise ends on SIGHUP, with all that it has in hand. Danger: a signal that
+            // Danger: a JVM that nobody told otherwise ends on SIGHUP, with all that it has in hand. Danger: a signal
+            // that
             // comes between the word that the node is ready and what listens for it ends it the same way; so both come
             // first, and wait for the start.
             if (Signal.handle(new Signal("HUP"), signal -> reload(served, path)) == SignalHandler.SIG_IGN) {
-                // Danger: a JVM leaves a signal ignored that was so at its start, as below nohup, and no word is said when one comes.
-                LOG.log(System.Logger.Level.WARNING, "SIGHUP is ignored, as it was by whoever started this process:"
-                        + " a new configuration is taken at the next start only");
+                // Danger: a JVM leaves a signal ignored that was so at its start, as below nohup, and no word is said
+                // when one comes.
+                LOG.log(
+                        System.Logger.Level.WARNING,
+                        "SIGHUP is ignored, as it was by whoever started this process:"
+                                + " a new configuration is taken at the next start only");
             }
             FrontNode node = new FrontNode(DeploymentFile.read(path));
             if (members != null) {
@@ -76,11 +89,14 @@
             node.record(kept);
             // Danger: the log opens with its first line, and of a process that ends by then nothing would ever be read.
             LOG.log(System.Logger.Level.INFO, "starts by " + path);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                node.ending();
-                end(served, kept);
-                over.countDown();
-            }, "spartrail-drain"));
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(
+                            () -> {
+                                node.ending();
+                                end(served, kept);
+                                over.countDown();
+                            },
+                            "spartrail-drain"));
             node.start();
             served.set(node);
         }
@@ -125,8 +141,10 @@
         }
         try {
             String waiting = served.get().reload(DeploymentFile.read(path));
-            LOG.log(waiting.isEmpty() ? System.Logger.Level.INFO : System.Logger.Level.WARNING, "configuration read again"
-                    + (waiting.isEmpty() ? "" : ", its settings wait for the next start: " + waiting));
+            LOG.log(
+                    waiting.isEmpty() ? System.Logger.Level.INFO : System.Logger.Level.WARNING,
+                    "configuration read again"
+                            + (waiting.isEmpty() ? "" : ", its settings wait for the next start: " + waiting));
         } catch (IOException | RuntimeException e) {
             LOG.log(System.Logger.Level.WARNING, "configuration not taken, the one before stays: " + e.getMessage());
         }
--- a/node/src/main/java/spartrail/cli/SubsetCommand.java
+++ b/node/src/main/java/spartrail/cli/SubsetCommand.java
@@ -20,7 +20,11 @@
     @Argument(required = true, metaVar = "show", usage = "the one thing that it does")
     private String what;
 
-    @Option(name = "--config", required = true, metaVar = "FILE", usage = "the node's configuration, with a subset in its settings")
+    @Option(
+            name = "--config",
+            required = true,
+            metaVar = "FILE",
+            usage = "the node's configuration, with a subset in its settings")
     private Path config;
 
     @Option(name = "--list", required = true, metaVar = "FILE", usage = "a whole list of servers in discovery's form")
@@ -36,7 +40,8 @@
         }
         DeploymentFile deployment = DeploymentFile.read(config);
         if (deployment.subset() == null) {
-            throw new IllegalArgumentException(config + ": 'subset' of settings is missing: this node uses all servers");
+            throw new IllegalArgumentException(
+                    config + ": 'subset' of settings is missing: this node uses all servers");
         }
         SubsetSelector selector = deployment.subsetSelector();
         selector.apply(live(), List.of());
@@ -44,7 +49,9 @@
         for (int group = 0; group < selector.groups(); group++) {
             List<String> follow = selector.spares(group);
             out.println("shard " + group + ": uses " + String.join(" ", selector.selected(group)) + "; then "
-                    + (follow.isEmpty() ? "none" : String.join(" ", follow.subList(0, Math.min(Math.max(0, spares), follow.size()))))
+                    + (follow.isEmpty()
+                            ? "none"
+                            : String.join(" ", follow.subList(0, Math.min(Math.max(0, spares), follow.size()))))
                     + " (" + follow.size() + " spares, " + selector.zones(group) + " zones)");
         }
         return 0;
@@ -52,19 +59,29 @@
 
     private List<LiveServer> live() {
         try {
-            return EndpointList.decode(Files.readAllBytes(list)).lines().stream().filter(line -> line.state() == Server.State.LIVE)
-                    .map(line -> new LiveServer(line.id(), line.zone(), line.cell(), line.rating())).toList();
+            return EndpointList.decode(Files.readAllBytes(list)).lines().stream()
+                    .filter(line -> line.state() == Server.State.LIVE)
+                    .map(line -> new LiveServer(line.id(), line.zone(), line.cell(), line.rating()))
+                    .toList();
         } catch (IOException | IllegalArgumentException e) {
-            String fault = Files.isReadable(list) ? e.getMessage().lines().findFirst().orElse("unusable") : "cannot be read";
+            String fault =
+                    Files.isReadable(list) ? e.getMessage().lines().findFirst().orElse("unusable") : "cannot be read";
             throw new IllegalArgumentException(list + ": " + fault, e);
         }
     }
 
     private static void summary(PrintStream out, DeploymentFile deployment, SubsetSelector selector) {
         int used = selector.selected().size();
-        out.printf(Locale.ROOT, "node %s uses %d of %d live servers; each is used by %.1f of %d nodes on average, by more than %d with a"
-                + " chance below %.0e%n", deployment.name(), used, selector.liveServers(),
-                deployment.nodes() * used / (double) Math.max(1, selector.liveServers()), deployment.nodes(),
-                selector.nodesPerServer(deployment.nodes()), SharingBound.CHANCE);
+        out.printf(
+                Locale.ROOT,
+                "node %s uses %d of %d live servers; each is used by %.1f of %d nodes on average, by more than %d with a"
+                        + " chance below %.0e%n",
+                deployment.name(),
+                used,
+                selector.liveServers(),
+                deployment.nodes() * used / (double) Math.max(1, selector.liveServers()),
+                deployment.nodes(),
+                selector.nodesPerServer(deployment.nodes()),
+                SharingBound.CHANCE);
     }
 }
--- a/node/src/main/java/spartrail/client/Ask.java
+++ b/node/src/main/java/spartrail/client/Ask.java
@@ -3,9 +3,8 @@
 import java.util.List;
 
 /** What a client asks for: a multiget, decoded. */
-public record Ask(String id, String opType, String key, double clientLeftMs, boolean retry, List<AskedPart> parts,
-        byte[] text) {
+public record Ask(
+        String id, String opType, String key, double clientLeftMs, boolean retry, List<AskedPart> parts, byte[] text) {
     /** What one shard is to answer; the cost is 0 where the client names none. */
-    public record AskedPart(int shard, double weight, double costMs) {
-    }
+    public record AskedPart(int shard, double weight, double costMs) {}
 }
--- a/node/src/main/java/spartrail/client/AskReader.java
+++ b/node/src/main/java/spartrail/client/AskReader.java
@@ -36,7 +36,10 @@
     private static final double ROUNDING = 1e-3;
 
     /** Danger: of two values under one name each reader of the body may take another one. */
-    private final JsonFactory json = JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+    private final JsonFactory json = JsonFactory.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
+
     private final Set<String> opTypes;
     private final int shards;
 
@@ -57,7 +60,12 @@
         }
         double clientLeftMs = 1000 * deadline(only(headers, DEADLINE));
         try (JsonParser parser = json.createParser(body)) {
-            return body(parser, id, kind, steps.length > 2 ? steps[2] : null, clientLeftMs,
+            return body(
+                    parser,
+                    id,
+                    kind,
+                    steps.length > 2 ? steps[2] : null,
+                    clientLeftMs,
                     "1".equals(headers.getFirst(RETRY)));
         } catch (IOException e) {
             throw new BadRequest("the body is no JSON of the expected form");
@@ -143,7 +151,8 @@
                     }
                     case "boost" -> weight = parser.getDoubleValue();
                     case "work" -> costMs = parser.getDoubleValue() / 1000;
-                    case "affinity" -> need(value == JsonToken.VALUE_STRING && AFFINITY.matcher(parser.getText()).matches());
+                    case "affinity" -> need(value == JsonToken.VALUE_STRING
+                            && AFFINITY.matcher(parser.getText()).matches());
                     default -> parser.skipChildren();
                 }
             }
--- a/node/src/main/java/spartrail/client/ClientDoor.java
+++ b/node/src/main/java/spartrail/client/ClientDoor.java
@@ -72,6 +72,7 @@
      * come before.
      */
     private static final int SILENT_MS = 2000;
+
     private static final int HEAD_MS = 1500;
     private static final int BODY_MS = 1000;
     /** Connections of those that ask are kept; how long they are unused tells only of those that left unseen. */
@@ -88,10 +89,18 @@
     private final int mostConnections;
     /** Most bytes of bodies that are still coming in, and how many these may become. */
     private final long mostUnread = Runtime.getRuntime().maxMemory() / 4;
+
     private long unread;
     private final AcceptingChannel<StreamConnection> listening;
 
-    private enum State { FRESH, HEAD, BODY, BUSY, RESTING, CLOSING }
+    private enum State {
+        FRESH,
+        HEAD,
+        BODY,
+        BUSY,
+        RESTING,
+        CLOSING
+    }
 
     /** A client's connection. */
     private static final class Peer {
@@ -138,36 +147,56 @@
     private static final Predicate<Peer> UNUSED = peer -> peer.state != State.BUSY;
     /** It has not asked anything yet. */
     private static final Predicate<Peer> UNKNOWN = UNUSED.and(peer -> !peer.known);
+
     private static final Predicate<Peer> HALF_SENT = peer -> peer.unread > 0;
     private static final Predicate<Peer> RESTING = peer -> peer.state == State.RESTING;
 
     /** Open connections, the longest unused first. */
     private final Map<StreamConnection, Peer> connections = new LinkedHashMap<>();
+
     private final ByteBuffer scratch = ByteBuffer.allocate(8 * 1024);
     private final HttpOpenListener http;
     private long notAccepted;
     private boolean up;
     private boolean leaving;
 
-    public ClientDoor(XnioWorker worker, ByteBufferPool buffers, InetSocketAddress address, NodeClock clock,
-            Set<String> opTypes, int shards, int mostConnections, Taker taker) throws IOException {
+    public ClientDoor(
+            XnioWorker worker,
+            ByteBufferPool buffers,
+            InetSocketAddress address,
+            NodeClock clock,
+            Set<String> opTypes,
+            int shards,
+            int mostConnections,
+            Taker taker)
+            throws IOException {
         this.io = worker.getIoThread();
         this.clock = clock;
         this.reader = new AskReader(opTypes, shards);
         this.taker = taker;
         this.mostConnections = mostConnections;
-        http = new HttpOpenListener(buffers, OptionMap.builder()
-                .set(UndertowOptions.MAX_HEADER_SIZE, (int) LONGEST / 4)
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, UNUSED_MS)
-                .set(UndertowOptions.ALWAYS_SET_DATE, false)
-                .set(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false).getMap());
+        http = new HttpOpenListener(
+                buffers,
+                OptionMap.builder()
+                        .set(UndertowOptions.MAX_HEADER_SIZE, (int) LONGEST / 4)
+                        .set(UndertowOptions.NO_REQUEST_TIMEOUT, UNUSED_MS)
+                        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .set(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false)
+                        .getMap());
         http.setRootHandler(new HttpContinueReadHandler(this::handle));
         ChannelListener<AcceptingChannel<StreamConnection>> accepting = this::accept;
-        listening = worker.createStreamConnectionServer(address, accepting, OptionMap.builder()
-                .set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 1024)
-                // Danger: they are accepted elsewhere than turned out, and a crowd takes the last descriptor meanwhile.
-                .set(Options.CONNECTION_HIGH_WATER, mostConnections + mostConnections / 8 + 1)
-                .set(Options.CONNECTION_LOW_WATER, mostConnections + mostConnections / 8).getMap());
+        listening = worker.createStreamConnectionServer(
+                address,
+                accepting,
+                OptionMap.builder()
+                        .set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.BACKLOG, 1024)
+                        // Danger: they are accepted elsewhere than turned out, and a crowd takes the last descriptor
+                        // meanwhile.
+                        .set(Options.CONNECTION_HIGH_WATER, mostConnections + mostConnections / 8 + 1)
+                        .set(Options.CONNECTION_LOW_WATER, mostConnections + mostConnections / 8)
+                        .getMap());
     }
 
     public InetSocketAddress address() {
@@ -292,11 +321,17 @@
         if (!connection.isOpen()) {
             forget(connection);
         } else if (!peer.known) {
-            io.executeAfter(() -> io.executeAfter(() -> {
-                if (!peer.known && connections.get(connection) == peer) {
-                    drop(connection);
-                }
-            }, LOOK_MS, TimeUnit.MILLISECONDS), SILENT_MS, TimeUnit.MILLISECONDS);
+            io.executeAfter(
+                    () -> io.executeAfter(
+                            () -> {
+                                if (!peer.known && connections.get(connection) == peer) {
+                                    drop(connection);
+                                }
+                            },
+                            LOOK_MS,
+                            TimeUnit.MILLISECONDS),
+                    SILENT_MS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -312,7 +347,9 @@
     }
 
     private Stream<StreamConnection> all(Predicate<Peer> kind) {
-        return connections.entrySet().stream().filter(entry -> kind.test(entry.getValue())).map(Map.Entry::getKey);
+        return connections.entrySet().stream()
+                .filter(entry -> kind.test(entry.getValue()))
+                .map(Map.Entry::getKey);
     }
 
     private void drop(StreamConnection connection) {
@@ -354,12 +391,13 @@
         });
         if (peer.state == State.CLOSING) {
             // Danger: read on a connection that can no longer carry its answer, it must not be sent on.
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> { });
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {});
             return;
         }
         inTime(peer);
         peer.state = State.BODY;
-        if (exchange.getRequestMethod().equals(Methods.GET) && exchange.getRequestPath().equals("/up")) {
+        if (exchange.getRequestMethod().equals(Methods.GET)
+                && exchange.getRequestPath().equals("/up")) {
             peer.known = true;
             peer.state = State.BUSY;
             if (leaving) {
@@ -384,16 +422,18 @@
             exchange.setMaxEntitySize(LONGEST);
             long claim = length < 0 ? LONGEST : Math.min(length, LONGEST);
             // Danger: half-sent bodies fill the memory, and the node dies with all that it has in hand.
-            for (StreamConnection half = longest(HALF_SENT); unread + claim > mostUnread && half != null;
+            for (StreamConnection half = longest(HALF_SENT);
+                    unread + claim > mostUnread && half != null;
                     half = longest(HALF_SENT)) {
                 drop(half);
             }
             peer.unread = claim;
             unread += claim;
-            exchange.getRequestReceiver().receiveFullBytes((whole, body) -> received(whole, peer, body), (failed, e) -> {
-                read(peer);
-                IoUtils.safeClose(failed.getConnection());
-            });
+            exchange.getRequestReceiver()
+                    .receiveFullBytes((whole, body) -> received(whole, peer, body), (failed, e) -> {
+                        read(peer);
+                        IoUtils.safeClose(failed.getConnection());
+                    });
             if (peer.unread > 0) {
                 due(connection, peer, BODY_MS);
             }
@@ -428,7 +468,8 @@
         inTime(peer);
         peer.due = io.executeAfter(
                 () -> peer.due = io.executeAfter(() -> drop(connection), LOOK_MS, TimeUnit.MILLISECONDS),
-                withinMs, TimeUnit.MILLISECONDS);
+                withinMs,
+                TimeUnit.MILLISECONDS);
     }
 
     private void received(HttpServerExchange exchange, Peer peer, byte[] body) {
@@ -485,8 +526,8 @@
         // Danger: clients that never read hold a descriptor each, and a node that ends waits for them.
         due(connection, peer, UNREAD_ANSWER_MS);
         exchange.setStatusCode(reply.status());
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE,
-                reply.status() == 200 ? "application/json" : "text/plain");
+        exchange.getResponseHeaders()
+                .put(Headers.CONTENT_TYPE, reply.status() == 200 ? "application/json" : "text/plain");
         if (reply.retryAfter() != null) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, reply.retryAfter());
         }
--- a/node/src/main/java/spartrail/client/ClientRequest.java
+++ b/node/src/main/java/spartrail/client/ClientRequest.java
@@ -27,6 +27,7 @@
     private final HttpServerConnection connection;
     /** When its last byte was read. */
     public final double arrivedMs;
+
     private boolean over;
     private boolean spilt;
 
--- a/node/src/main/java/spartrail/client/LingeringClose.java
+++ b/node/src/main/java/spartrail/client/LingeringClose.java
@@ -37,11 +37,14 @@
         this.connection = connection;
         this.source = source;
         this.thrownAway = thrownAway;
-        timer = connection.getIoThread().executeAfter(() -> IoUtils.safeClose(connection), LONGEST_MS, TimeUnit.MILLISECONDS);
+        timer = connection
+                .getIoThread()
+                .executeAfter(() -> IoUtils.safeClose(connection), LONGEST_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Ends a connection by its own conduits, of which nothing else makes use any more. */
-    static void begin(StreamConnection connection, StreamSinkConduit sink, StreamSourceConduit source, ByteBuffer thrownAway) {
+    static void begin(
+            StreamConnection connection, StreamSinkConduit sink, StreamSourceConduit source, ByteBuffer thrownAway) {
         try {
             sink.suspendWrites();
             sink.terminateWrites();
--- a/node/src/main/java/spartrail/client/Reply.java
+++ b/node/src/main/java/spartrail/client/Reply.java
@@ -11,8 +11,7 @@
 /** The final answer to a client: a status, a time to come back after where that is advised, and a body. */
 public record Reply(int status, String retryAfter, byte[] body) {
     /** The value of a part that is in, as a server gave it. */
-    public record Value(int shard, byte[] value) {
-    }
+    public record Value(int shard, byte[] value) {}
 
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -38,7 +37,9 @@
 
     /** Trying again is harmless; a comeback time of 0 is none. */
     public static Reply pushedBack(double comebackMs) {
-        return new Reply(503, comebackMs > 0 ? String.format(Locale.ROOT, "%.3f", comebackMs / 1000) : null,
+        return new Reply(
+                503,
+                comebackMs > 0 ? String.format(Locale.ROOT, "%.3f", comebackMs / 1000) : null,
                 text("pushed back"));
     }
 
--- a/node/src/main/java/spartrail/client/SentAhead.java
+++ b/node/src/main/java/spartrail/client/SentAhead.java
@@ -10,7 +10,9 @@
     private ByteBuffer bytes;
 
     SentAhead(ByteBuffer before) {
-        bytes = ByteBuffer.allocate(Math.max(1024, before.remaining())).put(before).flip();
+        bytes = ByteBuffer.allocate(Math.max(1024, before.remaining()))
+                .put(before)
+                .flip();
     }
 
     /** Keeps these too; false if they are more than it may keep. */
@@ -20,7 +22,9 @@
             return false;
         }
         if (needed > bytes.capacity()) {
-            bytes = ByteBuffer.allocate(Math.min(MOST_BYTES, Math.max(needed, 2 * bytes.capacity()))).put(bytes).flip();
+            bytes = ByteBuffer.allocate(Math.min(MOST_BYTES, Math.max(needed, 2 * bytes.capacity())))
+                    .put(bytes)
+                    .flip();
         }
         bytes.compact().put(more).flip();
         return true;
--- a/node/src/main/java/spartrail/discovery/HostWatch.java
+++ b/node/src/main/java/spartrail/discovery/HostWatch.java
@@ -39,6 +39,7 @@
     static final long PAUSE_MS = 200;
     /** What discovery has to tell counts as told 2 s after the end of a call's wait, and 6 s after a watch fell silent. */
     private static final long WAIT_MS = 4000;
+
     private static final long SHORT_WAIT_MS = 50;
     /**
      * An agent that lives answers so soon after the wait. Danger: a call given up only when its news counts as told leaves
@@ -51,6 +52,7 @@
     static final long RETRY_CALL_MS = SHORT_WAIT_MS + ANSWER_MS + LAST_LOOK_MS;
     /** A call that may wait is given up after so long. */
     static final long WAITING_CALL_MS = WAIT_MS + ANSWER_MS + LAST_LOOK_MS;
+
     private static final int LONGEST = 1024 * 1024;
 
     private final XnioIoThread io;
@@ -66,6 +68,7 @@
     private boolean had;
     /** The present address has not answered yet. */
     private boolean moved;
+
     private long version;
     private long call;
     private XnioExecutor.Key timer;
@@ -74,8 +77,8 @@
     private long askedNs;
 
     /** On request: after a failure it waits to be started anew, else it goes on by itself. */
-    public HostWatch(XnioIoThread io, ByteBufferPool buffers, InetSocketAddress address, boolean onRequest,
-            Listener listener) {
+    public HostWatch(
+            XnioIoThread io, ByteBufferPool buffers, InetSocketAddress address, boolean onRequest, Listener listener) {
         this.io = io;
         this.buffers = buffers;
         this.address = address;
@@ -131,41 +134,55 @@
         }
         long number = ++call;
         askedNs = System.nanoTime();
-        // Danger: a silent agent and one that has nothing to tell look the same for as long as a call waits; where it has
-        // been silent, one that hardly waits finds out. Danger: a change counts as told 6 s after discovery had it and could be
+        // Danger: a silent agent and one that has nothing to tell look the same for as long as a call waits; where it
+        // has
+        // been silent, one that hardly waits finds out. Danger: a change counts as told 6 s after discovery had it and
+        // could be
         // reached, however long the calls before were given; an outage may end just after a call has begun.
         waitMs = !had || moved ? 0 : failures == 0 ? WAIT_MS : SHORT_WAIT_MS;
         // Danger: discovery that is down says nothing at all, and a call without an end would be the last. Danger: of a
         // process that stood still the answer may wait in the socket; so it is looked at first.
-        timer = io.executeAfter(() -> {
-            timer = io.executeAfter(() -> failed(number, "no answer in time"), LAST_LOOK_MS, TimeUnit.MILLISECONDS);
-        }, waitMs + ANSWER_MS, TimeUnit.MILLISECONDS);
+        timer = io.executeAfter(
+                () -> {
+                    timer = io.executeAfter(
+                            () -> failed(number, "no answer in time"), LAST_LOOK_MS, TimeUnit.MILLISECONDS);
+                },
+                waitMs + ANSWER_MS,
+                TimeUnit.MILLISECONDS);
         if (connection != null && connection.isOpen()) {
             request(number);
             return;
         }
         URI uri = URI.create("http://" + address.getAddress().getHostAddress() + ":" + address.getPort());
-        UndertowClient.getInstance().connect(new ClientCallback<>() {
-            @Override
-            public void completed(ClientConnection opened) {
-                if (number == call) {
-                    connection = opened;
-                    request(number);
-                } else {
-                    IoUtils.safeClose(opened);
-                }
-            }
+        UndertowClient.getInstance()
+                .connect(
+                        new ClientCallback<>() {
+                            @Override
+                            public void completed(ClientConnection opened) {
+                                if (number == call) {
+                                    connection = opened;
+                                    request(number);
+                                } else {
+                                    IoUtils.safeClose(opened);
+                                }
+                            }
 
-            @Override
-            public void failed(IOException e) {
-                HostWatch.this.failed(number, "cannot connect");
-            }
-        }, uri, io, buffers, OptionMap.EMPTY);
+                            @Override
+                            public void failed(IOException e) {
+                                HostWatch.this.failed(number, "cannot connect");
+                            }
+                        },
+                        uri,
+                        io,
+                        buffers,
+                        OptionMap.EMPTY);
     }
 
     private void request(long number) {
-        // Danger: a new agent may count its versions anew, and would have nothing newer than the old one's for a long time.
-        String path = had && !moved ? "/discovery/hosts?since=" + version + "&timeout_ms=" + waitMs : "/discovery/hosts";
+        // Danger: a new agent may count its versions anew, and would have nothing newer than the old one's for a long
+        // time.
+        String path =
+                had && !moved ? "/discovery/hosts?since=" + version + "&timeout_ms=" + waitMs : "/discovery/hosts";
         ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(path);
         request.getRequestHeaders().put(Headers.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
         connection.sendRequest(request, new ClientCallback<>() {
@@ -254,7 +271,8 @@
         moved = false;
         heard.countDown();
         if (early) {
-            // Danger: one that does not wait, or knows only an older list, would be asked without a pause. (A watch goes on
+            // Danger: one that does not wait, or knows only an older list, would be asked without a pause. (A watch
+            // goes on
             // only if its next call comes within this time.)
             timer = io.executeAfter(this::ask, PAUSE_MS / 2, TimeUnit.MILLISECONDS);
         } else {
--- a/node/src/main/java/spartrail/front/ClientMultiget.java
+++ b/node/src/main/java/spartrail/front/ClientMultiget.java
@@ -14,8 +14,7 @@
 /** A multiget in hand, with the client that waits for it and what servers have answered. */
 final class ClientMultiget extends Multiget {
     /** A send that has had no outcome yet, and when this node stops waiting for it. */
-    record Underway(PartRequest part, Timetable.Due timeOut) {
-    }
+    record Underway(PartRequest part, Timetable.Due timeOut) {}
 
     final Ask ask;
     final ClientRequest request;
--- a/node/src/main/java/spartrail/front/Counters.java
+++ b/node/src/main/java/spartrail/front/Counters.java
@@ -14,6 +14,7 @@
     volatile long lists;
     /** Times that it went on by other settings. */
     volatile long switches;
+
     final LongAdder exceptions = new LongAdder();
     final Map<Multiget.Answer, Long> answers = new EnumMap<>(Multiget.Answer.class);
     final Map<Send.Outcome, Long> outcomes = new EnumMap<>(Send.Outcome.class);
@@ -21,6 +22,7 @@
     @Override
     public String toString() {
         return "taken " + taken + ", over cap " + overCap + ", clients gone " + gone + ", answers " + answers
-                + ", outcomes " + outcomes + ", lists " + lists + ", switches " + switches + ", exceptions " + exceptions;
+                + ", outcomes " + outcomes + ", lists " + lists + ", switches " + switches + ", exceptions "
+                + exceptions;
     }
 }
--- a/node/src/main/java/spartrail/front/Descriptors.java
+++ b/node/src/main/java/spartrail/front/Descriptors.java
@@ -4,8 +4,7 @@
 
 /** How the file descriptors that a process may hold are shared out. */
 final class Descriptors {
-    private Descriptors() {
-    }
+    private Descriptors() {}
 
     /**
      * Most connections of clients: half of what is not open already, or more where servers need less. Danger:
