--- a/node/src/main/java/spartrail/front/FrontNode.java
+++ b/node/src/main/java/spartrail/front/FrontNode.java
@@ -19,10 +19,10 @@
 import org.xnio.XnioWorker;
 import spartrail.client.ClientDoor;
 import spartrail.coordination.Coordinator;
-import spartrail.membership.EndpointList;
 import spartrail.discovery.HostWatch;
 import spartrail.members.MembersFile;
 import spartrail.members.MembersHost;
+import spartrail.membership.EndpointList;
 import spartrail.model.Invariants;
 import spartrail.model.NodeClock;
 import spartrail.model.OpType;
@@ -43,18 +43,21 @@
      * and so much later.
      */
     private static final double LONGEST_COUNTED_MS = 3000;
+
     private static final double KILLED_AFTER_MS = 700;
     /**
      * Each answer is the last of its connection from so long before that, yet not before the front has heard; by so long
      * before that it has answered all it took.
      */
     private static final double LAST_TAKEN_MS = 1000;
+
     private static final double FRONT_HEARS_MS = 450;
     private static final double LAST_ANSWERED_MS = 150;
     /** What was answered last is on its way within this time. */
     private static final double CLOSING_MS = 50;
     /** Discovery's agent answers at once; one that is silent holds up no start. */
     private static final long FIRST_LIST_MS = 600;
+
     private static final int BUFFER = 8 * 1024;
 
     private final DeploymentFile deployment;
@@ -119,14 +122,18 @@
 
     /** How nodes talk to each other; an IllegalArgumentException where no jar on the class path knows how. */
     public static PeerTalk peerTalk() {
-        return ServiceLoader.load(PeerTalk.class).findFirst().orElseThrow(() -> new IllegalArgumentException(
-                "--peers is given, but no jar on the class path talks to other nodes; bin/spartrail puts it there"));
+        return ServiceLoader.load(PeerTalk.class)
+                .findFirst()
+                .orElseThrow(
+                        () -> new IllegalArgumentException(
+                                "--peers is given, but no jar on the class path talks to other nodes; bin/spartrail puts it there"));
     }
 
     /** Before the start: it goes by versions of policy, of which it keeps what it must not forget in this folder; needs peers. */
     public void policy(Path folder) {
         if (peersFile == null) {
-            throw new IllegalArgumentException("--state is given without --peers: versions of policy need talk among nodes");
+            throw new IllegalArgumentException(
+                    "--state is given without --peers: versions of policy need talk among nodes");
         }
         PolicyNode.policyTalk();
         state = folder;
@@ -134,25 +141,46 @@
 
     /** Listens and serves from here on. */
     public void start() throws IOException {
-        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 0).set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.WORKER_NAME, "spartrail-io").set(Options.THREAD_DAEMON, true).getMap());
+        worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 0)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.WORKER_NAME, "spartrail-io")
+                        .set(Options.THREAD_DAEMON, true)
+                        .getMap());
         io = worker.getIoThread();
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, 256, 0);
         clock = new NodeClock();
         EndpointList known = deployment.known();
         List<OpType> opTypes = deployment.opTypes();
         killedMs = killedMs(deployment);
-        loop = new NodeLoop(wrapping.apply(deployment.coordinator(opTypes)), opTypes, clock, io, deployment.turnMs(),
-                deployment.openCap(), deployment.mostSends(), deployment.nodes(), invariants);
+        loop = new NodeLoop(
+                wrapping.apply(deployment.coordinator(opTypes)),
+                opTypes,
+                clock,
+                io,
+                deployment.turnMs(),
+                deployment.openCap(),
+                deployment.mostSends(),
+                deployment.nodes(),
+                invariants);
         servers = new ShardPool(io, clock, bounds(deployment), loop, invariants);
         if (members != null) {
             host = new MembersHost(members, deployment.cells(), deployment.reach(), clock, known, loop);
         }
         watch = new HostWatch(io, buffers, deployment.discovery(), deployment.listAsked(), host == null ? loop : host);
-        door = new ClientDoor(worker, buffers, listen, clock,
+        door = new ClientDoor(
+                worker,
+                buffers,
+                listen,
+                clock,
                 opTypes.stream().map(op -> op.name).collect(Collectors.toSet()),
-                deployment.shards(), Descriptors.forClients(deployment.sockets(), deployment.serversUsed(known.lines().size())), loop);
+                deployment.shards(),
+                Descriptors.forClients(
+                        deployment.sockets(),
+                        deployment.serversUsed(known.lines().size())),
+                loop);
         loop.subset(deployment.subsetFilter());
         loop.tie(servers, watch, known);
         loop.record(record, deployment.version());
@@ -167,13 +195,20 @@
         });
         thread = new Thread(loop, "spartrail-node");
         if (!deployment.listAsked()) {
-            // Danger: the list that it was started with may be old, and what discovery's agent has counts as told already.
+            // Danger: the list that it was started with may be old, and what discovery's agent has counts as told
+            // already.
             await(watch.heard(), FIRST_LIST_MS);
         }
         thread.start();
         if (state != null) {
             policy = new PolicyNode(deployment, clock, loop);
-            talk = peerTalk().start(peersFile, history, historyBytes, view -> loop.fleet(view.word()), List.of(policy.start(state)));
+            talk = peerTalk()
+                    .start(
+                            peersFile,
+                            history,
+                            historyBytes,
+                            view -> loop.fleet(view.word()),
+                            List.of(policy.start(state)));
         }
         if (!ending) {
             new Rehearsal(clock).play(deployment, door.address());
@@ -182,7 +217,8 @@
             // Danger: a node that comes back would decide by what held before it went.
             policy.awaitRuling();
         }
-        // Danger: the I/O thread accepts and reads in the same round, and a round that had begun came before the word that
+        // Danger: the I/O thread accepts and reads in the same round, and a round that had begun came before the word
+        // that
         // the node is up: whoever asked right after the start was told 503.
         CountDownLatch up = new CountDownLatch(1);
         io.execute(() -> {
@@ -196,8 +232,9 @@
         if (peersFile != null && talk == null) {
             talk = peerTalk().start(peersFile, history, historyBytes, view -> loop.fleet(view.word()), PeerLane.NONE);
         }
-        LOG.log(System.Logger.Level.INFO, "serving on " + door.address() + ", " + known.lines().size()
-                + " servers known");
+        LOG.log(
+                System.Logger.Level.INFO,
+                "serving on " + door.address() + ", " + known.lines().size() + " servers known");
     }
 
     private static double killedMs(DeploymentFile stated) {
@@ -205,8 +242,12 @@
     }
 
     private static ShardPool.Bounds bounds(DeploymentFile stated) {
-        return new ShardPool.Bounds(stated.callsPerConnection(), stated.connectTimeoutMs(), stated.keepAliveMs(),
-                stated.cancelling(), stated.graceMs());
+        return new ShardPool.Bounds(
+                stated.callsPerConnection(),
+                stated.connectTimeoutMs(),
+                stated.keepAliveMs(),
+                stated.cancelling(),
+                stated.graceMs());
     }
 
     private static void await(CountDownLatch latch, long longestMs) throws IOException {
@@ -288,13 +329,17 @@
         double shutMs = saidUp ? Math.max(FRONT_HEARS_MS, killedMs - LAST_TAKEN_MS) : 0;
         io.execute(() -> {
             door.drain();
-            io.executeAfter(() -> {
-                door.shut();
-                awaitEmpty(empty);
-            }, Math.round(shutMs), TimeUnit.MILLISECONDS);
+            io.executeAfter(
+                    () -> {
+                        door.shut();
+                        awaitEmpty(empty);
+                    },
+                    Math.round(shutMs),
+                    TimeUnit.MILLISECONDS);
         });
         boolean all = empty.await(Math.round(killedMs - LAST_ANSWERED_MS / 2 - CLOSING_MS / 2), TimeUnit.MILLISECONDS);
-        LOG.log(all ? System.Logger.Level.INFO : System.Logger.Level.WARNING,
+        LOG.log(
+                all ? System.Logger.Level.INFO : System.Logger.Level.WARNING,
                 all ? "drained" : "drained, with clients still connected");
     }
 
@@ -321,7 +366,8 @@
         if (talk != null) {
             talk.close();
         }
-        // The loop first: it would ask an I/O thread that is no more. Danger: what is read behind the loop's end would never
+        // The loop first: it would ask an I/O thread that is no more. Danger: what is read behind the loop's end would
+        // never
         // be answered; from then on the door does it.
         io.execute(() -> {
             door.refuse();
--- a/node/src/main/java/spartrail/front/NodeLoop.java
+++ b/node/src/main/java/spartrail/front/NodeLoop.java
@@ -16,9 +16,9 @@
 import spartrail.client.ClientRequest;
 import spartrail.client.Reply;
 import spartrail.coordination.Coordinator;
-import spartrail.membership.EndpointList;
 import spartrail.discovery.HostWatch;
 import spartrail.front.ClientMultiget.Underway;
+import spartrail.membership.EndpointList;
 import spartrail.model.Call;
 import spartrail.model.Decisions;
 import spartrail.model.FleetWord;
@@ -49,6 +49,7 @@
     private final Coordinator coordinator;
     /** Shared with the module: where settings change, others take their places in it. */
     private final List<OpType> opTypes;
+
     private final Map<String, OpType> byName = new HashMap<>();
     private final NodeClock clock;
     private final XnioIoThread io;
@@ -58,9 +59,11 @@
     private int mostSends;
     /** How many front nodes the settings tell of, and what is known of the fleet. */
     private int toldNodes;
+
     private FleetWord fleet;
     /** By whose word it goes, if by any, and the settings that this one means. */
     private Ruled ruled;
+
     private DeploymentFile goesBy;
     private String version = "";
     private MultigetRecord record;
@@ -70,6 +73,7 @@
     private final Map<String, ClientMultiget> inHand = new HashMap<>();
     /** Servers that are not gone, as last listed. */
     private final Map<String, EndpointList.Endpoint> hosts = new HashMap<>();
+
     private final Timetable timetable = new Timetable();
     private final Standstill standstill;
     private final Counters counters = new Counters();
@@ -79,9 +83,11 @@
 
     /** When the last answer is to be given. */
     private double answerByMs = Double.POSITIVE_INFINITY;
+
     private double nowMs;
     /** When this thread wakes at the latest. */
     private double dueMs;
+
     private int open;
     private boolean dueTurn;
     private volatile boolean ended;
@@ -92,13 +98,23 @@
     private final List<Send> cancels = new ArrayList<>();
     /** Multigets whose clients have gone. */
     private final List<ClientMultiget> left = new ArrayList<>();
+
     private final List<InetSocketAddress> barred = new ArrayList<>();
     /** Lists that the I/O thread has read and waits for. */
     private int listsTaken;
+
     private boolean follow;
 
-    NodeLoop(Coordinator coordinator, List<OpType> opTypes, NodeClock clock, XnioIoThread io, double turnMs,
-            int openCap, int mostSends, int toldNodes, Invariants invariants) {
+    NodeLoop(
+            Coordinator coordinator,
+            List<OpType> opTypes,
+            NodeClock clock,
+            XnioIoThread io,
+            double turnMs,
+            int openCap,
+            int mostSends,
+            int toldNodes,
+            Invariants invariants) {
         this.coordinator = coordinator;
         this.opTypes = opTypes;
         opTypes.forEach(op -> byName.put(op.name, op));
@@ -128,15 +144,19 @@
     }
 
     private void logCounters() {
-        LOG.log(System.Logger.Level.INFO, counters + ", in hand " + inHand.size() + ", invariants broken "
-                + invariants.broken());
+        LOG.log(
+                System.Logger.Level.INFO,
+                counters + ", in hand " + inHand.size() + ", invariants broken " + invariants.broken());
         timetable.add(nowMs + COUNTED_MS, this::logCounters);
     }
 
     /** Takes what was asked before, answers all that is in hand, and ends. */
     void end() {
         queue.add(() -> {
-            inHand.values().stream().filter(mg -> !answers.contains(mg) && !left.contains(mg)).toList().forEach(this::fail);
+            inHand.values().stream()
+                    .filter(mg -> !answers.contains(mg) && !left.contains(mg))
+                    .toList()
+                    .forEach(this::fail);
             ended = true;
         });
     }
@@ -493,19 +513,32 @@
         for (Send send : sends) {
             ClientMultiget mg = (ClientMultiget) send.part.multiget;
             boolean toNobody = !hosts.containsKey(send.server.id);
-            if (mg.over || send.cancelled || toNobody || !invariants.holds(send.number < mostSends, "most sends of a part")) {
+            if (mg.over
+                    || send.cancelled
+                    || toNobody
+                    || !invariants.holds(send.number < mostSends, "most sends of a part")) {
                 unsent(send);
                 continue;
             }
             double untilMs = Math.min(send.sentMs + send.timeoutMs, mg.clientAtMs);
-            PartRequest part = new PartRequest(send, mg.ask.id() + '.' + send.part.shard.number,
-                    send.part.shard.number, mg.ask.text(), untilMs, mg.request::waited);
-            mg.underway.put(send, new Underway(part, timetable.add(untilMs,
-                    () -> io.execute(() -> servers.withdraw(part, Send.Outcome.TIMED_OUT)))));
+            PartRequest part = new PartRequest(
+                    send,
+                    mg.ask.id() + '.' + send.part.shard.number,
+                    send.part.shard.number,
+                    mg.ask.text(),
+                    untilMs,
+                    mg.request::waited);
+            mg.underway.put(
+                    send,
+                    new Underway(
+                            part,
+                            timetable.add(
+                                    untilMs, () -> io.execute(() -> servers.withdraw(part, Send.Outcome.TIMED_OUT)))));
             calls.computeIfAbsent(send.call, call -> {
-                order.add(call);
-                return new ArrayList<>();
-            }).add(part);
+                        order.add(call);
+                        return new ArrayList<>();
+                    })
+                    .add(part);
         }
         sends.clear();
         for (Call call : order) {
@@ -531,7 +564,8 @@
         switch (mg.answer) {
             case WHOLE, PARTIAL -> {
                 List<Reply.Value> values = new ArrayList<>();
-                mg.parts.stream().filter(part -> part.answered && mg.values.containsKey(part))
+                mg.parts.stream()
+                        .filter(part -> part.answered && mg.values.containsKey(part))
                         .forEach(part -> values.add(new Reply.Value(part.shard.number, mg.values.get(part))));
                 boolean all = values.size() == mg.parts.size() || mg.opType.need < 1;
                 boolean honest = all || mg.answer == Multiget.Answer.PARTIAL;
--- a/node/src/main/java/spartrail/front/PolicyNode.java
+++ b/node/src/main/java/spartrail/front/PolicyNode.java
@@ -32,8 +32,11 @@
     }
 
     static PolicyTalk policyTalk() {
-        return ServiceLoader.load(PolicyTalk.class).findFirst().orElseThrow(() -> new IllegalArgumentException(
-                "--state is given, but no jar on the class path knows versions of policy; bin/spartrail puts it there"));
+        return ServiceLoader.load(PolicyTalk.class)
+                .findFirst()
+                .orElseThrow(
+                        () -> new IllegalArgumentException(
+                                "--state is given, but no jar on the class path knows versions of policy; bin/spartrail puts it there"));
     }
 
     PeerLane start(Path state) throws IOException {
@@ -105,6 +108,8 @@
     }
 
     private Ruled ruled(Ruling ruling) {
-        return ruling == null ? null : new Ruled(ruling.name(), deployment(ruling.terms()), ruling.untilMs(), ruled(ruling.next()));
+        return ruling == null
+                ? null
+                : new Ruled(ruling.name(), deployment(ruling.terms()), ruling.untilMs(), ruled(ruling.next()));
     }
 }
--- a/node/src/main/java/spartrail/front/Rehearsal.java
+++ b/node/src/main/java/spartrail/front/Rehearsal.java
@@ -51,7 +51,8 @@
         for (int i = 0; i < MULTIGETS && clock.nowMs() < endMs; i++) {
             nowMs += deployment.turnMs();
             OpType opType = opTypes.get(i % opTypes.size());
-            out.addAll(coordinator.place(multiget(i, opType, coordinator, parts, deployment.shards(), nowMs), nowMs).sends);
+            out.addAll(coordinator.place(multiget(i, opType, coordinator, parts, deployment.shards(), nowMs), nowMs)
+                    .sends);
             while (out.size() > 2 * parts) {
                 Send send = out.poll();
                 Send.Outcome outcome = i % 50 == 0 ? Send.Outcome.ERROR : Send.Outcome.ANSWERED;
@@ -65,7 +66,8 @@
         }
     }
 
-    private static Multiget multiget(long id, OpType opType, Coordinator coordinator, int parts, int shards, double nowMs) {
+    private static Multiget multiget(
+            long id, OpType opType, Coordinator coordinator, int parts, int shards, double nowMs) {
         Multiget mg = new Multiget();
         mg.id = id * 0x9E3779B97F4A7C15L;
         mg.opType = opType;
@@ -84,9 +86,11 @@
 
     /** A multiget whose weights do not sum up to 1: read to its end, then turned away. */
     private static void ask(InetSocketAddress door, OpType opType, int number) {
-        String body = "{\"segments\":[{\"segment\":0,\"boost\":0.25,\"work\":1000,\"affinity\":\"0123456789abcdef\"}],\"text\":\"0\"}";
+        String body =
+                "{\"segments\":[{\"segment\":0,\"boost\":0.25,\"work\":1000,\"affinity\":\"0123456789abcdef\"}],\"text\":\"0\"}";
         String head = "POST /" + opType.name + "/rehearsal HTTP/1.1\r\nHost: rehearsal\r\nReq-Id: rehearsal" + number
-                + "\r\nReq-Kind: " + opType.name + "\r\nReq-Deadline: 1.000\r\nContent-Length: " + body.length() + "\r\n\r\n";
+                + "\r\nReq-Kind: " + opType.name + "\r\nReq-Deadline: 1.000\r\nContent-Length: " + body.length()
+                + "\r\n\r\n";
         try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
             socket.setSoTimeout((int) LONGEST_MS);
             socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
--- a/node/src/main/java/spartrail/front/Ruled.java
+++ b/node/src/main/java/spartrail/front/Ruled.java
@@ -8,5 +8,4 @@
  * @param name as the record names it
  * @param untilMs on the node's clock; endless for the last one
  */
-record Ruled(String name, DeploymentFile deployment, double untilMs, Ruled next) {
-}
+record Ruled(String name, DeploymentFile deployment, double untilMs, Ruled next) {}
--- a/node/src/main/java/spartrail/members/MembersFile.java
+++ b/node/src/main/java/spartrail/members/MembersFile.java
@@ -19,8 +19,18 @@
  * milliseconds.
  */
 public final class MembersFile {
-    private static final Set<String> BOUNDS = Set.of("floor", "freezeMs", "suspectMs", "rollConfirmMs", "confirmMs",
-            "confirmAnswers", "flapMs", "flapMostMs", "flapForgetMs", "keptMs", "mostMembers");
+    private static final Set<String> BOUNDS = Set.of(
+            "floor",
+            "freezeMs",
+            "suspectMs",
+            "rollConfirmMs",
+            "confirmMs",
+            "confirmAnswers",
+            "flapMs",
+            "flapMostMs",
+            "flapForgetMs",
+            "keptMs",
+            "mostMembers");
 
     private final Map<?, ?> tree;
 
@@ -45,11 +55,11 @@
             file.allowed();
             return file;
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException(path + ":" + e.getLocation().getLineNr() + ": no JSON: "
-                    + JsonTree.fault(e), e);
+            throw new IllegalArgumentException(
+                    path + ":" + e.getLocation().getLineNr() + ": no JSON: " + JsonTree.fault(e), e);
         } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException(e.getMessage().startsWith(path.toString()) ? e.getMessage()
-                    : path + ": " + e.getMessage(), e);
+            throw new IllegalArgumentException(
+                    e.getMessage().startsWith(path.toString()) ? e.getMessage() : path + ": " + e.getMessage(), e);
         }
     }
 
@@ -70,16 +80,22 @@
         Map<?, ?> merge = tree.get("merge") instanceof Map<?, ?> given ? given : Map.of();
         for (Object name : merge.keySet()) {
             if (!BOUNDS.contains(name)) {
-                throw new IllegalArgumentException("/merge/" + name + ": is unknown, one of " + BOUNDS.stream().sorted().toList()
-                        + " is expected");
+                throw new IllegalArgumentException("/merge/" + name + ": is unknown, one of "
+                        + BOUNDS.stream().sorted().toList() + " is expected");
             }
         }
         Bounds usual = Bounds.USUAL;
-        return new Bounds((int) number(merge, "floor", usual.floor()), number(merge, "freezeMs", usual.freezeMs()),
-                number(merge, "suspectMs", usual.suspectMs()), number(merge, "rollConfirmMs", usual.rollConfirmMs()),
-                number(merge, "confirmMs", usual.confirmMs()), (int) number(merge, "confirmAnswers", usual.confirmAnswers()),
-                number(merge, "flapMs", usual.flapMs()), number(merge, "flapMostMs", usual.flapMostMs()),
-                number(merge, "flapForgetMs", usual.flapForgetMs()), number(merge, "keptMs", usual.keptMs()),
+        return new Bounds(
+                (int) number(merge, "floor", usual.floor()),
+                number(merge, "freezeMs", usual.freezeMs()),
+                number(merge, "suspectMs", usual.suspectMs()),
+                number(merge, "rollConfirmMs", usual.rollConfirmMs()),
+                number(merge, "confirmMs", usual.confirmMs()),
+                (int) number(merge, "confirmAnswers", usual.confirmAnswers()),
+                number(merge, "flapMs", usual.flapMs()),
+                number(merge, "flapMostMs", usual.flapMostMs()),
+                number(merge, "flapForgetMs", usual.flapForgetMs()),
+                number(merge, "keptMs", usual.keptMs()),
                 (int) number(merge, "mostMembers", usual.mostMembers()));
     }
 
@@ -89,7 +105,8 @@
             return usual;
         }
         if (!(value instanceof Number number) || number.doubleValue() < 0) {
-            throw new IllegalArgumentException("/merge/" + name + ": found " + value + ", a number of 0 or more is expected");
+            throw new IllegalArgumentException(
+                    "/merge/" + name + ": found " + value + ", a number of 0 or more is expected");
         }
         return number.doubleValue();
     }
--- a/node/src/main/java/spartrail/members/MembersHost.java
+++ b/node/src/main/java/spartrail/members/MembersHost.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import spartrail.membership.EndpointList;
 import spartrail.discovery.HostWatch;
+import spartrail.membership.EndpointList;
 import spartrail.membership.Membership;
 import spartrail.membership.Said;
 import spartrail.membership.ServerSources;
@@ -38,17 +38,23 @@
     private ScheduledFuture<?> due;
     /** The line in hand comes from the roll. */
     private boolean fromRoll;
+
     private long version;
 
     /** The list as it was last had is known to the loop already; it counts as the roll's word until the roll answers. */
-    public MembersHost(MembersFile file, int cells, int reach, NodeClock clock, EndpointList known, HostWatch.Listener loop) {
+    public MembersHost(
+            MembersFile file, int cells, int reach, NodeClock clock, EndpointList known, HostWatch.Listener loop) {
         this.clock = clock;
         this.loop = loop;
         var allowed = file.allowed();
-        List<String> rolled = known.lines().stream().map(line -> text(line.address())).toList();
+        List<String> rolled =
+                known.lines().stream().map(line -> text(line.address())).toList();
         // What the roll names is allowed: its word is law. Ranges bound what others may name.
-        this.view = new Membership(cells, reach, file.bounds(), endpoint -> allowed.test(endpoint) || rolled.contains(endpoint)
-                || fromRoll);
+        this.view = new Membership(
+                cells,
+                reach,
+                file.bounds(),
+                endpoint -> allowed.test(endpoint) || rolled.contains(endpoint) || fromRoll);
         this.roll = view.source("roll", Source.Kind.ROLL, clock.nowMs());
         byRoll(() -> view.said(roll, true, lines(known), 0, clock.nowMs()));
         view.out(roll, clock.nowMs());
@@ -114,8 +120,16 @@
     private List<Said> lines(EndpointList list) {
         List<Said> lines = new ArrayList<>();
         for (EndpointList.Endpoint line : list.lines()) {
-            lines.add(new Said(line.id(), line.address() == null ? null : text(line.address()), line.zone(), line.kind(),
-                    line.cell(), line.state(), line.rating(), line.bootMs() > 0 ? clock.at(line.bootMs()) : -1, 0));
+            lines.add(new Said(
+                    line.id(),
+                    line.address() == null ? null : text(line.address()),
+                    line.zone(),
+                    line.kind(),
+                    line.cell(),
+                    line.state(),
+                    line.rating(),
+                    line.bootMs() > 0 ? clock.at(line.bootMs()) : -1,
+                    0));
         }
         return lines;
     }
@@ -129,10 +143,19 @@
         view.advance(clock.nowMs());
         List<EndpointList.Endpoint> lines = new ArrayList<>();
         for (Said said : view.changes()) {
-            lines.add(new EndpointList.Endpoint(said.id(), EndpointList.address(said.endpoint()), said.zone(), said.kind(), said.cell(),
-                    said.state(), said.rating(), said.bornMs() > 0 ? unix(said.bornMs()) : 0));
-            LOG.log(System.Logger.Level.INFO, said.id() + " at " + said.endpoint() + " is " + said.state() + ": "
-                    + view.find(said.id()).rule());
+            lines.add(new EndpointList.Endpoint(
+                    said.id(),
+                    EndpointList.address(said.endpoint()),
+                    said.zone(),
+                    said.kind(),
+                    said.cell(),
+                    said.state(),
+                    said.rating(),
+                    said.bornMs() > 0 ? unix(said.bornMs()) : 0));
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    said.id() + " at " + said.endpoint() + " is " + said.state() + ": "
+                            + view.find(said.id()).rule());
         }
         if (always || !lines.isEmpty()) {
             loop.listed(new EndpointList(++version, false, lines));
@@ -141,7 +164,9 @@
             due.cancel(false);
         }
         double waitMs = view.nextMs() - clock.nowMs();
-        due = waitMs > 1e9 ? null : thread.schedule(() -> hand(false), Math.max(1, (long) Math.ceil(waitMs)), TimeUnit.MILLISECONDS);
+        due = waitMs > 1e9
+                ? null
+                : thread.schedule(() -> hand(false), Math.max(1, (long) Math.ceil(waitMs)), TimeUnit.MILLISECONDS);
     }
 
     /** A time of the node's clock as Unix time. */
@@ -151,8 +176,10 @@
 
     /** What the view says of a server, by id or endpoint. */
     public String explain(String server) throws Exception {
-        return thread.submit(() -> view.find(server) == null ? server + ": nobody knows it\n"
-                : view.explain(view.find(server), clock.nowMs())).get(5, TimeUnit.SECONDS);
+        return thread.submit(() -> view.find(server) == null
+                        ? server + ": nobody knows it\n"
+                        : view.explain(view.find(server), clock.nowMs()))
+                .get(5, TimeUnit.SECONDS);
     }
 
     @Override
--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -18,8 +18,8 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import spartrail.coordination.Coordinator;
-import spartrail.membership.EndpointList;
 import spartrail.json.JsonTree;
+import spartrail.membership.EndpointList;
 import spartrail.model.OpType;
 import spartrail.subset.SubsetFilter;
 import spartrail.subset.SubsetSelector;
@@ -38,7 +38,8 @@
         this.info = (Map<?, ?>) tree.get("settings");
         this.listen = EndpointList.address(text("listen"));
         this.discovery = EndpointList.address(text("discovery"));
-        this.known = tree.get("known") instanceof Map<?, ?> list ? EndpointList.of(list)
+        this.known = tree.get("known") instanceof Map<?, ?> list
+                ? EndpointList.of(list)
                 : new EndpointList(0, true, List.of());
     }
 
@@ -73,15 +74,16 @@
                 throw new IllegalArgumentException("a setting is of the wrong kind", e);
             }
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("no JSON: " + JsonTree.fault(e) + " in line " + e.getLocation().getLineNr());
+            throw new IllegalArgumentException("no JSON: " + JsonTree.fault(e) + " in line "
+                    + e.getLocation().getLineNr());
         }
     }
 
     private void check() {
         coordinator(opTypes());
         if (reach() > cells()) {
-            throw new IllegalArgumentException("'width of family-info': found " + reach() + ", no more than the 'sets', " + cells()
-                    + ", is expected");
+            throw new IllegalArgumentException("'width of family-info': found " + reach()
+                    + ", no more than the 'sets', " + cells() + ", is expected");
         }
         openCap();
         sockets();
@@ -139,7 +141,8 @@
     public String waitingForAStart(DeploymentFile running) {
         Map<String, Object> found = shape();
         Map<String, Object> served = running.shape();
-        return found.keySet().stream().filter(name -> !found.get(name).equals(served.get(name)))
+        return found.keySet().stream()
+                .filter(name -> !found.get(name).equals(served.get(name)))
                 .map(name -> name + ": found " + found.get(name) + ", served " + served.get(name))
                 .collect(Collectors.joining("; "));
     }
@@ -244,7 +247,8 @@
     private static int wholeNumber(Map<?, ?> subset, String name) {
         double number = needed(subset, name, " of subset");
         if (number != (int) number) {
-            throw new IllegalArgumentException("'" + name + " of subset': found " + subset.get(name) + ", a whole number is expected");
+            throw new IllegalArgumentException(
+                    "'" + name + " of subset': found " + subset.get(name) + ", a whole number is expected");
         }
         return (int) number;
     }
--- a/node/src/main/java/spartrail/provisioning/PolicyFields.java
+++ b/node/src/main/java/spartrail/provisioning/PolicyFields.java
@@ -10,8 +10,7 @@
 
 /** Which setting of the file is which field of policy, both ways. Times are seconds there and milliseconds here. */
 public final class PolicyFields {
-    private record Field(String field, String part, String name, double factor, Object otherwise) {
-    }
+    private record Field(String field, String part, String name, double factor, Object otherwise) {}
 
     private static final List<Field> FIELDS = List.of(
             new Field("/sends/most", "bounds", "try-limit", 1, (double) Integer.MAX_VALUE),
@@ -26,28 +25,56 @@
             new Field("/comeback/told", "bounds", "retry-after", 0, false),
             new Field("/comeback/longestMs", "bounds", "max-retry-after", 1000, 0.0),
             new Field("/inHand/most", "bounds", "open-cap", 1, (double) Integer.MAX_VALUE));
-    private static final Map<String, String> OF_CLASSES = Map.of("importance", "worth", "budgetMs", "aim", "timeoutMs", "deadline",
-            "lateShare", "late-share", "dedupMs", "key-ttl");
-    private static final Map<String, String> OF_LAYOUT = Map.of("need", "class-need", "floor", "class-floor", "partialShare",
-            "class-partial");
-    private static final Map<String, String> EFFECTS = Map.of("RETRIABLE", "free", "DEDUPED", "guarded", "NON_RETRIABLE", "single_shot");
+    private static final Map<String, String> OF_CLASSES = Map.of(
+            "importance",
+            "worth",
+            "budgetMs",
+            "aim",
+            "timeoutMs",
+            "deadline",
+            "lateShare",
+            "late-share",
+            "dedupMs",
+            "key-ttl");
+    private static final Map<String, String> OF_LAYOUT =
+            Map.of("need", "class-need", "floor", "class-floor", "partialShare", "class-partial");
+    private static final Map<String, String> EFFECTS =
+            Map.of("RETRIABLE", "free", "DEDUPED", "guarded", "NON_RETRIABLE", "single_shot");
 
-    private PolicyFields() {
-    }
+    private PolicyFields() {}
 
     /** What of a file's settings policy may change. */
     public static Terms of(DeploymentFile file) {
         Map<String, Object> values = new TreeMap<>();
         for (OpType op : file.opTypes()) {
             String at = "/opTypes/" + op.name + "/";
-            values.putAll(Map.of(at + "importance", op.importance, at + "budgetMs", op.budgetMs, at + "timeoutMs", op.timeoutMs,
-                    at + "lateShare", op.lateShare, at + "repeat", op.repeat.name(), at + "dedupMs", op.dedupMs, at + "need", op.need,
-                    at + "floor", op.floor, at + "partialShare", op.partialShare));
+            values.putAll(Map.of(
+                    at + "importance",
+                    op.importance,
+                    at + "budgetMs",
+                    op.budgetMs,
+                    at + "timeoutMs",
+                    op.timeoutMs,
+                    at + "lateShare",
+                    op.lateShare,
+                    at + "repeat",
+                    op.repeat.name(),
+                    at + "dedupMs",
+                    op.dedupMs,
+                    at + "need",
+                    op.need,
+                    at + "floor",
+                    op.floor,
+                    at + "partialShare",
+                    op.partialShare));
         }
         for (Field field : FIELDS) {
             Object value = Provisioning.map(file.settings(), field.part).get(field.name);
-            values.put(field.field, value == null ? field.otherwise : value instanceof Number number
-                    ? (Object) (number.doubleValue() * field.factor) : value);
+            values.put(
+                    field.field,
+                    value == null
+                            ? field.otherwise
+                            : value instanceof Number number ? (Object) (number.doubleValue() * field.factor) : value);
         }
         return Terms.of(values);
     }
@@ -57,8 +84,10 @@
         Terms own = of(file);
         Map<String, Object> settings = copy(file.settings());
         for (Field field : FIELDS) {
-            Object value = field.factor == 0 ? (Object) terms.flag(field.field) : terms.number(field.field) / field.factor;
-            boolean same = field.factor == 0 ? terms.flag(field.field) == own.flag(field.field)
+            Object value =
+                    field.factor == 0 ? (Object) terms.flag(field.field) : terms.number(field.field) / field.factor;
+            boolean same = field.factor == 0
+                    ? terms.flag(field.field) == own.flag(field.field)
                     : terms.number(field.field) == own.number(field.field);
             if (!same) {
                 part(settings, field.part).put(field.name, value);
@@ -69,14 +98,19 @@
         List<OpType> opTypes = file.opTypes();
         for (int i = 0; i < opTypes.size(); i++) {
             String at = "/opTypes/" + opTypes.get(i).name + "/";
-            Map<String, Object> line = copy((Map<?, ?>) ((List<?>) file.settings().get("classes")).get(i));
-            OF_CLASSES.forEach((field, name) -> line.put(name, terms.number(at + field) / (field.endsWith("Ms") ? 1000 : 1)));
+            Map<String, Object> line =
+                    copy((Map<?, ?>) ((List<?>) file.settings().get("classes")).get(i));
+            OF_CLASSES.forEach(
+                    (field, name) -> line.put(name, terms.number(at + field) / (field.endsWith("Ms") ? 1000 : 1)));
             line.put("effect", EFFECTS.get(terms.text(at + "repeat")));
             classes.add(line);
         }
         settings.put("classes", classes);
-        OF_LAYOUT.forEach((field, name) -> layout.put(name, opTypes.stream()
-                .map(op -> (Object) terms.number("/opTypes/" + op.name + "/" + field)).toList()));
+        OF_LAYOUT.forEach((field, name) -> layout.put(
+                name,
+                opTypes.stream()
+                        .map(op -> (Object) terms.number("/opTypes/" + op.name + "/" + field))
+                        .toList()));
         return file.with(settings);
     }
 
--- a/node/src/main/java/spartrail/provisioning/Provisioning.java
+++ b/node/src/main/java/spartrail/provisioning/Provisioning.java
@@ -10,14 +10,14 @@
 
 /** Turns what a node is told at its start, on either wire, into our words and milliseconds. */
 public final class Provisioning {
-    private Provisioning() {
-    }
+    private Provisioning() {}
 
     public static List<OpType> opTypes(Map<?, ?> info) {
         List<OpType> opTypes = new ArrayList<>();
         Map<?, ?> layout = map(info, "family-info");
         if (list(need(info, "classes", "")).isEmpty()) {
-            throw new IllegalArgumentException("'classes': found " + info.get("classes") + ", a list of one or more is expected");
+            throw new IllegalArgumentException(
+                    "'classes': found " + info.get("classes") + ", a list of one or more is expected");
         }
         for (Object entry : list(info.get("classes"))) {
             if (!(entry instanceof Map<?, ?> line)) {
@@ -27,26 +27,31 @@
             OpType op = new OpType();
             op.name = String.valueOf(need(line, "name", " of classes"));
             if (opTypes.stream().anyMatch(other -> other.name.equals(op.name))) {
-                throw new IllegalArgumentException("'classes': found " + op.name + " twice, each name once is expected");
+                throw new IllegalArgumentException(
+                        "'classes': found " + op.name + " twice, each name once is expected");
             }
             op.importance = number(line, "worth", 1);
             op.budgetMs = 1000 * needed(line, "aim", " of class " + op.name);
             op.timeoutMs = 1000 * needed(line, "deadline", " of class " + op.name);
             if (op.budgetMs > op.timeoutMs) {
-                throw new IllegalArgumentException("class " + op.name + ": found aim " + line.get("aim") + " over deadline "
-                        + line.get("deadline") + ", an aim of no more is expected");
+                throw new IllegalArgumentException("class " + op.name + ": found aim " + line.get("aim")
+                        + " over deadline " + line.get("deadline") + ", an aim of no more is expected");
             }
             op.lateShare = share(line, "late-share", 0);
             op.repeat = repeat(need(line, "effect", " of class " + op.name), op.name);
-            // Danger: the rules rest on what a deduped class, the bounds and the rules state; no default stands in for them.
-            op.dedupMs = 1000 * (op.repeat == OpType.Repeat.DEDUPED ? needed(line, "key-ttl", " of class " + op.name)
-                    : number(line, "key-ttl", 0));
+            // Danger: the rules rest on what a deduped class, the bounds and the rules state; no default stands in for
+            // them.
+            op.dedupMs = 1000
+                    * (op.repeat == OpType.Repeat.DEDUPED
+                            ? needed(line, "key-ttl", " of class " + op.name)
+                            : number(line, "key-ttl", 0));
             op.need = at(layout, "class-need", at, 1);
             op.floor = at(layout, "class-floor", at, op.need);
             op.partialShare = at(layout, "class-partial", at, 1);
             List<?> fetched = list(layout.get("fetch-parts"));
             if (at < fetched.size() && number("fetch-parts", fetched.get(at)) > 0 || flag(line, "stream")) {
-                throw new IllegalArgumentException("class " + op.name + " has a second step or a stream, which is not served");
+                throw new IllegalArgumentException(
+                        "class " + op.name + " has a second step or a stream, which is not served");
             }
             opTypes.add(op);
         }
@@ -55,9 +60,13 @@
 
     public static Coordinator coordinator(long seed, Map<?, ?> info, List<OpType> opTypes) {
         Map<?, ?> layout = map(info, "family-info");
-        return state(new WindowCoordinator(new Random(seed), opTypes)
-                .layout((int) above0(layout, "slabs", " of family-info"), (int) above0(layout, "sets", " of family-info"),
-                        (int) above0(layout, "width", " of family-info"), (int) number(layout, "batch", 1)), info);
+        return state(
+                new WindowCoordinator(new Random(seed), opTypes)
+                        .layout(
+                                (int) above0(layout, "slabs", " of family-info"),
+                                        (int) above0(layout, "sets", " of family-info"),
+                                (int) above0(layout, "width", " of family-info"), (int) number(layout, "batch", 1)),
+                info);
     }
 
     /** Tells a coordinator all that may change while it serves. */
@@ -66,16 +75,23 @@
         Map<?, ?> rules = map(info, "rules");
         double spanS = number(rules, "budget-window", 0);
         if (spanS == 0 && (rules.get("min-extra") != null || rules.get("further-ratio") != null)) {
-            throw new IllegalArgumentException("min-extra or further-ratio is there, so 'budget-window' is to be above 0;"
-                    + " found " + rules.get("budget-window"));
+            throw new IllegalArgumentException(
+                    "min-extra or further-ratio is there, so 'budget-window' is to be above 0;" + " found "
+                            + rules.get("budget-window"));
         }
         need(rules, "cold-share", " of rules");
         return coordinator
                 .nodes((int) above0(info, "peers-total", ""), 1000 * needed(info, "tick", ""))
-                .sends((int) above0(bounds, "try-limit", " of bounds"), flag(bounds, "parallel-tries"), flag(bounds, "cancelling"))
+                .sends(
+                        (int) above0(bounds, "try-limit", " of bounds"),
+                        flag(bounds, "parallel-tries"),
+                        flag(bounds, "cancelling"))
                 .furtherSendBudget(1000 * spanS, number(rules, "min-extra", 0), number(rules, "further-ratio", 0))
-                .coldStart(share(rules, "cold-share", 1), 1000 * needed(rules, "warm-within", " of rules"),
-                        needed(rules, "tip-multiple", " of rules"), 1000 * needed(rules, "fall", " of rules"))
+                .coldStart(
+                        share(rules, "cold-share", 1),
+                        1000 * needed(rules, "warm-within", " of rules"),
+                        needed(rules, "tip-multiple", " of rules"),
+                        1000 * needed(rules, "fall", " of rules"))
                 .comeback(flag(bounds, "retry-after"), 1000 * number(bounds, "max-retry-after", 0))
                 .list("ask".equals(info.get("discovery")), 1000 * number(rules, "ask-within", 0));
     }
@@ -86,7 +102,10 @@
      */
     static void renew(List<OpType> inUse, List<OpType> stated) {
         inUse.replaceAll(op -> {
-            OpType now = stated.stream().filter(other -> other.name.equals(op.name)).findFirst().orElseThrow();
+            OpType now = stated.stream()
+                    .filter(other -> other.name.equals(op.name))
+                    .findFirst()
+                    .orElseThrow();
             OpType next = new OpType(op.learned);
             next.name = now.name;
             next.importance = now.importance;
@@ -153,7 +172,8 @@
     static double above0(Map<?, ?> map, String name, String of) {
         double value = needed(map, name, of);
         if (value < 1) {
-            throw new IllegalArgumentException("'" + name + of + "': found " + map.get(name) + ", a number of 1 or more is expected");
+            throw new IllegalArgumentException(
+                    "'" + name + of + "': found " + map.get(name) + ", a number of 1 or more is expected");
         }
         return value;
     }
@@ -177,7 +197,8 @@
     private static double number(String name, Object value) {
         if (!(value instanceof Number number) || !(number.doubleValue() >= 0)) {
             String found = value instanceof String text ? '"' + text + '"' : String.valueOf(value);
-            throw new IllegalArgumentException("'" + name + "': found " + found + ", a number of 0 or more is expected");
+            throw new IllegalArgumentException(
+                    "'" + name + "': found " + found + ", a number of 0 or more is expected");
         }
         return number.doubleValue();
     }
--- a/node/src/main/java/spartrail/record/MultigetRecord.java
+++ b/node/src/main/java/spartrail/record/MultigetRecord.java
@@ -18,12 +18,12 @@
  * at the bound the record ends, with a whole last line.
  */
 public final class MultigetRecord implements AutoCloseable {
-    private record Taken(double atMs, long ns, String policy, Ask ask) {
-    }
+    private record Taken(double atMs, long ns, String policy, Ask ask) {}
 
     private static final System.Logger LOG = System.getLogger("spartrail.record");
     /** Danger: what waits here keeps its texts; a disk that stands still must not fill the heap with them. */
     private static final int MOST_WAITING = 512;
+
     private static final int FLUSHED_MS = 500;
 
     private final ArrayBlockingQueue<Taken> waiting = new ArrayBlockingQueue<>(MOST_WAITING);
@@ -77,7 +77,9 @@
                 byte[] line = line(next);
                 if (bytes + line.length > mostBytes) {
                     full = true;
-                    LOG.log(System.Logger.Level.WARNING, "record full after " + lines + " multigets, nothing more is kept");
+                    LOG.log(
+                            System.Logger.Level.WARNING,
+                            "record full after " + lines + " multigets, nothing more is kept");
                     break;
                 }
                 out.write(line);
@@ -96,7 +98,9 @@
             Thread.currentThread().interrupt();
         }
         waiting.clear();
-        LOG.log(System.Logger.Level.INFO, "record: " + lines + " multigets, " + bytes + " bytes, " + leftOut + " left out");
+        LOG.log(
+                System.Logger.Level.INFO,
+                "record: " + lines + " multigets, " + bytes + " bytes, " + leftOut + " left out");
     }
 
     private byte[] line(Taken taken) throws IOException {
@@ -117,7 +121,12 @@
                 generator.writeNumber(part.weight());
             }
             generator.writeEndArray();
-            generator.writeNumberField("workMs", ask.parts().stream().mapToDouble(Ask.AskedPart::costMs).average().orElse(0));
+            generator.writeNumberField(
+                    "workMs",
+                    ask.parts().stream()
+                            .mapToDouble(Ask.AskedPart::costMs)
+                            .average()
+                            .orElse(0));
             generator.writeNumberField("textBytes", ask.text().length);
             generator.writeNumberField("clientMs", ask.clientLeftMs());
             generator.writeBooleanField("retry", ask.retry());
--- a/node/src/main/java/spartrail/shard/Frames.java
+++ b/node/src/main/java/spartrail/shard/Frames.java
@@ -11,11 +11,14 @@
 /** The frames between front nodes and index servers: a length, a letter, the rest. */
 final class Frames {
     /** A server's answer for one part. */
-    record Answer(String id, End end, byte[] value) {
-    }
+    record Answer(String id, End end, byte[] value) {}
 
     /** How a server says that a part ended. */
-    enum End { OK, ERROR, REJECTED }
+    enum End {
+        OK,
+        ERROR,
+        REJECTED
+    }
 
     /** A frame that the protocol does not know. */
     static final class Garbled extends Exception {
@@ -28,11 +31,11 @@
 
     /** A value goes into a client's answer, and no answer is longer than this. */
     static final int LONGEST = 64 * 1024;
+
     private static final int HEAD = 5;
     private static final Pattern SCORE = Pattern.compile("[0-9]{1,20}");
 
-    private Frames() {
-    }
+    private Frames() {}
 
     /** One call: each part a line and its text. */
     static ByteBuffer call(List<PartRequest> parts, double nowMs) {
@@ -105,8 +108,9 @@
             int end = from + 4 + length;
             from = end;
             if (letter == 'N') {
-                throw new Garbled("N: " + new String(bytes, start, Math.min(100, end - start),
-                        StandardCharsets.US_ASCII).replaceAll("[^ -~]", "?"));
+                throw new Garbled("N: "
+                        + new String(bytes, start, Math.min(100, end - start), StandardCharsets.US_ASCII)
+                                .replaceAll("[^ -~]", "?"));
             }
             return answer(start, end);
         }
@@ -121,12 +125,13 @@
             if (lf == end || words.length < 4 || !SCORE.matcher(words[2]).matches()) {
                 throw new Garbled("an answer without its line");
             }
-            End how = switch (words[1]) {
-                case "OK" -> End.OK;
-                case "ERROR" -> End.ERROR;
-                case "REJECTED" -> End.REJECTED;
-                default -> throw new Garbled("an answer of an unknown end");
-            };
+            End how =
+                    switch (words[1]) {
+                        case "OK" -> End.OK;
+                        case "ERROR" -> End.ERROR;
+                        case "REJECTED" -> End.REJECTED;
+                        default -> throw new Garbled("an answer of an unknown end");
+                    };
             try {
                 // Danger: what is no text would reach the client as another value than the server made.
                 StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes, lf + 1, end - lf - 1));
--- a/node/src/main/java/spartrail/shard/PartRequest.java
+++ b/node/src/main/java/spartrail/shard/PartRequest.java
@@ -6,7 +6,12 @@
 /** One part on its way to a server; its fields from the stage on belong to the I/O thread. */
 public final class PartRequest {
     /** How far it has come. */
-    enum Stage { WAITING, BEGUN, WRITTEN, ENDED }
+    enum Stage {
+        WAITING,
+        BEGUN,
+        WRITTEN,
+        ENDED
+    }
 
     final Send send;
     final String id;
--- a/node/src/main/java/spartrail/shard/ShardCall.java
+++ b/node/src/main/java/spartrail/shard/ShardCall.java
@@ -12,6 +12,7 @@
     ShardCall(List<PartRequest> parts) {
         this.parts = new ArrayList<>(parts);
         parts.forEach(part -> part.call = this);
-        this.decidedMs = parts.stream().mapToDouble(part -> part.send.sentMs).min().orElse(0);
+        this.decidedMs =
+                parts.stream().mapToDouble(part -> part.send.sentMs).min().orElse(0);
     }
 }
--- a/node/src/main/java/spartrail/shard/ShardConnection.java
+++ b/node/src/main/java/spartrail/shard/ShardConnection.java
@@ -47,12 +47,14 @@
     private final Deque<ByteBuffer> giveUps = new ArrayDeque<>();
     /** The call whose frame is being written, and what is left of the frame; no call for a frame that gives up. */
     private ShardCall writing;
+
     private ByteBuffer left;
     private final Map<String, PartRequest> out = new HashMap<>();
     /** The parts that were last out and are no longer, at most as many as may be out. */
     private final Set<String> settled = new LinkedHashSet<>();
     /** When a frame that has begun should long be there whole. */
     private XnioExecutor.Key lateFrame;
+
     private final Frames.Reader frames = new Frames.Reader();
 
     private final IoFuture<StreamConnection> opening;
@@ -69,11 +71,14 @@
         this.address = address;
         this.usedMs = pool.clock.nowMs();
         // Danger: a machine that vanished says nothing, and what waits for its connection would wait on.
-        openTimer = pool.io.executeAfter(() -> {
-            if (connection == null) {
-                end("no connection in time");
-            }
-        }, Math.round(pool.bounds.connectTimeoutMs()), TimeUnit.MILLISECONDS);
+        openTimer = pool.io.executeAfter(
+                () -> {
+                    if (connection == null) {
+                        end("no connection in time");
+                    }
+                },
+                Math.round(pool.bounds.connectTimeoutMs()),
+                TimeUnit.MILLISECONDS);
         opening = pool.io.openStreamConnection(address, null, OptionMap.create(Options.TCP_NODELAY, true));
         opening.addNotifier((future, attachment) -> pool.io.execute(() -> opened(future)), null);
     }
@@ -258,7 +263,8 @@
         while (left == null && !waiting.isEmpty() && pool.mayBegin(waiting.peek())) {
             ShardCall call = waiting.poll();
             double nowMs = pool.clock.nowMs();
-            List<PartRequest> stay = call.parts.stream().filter(part -> !part.mayLeave(nowMs)).toList();
+            List<PartRequest> stay =
+                    call.parts.stream().filter(part -> !part.mayLeave(nowMs)).toList();
             call.parts.removeAll(stay);
             stay.forEach(part -> pool.ended(part, Outcome.NOT_SENT, null));
             if (!call.parts.isEmpty()) {
@@ -315,14 +321,17 @@
             lateFrame = null;
         }
         if (partial && lateFrame == null) {
-            lateFrame = pool.io.executeAfter(() -> {
-                // Danger: of a node that stood still the rest may wait in the socket.
-                XnioExecutor.Key due = lateFrame;
-                readable(source);
-                if (!closed && lateFrame == due) {
-                    garbled("a frame that does not end");
-                }
-            }, Math.round(pool.bounds.connectTimeoutMs()), TimeUnit.MILLISECONDS);
+            lateFrame = pool.io.executeAfter(
+                    () -> {
+                        // Danger: of a node that stood still the rest may wait in the socket.
+                        XnioExecutor.Key due = lateFrame;
+                        readable(source);
+                        if (!closed && lateFrame == due) {
+                            garbled("a frame that does not end");
+                        }
+                    },
+                    Math.round(pool.bounds.connectTimeoutMs()),
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -395,8 +404,10 @@
         out.clear();
         writing = null;
         if (why != null && never.size() + maybe.size() > 0) {
-            pool.log(System.Logger.Level.DEBUG, "server " + address + ": " + why + "; " + never.size()
-                    + " parts never ran, " + maybe.size() + " may have");
+            pool.log(
+                    System.Logger.Level.DEBUG,
+                    "server " + address + ": " + why + "; " + never.size() + " parts never ran, " + maybe.size()
+                            + " may have");
         }
         never.forEach(part -> pool.ended(part, neverRan, null));
         maybe.forEach(part -> pool.ended(part, mayHaveRun, null));
--- a/node/src/main/java/spartrail/shard/ShardPool.java
+++ b/node/src/main/java/spartrail/shard/ShardPool.java
@@ -43,13 +43,14 @@
     private int held;
     /** When what waited in the sockets was last read. */
     private double lookedMs = Double.NEGATIVE_INFINITY;
+
     private boolean looking;
     private long garbled;
     private double garbledLoggedMs = Double.NEGATIVE_INFINITY;
 
     /** What it goes by of the settings; times in milliseconds. */
-    public record Bounds(int partsPerConnection, double connectTimeoutMs, double keepAliveMs, boolean cancelling, double graceMs) {
-    }
+    public record Bounds(
+            int partsPerConnection, double connectTimeoutMs, double keepAliveMs, boolean cancelling, double graceMs) {}
 
     public ShardPool(XnioIoThread io, NodeClock clock, Bounds bounds, Ends ends, Invariants invariants) {
         this.io = io;
@@ -68,8 +69,10 @@
         if (idleTimer != null) {
             idleTimer.remove();
         }
-        idleTimer = io.executeAtInterval(() -> closeIdle(clock.nowMs() - bounds.keepAliveMs() / 2),
-                Math.max(1, Math.round(bounds.keepAliveMs() / 8)), TimeUnit.MILLISECONDS);
+        idleTimer = io.executeAtInterval(
+                () -> closeIdle(clock.nowMs() - bounds.keepAliveMs() / 2),
+                Math.max(1, Math.round(bounds.keepAliveMs() / 8)),
+                TimeUnit.MILLISECONDS);
     }
 
     /** How old what is known of the sockets may be where a frame begins: nothing is sent to a server that drains after the grace. */
@@ -131,16 +134,19 @@
     /** The I/O thread reads what is ready between its timers; the first may still come before that, or a pause after it. */
     private void look(int number) {
         double fromMs = clock.nowMs();
-        io.executeAfter(() -> {
-            boolean paused = clock.nowMs() - fromMs > mostBlindMs();
-            if (number == 1 || paused && number < MOST_LOOKS) {
-                look(number + 1);
-            } else {
-                looking = false;
-                lookedMs = paused ? clock.nowMs() : fromMs;
-                writeAll();
-            }
-        }, 1, TimeUnit.MILLISECONDS);
+        io.executeAfter(
+                () -> {
+                    boolean paused = clock.nowMs() - fromMs > mostBlindMs();
+                    if (number == 1 || paused && number < MOST_LOOKS) {
+                        look(number + 1);
+                    } else {
+                        looking = false;
+                        lookedMs = paused ? clock.nowMs() : fromMs;
+                        writeAll();
+                    }
+                },
+                1,
+                TimeUnit.MILLISECONDS);
     }
 
     private void writeAll() {
@@ -199,8 +205,11 @@
     }
 
     private void closeIdle(double beforeMs) {
-        connections.values().stream().flatMap(List::stream).filter(connection -> connection.idleSince(beforeMs))
-                .toList().forEach(connection -> connection.end(null));
+        connections.values().stream()
+                .flatMap(List::stream)
+                .filter(connection -> connection.idleSince(beforeMs))
+                .toList()
+                .forEach(connection -> connection.end(null));
     }
 
     void log(System.Logger.Level level, String text) {
--- a/node/src/main/java/spartrail/sim/SimHost.java
+++ b/node/src/main/java/spartrail/sim/SimHost.java
@@ -4,13 +4,11 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.Reader;
 import java.io.Writer;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -66,7 +64,8 @@
                 throw new IllegalArgumentException("more than one value on the line");
             }
         }
-        if (!(value instanceof Map<?, ?> batch) || !(batch.get("t") instanceof Number)
+        if (!(value instanceof Map<?, ?> batch)
+                || !(batch.get("t") instanceof Number)
                 || !(batch.get("groups") instanceof List<?> groups)) {
             throw new IllegalArgumentException("an object with a number 't' and an array 'groups' is expected");
         }
--- a/node/src/main/java/spartrail/sim/SimNode.java
+++ b/node/src/main/java/spartrail/sim/SimNode.java
@@ -16,12 +16,25 @@
 
 /** One instance on the wire: keeps its timer and the multigets in hand, converts words and units. */
 final class SimNode {
-    private static final Map<String, Send.Outcome> OUTCOMES = Map.of("S", Send.Outcome.ANSWERED,
-            "E", Send.Outcome.ERROR, "F", Send.Outcome.FULL, "T", Send.Outcome.TIMED_OUT,
-            "C", Send.Outcome.CONNECT_FAILED, "R", Send.Outcome.RESET, "X", Send.Outcome.CANCELLED,
-            "N", Send.Outcome.NOT_SENT);
-    private static final Map<String, Server.State> STATES = Map.of("live", Server.State.LIVE,
-            "quiescing", Server.State.DRAINING, "dead", Server.State.GONE);
+    private static final Map<String, Send.Outcome> OUTCOMES = Map.of(
+            "S",
+            Send.Outcome.ANSWERED,
+            "E",
+            Send.Outcome.ERROR,
+            "F",
+            Send.Outcome.FULL,
+            "T",
+            Send.Outcome.TIMED_OUT,
+            "C",
+            Send.Outcome.CONNECT_FAILED,
+            "R",
+            Send.Outcome.RESET,
+            "X",
+            Send.Outcome.CANCELLED,
+            "N",
+            Send.Outcome.NOT_SENT);
+    private static final Map<String, Server.State> STATES =
+            Map.of("live", Server.State.LIVE, "quiescing", Server.State.DRAINING, "dead", Server.State.GONE);
 
     private final Map<Integer, List<?>> rosters;
     private final PrintStream err;
@@ -32,9 +45,11 @@
     private final Map<Long, Multiget> multigets = new HashMap<>();
     /** By the number that a multiget's parts bear. */
     private final Map<Long, Multiget> multigetsByNumber = new HashMap<>();
+
     private final Map<Long, Part> parts = new HashMap<>();
     /** The multiget whose parts are coming in. */
     private Multiget incoming;
+
     private double bellAtMs = Double.MAX_VALUE;
 
     SimNode(Map<Integer, List<?>> rosters, PrintStream err) {
@@ -112,8 +127,7 @@
                 }
                 carryOut(coordinator.waited(nowMs));
             }
-            default -> {
-            }
+            default -> {}
         }
     }
 
--- a/node/src/test/java/example/ToyFleet.java
+++ b/node/src/test/java/example/ToyFleet.java
@@ -31,14 +31,11 @@
         }
 
         /** A part is given up. */
-        default void givenUp(Link link, String id) throws IOException {
-        }
+        default void givenUp(Link link, String id) throws IOException {}
 
-        default void opened(Link link) throws IOException {
-        }
+        default void opened(Link link) throws IOException {}
 
-        default void closed(Link link) throws IOException {
-        }
+        default void closed(Link link) throws IOException {}
     }
 
     /** One index server: its name, its cell, where it listens. */
@@ -47,7 +44,7 @@
         public final int cell;
         public volatile String state = "SERVING";
         public volatile long bootMs;
-        public volatile Manner manner = new Manner() { };
+        public volatile Manner manner = new Manner() {};
         final ServerSocket listening;
 
         Toy(int cell, int port) throws IOException {
@@ -99,6 +96,7 @@
     public final List<Toy> servers = new ArrayList<>();
     /** Discovery that is silent takes requests and answers none. */
     public volatile boolean silent;
+
     private final HttpServer discovery;
     private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "toy");
@@ -109,6 +107,7 @@
     private long version = 1;
     /** The latest version that was written to a front node, and the latest from which one has asked on. */
     private long written;
+
     private long askedFrom;
     private boolean called;
     private boolean closed;
@@ -132,10 +131,15 @@
 
     /** The list in discovery's form. */
     public synchronized String hosts() {
-        return "{\"rev\":" + version + ",\"all\":true,\"targets\":[" + servers.stream().map(toy -> "{\"uid\":\""
-                + toy.uid + "\",\"endpoint\":\"" + toy.endpoint() + "\",\"az\":\"a\",\"model\":\"toy\",\"pod_group\":"
-                + toy.cell + ",\"state\":\"" + toy.state + "\",\"capacity_hint\":1.0,\"boot_ms\":" + toy.bootMs + "}")
-                .collect(Collectors.joining(",")) + "]}";
+        return "{\"rev\":" + version + ",\"all\":true,\"targets\":["
+                + servers.stream()
+                        .map(toy -> "{\"uid\":\""
+                                + toy.uid + "\",\"endpoint\":\"" + toy.endpoint()
+                                + "\",\"az\":\"a\",\"model\":\"toy\",\"pod_group\":"
+                                + toy.cell + ",\"state\":\"" + toy.state + "\",\"capacity_hint\":1.0,\"boot_ms\":"
+                                + toy.bootMs + "}")
+                        .collect(Collectors.joining(","))
+                + "]}";
     }
 
     /** Tells a change of a server's state, and whatever changed before. */
@@ -220,8 +224,8 @@
                 in.readFully(frame);
                 switch (frame[0]) {
                     case 'R' -> parts(link, frame);
-                    case 'A' -> link.toy.manner.givenUp(link,
-                            new String(frame, 1, frame.length - 1, StandardCharsets.US_ASCII));
+                    case 'A' -> link.toy.manner.givenUp(
+                            link, new String(frame, 1, frame.length - 1, StandardCharsets.US_ASCII));
                     case 'G', 'T' -> link.frame((char) frame[0], frame[0] == 'G' ? "OK" : "-");
                     default -> {
                         link.frame('N', "unknown letter");
--- a/node/src/test/java/spartrail/cli/CommandLineTest.java
+++ b/node/src/test/java/spartrail/cli/CommandLineTest.java
@@ -27,7 +27,10 @@
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
         int status = CommandLine.run(args, out, out);
-        return status + " " + bytes.toString(StandardCharsets.UTF_8).replace(folder.toString(), "FOLDER").strip();
+        return status + " "
+                + bytes.toString(StandardCharsets.UTF_8)
+                        .replace(folder.toString(), "FOLDER")
+                        .strip();
     }
 
     private String check(String text) throws IOException {
@@ -39,20 +42,38 @@
     @Test
     void whatIsWrongWithAConfigurationIsSaidInOneLine() throws IOException {
         String good = Files.readString(Path.of("example/config.json"));
-        assertThat(String.join("\n", check(good), check("{"), check("[]"), check("{}"),
-                check(good.replace("127.0.0.1:3000", "front:3000")), check(good.replace("\"discovery\": \"127", "\"d\": \"127")),
-                check(good.replace("\"uid\": \"s-2\"", "\"uid\": 2")), check(good.replace("\"aim\": 2.0,", "")),
-                check(good.replace("\"effect\": \"free\"", "\"effect\": \"odd\"")), check(good.replace("\"fetch-parts\": [0]", "\"fetch-parts\": [3]")),
-                check(good.replace("\"slabs\": 4", "\"slabs\": \"4\"")),
-                check(good.replace("\"fall\": 1.0", "\"fall\": 1.0, \"further-ratio\": 0.1")),
-                check(good.replace("\"aim\": 2.0", "\"aim\": 5.0")), check(good.replace("\"late-share\": 0.3", "\"late-share\": 3")),
-                check(good.replace("\"try-limit\": 4", "\"try-limit\": -4")), check(good.replace("\"cancelling\": true", "\"cancelling\": 1")),
-                check(good.replace("\"effect\": \"free\"", "\"effect\": \"guarded\"")), check(good.replace("\"try-limit\": 4", "\"t\": 4")),
-                check(good.replace("\"keepalive\": 30.0,", "")), check(good.replace("\"cold-share\": 0.2,", "")),
-                check(good.replace("\"stop-sending-within\": 0.5,", "")), check(good.replace("\"width\": 2", "\"width\": 5")),
-                check(good.replace("\"peers-total\": 1,", "")), check(good.replace("\"sockets\": 1024", "\"sockets\": 0")),
-                check(good.replace("\"classes\": [", "\"classes\": [], \"old\": [")), check(good.replace("\"classes\": [", "\"classes\": [3, ")),
-                check(good.replace("\"rules\": {", "\"rules\": 7, \"old\": {")), run("check", folder.resolve("none").toString()))).isEqualTo("""
+        assertThat(String.join(
+                        "\n",
+                        check(good),
+                        check("{"),
+                        check("[]"),
+                        check("{}"),
+                        check(good.replace("127.0.0.1:3000", "front:3000")),
+                        check(good.replace("\"discovery\": \"127", "\"d\": \"127")),
+                        check(good.replace("\"uid\": \"s-2\"", "\"uid\": 2")),
+                        check(good.replace("\"aim\": 2.0,", "")),
+                        check(good.replace("\"effect\": \"free\"", "\"effect\": \"odd\"")),
+                        check(good.replace("\"fetch-parts\": [0]", "\"fetch-parts\": [3]")),
+                        check(good.replace("\"slabs\": 4", "\"slabs\": \"4\"")),
+                        check(good.replace("\"fall\": 1.0", "\"fall\": 1.0, \"further-ratio\": 0.1")),
+                        check(good.replace("\"aim\": 2.0", "\"aim\": 5.0")),
+                        check(good.replace("\"late-share\": 0.3", "\"late-share\": 3")),
+                        check(good.replace("\"try-limit\": 4", "\"try-limit\": -4")),
+                        check(good.replace("\"cancelling\": true", "\"cancelling\": 1")),
+                        check(good.replace("\"effect\": \"free\"", "\"effect\": \"guarded\"")),
+                        check(good.replace("\"try-limit\": 4", "\"t\": 4")),
+                        check(good.replace("\"keepalive\": 30.0,", "")),
+                        check(good.replace("\"cold-share\": 0.2,", "")),
+                        check(good.replace("\"stop-sending-within\": 0.5,", "")),
+                        check(good.replace("\"width\": 2", "\"width\": 5")),
+                        check(good.replace("\"peers-total\": 1,", "")),
+                        check(good.replace("\"sockets\": 1024", "\"sockets\": 0")),
+                        check(good.replace("\"classes\": [", "\"classes\": [], \"old\": [")),
+                        check(good.replace("\"classes\": [", "\"classes\": [3, ")),
+                        check(good.replace("\"rules\": {", "\"rules\": 7, \"old\": {")),
+                        run("check", folder.resolve("none").toString())))
+                .isEqualTo(
+                        """
                 0 usable: node n0 on /127.0.0.1:3000, op types [orders], 4 servers known
                 2 spartrail: FOLDER/config.json: no JSON: Unexpected end-of-input: expected close marker for Object in line 1
                 2 spartrail: FOLDER/config.json: a JSON object is expected
@@ -85,8 +106,11 @@
 
     private String subset(String stated, String list) throws IOException {
         Path config = folder.resolve("subset.json");
-        Files.writeString(config, Files.readString(Path.of("example/config.json")).replace("\"sets\": 4, \"width\": 2",
-                "\"sets\": 2, \"width\": 1").replace("\"tick\"", stated + "\"tick\""));
+        Files.writeString(
+                config,
+                Files.readString(Path.of("example/config.json"))
+                        .replace("\"sets\": 4, \"width\": 2", "\"sets\": 2, \"width\": 1")
+                        .replace("\"tick\"", stated + "\"tick\""));
         Path servers = folder.resolve("list.json");
         Files.writeString(servers, list);
         return run("subset", "show", "--config", config.toString(), "--list", servers.toString());
@@ -94,15 +118,30 @@
 
     @Test
     void theServersOfASubsetAreShownAndAWrongSettingIsOneLine() throws IOException {
-        String list = "{\"rev\":1,\"all\":true,\"targets\":[" + IntStream.range(0, 8).mapToObj(number -> "{\"uid\":\"s-" + number
-                + "\",\"endpoint\":\"127.0.0.1:7001\",\"az\":\"" + "ab".charAt(number / 2 % 2) + "\",\"pod_group\":" + number % 2
-                + ",\"state\":\"SERVING\"}").collect(Collectors.joining(",")) + "]}";
+        String list = "{\"rev\":1,\"all\":true,\"targets\":["
+                + IntStream.range(0, 8)
+                        .mapToObj(number -> "{\"uid\":\"s-" + number
+                                + "\",\"endpoint\":\"127.0.0.1:7001\",\"az\":\"" + "ab".charAt(number / 2 % 2)
+                                + "\",\"pod_group\":" + number % 2
+                                + ",\"state\":\"SERVING\"}")
+                        .collect(Collectors.joining(","))
+                + "]}";
         String good = "\"subset\": {\"replicasPerShard\": 2, \"leastZones\": 2}, ";
-        assertThat(subset(good, list)).startsWith("0 node n0 uses 4 of 8 live servers; each is used by 0.5 of 1 nodes on average, by more"
-                + " than 1 with a chance below 1e-06").contains("(2 spares, 2 zones)");
-        assertThat(String.join("\n", subset("", list), subset(good, "{}"), subset(good, "["), subset(good.replace("2}", "3}"), list),
-                subset(good.replace(": 2,", ": 1.5,"), list), subset(good.replace("leastZones", "zones"), list),
-                subset("\"subset\": 4, ", list))).isEqualTo("""
+        assertThat(subset(good, list))
+                .startsWith("0 node n0 uses 4 of 8 live servers; each is used by 0.5 of 1 nodes on average, by more"
+                        + " than 1 with a chance below 1e-06")
+                .contains("(2 spares, 2 zones)");
+        assertThat(String.join(
+                        "\n",
+                        subset("", list),
+                        subset(good, "{}"),
+                        subset(good, "["),
+                        subset(good.replace("2}", "3}"), list),
+                        subset(good.replace(": 2,", ": 1.5,"), list),
+                        subset(good.replace("leastZones", "zones"), list),
+                        subset("\"subset\": 4, ", list)))
+                .isEqualTo(
+                        """
                 2 spartrail: FOLDER/subset.json: 'subset' of settings is missing: this node uses all servers
                 2 spartrail: FOLDER/list.json: a list of servers has 'rev' and 'targets'
                 2 spartrail: FOLDER/list.json: Unexpected end-of-input: expected close marker for Array (start marker at [Source: REDACTED (`StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION` disabled); line: 1, column: 1])
@@ -110,7 +149,8 @@
                 2 spartrail: FOLDER/subset.json: 'replicasPerShard of subset': found 1.5, a whole number is expected
                 2 spartrail: FOLDER/subset.json: the settings lack 'leastZones' of subset
                 2 spartrail: FOLDER/subset.json: 'subset': found 4, an object is expected""");
-        assertThat(run("subset", "draw", "--config", "c", "--list", "l")).isEqualTo("2 spartrail: subset: found 'draw', 'show' is expected");
+        assertThat(run("subset", "draw", "--config", "c", "--list", "l"))
+                .isEqualTo("2 spartrail: subset: found 'draw', 'show' is expected");
     }
 
     @Test
@@ -123,7 +163,9 @@
 
     @Test
     void helpTellsWhatACommandTakes() {
-        assertThat(run("serve", "--help")).startsWith("0 spartrail serve [--config FILE]").contains("--record-mb N", "BALANCER_CONFIG");
+        assertThat(run("serve", "--help"))
+                .startsWith("0 spartrail serve [--config FILE]")
+                .contains("--record-mb N", "BALANCER_CONFIG");
         assertThat(run("check", "--help")).startsWith("0 spartrail check FILE").contains("--start");
         assertThat(run("check", "config.json", "--help")).startsWith("0 spartrail check FILE");
         assertThat(run("--help")).startsWith("0 usage: spartrail serve");
--- a/node/src/test/java/spartrail/cli/KnownRedTest.java
+++ b/node/src/test/java/spartrail/cli/KnownRedTest.java
@@ -12,7 +12,8 @@
 
 /** The script that CI runs, with a stand-in for Maven that notes its calls: the test ATest#red fails, all others pass. */
 class KnownRedTest {
-    private static final String MAVEN = """
+    private static final String MAVEN =
+            """
             #!/bin/sh
             for arg in "$@"; do
                 case $arg in
@@ -45,15 +46,25 @@
         String said = new String(process.getInputStream().readAllBytes()).strip();
         assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
         Path calls = root.resolve("calls");
-        return process.exitValue() + " " + said + "; " + (Files.exists(calls) ? Files.readString(calls).strip() : "no call");
+        return process.exitValue() + " " + said + "; "
+                + (Files.exists(calls) ? Files.readString(calls).strip() : "no call");
     }
 
     @Test
     void passesOverExactlyWhatIsKnownToBeRed() throws Exception {
         String red = "ATest#red | a cause | an issue\n";
-        assertThat(String.join("\n", run(""), run(red), run(red.strip()), run("ATest#green | a cause | an issue\n"),
-                run("ATest#none | a cause | an issue\n"), run("BTest#red | a cause | an issue\n"), run("ATest#red\n"),
-                run(red.repeat(4)))).isEqualTo("""
+        assertThat(String.join(
+                        "\n",
+                        run(""),
+                        run(red),
+                        run(red.strip()),
+                        run("ATest#green | a cause | an issue\n"),
+                        run("ATest#none | a cause | an issue\n"),
+                        run("BTest#red | a cause | an issue\n"),
+                        run("ATest#red\n"),
+                        run(red.repeat(4))))
+                .isEqualTo(
+                        """
                 0 ; -B verify
                 0 known to be red, passed over: ATest#red | a cause | an issue; -Dtest=ATest#red
                 verify without **/ATest#red
--- a/node/src/test/java/spartrail/cli/SignalsTest.java
+++ b/node/src/test/java/spartrail/cli/SignalsTest.java
@@ -28,19 +28,21 @@
 
     @TempDir
     private Path dir;
+
     private final ToyFleet fleet = new ToyFleet(4, 0, 0);
     private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
     private Path file;
     private String good;
     private Process process;
 
-    SignalsTest() throws IOException {
-    }
+    SignalsTest() throws IOException {}
 
     @BeforeEach
     void start() throws IOException {
-        good = Files.readString(Path.of("example/config.json")).replace("127.0.0.1:3000", "127.0.0.1:0")
-                .replace("127.0.0.1:8500", fleet.discoveryEndpoint()).replace("\"aim\": 2.0, \"deadline\": 4.0", "\"aim\": 1, \"deadline\": 2");
+        good = Files.readString(Path.of("example/config.json"))
+                .replace("127.0.0.1:3000", "127.0.0.1:0")
+                .replace("127.0.0.1:8500", fleet.discoveryEndpoint())
+                .replace("\"aim\": 2.0, \"deadline\": 4.0", "\"aim\": 1, \"deadline\": 2");
         for (int i = 0; i < 4; i++) {
             good = good.replace("127.0.0.1:" + (7001 + i), fleet.servers.get(i).endpoint());
         }
@@ -53,15 +55,27 @@
     }
 
     private void serve(String before) throws IOException {
-        start(new ProcessBuilder("sh", "-c", before + "exec \"$@\"", "sh", jvm(), "-cp", System.getProperty("java.class.path"),
-                "spartrail.Main", "serve", "--config", file.toString()));
+        start(new ProcessBuilder(
+                "sh",
+                "-c",
+                before + "exec \"$@\"",
+                "sh",
+                jvm(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "spartrail.Main",
+                "serve",
+                "--config",
+                file.toString()));
     }
 
     /** By the start command that is deployed; the JVM that it finds runs these classes, as there is no jar yet. */
     private void serveByStartCommand(String before) throws IOException {
         Path java = Files.createDirectories(dir.resolve("bin")).resolve("java");
-        Files.writeString(java, "#!/bin/sh\nexec '" + jvm() + "' -cp '" + System.getProperty("java.class.path")
-                + "' spartrail.Main serve\n");
+        Files.writeString(
+                java,
+                "#!/bin/sh\nexec '" + jvm() + "' -cp '" + System.getProperty("java.class.path")
+                        + "' spartrail.Main serve\n");
         assertThat(java.toFile().setExecutable(true)).isTrue();
         ProcessBuilder command = new ProcessBuilder("sh", "-c", before + "exec sh deploy/run.sh");
         command.environment().put("PATH", java.getParent() + ":" + System.getenv("PATH"));
@@ -95,11 +109,14 @@
                 return line.replaceAll("^.*? (INFO|WARNING) ", "").replace(dir.toString(), "DIR");
             }
         }
-        return "no line with '" + words + "', process " + (process.isAlive() ? "runs" : "ended with " + process.exitValue());
+        return "no line with '" + words + "', process "
+                + (process.isAlive() ? "runs" : "ended with " + process.exitValue());
     }
 
     private void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+        new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid())
+                .start()
+                .waitFor();
     }
 
     @Test
@@ -117,25 +134,30 @@
         assertThat(awaitLine("configuration")).isEqualTo("spartrail.cli: configuration read again");
         Files.delete(file);
         signal("HUP");
-        assertThat(awaitLine("configuration")).isEqualTo(
-                "spartrail.cli: configuration not taken, the one before stays: cannot read DIR/config.json");
+        assertThat(awaitLine("configuration"))
+                .isEqualTo("spartrail.cli: configuration not taken, the one before stays: cannot read DIR/config.json");
         try (Socket client = new Socket("127.0.0.1", Integer.parseInt(port))) {
             String body = "{\"segments\":[{\"segment\":0,\"boost\":1}],\"text\":\"t\"}";
-            client.getOutputStream().write(("POST /orders/k HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Kind: orders\r\nReq-Deadline: 20\r\n"
-                    + "Content-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+            client.getOutputStream()
+                    .write(
+                            ("POST /orders/k HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Kind: orders\r\nReq-Deadline: 20\r\n"
+                                            + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                                    .getBytes(StandardCharsets.US_ASCII));
             ToyFleet.Link link = held.get(20, TimeUnit.SECONDS);
             Files.writeString(file, good.substring(0, good.length() / 2));
             signal("TERM");
             assertThat(awaitLine("draining")).startsWith("spartrail.front: draining: ");
             signal("TERM");
             signal("HUP");
-            assertThat(awaitLine("configuration")).startsWith(
-                    "spartrail.cli: configuration not taken, the one before stays: DIR/config.json: no JSON: ");
+            assertThat(awaitLine("configuration"))
+                    .startsWith(
+                            "spartrail.cli: configuration not taken, the one before stays: DIR/config.json: no JSON: ");
             // One whose op type is another's waits for a start; what is in hand goes on by its own.
             Files.writeString(file, good.replace("\"orders\"", "\"others\""));
             signal("HUP");
-            assertThat(awaitLine("configuration")).isEqualTo("spartrail.cli: configuration read again, its settings wait for the next start: "
-                    + "classes: found [others], served [orders]");
+            assertThat(awaitLine("configuration"))
+                    .isEqualTo("spartrail.cli: configuration read again, its settings wait for the next start: "
+                            + "classes: found [others], served [orders]");
             link.answer("a.0", "OK", "t");
             InputStream in = client.getInputStream();
             client.setSoTimeout(20_000);
@@ -196,7 +218,8 @@
                 Socket client = new Socket("127.0.0.1", port);
                 idle.add(client);
                 // One that has asked once may rest; others are closed soon.
-                client.getOutputStream().write("GET /up HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                client.getOutputStream()
+                        .write("GET /up HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             }
             fleet.tell(fleet.servers.get(0), "DRAINING");
             long reachableNs = System.nanoTime();
--- a/node/src/test/java/spartrail/client/ClientDoorTest.java
+++ b/node/src/test/java/spartrail/client/ClientDoorTest.java
@@ -36,8 +36,7 @@
     private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
     private final BlockingQueue<ClientRequest> asked = new LinkedBlockingQueue<>();
 
-    ClientDoorTest() throws IOException {
-    }
+    ClientDoorTest() throws IOException {}
 
     @AfterEach
     void close() {
@@ -45,16 +44,22 @@
     }
 
     private ClientDoor door(int mostConnections) throws IOException {
-        return new ClientDoor(worker, new DefaultByteBufferPool(true, 1024), new InetSocketAddress("127.0.0.1", 0),
-                new NodeClock(), Set.of("orders"), 4, mostConnections, new ClientDoor.Taker() {
+        return new ClientDoor(
+                worker,
+                new DefaultByteBufferPool(true, 1024),
+                new InetSocketAddress("127.0.0.1", 0),
+                new NodeClock(),
+                Set.of("orders"),
+                4,
+                mostConnections,
+                new ClientDoor.Taker() {
                     @Override
                     public void asked(Ask ask, ClientRequest request) {
                         asked.add(request);
                     }
 
                     @Override
-                    public void gone(ClientRequest request) {
-                    }
+                    public void gone(ClientRequest request) {}
                 });
     }
 
@@ -88,13 +93,15 @@
 
     private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
     private static final String BODY = "{\"segments\":[{\"segment\":0,\"boost\":1}],\"text\":\"t\"}";
-    private static final String ASK = "POST /orders/k HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Kind: orders\r\nReq-Deadline: 4\r\n"
-            + "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY;
+    private static final String ASK =
+            "POST /orders/k HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Kind: orders\r\nReq-Deadline: 4\r\n"
+                    + "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY;
 
     /** All that comes on this connection up to its end; a reset is an exception. */
     private static String rest(Socket socket) throws IOException {
         socket.setSoTimeout(20_000);
-        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).replaceAll("(?s)\r\n.*\r\n\r\n", " ");
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                .replaceAll("(?s)\r\n.*\r\n\r\n", " ");
     }
 
     /**
@@ -117,7 +124,7 @@
         send(clients[1], ASK.substring(0, 40));
         send(clients[2], ASK);
         Map<String, ClientRequest> taken = new TreeMap<>(Map.of("in hand", taken()));
-        io(() -> { });
+        io(() -> {});
         Socket[] late = new Socket[1];
         io(() -> {
             send(clients[0], ASK.replace("Req-Id: a", "Req-Id: crossing"));
@@ -140,7 +147,9 @@
             assertThat(rest(client)).isEqualTo("HTTP/1.1 500 Internal Server Error failed\n");
             client.close();
         }
-        assertThat(asked).as("read on a connection that could not carry an answer").isEmpty();
+        assertThat(asked)
+                .as("read on a connection that could not carry an answer")
+                .isEmpty();
         clients[3].close();
         for (boolean ended = false; !ended; ) {
             CompletableFuture<Boolean> seen = new CompletableFuture<>();
@@ -180,7 +189,7 @@
             send(clients[i], ASK.substring(0, cuts[i]));
         }
         while (door.size() < cuts.length) {
-            io(() -> { });
+            io(() -> {});
         }
         io(() -> {
             for (int i = 0; i < cuts.length; i++) {
@@ -218,7 +227,9 @@
             crowd.add(new Socket(door.address().getAddress(), door.address().getPort()));
         }
         for (int looks = 0; looks < 50; looks++) {
-            assertThat(descriptors() - before - crowd.size()).as("connections accepted").isLessThanOrEqualTo(24);
+            assertThat(descriptors() - before - crowd.size())
+                    .as("connections accepted")
+                    .isLessThanOrEqualTo(24);
             TimeUnit.MILLISECONDS.sleep(10);
         }
         free.countDown();
--- a/node/src/test/java/spartrail/discovery/HostWatchTest.java
+++ b/node/src/test/java/spartrail/discovery/HostWatchTest.java
@@ -72,12 +72,19 @@
 
     private void watch(InetSocketAddress address, boolean onRequest) throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        watch = new HostWatch(worker.getIoThread(), new DefaultByteBufferPool(true, 1024),
-                address, onRequest, new HostWatch.Listener() {
+        watch = new HostWatch(
+                worker.getIoThread(),
+                new DefaultByteBufferPool(true, 1024),
+                address,
+                onRequest,
+                new HostWatch.Listener() {
                     @Override
                     public void listed(EndpointList list) {
                         StringBuilder told = new StringBuilder(list.version() + (list.all() ? " all" : " changes"));
-                        list.lines().forEach(line -> told.append(' ').append(line.id()).append('=').append(line.state()));
+                        list.lines().forEach(line -> told.append(' ')
+                                .append(line.id())
+                                .append('=')
+                                .append(line.state()));
                         seen.add(told.toString());
                     }
 
@@ -111,11 +118,19 @@
 
     @Test
     void changesAreToldInOrderAndWhateverGoesWrongIsAListThatCouldNotBeHad() throws Exception {
-        watch(discovery("", list(41, true, LINE.formatted("s-1", "SERVING"), LINE.formatted("s-2", "SERVING")),
-                list(42, false), "no JSON", "{\"rev\":7}", list(40, true, LINE.formatted("s-old", "SERVING")),
-                list(43, false, LINE.formatted("s-1", "DRAINING"), LINE.formatted("s-2", "DELETED")), "500",
+        watch(discovery(
+                "",
+                list(41, true, LINE.formatted("s-1", "SERVING"), LINE.formatted("s-2", "SERVING")),
+                list(42, false),
+                "no JSON",
+                "{\"rev\":7}",
+                list(40, true, LINE.formatted("s-old", "SERVING")),
+                list(43, false, LINE.formatted("s-1", "DRAINING"), LINE.formatted("s-2", "DELETED")),
+                "500",
                 list(44, true, LINE.formatted("s-3", "SERVING"))));
-        assertThat(trace(14)).isEqualTo("""
+        assertThat(trace(14))
+                .isEqualTo(
+                        """
                 GET /discovery/hosts
                 41 all s-1=LIVE s-2=LIVE
                 GET /discovery/hosts?since=41&timeout_ms=4000
@@ -134,7 +149,8 @@
     }
 
     @Test
-    void aSilentWatchIsOpenedAnewBeforeItsNewsCountAsToldAndOneThatWasSilentFindsOutSoonWhetherItStillIs() throws Exception {
+    void aSilentWatchIsOpenedAnewBeforeItsNewsCountAsToldAndOneThatWasSilentFindsOutSoonWhetherItStillIs()
+            throws Exception {
         watch(discovery("", list(41, true, LINE.formatted("s-1", "SERVING"))));
         assertThat(trace(3)).endsWith("GET /discovery/hosts?since=41&timeout_ms=4000\n");
         long silentNs = System.nanoTime();
@@ -146,18 +162,31 @@
 
     @Test
     void whereTheListIsAskedForACallBehindAFailedOneHardlyWaits() throws Exception {
-        watch(discovery("", list(41, true, LINE.formatted("s-1", "SERVING")), "500", list(42, false),
-                list(43, false, LINE.formatted("s-1", "DRAINING"))).getAddress(), true);
+        watch(
+                discovery(
+                                "",
+                                list(41, true, LINE.formatted("s-1", "SERVING")),
+                                "500",
+                                list(42, false),
+                                list(43, false, LINE.formatted("s-1", "DRAINING")))
+                        .getAddress(),
+                true);
         assertThat(trace(4)).endsWith("GET /discovery/hosts?since=41&timeout_ms=4000\nnot to be had\n");
         worker.getIoThread().execute(watch::start);
-        assertThat(trace(3)).isEqualTo("""
+        assertThat(trace(3))
+                .isEqualTo(
+                        """
                 GET /discovery/hosts?since=41&timeout_ms=50
                 GET /discovery/hosts?since=42&timeout_ms=4000
                 43 changes s-1=DRAINING
                 """);
     }
 
-    private enum End { RESET, END, SILENCE }
+    private enum End {
+        RESET,
+        END,
+        SILENCE
+    }
 
     /** Discovery that writes these bytes to a call, so many at a time, and then ends the connection, resets it or says no more. */
     private void raw(String bytes, int step, End end) throws IOException {
@@ -169,8 +198,9 @@
                     socket.setTcpNoDelay(true);
                     socket.getInputStream().read(new byte[1024]);
                     for (int at = 0; at < bytes.length(); at += step) {
-                        socket.getOutputStream().write(bytes.substring(at, Math.min(bytes.length(), at + step))
-                                .getBytes(StandardCharsets.US_ASCII));
+                        socket.getOutputStream()
+                                .write(bytes.substring(at, Math.min(bytes.length(), at + step))
+                                        .getBytes(StandardCharsets.US_ASCII));
                     }
                     if (end == End.SILENCE) {
                         silent.add(socket);
@@ -201,7 +231,10 @@
 
     @Test
     void aListThatFallsSilentInTheMiddleIsGivenUpAndAskedForAnew() throws Exception {
-        raw("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + list(41, true, LINE.formatted("s-1", "SERVING")), 4096, End.SILENCE);
+        raw(
+                "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + list(41, true, LINE.formatted("s-1", "SERVING")),
+                4096,
+                End.SILENCE);
         assertThat(trace(2)).isEqualTo("not to be had\nnot to be had\n");
         assertThat(silent).as("connections, each for one call").hasSizeGreaterThan(1);
     }
@@ -209,7 +242,9 @@
     @Test
     void aWatchThatMovesAsksForTheWholeListAndWaitsForNothingAtTheOldAddress() throws Exception {
         HttpServer second = discovery("2nd ", list(43, true, LINE.formatted("s-1", "DRAINING")));
-        HttpServer third = discovery("3rd ", list(7, true, LINE.formatted("s-9", "SERVING")),
+        HttpServer third = discovery(
+                "3rd ",
+                list(7, true, LINE.formatted("s-9", "SERVING")),
                 list(6, true, LINE.formatted("s-old", "SERVING")));
         watch(discovery("", list(41, true, LINE.formatted("s-1", "SERVING"))));
         assertThat(trace(3)).endsWith("GET /discovery/hosts?since=41&timeout_ms=4000\n");
@@ -217,13 +252,17 @@
             watch.move(second.getAddress());
             watch.move(second.getAddress());
         });
-        assertThat(trace(3)).isEqualTo("""
+        assertThat(trace(3))
+                .isEqualTo(
+                        """
                 2nd GET /discovery/hosts
                 43 all s-1=DRAINING
                 2nd GET /discovery/hosts?since=43&timeout_ms=4000
                 """);
         worker.getIoThread().execute(() -> watch.move(third.getAddress()));
-        assertThat(trace(4)).isEqualTo("""
+        assertThat(trace(4))
+                .isEqualTo(
+                        """
                 3rd GET /discovery/hosts
                 7 all s-9=LIVE
                 3rd GET /discovery/hosts?since=7&timeout_ms=4000
--- a/node/src/test/java/spartrail/discovery/RetryTimesTest.java
+++ b/node/src/test/java/spartrail/discovery/RetryTimesTest.java
@@ -21,7 +21,8 @@
     @Test
     void whereTheAgentIsWatchedTheNextCallIsAnsweredInTime() {
         assertThat(HostWatch.RETRY_CALL_MS + HostWatch.PAUSE_MS + ANSWERED_MS).isLessThan(COUNTS_AS_TOLD_MS);
-        assertThat(HostWatch.WAITING_CALL_MS + ANSWERED_MS).as("the watch that fell silent is followed at once")
+        assertThat(HostWatch.WAITING_CALL_MS + ANSWERED_MS)
+                .as("the watch that fell silent is followed at once")
                 .isLessThan(COUNTS_AS_TOLD_MS);
     }
 
@@ -30,7 +31,9 @@
         Random seeds = new Random(5);
         for (int node = 0; node < 100; node++) {
             Coordinator coordinator = new WindowCoordinator(new Random(seeds.nextLong()), List.of(new OpType()))
-                    .nodes(2, 5).layout(1, 1, 1, 1).list(true, 10_000);
+                    .nodes(2, 5)
+                    .layout(1, 1, 1, 1)
+                    .list(true, 10_000);
             double nowMs = 1000;
             for (int failure = 0; failure < 20; failure++) {
                 double failedMs = nowMs;
@@ -39,7 +42,8 @@
                     nowMs += coordinator.waitMs(nowMs);
                 } while (!coordinator.waited(nowMs).follow);
                 double callMs = failure == 0 ? HostWatch.WAITING_CALL_MS : HostWatch.RETRY_CALL_MS;
-                assertThat(callMs + (nowMs - failedMs) + ANSWERED_MS).as("failure %d of node %d", failure, node)
+                assertThat(callMs + (nowMs - failedMs) + ANSWERED_MS)
+                        .as("failure %d of node %d", failure, node)
                         .isLessThan(COUNTS_AS_TOLD_MS);
             }
         }
--- a/node/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeTest.java
@@ -43,8 +43,7 @@
     private Map<String, Long> broken = Map.of();
     private volatile FrontNode node;
 
-    FrontNodeTest() throws IOException {
-    }
+    FrontNodeTest() throws IOException {}
 
     /** The example's configuration on the ports of this fleet; each change is a text and what replaces it. */
     private void start(String... changes) throws IOException {
@@ -54,7 +53,8 @@
     }
 
     private DeploymentFile deployment(String... changes) throws IOException {
-        String text = Files.readString(Path.of("example/config.json")).replace("127.0.0.1:3000", "127.0.0.1:0")
+        String text = Files.readString(Path.of("example/config.json"))
+                .replace("127.0.0.1:3000", "127.0.0.1:0")
                 .replace("127.0.0.1:8500", fleet.discoveryEndpoint());
         for (int i = 0; i < 4; i++) {
             text = text.replace("127.0.0.1:" + (7001 + i), fleet.servers.get(i).endpoint());
@@ -121,7 +121,10 @@
     private static String body(int... shards) {
         StringBuilder body = new StringBuilder("{\"segments\":[");
         for (int shard : shards) {
-            body.append("{\"segment\":").append(shard).append(",\"boost\":").append(1.0 / shards.length)
+            body.append("{\"segment\":")
+                    .append(shard)
+                    .append(",\"boost\":")
+                    .append(1.0 / shards.length)
                     .append(",\"work\":9000,\"affinity\":\"00ff00ff00ff00ff\"},");
         }
         body.setCharAt(body.length() - 1, ']');
@@ -129,8 +132,9 @@
     }
 
     private static String request(String id, String deadline, String body) {
-        return "POST /orders/k HTTP/1.1\r\nHost: api.internal\r\nReq-Id: " + id + "\r\nReq-Kind: orders\r\nReq-Deadline: "
-                + deadline + "\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
+        return "POST /orders/k HTTP/1.1\r\nHost: api.internal\r\nReq-Id: " + id
+                + "\r\nReq-Kind: orders\r\nReq-Deadline: " + deadline + "\r\nContent-Length: "
+                + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
     }
 
     /** Servers that take parts and tell of them, and answer those whose id begins with one of these. */
@@ -166,19 +170,26 @@
                 link.answer(id, "OK", "\"é\n" + shard + text);
             }
         });
-        assertThat(client.ask("a", 2, 0).answer()).isEqualTo("200 {\"all_in\":true,\"matches\":"
-                + "[{\"segment\":2,\"payload\":\"\\\"é\\n2t\"},{\"segment\":0,\"payload\":\"\\\"é\\n0t\"}]}");
+        assertThat(client.ask("a", 2, 0).answer())
+                .isEqualTo("200 {\"all_in\":true,\"matches\":"
+                        + "[{\"segment\":2,\"payload\":\"\\\"é\\n2t\"},{\"segment\":0,\"payload\":\"\\\"é\\n0t\"}]}");
         String body = body(1);
-        String chunked = request("b", "0.9", body).replaceAll("(?s)Content-Length.*", "Transfer-Encoding: chunked\r\n\r\n")
-                + "5\r\n" + body.substring(0, 5) + "\r\n" + Integer.toHexString(body.length() - 5) + "\r\n" + body.substring(5)
-                + "\r\n0\r\n\r\n";
+        String chunked =
+                request("b", "0.9", body).replaceAll("(?s)Content-Length.*", "Transfer-Encoding: chunked\r\n\r\n")
+                        + "5\r\n" + body.substring(0, 5) + "\r\n" + Integer.toHexString(body.length() - 5) + "\r\n"
+                        + body.substring(5)
+                        + "\r\n0\r\n\r\n";
         for (char each : chunked.toCharArray()) {
             client.send(String.valueOf(each));
         }
-        assertThat(client.answer()).isEqualTo("200 {\"all_in\":true,\"matches\":[{\"segment\":1,\"payload\":\"\\\"é\\n1t\"}]}");
-        client.send(request("c", "1", "").replaceAll("(?s)Content-Length.*",
-                "Expect: 100-continue\r\nContent-Length: " + body.length() + "\r\n\r\n"));
-        assertThat(new String(client.in.readNBytes(25), StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 100 Continue\r\n\r\n");
+        assertThat(client.answer())
+                .isEqualTo("200 {\"all_in\":true,\"matches\":[{\"segment\":1,\"payload\":\"\\\"é\\n1t\"}]}");
+        client.send(request("c", "1", "")
+                .replaceAll(
+                        "(?s)Content-Length.*",
+                        "Expect: 100-continue\r\nContent-Length: " + body.length() + "\r\n\r\n"));
+        assertThat(new String(client.in.readNBytes(25), StandardCharsets.US_ASCII))
+                .isEqualTo("HTTP/1.1 100 Continue\r\n\r\n");
         assertThat(client.send(body).answer()).startsWith("200 {\"all_in\":true");
         assertThat(client.send(UP).answer()).isEqualTo("200 ");
     }
@@ -190,8 +201,12 @@
         Client inHand = new Client().ask("a", 0);
         assertThat(next()).isEqualTo("part a.0");
         tell("a", "b", "c");
-        assertThat(node.reload(deployment("\"open-cap\": 187", "\"open-cap\": 3", "\"fall\": 1.0",
-                "\"fall\": 1.0, \"budget-window\": 0.1, \"min-extra\": 1, \"further-ratio\": 0.1"))).isEmpty();
+        assertThat(node.reload(deployment(
+                        "\"open-cap\": 187",
+                        "\"open-cap\": 3",
+                        "\"fall\": 1.0",
+                        "\"fall\": 1.0, \"budget-window\": 0.1, \"min-extra\": 1, \"further-ratio\": 0.1")))
+                .isEmpty();
         assertThat(new Client().ask("b", 1).answer()).startsWith("503");
         // Its copy leaves by the new budget, and what is in hand is answered.
         assertThat(inHand.answer()).startsWith("200 {\"all_in\":true");
@@ -213,12 +228,18 @@
             }
         });
         assertThat(new Client().ask("a", 0).answer()).startsWith("200 ");
-        assertThat(node.reload(deployment("\"keepalive\": 30.0", "\"keepalive\": 0.4", "\"aim\": 2.0, \"deadline\": 4.0",
-                "\"aim\": 0.2, \"deadline\": 0.3"))).isEmpty();
+        assertThat(node.reload(deployment(
+                        "\"keepalive\": 30.0",
+                        "\"keepalive\": 0.4",
+                        "\"aim\": 2.0, \"deadline\": 4.0",
+                        "\"aim\": 0.2, \"deadline\": 0.3")))
+                .isEmpty();
         assertThat(next()).isEqualTo("closed unused");
         long fromNs = System.nanoTime();
         node.drain();
-        assertThat(System.nanoTime() - fromNs).as("it is killed after 1 s, by the times before after 3.7 s").isLessThan(2_000_000_000L);
+        assertThat(System.nanoTime() - fromNs)
+                .as("it is killed after 1 s, by the times before after 3.7 s")
+                .isLessThan(2_000_000_000L);
     }
 
     @Test
@@ -228,21 +249,36 @@
         start();
         String good = request("a", "1", body(0));
         StringBuilder told = new StringBuilder();
-        for (String bad : List.of(request("a b", "1", body(0)), good.replace("Req-Kind", "Req-Id: b\r\nReq-Kind"),
-                request("a", "soon", body(0)), request("a", "-1", body(0)), request("a", "1d", body(0)),
-                request("a", "NaN", body(0)), request("a", "1", "{"), request("a", "1", "[]"), request("a", "1", body(0, 0)),
-                request("a", "1", body(4)), request("a", "1", "{\"segments\":[{\"segment\":0}]}"), request("a", "1", "{\"text\":7}"),
-                request("a", "1", body(0) + body(0)), request("a", "1", body(0).replace("\"text\":\"t\"", "\"test\":\"t\"")),
+        for (String bad : List.of(
+                request("a b", "1", body(0)),
+                good.replace("Req-Kind", "Req-Id: b\r\nReq-Kind"),
+                request("a", "soon", body(0)),
+                request("a", "-1", body(0)),
+                request("a", "1d", body(0)),
+                request("a", "NaN", body(0)),
+                request("a", "1", "{"),
+                request("a", "1", "[]"),
+                request("a", "1", body(0, 0)),
+                request("a", "1", body(4)),
+                request("a", "1", "{\"segments\":[{\"segment\":0}]}"),
+                request("a", "1", "{\"text\":7}"),
+                request("a", "1", body(0) + body(0)),
+                request("a", "1", body(0).replace("\"text\":\"t\"", "\"test\":\"t\"")),
                 request("a", "1", body(0).replace("\"t\"}", "\"\\ud800\"}")),
                 request("a", "1", "{\"segments\":[{\"segment\":0,\"boost\":0.4}],\"text\":\"t\"}"),
                 request("a", "1", "{\"segments\":[{\"segment\":\"0\",\"boost\":1}]}"),
-                request("a", "1", body(0).replace(":0,", ":0.5,")), request("a", "1", body(0).replace("\"work\":", "\"work\":-")),
-                request("a", "1", body(0).replace("\"work\"", "\"boost\"")), request("a", "1", body(0).replace("00ff", "no")),
-                good.replace("/orders/", "/others/"), good.replace("Req-Kind", "Kind"),
+                request("a", "1", body(0).replace(":0,", ":0.5,")),
+                request("a", "1", body(0).replace("\"work\":", "\"work\":-")),
+                request("a", "1", body(0).replace("\"work\"", "\"boost\"")),
+                request("a", "1", body(0).replace("00ff", "no")),
+                good.replace("/orders/", "/others/"),
+                good.replace("Req-Kind", "Kind"),
                 "GET /else HTTP/1.1\r\nHost: x\r\n\r\n")) {
             told.append(new Client().send(bad).answer()).append('\n');
         }
-        assertThat(told.toString()).isEqualTo("""
+        assertThat(told.toString())
+                .isEqualTo(
+                        """
                 400 close Req-Id is missing or unusable
                 400 close Req-Id is missing or unusable
                 400 close Req-Deadline is missing or no time
@@ -270,7 +306,8 @@
                 """);
         assertThat(new Client().ask("a", 0).answer()).startsWith("200 {\"all_in\":true");
         assertThat(seen).containsExactly("part a.0");
-        assertThat(new Client().send(request("a", "1", " ".repeat(70_000))).answer()).startsWith("413 close ");
+        assertThat(new Client().send(request("a", "1", " ".repeat(70_000))).answer())
+                .startsWith("413 close ");
     }
 
     @Test
@@ -281,14 +318,22 @@
         String good = request("a", "1", body(0));
         String chunked = good.replaceAll("(?s)Content-Length.*", "Transfer-Encoding: chunked\r\n\r\n");
         StringBuilder told = new StringBuilder();
-        for (String bad : List.of(good.replace("Content-Length", "Transfer-Encoding: chunked\r\nContent-Length"),
-                good.replace("Content-Length", "Content-Length: 5\r\nContent-Length"), good.replaceAll("Length: \\d+", "Length: -5"),
-                good.replaceAll("Length: \\d+", "Length: 9"), good.replaceAll("Length: (\\d+)", "Length: $1, $1"),
-                chunked.replace("chunked", "gzip, chunked") + "0\r\n\r\n", chunked.replace("chunked", "xchunked") + "0\r\n\r\n",
-                chunked.replace("chunked", "chunked\r\nTransfer-Encoding: chunked") + "0\r\n\r\n", chunked + "0\r\n\r\n",
-                chunked + "-1\r\n", chunked + "zz\r\n", chunked + "fffffffffff\r\n")) {
+        for (String bad : List.of(
+                good.replace("Content-Length", "Transfer-Encoding: chunked\r\nContent-Length"),
+                good.replace("Content-Length", "Content-Length: 5\r\nContent-Length"),
+                good.replaceAll("Length: \\d+", "Length: -5"),
+                good.replaceAll("Length: \\d+", "Length: 9"),
+                good.replaceAll("Length: (\\d+)", "Length: $1, $1"),
+                chunked.replace("chunked", "gzip, chunked") + "0\r\n\r\n",
+                chunked.replace("chunked", "xchunked") + "0\r\n\r\n",
+                chunked.replace("chunked", "chunked\r\nTransfer-Encoding: chunked") + "0\r\n\r\n",
+                chunked + "0\r\n\r\n",
+                chunked + "-1\r\n",
+                chunked + "zz\r\n",
+                chunked + "fffffffffff\r\n")) {
             Client client = new Client().send(bad + hidden);
-            told.append(client.answer().replaceAll("(?s)^([45].. close).*", "$1")).append(", ");
+            told.append(client.answer().replaceAll("(?s)^([45].. close).*", "$1"))
+                    .append(", ");
             assertThat(client.answer()).isEqualTo("closed");
         }
         assertThat(told.toString().replaceAll("400 close|closed", "no")).matches("(no, )+");
@@ -303,7 +348,9 @@
         Client inHand = new Client().ask("a", 0);
         assertThat(next()).isEqualTo("part a.0");
         String half = request("c", "4", body(0));
-        for (Client client : List.of(new Client(), new Client().send(half.substring(0, 30)),
+        for (Client client : List.of(
+                new Client(),
+                new Client().send(half.substring(0, 30)),
                 new Client().send(half.substring(0, half.length() - 1)))) {
             assertThat(client.answer()).isIn("closed", "400 close ", "408 close ");
         }
@@ -373,7 +420,9 @@
         long leftNs = System.nanoTime();
         client.socket.close();
         assertThat(next()).isEqualTo("given up a.0");
-        assertThat(System.nanoTime() - leftNs).as("long before its time is over").isLessThan(2_000_000_000L);
+        assertThat(System.nanoTime() - leftNs)
+                .as("long before its time is over")
+                .isLessThan(2_000_000_000L);
         // Those behind it find both replicas, and would leave after a further attempt.
         for (String id : List.of("b1", "b2", "b3")) {
             assertThat(new Client().ask(id, 0).answer()).startsWith("200 ");
@@ -406,7 +455,9 @@
         assertThat(stays.answer()).startsWith("200 ");
         List<String> told = new ArrayList<>();
         seen.drainTo(told);
-        assertThat(told.stream().filter(line -> line.startsWith("part c")).count()).as("four at each of four servers").isLessThanOrEqualTo(16);
+        assertThat(told.stream().filter(line -> line.startsWith("part c")).count())
+                .as("four at each of four servers")
+                .isLessThanOrEqualTo(16);
     }
 
     @Test
@@ -436,12 +487,15 @@
     private void drainsWhatIsChosen(boolean ioPaused) throws Exception {
         CompletableFuture<String> drained = new CompletableFuture<>();
         AtomicBoolean armed = new AtomicBoolean();
-        wrapping = module -> (Coordinator) Proxy.newProxyInstance(Coordinator.class.getClassLoader(),
-                new Class<?>[] {Coordinator.class}, (proxy, method, args) -> {
+        wrapping = module -> (Coordinator) Proxy.newProxyInstance(
+                Coordinator.class.getClassLoader(), new Class<?>[] {Coordinator.class}, (proxy, method, args) -> {
                     Object decided = method.invoke(module, args);
                     if (method.getName().equals("place") && armed.getAndSet(false)) {
                         String uid = ((Decisions) decided).sends.get(0).server.id;
-                        ToyFleet.Toy toy = fleet.servers.stream().filter(each -> each.uid.equals(uid)).findFirst().orElseThrow();
+                        ToyFleet.Toy toy = fleet.servers.stream()
+                                .filter(each -> each.uid.equals(uid))
+                                .findFirst()
+                                .orElseThrow();
                         if (ioPaused) {
                             node.io.execute(() -> drain(toy, false));
                         } else {
@@ -538,8 +592,8 @@
     void whatIsInTheQueueWhenTheNodeIsClosedIsAnsweredAllTheSame() throws Exception {
         CountDownLatch placing = new CountDownLatch(1);
         CountDownLatch queued = new CountDownLatch(1);
-        wrapping = module -> (Coordinator) Proxy.newProxyInstance(Coordinator.class.getClassLoader(),
-                new Class<?>[] {Coordinator.class}, (proxy, method, args) -> {
+        wrapping = module -> (Coordinator) Proxy.newProxyInstance(
+                Coordinator.class.getClassLoader(), new Class<?>[] {Coordinator.class}, (proxy, method, args) -> {
                     if (method.getName().equals("place")) {
                         placing.countDown();
                         queued.await();
@@ -599,8 +653,8 @@
 
     @Test
     void aFaultInTheDecisionsCostsNoOtherMultigetAndNoClientItsAnswer() throws Exception {
-        wrapping = module -> (Coordinator) Proxy.newProxyInstance(Coordinator.class.getClassLoader(),
-                new Class<?>[] {Coordinator.class}, (proxy, method, args) -> {
+        wrapping = module -> (Coordinator) Proxy.newProxyInstance(
+                Coordinator.class.getClassLoader(), new Class<?>[] {Coordinator.class}, (proxy, method, args) -> {
                     if (method.getName().equals("place") && ((Multiget) args[0]).clientLeftMs < 1000) {
                         throw new IllegalStateException("a fault made by the test");
                     }
@@ -690,7 +744,9 @@
         };
         start();
         started.countDown();
-        assertThat(early.get(20, TimeUnit.SECONDS)).as("the start was over while the door could not have said so").isFalse();
+        assertThat(early.get(20, TimeUnit.SECONDS))
+                .as("the start was over while the door could not have said so")
+                .isFalse();
         assertThat(new Client().send(UP).answer()).isEqualTo("200 ");
     }
 
@@ -703,7 +759,9 @@
         assertThat(new Client().send(UP).answer()).startsWith("503 ");
         long fromNs = System.nanoTime();
         node.drain();
-        assertThat(System.nanoTime() - fromNs).as("one that has served takes 2.7 s").isLessThan(2_000_000_000L);
+        assertThat(System.nanoTime() - fromNs)
+                .as("one that has served takes 2.7 s")
+                .isLessThan(2_000_000_000L);
     }
 
     @Test
@@ -787,11 +845,20 @@
     /** A server that leaves the subset finishes what it has, and gets nothing new. */
     @Test
     void aNodeWithASubsetUsesItsOwnServersAndGoesBackToTheFirstInItsOrder() throws Exception {
-        String[] subset = {"\"tick\": 0.005", "\"tick\": 0.005, \"subset\": {\"replicasPerShard\": 1, \"leastZones\": 1}",
-            "\"sets\": 4, \"width\": 2", "\"sets\": 2, \"width\": 1"};
+        String[] subset = {
+            "\"tick\": 0.005",
+            "\"tick\": 0.005, \"subset\": {\"replicasPerShard\": 1, \"leastZones\": 1}",
+            "\"sets\": 4, \"width\": 2",
+            "\"sets\": 2, \"width\": 1"
+        };
         SubsetSelector order = deployment(subset).subsetSelector();
-        order.apply(List.of(new SubsetSelector.LiveServer("s-0", "a", 0, 1), new SubsetSelector.LiveServer("s-2", "a", 2, 1)), List.of());
-        ToyFleet.Toy first = fleet.servers.get(Integer.parseInt(order.selected(0).get(0).substring(2)));
+        order.apply(
+                List.of(
+                        new SubsetSelector.LiveServer("s-0", "a", 0, 1),
+                        new SubsetSelector.LiveServer("s-2", "a", 2, 1)),
+                List.of());
+        ToyFleet.Toy first =
+                fleet.servers.get(Integer.parseInt(order.selected(0).get(0).substring(2)));
         ToyFleet.Toy second = fleet.servers.get(2 - first.cell);
         CompletableFuture<ToyFleet.Link> held = new CompletableFuture<>();
         fleet.servers.forEach(toy -> toy.manner = new ToyFleet.Manner() {
--- a/node/src/test/java/spartrail/front/RehearsalTest.java
+++ b/node/src/test/java/spartrail/front/RehearsalTest.java
@@ -21,7 +21,8 @@
         HttpServer door = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
         door.createContext("/", exchange -> {
             asked.add(exchange.getRequestURI() + " "
-                    + new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8).replaceAll(",\"work.*", ""));
+                    + new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8)
+                            .replaceAll(",\"work.*", ""));
             exchange.getResponseHeaders().add("Connection", "close");
             exchange.sendResponseHeaders(400, -1);
             exchange.close();
@@ -29,13 +30,15 @@
         door.start();
         new Rehearsal(new NodeClock()).play(DeploymentFile.read(Path.of("example/config.json")), door.getAddress());
         door.stop(0);
-        assertThat(asked).isNotEmpty().allMatch(request ->
-                request.equals("/orders/rehearsal {\"segments\":[{\"segment\":0,\"boost\":0.25"));
+        assertThat(asked)
+                .isNotEmpty()
+                .allMatch(request -> request.equals("/orders/rehearsal {\"segments\":[{\"segment\":0,\"boost\":0.25"));
     }
 
     @Test
     void aRehearsalWithoutServersOrAnAnsweringDoorEndsAllTheSame() throws Exception {
-        String text = Files.readString(Path.of("example/config.json")).replaceAll("\"targets\": \\[(?s).*?]}", "\"targets\": []}");
+        String text = Files.readString(Path.of("example/config.json"))
+                .replaceAll("\"targets\": \\[(?s).*?]}", "\"targets\": []}");
         NodeClock clock = new NodeClock();
         InetSocketAddress nobody = new InetSocketAddress("127.0.0.1", 1);
         new Rehearsal(clock).play(DeploymentFile.parse(text), nobody);
--- a/node/src/test/java/spartrail/front/StandstillTest.java
+++ b/node/src/test/java/spartrail/front/StandstillTest.java
@@ -13,7 +13,11 @@
         for (double late : new double[] {-3, 9, 700, 4, 6}) {
             node.plan(now);
             node.woke(now + late);
-            trace.append("late ").append(late).append(": ").append(node.gapMs()).append(node.passWanted() ? " pass\n" : "\n");
+            trace.append("late ")
+                    .append(late)
+                    .append(": ")
+                    .append(node.gapMs())
+                    .append(node.passWanted() ? " pass\n" : "\n");
             // It woke because something was due: first the sockets are gone through, and that is planned for now.
             now += late;
             node.plan(now);
@@ -23,7 +27,9 @@
             }
         }
         trace.append("after the passes: ").append(node.gapMs());
-        assertThat(trace.toString()).isEqualTo("""
+        assertThat(trace.toString())
+                .isEqualTo(
+                        """
                 late -3.0: 0.0
                 late 9.0: 0.0
                 late 700.0: 700.0 pass
--- a/node/src/test/java/spartrail/members/MembersFileTest.java
+++ b/node/src/test/java/spartrail/members/MembersFileTest.java
@@ -16,8 +16,10 @@
         Files.writeString(file, text.replace('\'', '"'));
         try {
             MembersFile read = MembersFile.read(file);
-            return "floor " + read.bounds().floor() + ", 10.1.2.3 " + read.allowed().test("10.1.2.3:80") + ", 10.2.0.1 "
-                    + read.allowed().test("10.2.0.1:80") + ", a name " + read.allowed().test("books.example.org:80");
+            return "floor " + read.bounds().floor() + ", 10.1.2.3 "
+                    + read.allowed().test("10.1.2.3:80") + ", 10.2.0.1 "
+                    + read.allowed().test("10.2.0.1:80") + ", a name "
+                    + read.allowed().test("books.example.org:80");
         } catch (IllegalArgumentException e) {
             return e.getMessage().replace(folder.toString(), "FOLDER");
         }
@@ -25,9 +27,19 @@
 
     @Test
     void whatIsWrongIsOneLineWithItsPlace() throws Exception {
-        assertThat(String.join("\n", read("{}"), read("{'allow':['10.1.0.0/16'],'merge':{'floor':3}}"), read("{'allow':['0.0.0.0/0']}"),
-                read("{'allow':['ten/8']}"), read("{'merge':{'flor':3}}"), read("{'merge':{'floor':-1}}"), read("{'roll':{}}"),
-                read("{\n'allow':"), read("[]"))).isEqualTo("""
+        assertThat(String.join(
+                        "\n",
+                        read("{}"),
+                        read("{'allow':['10.1.0.0/16'],'merge':{'floor':3}}"),
+                        read("{'allow':['0.0.0.0/0']}"),
+                        read("{'allow':['ten/8']}"),
+                        read("{'merge':{'flor':3}}"),
+                        read("{'merge':{'floor':-1}}"),
+                        read("{'roll':{}}"),
+                        read("{\n'allow':"),
+                        read("[]")))
+                .isEqualTo(
+                        """
                 floor 1, 10.1.2.3 false, 10.2.0.1 false, a name false
                 floor 3, 10.1.2.3 true, 10.2.0.1 false, a name false
                 floor 1, 10.1.2.3 true, 10.2.0.1 true, a name false
--- a/node/src/test/java/spartrail/record/MultigetRecordTest.java
+++ b/node/src/test/java/spartrail/record/MultigetRecordTest.java
@@ -15,7 +15,13 @@
     private Path folder;
 
     private static Ask ask(String key) {
-        return new Ask("9b1f", "orders", key, 1500, false, List.of(new Ask.AskedPart(3, 0.25, 2), new Ask.AskedPart(0, 0.75, 4)),
+        return new Ask(
+                "9b1f",
+                "orders",
+                key,
+                1500,
+                false,
+                List.of(new Ask.AskedPart(3, 0.25, 2), new Ask.AskedPart(0, 0.75, 4)),
                 "text".getBytes(StandardCharsets.UTF_8));
     }
 
@@ -26,7 +32,9 @@
             record.taken(ask("k\"1"), 1_782_324_000_000.125, 0, "");
             record.taken(ask(null), 1_782_324_000_001.0, 0, "");
         }
-        assertThat(Files.readString(file)).isEqualTo("""
+        assertThat(Files.readString(file))
+                .isEqualTo(
+                        """
                 {"atMs":1.782324000000125E12,"opType":"orders","key":"k\\"1","shards":[3,0],"weights":[0.25,0.75],\
                 "workMs":3.0,"textBytes":4,"clientMs":1500.0,"retry":false}
                 {"atMs":1.782324000001E12,"opType":"orders","key":"","shards":[3,0],"weights":[0.25,0.75],\
--- a/node/src/test/java/spartrail/shard/FramesTest.java
+++ b/node/src/test/java/spartrail/shard/FramesTest.java
@@ -40,7 +40,11 @@
         byte[] one = frame('Y', "9b.3 OK 1840277719 inflight=7,util=0.61\na\nb");
         byte[] two = frame('Y', "9b.4 REJECTED 0 -\n");
         byte[] odd = frame('Y', "9b.5 OK 7 load ??? \u0000 so=what\nc");
-        byte[] all = ByteBuffer.allocate(one.length + odd.length + two.length).put(one).put(odd).put(two).array();
+        byte[] all = ByteBuffer.allocate(one.length + odd.length + two.length)
+                .put(one)
+                .put(odd)
+                .put(two)
+                .array();
         for (int cut = 0; cut <= all.length; cut++) {
             Frames.Reader reader = new Frames.Reader();
             List<String> read = new ArrayList<>();
@@ -56,18 +60,30 @@
 
     @Test
     void whatTheProtocolDoesNotKnowIsGarbled() {
-        List<byte[]> frames = List.of(frame('Q', ""), frame('N', "no such\u0007 frame"), frame('Y', "9b.3 OK"),
-                frame('Y', "9b.3 PERHAPS 0 -\nx"), frame('Y', "9b.3 OK none -\nx"), frame('G', "OK"),
-                Frames.frame('Y', new byte[] {'1', ' ', 'O', 'K', ' ', '0', ' ', '-', '\n', (byte) 0xc3}).array(),
-                new byte[] {0, 0, 0, 9, 'y'}, new byte[] {0, 0, 0, 0, 'Y'}, new byte[] {1, 0, 0, 0, 'Y'}, new byte[] {-1, 0, 0, 0, 0});
+        List<byte[]> frames = List.of(
+                frame('Q', ""),
+                frame('N', "no such\u0007 frame"),
+                frame('Y', "9b.3 OK"),
+                frame('Y', "9b.3 PERHAPS 0 -\nx"),
+                frame('Y', "9b.3 OK none -\nx"),
+                frame('G', "OK"),
+                Frames.frame('Y', new byte[] {'1', ' ', 'O', 'K', ' ', '0', ' ', '-', '\n', (byte) 0xc3})
+                        .array(),
+                new byte[] {0, 0, 0, 9, 'y'},
+                new byte[] {0, 0, 0, 0, 'Y'},
+                new byte[] {1, 0, 0, 0, 'Y'},
+                new byte[] {-1, 0, 0, 0, 0});
         StringBuilder told = new StringBuilder();
         for (byte[] frame : frames) {
             Frames.Reader reader = new Frames.Reader();
             reader.take(ByteBuffer.wrap(frame));
-            assertThatThrownBy(reader::next).isInstanceOf(Frames.Garbled.class)
+            assertThatThrownBy(reader::next)
+                    .isInstanceOf(Frames.Garbled.class)
                     .satisfies(e -> told.append(e.getMessage()).append('\n'));
         }
-        assertThat(told.toString()).isEqualTo("""
+        assertThat(told.toString())
+                .isEqualTo(
+                        """
                 a frame of letter 81
                 N: no such? frame
                 an answer without its line
@@ -88,7 +104,8 @@
      */
     @Test
     void anAnswerChangedAtAnyByteIsTakenWholeOrNotAtAll() throws Exception {
-        byte[] good = Frames.frame('Y', "1.0 OK 17 a=1\nvalue".getBytes(StandardCharsets.US_ASCII)).array();
+        byte[] good = Frames.frame('Y', "1.0 OK 17 a=1\nvalue".getBytes(StandardCharsets.US_ASCII))
+                .array();
         Random random = new Random(7);
         Set<String> taken = new TreeSet<>();
         for (int at = 4; at < 50 * (good.length - 5); at++) {
--- a/node/src/test/java/spartrail/shard/ShardPoolTest.java
+++ b/node/src/test/java/spartrail/shard/ShardPoolTest.java
@@ -63,8 +63,12 @@
     }
 
     private void pool(int partsPerConnection, double connectTimeoutMs, double keepAliveMs) {
-        pool = new ShardPool(worker.getIoThread(), clock,
-                new ShardPool.Bounds(partsPerConnection, connectTimeoutMs, keepAliveMs, true, graceMs), (part, outcome, value, atMs) -> seen.add(part.id + " " + outcome), invariants);
+        pool = new ShardPool(
+                worker.getIoThread(),
+                clock,
+                new ShardPool.Bounds(partsPerConnection, connectTimeoutMs, keepAliveMs, true, graceMs),
+                (part, outcome, value, atMs) -> seen.add(part.id + " " + outcome),
+                invariants);
     }
 
     private void io(Runnable task) throws InterruptedException {
@@ -218,13 +222,18 @@
 
     @Test
     void aResetBehindTheFramesLastByteMayHaveRunWhateverOfTheAnswerHasCome() throws Exception {
-        byte[] answer = Frames.frame('Y', "1.0 OK 1 -\nvalue".getBytes(StandardCharsets.US_ASCII)).array();
+        byte[] answer = Frames.frame('Y', "1.0 OK 1 -\nvalue".getBytes(StandardCharsets.US_ASCII))
+                .array();
         int line = 5 + "1.0 OK 1 -\n".length();
         StringBuilder table = new StringBuilder();
         for (int sent : List.of(0, 2, 5, 8, line, line + 3)) {
-            table.append(sent).append(' ').append(resetAfter(Arrays.copyOf(answer, sent))).append('\n');
+            table.append(sent)
+                    .append(' ')
+                    .append(resetAfter(Arrays.copyOf(answer, sent)))
+                    .append('\n');
         }
-        assertThat(table.toString()).isEqualTo("0 1.0 RESET\n2 1.0 RESET\n5 1.0 RESET\n8 1.0 RESET\n16 1.0 RESET\n19 1.0 RESET\n");
+        assertThat(table.toString())
+                .isEqualTo("0 1.0 RESET\n2 1.0 RESET\n5 1.0 RESET\n8 1.0 RESET\n16 1.0 RESET\n19 1.0 RESET\n");
     }
 
     @Test
@@ -240,7 +249,8 @@
         for (int i = 0; i < 3; i++) {
             String id = i + ".0";
             io(() -> pool.send(address, List.of(part(id))));
-            assertThat(List.of(next(), next(), next())).containsExactlyInAnyOrder("server: opened", id + " ANSWERED", "server: closed");
+            assertThat(List.of(next(), next(), next()))
+                    .containsExactlyInAnyOrder("server: opened", id + " ANSWERED", "server: closed");
         }
     }
 
@@ -274,8 +284,13 @@
             pool.withdraw(two, Outcome.TIMED_OUT);
             pool.send(address, List.of(part("3.0")));
         });
-        assertThat(List.of(next(), next(), next(), next(), next())).containsExactlyInAnyOrder("2.0 TIMED_OUT",
-                "server: given up 2.0", "server: closed", "server: opened", "server: part 3.0");
+        assertThat(List.of(next(), next(), next(), next(), next()))
+                .containsExactlyInAnyOrder(
+                        "2.0 TIMED_OUT",
+                        "server: given up 2.0",
+                        "server: closed",
+                        "server: opened",
+                        "server: part 3.0");
     }
 
     @Test
@@ -311,8 +326,8 @@
             pool.send(address, List.of(part("1.0")));
             pool.send(address, List.of(part("2.0")));
         });
-        assertThat(List.of(next(), next(), next())).containsExactly("server: opened", "server: part 1.0",
-                "server: part 2.0");
+        assertThat(List.of(next(), next(), next()))
+                .containsExactly("server: opened", "server: part 1.0", "server: part 2.0");
         io(() -> pool.send(address, List.of(part("3.0"))));
         assertThat(List.of(next(), next())).containsExactly("server: opened", "server: part 3.0");
         io(() -> assertThat(pool.size()).isEqualTo(2));
@@ -381,7 +396,8 @@
             pool.bar(address);
             pool.go(1);
         });
-        assertThat(List.of(next(), next(), next())).containsExactlyInAnyOrder("1.0 NOT_SENT", "2.0 NOT_SENT", "server: closed");
+        assertThat(List.of(next(), next(), next()))
+                .containsExactlyInAnyOrder("1.0 NOT_SENT", "2.0 NOT_SENT", "server: closed");
     }
 
     /** A process so slow that whatever it looks at is old when it has looked. */
@@ -435,10 +451,11 @@
     void aRepeatWhoseWindowEndsBeforeItsConnectionIsUpDoesNotLeave() throws Exception {
         leaveByMs = clock.nowMs() + 300;
         assertThat(comesUpLate(() -> {
-            while (clock.nowMs() < 300) {
-                Thread.onSpinWait();
-            }
-        })).isEqualTo("1.0 NOT_SENT, frame 2.0");
+                    while (clock.nowMs() < 300) {
+                        Thread.onSpinWait();
+                    }
+                }))
+                .isEqualTo("1.0 NOT_SENT, frame 2.0");
     }
 
     @Test
@@ -495,16 +512,26 @@
 
     @Test
     void whatCannotBeReadEndsAllThatIsOutOnItsConnectionBeforeTheirTimeOuts() throws Exception {
-        byte[] good = Frames.frame('Y', "1.0 OK 1 -\nv".getBytes(StandardCharsets.US_ASCII)).array();
+        byte[] good = Frames.frame('Y', "1.0 OK 1 -\nv".getBytes(StandardCharsets.US_ASCII))
+                .array();
         byte[] endless = good.clone();
         endless[3] += 20;
         String neither = "1.0 GARBLED, 2.0 GARBLED";
-        for (byte[] bytes : List.of("noise".getBytes(StandardCharsets.US_ASCII), new byte[] {-80, 0, 0, 0, 'Y'}, endless,
-                new byte[] {0, 0, 0}, Frames.frame('Y', "3.0 OK 1 -\nv".getBytes(StandardCharsets.US_ASCII)).array(),
+        for (byte[] bytes : List.of(
+                "noise".getBytes(StandardCharsets.US_ASCII),
+                new byte[] {-80, 0, 0, 0, 'Y'},
+                endless,
+                new byte[] {0, 0, 0},
+                Frames.frame('Y', "3.0 OK 1 -\nv".getBytes(StandardCharsets.US_ASCII))
+                        .array(),
                 Frames.frame('T', new byte[] {'-'}).array())) {
             assertThat(spoilt(bytes)).isEqualTo(neither);
         }
-        byte[] behind = ByteBuffer.allocate(2 * good.length + 3).put(good).put(good).put(new byte[] {9, 9, 9}).array();
+        byte[] behind = ByteBuffer.allocate(2 * good.length + 3)
+                .put(good)
+                .put(good)
+                .put(new byte[] {9, 9, 9})
+                .array();
         assertThat(spoilt(behind)).isEqualTo("1.0 ANSWERED, 2.0 GARBLED");
     }
 
--- a/node/src/test/java/spartrail/sim/SimHostTest.java
+++ b/node/src/test/java/spartrail/sim/SimHostTest.java
@@ -11,11 +11,14 @@
 import org.junit.jupiter.api.Test;
 
 class SimHostTest {
-    private static final String INFO = """
+    private static final String INFO =
+            """
             {"tick":0.005,"peers-total":1,"unheard-of":[1],"bounds":{"try-limit":1000},\
             "rules":{"cold-share":1,"warm-within":0,"tip-multiple":1,"fall":0},"classes":[{"name":"read","aim":1.0,"deadline":2.0,"effect":"free"}],
-            "family-info":{"slabs":2,"sets":2,"width":2}}""".replace("\n", "");
-    private static final String START = """
+            "family-info":{"slabs":2,"sets":2,"width":2}}"""
+                    .replace("\n", "");
+    private static final String START =
+            """
             {"t":5.0,"groups":[{"i":0,"items":[["POWER_ON",7,%s],["ROSTER",0,[["10.0.0.1:1","a","k",0,"live",1,null],\
             ["10.0.0.2:1","a","k",1,"live",1,null]]],["DISCOVERY",0,"C",1]]}]}
             """;
@@ -28,7 +31,9 @@
 
     @Test
     void servesAMultigetFromWireToWire() throws IOException {
-        int status = run(START.formatted(INFO) + """
+        int status = run(
+                START.formatted(INFO)
+                        + """
                 {"t":5.01,"groups":[{"i":0,"items":[["INCOMING",9,"read",null,null,2.0,null,1,-1,2,false,false],\
                 ["INCOMING",11,"read",null,null,2.0,null,1,0,0.5,false,false],\
                 ["INCOMING",12,"read",null,null,2.0,null,1,1,0.5,false,false],["UNHEARD_OF",1]]}]}
@@ -40,7 +45,9 @@
                 """);
         assertThat(status).isZero();
         assertThat(errors.toString(StandardCharsets.UTF_8)).isEmpty();
-        assertThat(out.toString()).isEqualTo("""
+        assertThat(out.toString())
+                .isEqualTo(
+                        """
                 {"groups":[{"i":0,"cmds":[["ARM","wait",0.0]]}]}
                 {"groups":[{"i":0,"cmds":[["TRY",11,0.75,"10.0.0.1:1"],["TRY",12,0.75,"10.0.0.2:1"]]}]}
                 {"groups":[{"i":0,"cmds":[["ARM","wait",0.085]]}]}
@@ -53,12 +60,16 @@
     void refusesWhatIsNoBatch() throws IOException {
         assertThat(run("{\"t\":1.0,\"groups\":[]}\n{\"t\":oops}\n")).isEqualTo(2);
         assertThat(run("{\"t\":1.0,\"groups\":7}\n")).isEqualTo(2);
-        assertThat(run("{\"t\":1.0,\"groups\":[{\"items\":[[\"BELL\",\"x\"]]}]}\n")).isEqualTo(2);
-        assertThat(errors.toString(StandardCharsets.UTF_8).lines().toList()).satisfiesExactly(
-                line -> assertThat(line).startsWith("line 2: no JSON: Unrecognized token 'oops'"),
-                line -> assertThat(line).isEqualTo(
-                        "line 1: no batch: an object with a number 't' and an array 'groups' is expected"),
-                line -> assertThat(line).isEqualTo("line 1: no batch: a group names its instance by a number 'i'"));
+        assertThat(run("{\"t\":1.0,\"groups\":[{\"items\":[[\"BELL\",\"x\"]]}]}\n"))
+                .isEqualTo(2);
+        assertThat(errors.toString(StandardCharsets.UTF_8).lines().toList())
+                .satisfiesExactly(
+                        line -> assertThat(line).startsWith("line 2: no JSON: Unrecognized token 'oops'"),
+                        line -> assertThat(line)
+                                .isEqualTo(
+                                        "line 1: no batch: an object with a number 't' and an array 'groups' is expected"),
+                        line -> assertThat(line)
+                                .isEqualTo("line 1: no batch: a group names its instance by a number 'i'"));
     }
 
     @Test
--- a/peers/src/main/java/spartrail/peering/DatagramTalk.java
+++ b/peers/src/main/java/spartrail/peering/DatagramTalk.java
@@ -18,6 +18,7 @@
     @Override
     public Running start(Path file, Path history, long historyBytes, Consumer<PeersView> views, List<PeerLane> lanes)
             throws IOException {
-        return new TalkingNode(PeersFile.read(file), history == null ? null : new History(history, historyBytes), views, lanes);
+        return new TalkingNode(
+                PeersFile.read(file), history == null ? null : new History(history, historyBytes), views, lanes);
     }
 }
--- a/peers/src/main/java/spartrail/peering/Frames.java
+++ b/peers/src/main/java/spartrail/peering/Frames.java
@@ -40,12 +40,15 @@
     static final int LEFT_FOR_CARDS = 400;
     /** What the rest of a frame is for. */
     public static final int PEERS = 0;
+
     public static final int QUESTION = 1;
     public static final int REPLY = 2;
     private static final int CRC = 4;
 
-    private static final CBORFactory CBOR = CBORFactory.builder().enable(CBORGenerator.Feature.WRITE_MINIMAL_INTS)
-            .enable(CBORGenerator.Feature.WRITE_MINIMAL_DOUBLES).build();
+    private static final CBORFactory CBOR = CBORFactory.builder()
+            .enable(CBORGenerator.Feature.WRITE_MINIMAL_INTS)
+            .enable(CBORGenerator.Feature.WRITE_MINIMAL_DOUBLES)
+            .build();
 
     /** A frame that cannot be used, and why. */
     public static final class Unusable extends Exception {
@@ -79,25 +82,32 @@
                     List<?> parts = (List<?>) word;
                     int standing = ((Number) parts.get(1)).intValue();
                     if (standing >= 0 && standing < Standing.values().length) {
-                        words.add(new Word(card(parts.get(0)), Standing.values()[standing], decimal(parts.get(2)),
-                                (String) parts.get(3)));
+                        words.add(new Word(
+                                card(parts.get(0)), Standing.values()[standing], decimal(parts.get(2)), (String)
+                                        parts.get(3)));
                     }
                 }
-                return new Message(Message.Kind.values()[kind], card(list.get(1)),
-                        Standing.values()[((Number) list.get(2)).intValue()], decimal(list.get(3)), (String) list.get(4),
-                        ((Number) list.get(5)).longValue(), ((Number) list.get(6)).longValue(),
-                        list.get(7) == null ? null : card(list.get(7)), words);
+                return new Message(
+                        Message.Kind.values()[kind],
+                        card(list.get(1)),
+                        Standing.values()[((Number) list.get(2)).intValue()],
+                        decimal(list.get(3)),
+                        (String) list.get(4),
+                        ((Number) list.get(5)).longValue(),
+                        ((Number) list.get(6)).longValue(),
+                        list.get(7) == null ? null : card(list.get(7)),
+                        words);
             } catch (ClassCastException | IndexOutOfBoundsException | NullPointerException e) {
                 throw new Unusable("unreadable frames");
             }
         }
     }
 
-    private Frames() {
-    }
+    private Frames() {}
 
     public static boolean isAddress(String text) {
-        return text.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}") && Integer.parseInt(text.substring(text.indexOf(':') + 1)) < 65_536;
+        return text.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}")
+                && Integer.parseInt(text.substring(text.indexOf(':') + 1)) < 65_536;
     }
 
     public static byte[] peers(String fleet, Message message) {
@@ -156,7 +166,10 @@
             throw new IllegalStateException("bytes in memory", e);
         }
         byte[] body = bytes.toByteArray();
-        return ByteBuffer.allocate(body.length + CRC).put(body).putInt(crc(body, body.length)).array();
+        return ByteBuffer.allocate(body.length + CRC)
+                .put(body)
+                .putInt(crc(body, body.length))
+                .array();
     }
 
     private static int crc(byte[] bytes, int length) {
@@ -181,9 +194,15 @@
 
     private static Card card(Object value) {
         List<?> list = (List<?>) value;
-        return new Card((String) list.get(0), (String) list.get(1), (String) list.get(2), decimal(list.get(3)),
-                (String) list.get(4), (String) list.get(5),
-                new Life(((Number) list.get(6)).longValue(), ((Number) list.get(7)).intValue()), ((Number) list.get(8)).intValue());
+        return new Card(
+                (String) list.get(0),
+                (String) list.get(1),
+                (String) list.get(2),
+                decimal(list.get(3)),
+                (String) list.get(4),
+                (String) list.get(5),
+                new Life(((Number) list.get(6)).longValue(), ((Number) list.get(7)).intValue()),
+                ((Number) list.get(8)).intValue());
     }
 
     private static double decimal(Object value) {
@@ -199,8 +218,11 @@
             throw new Unusable("unreadable frames");
         }
         try (JsonParser in = CBOR.createParser(bytes, 0, length - CRC)) {
-            if (in.nextToken() == null || !(JsonTree.value(in) instanceof List<?> values) || values.size() < 4
-                    || !(values.get(0) instanceof Number) || !(values.get(2) instanceof Number lane)) {
+            if (in.nextToken() == null
+                    || !(JsonTree.value(in) instanceof List<?> values)
+                    || values.size() < 4
+                    || !(values.get(0) instanceof Number)
+                    || !(values.get(2) instanceof Number lane)) {
                 throw new Unusable("unreadable frames");
             }
             if (!fleet.equals(values.get(1))) {
--- a/peers/src/main/java/spartrail/peering/History.java
+++ b/peers/src/main/java/spartrail/peering/History.java
@@ -38,7 +38,8 @@
 
     History(Path file, long mostBytes) throws IOException {
         // A restarted process goes on in the same file: what its former life knew is part of the history.
-        this.out = Files.newBufferedWriter(file, java.nio.file.StandardOpenOption.CREATE, java.nio.file.StandardOpenOption.APPEND);
+        this.out = Files.newBufferedWriter(
+                file, java.nio.file.StandardOpenOption.CREATE, java.nio.file.StandardOpenOption.APPEND);
         this.mostBytes = mostBytes;
         this.thread = new Thread(this::write, "spartrail-history");
         thread.setDaemon(true);
@@ -62,7 +63,8 @@
             line.writeNumberField("startMs", event.card().life().startMs());
             line.writeNumberField("nonce", event.card().life().nonce());
             line.writeNumberField("turn", event.card().turn());
-            line.writeStringField("was", event.was() == null ? null : event.was().name());
+            line.writeStringField(
+                    "was", event.was() == null ? null : event.was().name());
             line.writeStringField("is", event.is() == null ? null : event.is().name());
             line.writeStringField("by", event.by());
             line.writeStringField("why", event.why());
--- a/peers/src/main/java/spartrail/peering/PeersFile.java
+++ b/peers/src/main/java/spartrail/peering/PeersFile.java
@@ -19,10 +19,29 @@
 
 /** The file that tells a node how to talk to the others; its form is {@code deploy/peers.schema.json}. */
 final class PeersFile {
-    private static final Set<String> NAMES = new TreeSet<>(Set.of("fleet", "name", "listen", "advertise", "seeds", "allow",
-            "operators", "zone", "weight", "settings", "times", "policy"));
-    private static final Set<String> TIMES = new TreeSet<>(Set.of("roundMs", "answerMs", "suspectRounds", "stoodMs", "staleMs",
-            "keptMs", "mostPeers", "wordBytes", "answersPerS"));
+    private static final Set<String> NAMES = new TreeSet<>(Set.of(
+            "fleet",
+            "name",
+            "listen",
+            "advertise",
+            "seeds",
+            "allow",
+            "operators",
+            "zone",
+            "weight",
+            "settings",
+            "times",
+            "policy"));
+    private static final Set<String> TIMES = new TreeSet<>(Set.of(
+            "roundMs",
+            "answerMs",
+            "suspectRounds",
+            "stoodMs",
+            "staleMs",
+            "keptMs",
+            "mostPeers",
+            "wordBytes",
+            "answersPerS"));
     private static final List<String> LOOPBACK = List.of("127.0.0.0/8");
 
     final String fleet;
@@ -47,10 +66,12 @@
         fleet = named(tree, "fleet");
         name = named(tree, "name");
         listen = socket(address(text(tree, "listen"), "/listen"));
-        advertise = tree.get("advertise") == null ? text(tree, "listen") : address(text(tree, "advertise"), "/advertise");
+        advertise =
+                tree.get("advertise") == null ? text(tree, "listen") : address(text(tree, "advertise"), "/advertise");
         if (advertise.startsWith("0.0.0.0:")) {
-            throw new IllegalArgumentException("/advertise: is missing, the address that others reach it by is expected where"
-                    + " /listen is 0.0.0.0");
+            throw new IllegalArgumentException(
+                    "/advertise: is missing, the address that others reach it by is expected where"
+                            + " /listen is 0.0.0.0");
         }
         seeds = new ArrayList<>();
         for (Object seed : list(tree, "seeds", List.of())) {
@@ -59,7 +80,8 @@
         allowed = new Ranges(list(tree, "allow", LOOPBACK), "/allow");
         operators = new Ranges(list(tree, "operators", LOOPBACK), "/operators");
         if (!allowed.test(advertise)) {
-            throw new IllegalArgumentException("/advertise: found " + advertise + ", an address within /allow is expected");
+            throw new IllegalArgumentException(
+                    "/advertise: found " + advertise + ", an address within /allow is expected");
         }
         zone = tree.get("zone") == null ? "" : text(tree, "zone");
         weight = number(tree, "weight", 1, "");
@@ -85,7 +107,8 @@
             }
             return new PeersFile(tree);
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException(path + ":" + e.getLocation().getLineNr() + ": no JSON: " + JsonTree.fault(e), e);
+            throw new IllegalArgumentException(
+                    path + ":" + e.getLocation().getLineNr() + ": no JSON: " + JsonTree.fault(e), e);
         } catch (IllegalArgumentException | IOException e) {
             throw new IllegalArgumentException(path + ": " + e.getMessage(), e);
         }
@@ -94,15 +117,19 @@
     private static PeerTimes times(Map<?, ?> tree) {
         only(tree, TIMES, "/times");
         PeerTimes usual = PeerTimes.USUAL;
-        PeerTimes times = new PeerTimes(number(tree, "roundMs", usual.roundMs(), "/times"),
-                number(tree, "answerMs", usual.answerMs(), "/times"), number(tree, "suspectRounds", usual.suspectRounds(), "/times"),
-                number(tree, "stoodMs", usual.stoodMs(), "/times"), number(tree, "staleMs", usual.staleMs(), "/times"),
-                number(tree, "keptMs", usual.keptMs(), "/times"), (int) number(tree, "mostPeers", usual.mostPeers(), "/times"),
+        PeerTimes times = new PeerTimes(
+                number(tree, "roundMs", usual.roundMs(), "/times"),
+                number(tree, "answerMs", usual.answerMs(), "/times"),
+                number(tree, "suspectRounds", usual.suspectRounds(), "/times"),
+                number(tree, "stoodMs", usual.stoodMs(), "/times"),
+                number(tree, "staleMs", usual.staleMs(), "/times"),
+                number(tree, "keptMs", usual.keptMs(), "/times"),
+                (int) number(tree, "mostPeers", usual.mostPeers(), "/times"),
                 (int) number(tree, "wordBytes", usual.wordBytes(), "/times"),
                 (int) number(tree, "answersPerS", usual.answersPerS(), "/times"));
         if (times.roundMs() < 10 || times.answerMs() >= times.roundMs()) {
-            throw new IllegalArgumentException("/times/answerMs: found " + times.answerMs() + " at rounds of " + times.roundMs()
-                    + ", rounds of 10 or more and less for an answer than a round are expected");
+            throw new IllegalArgumentException("/times/answerMs: found " + times.answerMs() + " at rounds of "
+                    + times.roundMs() + ", rounds of 10 or more and less for an answer than a round are expected");
         }
         if (times.wordBytes() > Frames.MOST_BYTES - Frames.LEFT_FOR_CARDS) {
             throw new IllegalArgumentException("/times/wordBytes: found " + times.wordBytes() + ", at most "
@@ -114,7 +141,8 @@
     private static void only(Map<?, ?> tree, Set<String> names, String place) {
         for (Object name : tree.keySet()) {
             if (!names.contains(name)) {
-                throw new IllegalArgumentException(place + "/" + name + ": is unknown, one of " + names + " is expected");
+                throw new IllegalArgumentException(
+                        place + "/" + name + ": is unknown, one of " + names + " is expected");
             }
         }
     }
@@ -123,13 +151,15 @@
         if (tree.get(name) instanceof String text && !text.isEmpty() && text.length() <= 64) {
             return text;
         }
-        throw new IllegalArgumentException("/" + name + ": found " + tree.get(name) + ", a text of 1 to 64 signs is expected");
+        throw new IllegalArgumentException(
+                "/" + name + ": found " + tree.get(name) + ", a text of 1 to 64 signs is expected");
     }
 
     private static String named(Map<?, ?> tree, String name) {
         String text = text(tree, name);
         if (!Card.isName(text)) {
-            throw new IllegalArgumentException("/" + name + ": found '" + text + "', letters, digits, '.', '_' and '-' are expected");
+            throw new IllegalArgumentException(
+                    "/" + name + ": found '" + text + "', letters, digits, '.', '_' and '-' are expected");
         }
         return text;
     }
@@ -158,7 +188,8 @@
 
     private static String address(String text, String place) {
         if (!Frames.isAddress(text)) {
-            throw new IllegalArgumentException(place + ": found '" + text + "', an address such as 10.0.3.7:7400 is expected");
+            throw new IllegalArgumentException(
+                    place + ": found '" + text + "', an address such as 10.0.3.7:7400 is expected");
         }
         return text;
     }
--- a/peers/src/main/java/spartrail/peering/Replies.java
+++ b/peers/src/main/java/spartrail/peering/Replies.java
@@ -17,8 +17,7 @@
 final class Replies {
     private static final int PEERS_A_PAGE = 4;
 
-    private Replies() {
-    }
+    private Replies() {}
 
     static void to(String question, PeersView view, Map<String, Long> counts, String fleet, Consumer<byte[]> send) {
         String[] words = question.split(" ");
@@ -32,7 +31,10 @@
             if (from == 0) {
                 head(out, view, counts);
             }
-            List<PeersView.Seen> page = view.peers().stream().skip(from).limit(from == 0 ? 0 : PEERS_A_PAGE).toList();
+            List<PeersView.Seen> page = view.peers().stream()
+                    .skip(from)
+                    .limit(from == 0 ? 0 : PEERS_A_PAGE)
+                    .toList();
             if (from > 0) {
                 page = view.peers().stream().skip(from - 1L).limit(PEERS_A_PAGE).toList();
             }
--- a/peers/src/main/java/spartrail/peering/TalkingNode.java
+++ b/peers/src/main/java/spartrail/peering/TalkingNode.java
@@ -36,10 +36,12 @@
     private static final System.Logger LOG = System.getLogger("spartrail.peering");
     /** Danger: a flood keeps the thread reading while its own rounds are overdue, and it takes itself for standing still. */
     private static final int MOST_AT_ONCE = 64;
+
     private static final int LONGEST = 65_536;
     private static final int RECEIVE_BYTES = 512 * 1024;
     /** Lines about views in a minute; a flood must not fill the log. */
     private static final int LINES_A_MINUTE = 120;
+
     private static final double MINUTE_MS = 60_000;
 
     private final PeersFile file;
@@ -83,8 +85,15 @@
         }
         RandomGenerator chance = RandomGenerator.of("L64X128MixRandom");
         String program = TalkingNode.class.getPackage().getImplementationVersion();
-        Card self = new Card(file.name, file.advertise, file.zone, file.weight, program == null ? "" : program, file.settings,
-                new Life(NodeClock.unixMs(), chance.nextInt()), 0);
+        Card self = new Card(
+                file.name,
+                file.advertise,
+                file.zone,
+                file.weight,
+                program == null ? "" : program,
+                file.settings,
+                new Life(NodeClock.unixMs(), chance.nextInt()),
+                0);
         this.peers = new Peers(self, file.seeds, file.times, chance, clock.nowMs());
         lanes.forEach(lane -> lane.begin(carrier(lane.number())));
         this.thread = new Thread(this, "spartrail-peers");
@@ -142,8 +151,9 @@
 
     @Override
     public void run() {
-        LOG.log(System.Logger.Level.INFO, "talks to other nodes as " + file.name + " on " + file.listen + ", "
-                + file.seeds.size() + " seeds");
+        LOG.log(
+                System.Logger.Level.INFO,
+                "talks to other nodes as " + file.name + " on " + file.listen + ", " + file.seeds.size() + " seeds");
         while (!ended) {
             try {
                 long waitMs = (long) Math.ceil(peers.nextMs() - clock.nowMs());
@@ -244,13 +254,20 @@
             }
             log(event);
         }
-        boolean changed = last == null || !events.isEmpty() || !last.doubt().equals(view.doubt()) || last.there() != view.there()
-                || last.least() != view.least() || last.most() != view.most() || last.standing() != view.standing();
+        boolean changed = last == null
+                || !events.isEmpty()
+                || !last.doubt().equals(view.doubt())
+                || last.there() != view.there()
+                || last.least() != view.least()
+                || last.most() != view.most()
+                || last.standing() != view.standing();
         if (changed && history != null) {
             history.view(view);
         }
         if (last != null && !last.doubt().equals(view.doubt())) {
-            LOG.log(System.Logger.Level.INFO, view.doubt().isEmpty() ? "no longer in doubt of itself" : "in doubt: " + view.doubt());
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    view.doubt().isEmpty() ? "no longer in doubt of itself" : "in doubt: " + view.doubt());
         }
         last = view;
         lanes.forEach(lane -> lane.seen(view));
@@ -263,15 +280,20 @@
         double nowMs = clock.nowMs();
         if (nowMs - linesFromMs > MINUTE_MS) {
             if (lines > LINES_A_MINUTE) {
-                LOG.log(System.Logger.Level.WARNING, (lines - LINES_A_MINUTE) + " lines about other nodes were left out");
+                LOG.log(
+                        System.Logger.Level.WARNING,
+                        (lines - LINES_A_MINUTE) + " lines about other nodes were left out");
             }
             lines = 0;
             linesFromMs = nowMs;
         }
         if (lines++ < LINES_A_MINUTE && event.is() != event.was()) {
-            LOG.log(event.is() == Standing.GONE ? System.Logger.Level.WARNING : System.Logger.Level.INFO, event.card().name()
-                    + " at " + event.card().address() + " is " + event.is() + " (was " + event.was() + "), by " + event.by() + ": "
-                    + event.why());
+            LOG.log(
+                    event.is() == Standing.GONE ? System.Logger.Level.WARNING : System.Logger.Level.INFO,
+                    event.card().name()
+                            + " at " + event.card().address() + " is " + event.is() + " (was " + event.was() + "), by "
+                            + event.by() + ": "
+                            + event.why());
         }
     }
 
@@ -300,9 +322,13 @@
         });
         selector.wakeup();
         String waiting = "";
-        if (!changed.fleet.equals(file.fleet) || !changed.name.equals(file.name) || !changed.listen.equals(file.listen)
-                || !changed.advertise.equals(file.advertise) || !changed.times.equals(file.times)) {
-            waiting = "fleet, name, addresses and times wait for the next start; seeds and the version of the settings are taken";
+        if (!changed.fleet.equals(file.fleet)
+                || !changed.name.equals(file.name)
+                || !changed.listen.equals(file.listen)
+                || !changed.advertise.equals(file.advertise)
+                || !changed.times.equals(file.times)) {
+            waiting =
+                    "fleet, name, addresses and times wait for the next start; seeds and the version of the settings are taken";
         }
         return waiting;
     }
--- a/peers/src/test/java/spartrail/peering/FramesTest.java
+++ b/peers/src/test/java/spartrail/peering/FramesTest.java
@@ -22,14 +22,28 @@
 import spartrail.peers.Word;
 
 class FramesTest {
-    private static final Card ONE = new Card("n1", "10.0.0.1:7400", "a", 1.5, "0.2", "v7", new Life(1_700_000_000_123L, -5), 3);
-    private static final Card OTHER = new Card("n2", "10.0.0.2:7400", "", 1, "", "", new Life(1_700_000_000_999L, 77), 0);
-    private static final Message MESSAGE = new Message(Message.Kind.ASK, ONE, Standing.ALIVE, 1234.5, "n2", Long.MIN_VALUE, -1,
-            OTHER, List.of(new Word(OTHER, Standing.SUSPECT, 17.25, "n3"), new Word(ONE, Standing.LEFT, 0, "")));
+    private static final Card ONE =
+            new Card("n1", "10.0.0.1:7400", "a", 1.5, "0.2", "v7", new Life(1_700_000_000_123L, -5), 3);
+    private static final Card OTHER =
+            new Card("n2", "10.0.0.2:7400", "", 1, "", "", new Life(1_700_000_000_999L, 77), 0);
+    private static final Message MESSAGE = new Message(
+            Message.Kind.ASK,
+            ONE,
+            Standing.ALIVE,
+            1234.5,
+            "n2",
+            Long.MIN_VALUE,
+            -1,
+            OTHER,
+            List.of(new Word(OTHER, Standing.SUSPECT, 17.25, "n3"), new Word(ONE, Standing.LEFT, 0, "")));
 
     private static String read(byte[] bytes, String fleet) {
         try {
-            return Frames.read(bytes, bytes.length, fleet, Frames.MOST_BYTES).message().equals(MESSAGE) ? "the same" : "another";
+            return Frames.read(bytes, bytes.length, fleet, Frames.MOST_BYTES)
+                            .message()
+                            .equals(MESSAGE)
+                    ? "the same"
+                    : "another";
         } catch (Frames.Unusable e) {
             return e.getMessage();
         }
@@ -50,9 +64,20 @@
         String longest = "x".repeat(60);
         List<Peers> nodes = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
-            nodes.add(new Peers(new Card(longest + 100 + i, "210.210.210." + (100 + i) + ":65535", longest, 1.1, longest, longest,
-                    new Life(1_700_000_000_000L + i, Integer.MAX_VALUE), 1_000_000), List.of("210.210.210.100:65535"),
-                    PeerTimes.USUAL, new SplittableRandom(i), 0));
+            nodes.add(new Peers(
+                    new Card(
+                            longest + 100 + i,
+                            "210.210.210." + (100 + i) + ":65535",
+                            longest,
+                            1.1,
+                            longest,
+                            longest,
+                            new Life(1_700_000_000_000L + i, Integer.MAX_VALUE),
+                            1_000_000),
+                    List.of("210.210.210.100:65535"),
+                    PeerTimes.USUAL,
+                    new SplittableRandom(i),
+                    0));
         }
         int most = 0;
         for (double ms = 0; ms < 8000; ms += 25) {
@@ -75,11 +100,15 @@
     void cutOrChangedAtAnyByteItIsDropped() {
         byte[] bytes = Frames.peers("recife", MESSAGE);
         for (int i = 0; i < bytes.length; i++) {
-            assertThat(read(Arrays.copyOf(bytes, i), "recife")).as("cut at " + i).isEqualTo("unreadable frames");
+            assertThat(read(Arrays.copyOf(bytes, i), "recife"))
+                    .as("cut at " + i)
+                    .isEqualTo("unreadable frames");
             for (int bit = 0; bit < 8; bit++) {
                 byte[] flipped = bytes.clone();
                 flipped[i] ^= (byte) (1 << bit);
-                assertThat(read(flipped, "recife")).as("bit " + bit + " of byte " + i).isEqualTo("unreadable frames");
+                assertThat(read(flipped, "recife"))
+                        .as("bit " + bit + " of byte " + i)
+                        .isEqualTo("unreadable frames");
             }
         }
     }
@@ -95,7 +124,10 @@
         }
         CRC32C crc = new CRC32C();
         crc.update(bytes.toByteArray());
-        return ByteBuffer.allocate(bytes.size() + 4).put(bytes.toByteArray()).putInt((int) crc.getValue()).array();
+        return ByteBuffer.allocate(bytes.size() + 4)
+                .put(bytes.toByteArray())
+                .putInt((int) crc.getValue())
+                .array();
     }
 
     private static void card(JsonGenerator out, boolean more) throws Exception {
@@ -143,7 +175,8 @@
     @Test
     void theNextVersionsNodesCanMixWithThisOnes() throws Exception {
         byte[] ping = next(0);
-        Message message = Frames.read(ping, ping.length, "recife", Frames.MOST_BYTES).message();
+        Message message =
+                Frames.read(ping, ping.length, "recife", Frames.MOST_BYTES).message();
         assertThat(message.from()).isEqualTo(ONE);
         assertThat(message.nonce()).isEqualTo(9);
         assertThat(read(next(12), "recife")).isEqualTo("unknown kinds");
@@ -152,17 +185,20 @@
     @Test
     void whatIsNoMessageIsDropped() throws Exception {
         StringBuilder told = new StringBuilder();
-        for (Part part : List.<Part>of(out -> out.writeString("x"), out -> {
-            out.writeStartArray();
-            out.writeEndArray();
-        }, out -> {
-            out.writeStartArray();
-            out.writeNumber(1);
-            out.writeString("recife");
-            out.writeNumber(0);
-            out.writeString("no list");
-            out.writeEndArray();
-        })) {
+        for (Part part : List.<Part>of(
+                out -> out.writeString("x"),
+                out -> {
+                    out.writeStartArray();
+                    out.writeEndArray();
+                },
+                out -> {
+                    out.writeStartArray();
+                    out.writeNumber(1);
+                    out.writeString("recife");
+                    out.writeNumber(0);
+                    out.writeString("no list");
+                    out.writeEndArray();
+                })) {
             told.append(read(frame(part), "recife")).append(", ");
         }
         assertThat(told.toString()).isEqualTo("unreadable frames, unreadable frames, unreadable frames, ");
--- a/peers/src/test/java/spartrail/peering/PeersFileTest.java
+++ b/peers/src/test/java/spartrail/peering/PeersFileTest.java
@@ -9,7 +9,9 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class PeersFileTest {
-    private static final String GOOD = "{\"fleet\":\"recife\",\"name\":\"n1\",\"listen\":\"127.0.0.1:7400\",\"seeds\":[\"127.0.0.1:7401\"]}";
+    private static final String GOOD =
+            "{\"fleet\":\"recife\",\"name\":\"n1\",\"listen\":\"127.0.0.1:7400\",\"seeds\":[\"127.0.0.1:7401\"]}";
+
     @TempDir
     private Path folder;
 
@@ -26,13 +28,22 @@
 
     @Test
     void whatIsWrongIsSaidInOneLineWithItsPlace() throws IOException {
-        assertThat(check(GOOD) + check("{\n'") + check("[]") + check(GOOD.replace("fleet", "fleets"))
-                + check(GOOD.replace("\"n1\"", "\"n 1\"")) + check(GOOD.replace("127.0.0.1:7400", "front:7400"))
-                + check(GOOD.replace("127.0.0.1:7401", "127.0.0.1:99999")) + check(GOOD.replace("127.0.0.1:7400", "0.0.0.0:7400"))
-                + check(GOOD.replace("127.0.0.1:7400", "10.0.0.1:7400")) + check(GOOD.replace("}", ",\"allow\":[\"10.0.0.0\"]}"))
-                + check(GOOD.replace("}", ",\"weight\":-1}")) + check(GOOD.replace("}", ",\"times\":{\"answerMs\":600}}"))
-                + check(GOOD.replace("}", ",\"times\":{\"round\":600}}")) + check(GOOD.replace("}", ",\"times\":{\"wordBytes\":60000}}")))
-                .isEqualTo("""
+        assertThat(check(GOOD)
+                        + check("{\n'")
+                        + check("[]")
+                        + check(GOOD.replace("fleet", "fleets"))
+                        + check(GOOD.replace("\"n1\"", "\"n 1\""))
+                        + check(GOOD.replace("127.0.0.1:7400", "front:7400"))
+                        + check(GOOD.replace("127.0.0.1:7401", "127.0.0.1:99999"))
+                        + check(GOOD.replace("127.0.0.1:7400", "0.0.0.0:7400"))
+                        + check(GOOD.replace("127.0.0.1:7400", "10.0.0.1:7400"))
+                        + check(GOOD.replace("}", ",\"allow\":[\"10.0.0.0\"]}"))
+                        + check(GOOD.replace("}", ",\"weight\":-1}"))
+                        + check(GOOD.replace("}", ",\"times\":{\"answerMs\":600}}"))
+                        + check(GOOD.replace("}", ",\"times\":{\"round\":600}}"))
+                        + check(GOOD.replace("}", ",\"times\":{\"wordBytes\":60000}}")))
+                .isEqualTo(
+                        """
                         good
                         FILE:2: no JSON: Unexpected character
                         FILE: a JSON object is expected
--- a/peers/src/test/java/spartrail/peering/TalkTest.java
+++ b/peers/src/test/java/spartrail/peering/TalkTest.java
@@ -29,12 +29,13 @@
 class TalkTest {
     @TempDir
     private Path folder;
+
     private final List<PeerTalk.Running> running = new ArrayList<>();
     private final int[] ports = {freePort(), freePort()};
-    private final List<BlockingQueue<PeersView>> views = List.of(new LinkedBlockingQueue<>(), new LinkedBlockingQueue<>());
+    private final List<BlockingQueue<PeersView>> views =
+            List.of(new LinkedBlockingQueue<>(), new LinkedBlockingQueue<>());
 
-    TalkTest() throws IOException {
-    }
+    TalkTest() throws IOException {}
 
     private static int freePort() throws IOException {
         try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
@@ -44,20 +45,30 @@
 
     private Path file(int node, String more) throws IOException {
         Path file = folder.resolve("n" + node + ".json");
-        Files.writeString(file, "{\"fleet\":\"recife\",\"name\":\"n" + node + "\",\"listen\":\"127.0.0.1:" + ports[node]
-                + "\",\"seeds\":[\"127.0.0.1:" + ports[0] + "\"],\"times\":{\"roundMs\":100,\"answerMs\":40}" + more + "}");
+        Files.writeString(
+                file,
+                "{\"fleet\":\"recife\",\"name\":\"n" + node + "\",\"listen\":\"127.0.0.1:" + ports[node]
+                        + "\",\"seeds\":[\"127.0.0.1:" + ports[0] + "\"],\"times\":{\"roundMs\":100,\"answerMs\":40}"
+                        + more + "}");
         return file;
     }
 
     private PeerTalk.Running start(int node) throws IOException {
-        PeerTalk.Running talk = new DatagramTalk().start(file(node, ""), folder.resolve("n" + node + ".history"), 1 << 20,
-                views.get(node)::add, PeerLane.NONE);
+        PeerTalk.Running talk = new DatagramTalk()
+                .start(
+                        file(node, ""),
+                        folder.resolve("n" + node + ".history"),
+                        1 << 20,
+                        views.get(node)::add,
+                        PeerLane.NONE);
         running.add(talk);
         return talk;
     }
 
     private PeersView await(int node, Predicate<PeersView> wanted) throws InterruptedException {
-        for (PeersView view = views.get(node).poll(20, TimeUnit.SECONDS); view != null; view = views.get(node).poll(20, TimeUnit.SECONDS)) {
+        for (PeersView view = views.get(node).poll(20, TimeUnit.SECONDS);
+                view != null;
+                view = views.get(node).poll(20, TimeUnit.SECONDS)) {
             if (wanted.test(view)) {
                 return view;
             }
@@ -77,7 +88,9 @@
             socket.send(new DatagramPacket(bytes, bytes.length, InetAddress.getLoopbackAddress(), ports[0]));
             DatagramPacket reply = new DatagramPacket(new byte[65_536], 65_536);
             socket.receive(reply);
-            return (String) Frames.read(reply.getData(), reply.getLength(), fleet, 65_536).values().get(3);
+            return (String) Frames.read(reply.getData(), reply.getLength(), fleet, 65_536)
+                    .values()
+                    .get(3);
         }
     }
 
@@ -88,16 +101,24 @@
         await(0, view -> view.there() == 2 && view.least() == 2);
         await(1, view -> view.there() == 2 && view.doubt().isEmpty());
         assertThat(other.reload(file(1, ",\"settings\":\"v8\""))).isEmpty();
-        await(0, view -> view.peers().stream().anyMatch(each -> each.card().settings().equals("v8")));
-        assertThat(ask("recife", "show 0")).startsWith("{\"name\":\"n0\",\"standing\":\"ALIVE\",\"doubt\":\"\",\"there\":2,\"least\":2,\"most\":2,")
-                .contains("\"datagrams received\":").endsWith("\"peers\":[],\"next\":1}");
-        assertThat(ask("recife", "show 1")).contains("\"name\":\"n0\"").contains("\"name\":\"n1\"").contains("\"settings\":\"v8\"")
+        await(0, view -> view.peers().stream()
+                .anyMatch(each -> each.card().settings().equals("v8")));
+        assertThat(ask("recife", "show 0"))
+                .startsWith(
+                        "{\"name\":\"n0\",\"standing\":\"ALIVE\",\"doubt\":\"\",\"there\":2,\"least\":2,\"most\":2,")
+                .contains("\"datagrams received\":")
+                .endsWith("\"peers\":[],\"next\":1}");
+        assertThat(ask("recife", "show 1"))
+                .contains("\"name\":\"n0\"")
+                .contains("\"name\":\"n1\"")
+                .contains("\"settings\":\"v8\"")
                 .endsWith("\"next\":-1}");
         other.leave();
         PeersView view = await(0, seen -> seen.peers().stream().anyMatch(each -> each.standing() == Standing.LEFT));
         assertThat(view.there()).isEqualTo(1);
         running.get(0).close();
-        assertThat(Files.readAllLines(folder.resolve("n0.history"))).allMatch(line -> line.startsWith("{\"ns\":") && line.endsWith("}"))
+        assertThat(Files.readAllLines(folder.resolve("n0.history")))
+                .allMatch(line -> line.startsWith("{\"ns\":") && line.endsWith("}"))
                 .anyMatch(line -> line.contains("\"of\":\"n1\"") && line.contains("\"is\":\"LEFT\""));
     }
 
@@ -105,7 +126,8 @@
     @Test
     @EnabledOnOs(OS.LINUX)
     void aHistoryThatCannotBeWrittenCostsNoTalk() throws Exception {
-        running.add(new DatagramTalk().start(file(0, ""), Path.of("/dev/full"), 1 << 20, views.get(0)::add, PeerLane.NONE));
+        running.add(
+                new DatagramTalk().start(file(0, ""), Path.of("/dev/full"), 1 << 20, views.get(0)::add, PeerLane.NONE));
         start(1);
         await(1, view -> view.there() == 2 && view.doubt().isEmpty());
         await(0, view -> view.there() == 2);
@@ -116,12 +138,21 @@
         start(0);
         await(0, view -> view.standing() == Standing.ALIVE);
         try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            for (byte[] bytes : List.of(new byte[3], new byte[5000], Frames.text("jaboatao", Frames.PEERS, "x"),
-                    Frames.text("recife", 9, "x"), Frames.text("recife", Frames.PEERS, "x"))) {
+            for (byte[] bytes : List.of(
+                    new byte[3],
+                    new byte[5000],
+                    Frames.text("jaboatao", Frames.PEERS, "x"),
+                    Frames.text("recife", 9, "x"),
+                    Frames.text("recife", Frames.PEERS, "x"))) {
                 socket.send(new DatagramPacket(bytes, bytes.length, InetAddress.getLoopbackAddress(), ports[0]));
             }
         }
-        assertThat(ask("recife", "show 0")).contains("\"frames of another fleet\":1", "\"frames of unknown lanes\":1",
-                "\"frames too large\":1", "\"unreadable frames\":2", "\"there\":1");
+        assertThat(ask("recife", "show 0"))
+                .contains(
+                        "\"frames of another fleet\":1",
+                        "\"frames of unknown lanes\":1",
+                        "\"frames too large\":1",
+                        "\"unreadable frames\":2",
+                        "\"there\":1");
     }
 }
--- a/policy/src/main/java/spartrail/governing/CrashPoint.java
+++ b/policy/src/main/java/spartrail/governing/CrashPoint.java
@@ -12,6 +12,7 @@
 public final class CrashPoint {
     /** Drills start nodes so; others cannot be armed. */
     public static final String ALLOWED = "spartrail.crash";
+
     private static final boolean ON = Boolean.getBoolean(ALLOWED);
 
     static final List<String> STATES = List.of("RULING", "VOTE");
@@ -21,15 +22,18 @@
 
     private static volatile String armed = System.getProperty("spartrail.crash.at", "");
 
-    private CrashPoint() {
-    }
+    private CrashPoint() {}
 
     /** All points. */
     public static List<String> all() {
         List<String> points = new ArrayList<>();
         for (String side : List.of("before ", "after ")) {
-            Wire.NAMES.stream().filter(name -> !NOT_SENT.contains(name)).forEach(name -> points.add(side + "sending " + name));
-            LogWire.NAMES.stream().filter(name -> !NOT_SENT.contains(name)).forEach(name -> points.add(side + "sending " + name));
+            Wire.NAMES.stream()
+                    .filter(name -> !NOT_SENT.contains(name))
+                    .forEach(name -> points.add(side + "sending " + name));
+            LogWire.NAMES.stream()
+                    .filter(name -> !NOT_SENT.contains(name))
+                    .forEach(name -> points.add(side + "sending " + name));
             Journal.SYNCED.forEach(name -> points.add(side + "syncing " + name));
             for (PolicyLog.Stage stage : PolicyLog.Stage.values()) {
                 points.add(side + "becoming " + stage);
--- a/policy/src/main/java/spartrail/governing/Deciding.java
+++ b/policy/src/main/java/spartrail/governing/Deciding.java
@@ -35,13 +35,18 @@
  */
 final class Deciding implements StateMachine, Transport {
     /** Whole seconds, as the library has them: a new leader is there some five seconds after the old one was lost. */
-    private static final RaftConfig CONFIG = RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(3)
-            .setLeaderElectionTimeoutMillis(500).setCommitCountToTakeSnapshot(500).setRaftNodeReportPublishPeriodSecs(10).build();
+    private static final RaftConfig CONFIG = RaftConfig.newBuilder()
+            .setLeaderHeartbeatPeriodSecs(1)
+            .setLeaderHeartbeatTimeoutSecs(3)
+            .setLeaderElectionTimeoutMillis(500)
+            .setCommitCountToTakeSnapshot(500)
+            .setRaftNodeReportPublishPeriodSecs(10)
+            .build();
+
     private static final int MOST_WAITING = 4096;
     private static final Object READ = "read";
 
-    private record Waiting(Ask ask, Consumer<Told> reply) {
-    }
+    private record Waiting(Ask ask, Consumer<Told> reply) {}
 
     private final RaftNode raft;
     private final Journal journal;
@@ -60,15 +65,31 @@
         Clock clock();
     }
 
-    Deciding(String name, String fleet, Journal journal, PolicyTimes times, Place place, Random chance,
-            BiConsumer<String, RaftMessage> sending, Predicate<String> reachable, Runnable changed) {
+    Deciding(
+            String name,
+            String fleet,
+            Journal journal,
+            PolicyTimes times,
+            Place place,
+            Random chance,
+            BiConsumer<String, RaftMessage> sending,
+            Predicate<String> reachable,
+            Runnable changed) {
         this.journal = journal;
         this.leader = new PolicyLeader(times);
         this.sending = sending;
         this.reachable = reachable;
         this.changed = changed;
-        var builder = RaftNode.newBuilder().setGroupId(fleet).setConfig(CONFIG).setExecutor(place).setTransport(this)
-                .setStateMachine(this).setStore(journal).setModelFactory(LogWire.MODEL).setRandom(chance).setClock(place.clock());
+        var builder = RaftNode.newBuilder()
+                .setGroupId(fleet)
+                .setConfig(CONFIG)
+                .setExecutor(place)
+                .setTransport(this)
+                .setStateMachine(this)
+                .setStore(journal)
+                .setModelFactory(LogWire.MODEL)
+                .setRandom(chance)
+                .setClock(place.clock());
         var restored = journal.restored();
         if (restored != null) {
             builder.setRestoredState(restored);
@@ -87,14 +108,15 @@
             return new Told(0, log.applied(), log.holds(), log.open());
         }
         Op op = (Op) operation;
-        PolicyLog.Stage next = switch (op.kind()) {
-            case PROPOSE -> PolicyLog.Stage.PROPOSED;
-            case REFUSE -> PolicyLog.Stage.REFUSED;
-            case ABORT -> PolicyLog.Stage.ABORTED;
-            case DECIDE -> PolicyLog.Stage.DECIDED;
-            case HOLD -> PolicyLog.Stage.HOLDS;
-            default -> null;
-        };
+        PolicyLog.Stage next =
+                switch (op.kind()) {
+                    case PROPOSE -> PolicyLog.Stage.PROPOSED;
+                    case REFUSE -> PolicyLog.Stage.REFUSED;
+                    case ABORT -> PolicyLog.Stage.ABORTED;
+                    case DECIDE -> PolicyLog.Stage.DECIDED;
+                    case HOLD -> PolicyLog.Stage.HOLDS;
+                    default -> null;
+                };
         CrashPoint.reached("before", "becoming", String.valueOf(next));
         String came = log.apply(index, op);
         if (log.holds() != holds || log.open() != open) {
@@ -139,7 +161,9 @@
 
     /** Who leads, as far as this node knows; empty where it does not. */
     String leads() {
-        return raft.getStatus() == RaftNodeStatus.TERMINATED ? "" : Decider.name(raft.getTerm().getLeaderEndpoint());
+        return raft.getStatus() == RaftNodeStatus.TERMINATED
+                ? ""
+                : Decider.name(raft.getTerm().getLeaderEndpoint());
     }
 
     boolean leading() {
@@ -165,13 +189,17 @@
         reading = true;
         List<Waiting> batch = waiting;
         waiting = new ArrayList<>();
-        raft.<Told>query(READ, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()).whenComplete((answer, failure) -> {
-            reading = false;
-            Told told = failure == null ? answer.getResult() : null;
-            batch.forEach(each -> each.reply().accept(told == null ? null
-                    : new Told(each.ask().nonce(), told.index(), told.holds(), told.open())));
-            read();
-        });
+        raft.<Told>query(READ, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
+                .whenComplete((answer, failure) -> {
+                    reading = false;
+                    Told told = failure == null ? answer.getResult() : null;
+                    batch.forEach(each -> each.reply()
+                            .accept(
+                                    told == null
+                                            ? null
+                                            : new Told(each.ask().nonce(), told.index(), told.holds(), told.open())));
+                    read();
+                });
     }
 
     /** An order of an operator; what came of it, or null where this node does not lead, or does not know. */
@@ -180,8 +208,9 @@
             came.accept(null);
             return;
         }
-        raft.<String>replicate(op).whenComplete((Ordered<String> answer, Throwable failure) ->
-                came.accept(failure == null ? answer.getResult() : null));
+        raft.<String>replicate(op)
+                .whenComplete((Ordered<String> answer, Throwable failure) ->
+                        came.accept(failure == null ? answer.getResult() : null));
     }
 
     /** What the leading one has to do by now. */
@@ -189,7 +218,7 @@
         leader.leads(leading());
         Op op = leader.due(log, there, nowMs);
         if (op != null) {
-            raft.<String>replicate(op).whenComplete((answer, failure) -> { });
+            raft.<String>replicate(op).whenComplete((answer, failure) -> {});
         }
     }
 
--- a/policy/src/main/java/spartrail/governing/Governing.java
+++ b/policy/src/main/java/spartrail/governing/Governing.java
@@ -7,7 +7,8 @@
 /** Versions of policy by datagrams, and an agreed log on disk. */
 public final class Governing implements PolicyTalk {
     static {
-        // What the agreed log's library says of itself is not kept; without this it complains on standard error that nobody does.
+        // What the agreed log's library says of itself is not kept; without this it complains on standard error that
+        // nobody does.
         System.getProperties().putIfAbsent("slf4j.internal.verbosity", "ERROR");
     }
 
--- a/policy/src/main/java/spartrail/governing/GoverningNode.java
+++ b/policy/src/main/java/spartrail/governing/GoverningNode.java
@@ -38,14 +38,13 @@
     private static final double LONGEST_WAIT_MS = 50;
     private static final int MOST_QUEUED = 10_000;
 
-    private record Scheduled(double atMs, long number, Runnable task) {
-    }
+    private record Scheduled(double atMs, long number, Runnable task) {}
 
     private final Path folder;
     private final PolicyTalk.Host host;
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
-    private final PriorityQueue<Scheduled> later = new PriorityQueue<>(Comparator.comparingDouble(Scheduled::atMs)
-            .thenComparingLong(Scheduled::number));
+    private final PriorityQueue<Scheduled> later =
+            new PriorityQueue<>(Comparator.comparingDouble(Scheduled::atMs).thenComparingLong(Scheduled::number));
     private final Map<String, String> addresses = new HashMap<>();
     private final List<String> there = new ArrayList<>();
     private final CountDownLatch ruled = new CountDownLatch(1);
@@ -115,7 +114,8 @@
             }
         }
         queue.add(() -> {
-            boolean met = deciders.stream().anyMatch(decider -> known.containsKey(decider) && !addresses.containsKey(decider));
+            boolean met = deciders.stream()
+                    .anyMatch(decider -> known.containsKey(decider) && !addresses.containsKey(decider));
             addresses.clear();
             addresses.putAll(known);
             there.clear();
@@ -134,8 +134,12 @@
     @Override
     public void awaitRuling() throws InterruptedException {
         while (!ruled.await(10, TimeUnit.SECONDS)) {
-            LOG.log(System.Logger.Level.WARNING, "not ready: " + (follower.unfit().isEmpty() ? "no deciding node has said yet what holds"
-                    : follower.unfit()));
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "not ready: "
+                            + (follower.unfit().isEmpty()
+                                    ? "no deciding node has said yet what holds"
+                                    : follower.unfit()));
         }
     }
 
@@ -183,7 +187,8 @@
         guarded(this::openLog);
         while (!ended) {
             try {
-                double dueMs = Math.min(later.isEmpty() ? Double.POSITIVE_INFINITY : later.peek().atMs, follower.nextMs());
+                double dueMs =
+                        Math.min(later.isEmpty() ? Double.POSITIVE_INFINITY : later.peek().atMs, follower.nextMs());
                 double waitMs = Math.max(0, Math.min(LONGEST_WAIT_MS, dueMs - host.nowMs()));
                 Runnable task = queue.poll((long) (1e6 * waitMs), TimeUnit.NANOSECONDS);
                 for (; task != null; task = queue.poll()) {
@@ -224,11 +229,20 @@
         }
         try {
             if (!Journal.there(folder)) {
-                throw new IOException(folder + ": holds no log of policy; 'spartrail policy found' makes those of a new set");
+                throw new IOException(
+                        folder + ": holds no log of policy; 'spartrail policy found' makes those of a new set");
             }
             journal = new Journal(folder, carrier.fleet(), carrier.name());
-            deciding = new Deciding(carrier.name(), carrier.fleet(), journal, times, this, new Random(chance.nextLong()), this::carry,
-                    addresses::containsKey, this::changed);
+            deciding = new Deciding(
+                    carrier.name(),
+                    carrier.fleet(),
+                    journal,
+                    times,
+                    this,
+                    new Random(chance.nextLong()),
+                    this::carry,
+                    addresses::containsKey,
+                    this::changed);
             carrier.note("decider", "on", true);
         } catch (IOException e) {
             journal = null;
@@ -268,7 +282,12 @@
         if (!by.equals(name)) {
             name = by;
             LOG.log(System.Logger.Level.INFO, "goes by policy " + by);
-            carrier.note("policy", "by", by, "guarded", ruling != null && ruling.at(nowMs).guarded());
+            carrier.note(
+                    "policy",
+                    "by",
+                    by,
+                    "guarded",
+                    ruling != null && ruling.at(nowMs).guarded());
         }
     }
 
@@ -286,26 +305,39 @@
 
     private void told(Told heard) {
         follower.told(heard, host.nowMs());
-        String state = heard.holds().number() + (heard.open() == null ? "" : " " + heard.open().number() + " " + heard.open().stage());
+        String state = heard.holds().number()
+                + (heard.open() == null
+                        ? ""
+                        : " " + heard.open().number() + " " + heard.open().stage());
         if (!state.equals(told)) {
             told = state;
-            carrier.note("told", "holds", heard.holds().number(), "open", heard.open() == null ? 0 : heard.open().number(),
-                    "stage", heard.open() == null ? "" : heard.open().stage().name());
+            carrier.note(
+                    "told",
+                    "holds",
+                    heard.holds().number(),
+                    "open",
+                    heard.open() == null ? 0 : heard.open().number(),
+                    "stage",
+                    heard.open() == null ? "" : heard.open().stage().name());
         }
     }
 
     /** Away from this thread: a version that hurts must not keep the node from asking. */
     private void check(PolicyLog.Entry open) {
-        Thread checker = new Thread(() -> {
-            String no = no(open);
-            queue.add(() -> {
-                carrier.note("vote", "number", open.number(), "no", no);
-                LOG.log(System.Logger.Level.INFO, "proposal " + open.number() + ": " + (no.isEmpty() ? "can be applied" : no));
-                CrashPoint.reached("before", "becoming", "VOTE");
-                follower.checked(open.number(), no, host.nowMs());
-                CrashPoint.reached("after", "becoming", "VOTE");
-            });
-        }, "spartrail-policy-check");
+        Thread checker = new Thread(
+                () -> {
+                    String no = no(open);
+                    queue.add(() -> {
+                        carrier.note("vote", "number", open.number(), "no", no);
+                        LOG.log(
+                                System.Logger.Level.INFO,
+                                "proposal " + open.number() + ": " + (no.isEmpty() ? "can be applied" : no));
+                        CrashPoint.reached("before", "becoming", "VOTE");
+                        follower.checked(open.number(), no, host.nowMs());
+                        CrashPoint.reached("after", "becoming", "VOTE");
+                    });
+                },
+                "spartrail-policy-check");
         checker.setDaemon(true);
         checker.start();
     }
@@ -315,7 +347,9 @@
             Terms terms = follower.applied(open);
             String alone = host.rehearse(terms);
             Told last = follower.last();
-            return !alone.isEmpty() ? alone : host.rehearse(follower.applied(last.holds()).stricter(terms));
+            return !alone.isEmpty()
+                    ? alone
+                    : host.rehearse(follower.applied(last.holds()).stricter(terms));
         } catch (RuntimeException | Error e) {
             return String.valueOf(e.getMessage());
         }
@@ -347,7 +381,7 @@
                         asked(from, plain.get(1), (String) plain.get(2));
                     }
                 }
-                default -> { }
+                default -> {}
             }
         } catch (IOException | RuntimeException e) {
             LOG.log(System.Logger.Level.DEBUG, "unreadable message about policy from " + from, e);
@@ -374,8 +408,16 @@
             tryOut(from, token, what.substring(Wire.CHECK.length()));
             return;
         }
-        send(from, List.of(Wire.REPLY, token, what.equals("show") ? page()
-                : CrashPoint.all().contains(what) && CrashPoint.arm(what) ? "armed" : "unknown question"));
+        send(
+                from,
+                List.of(
+                        Wire.REPLY,
+                        token,
+                        what.equals("show")
+                                ? page()
+                                : CrashPoint.all().contains(what) && CrashPoint.arm(what)
+                                        ? "armed"
+                                        : "unknown question"));
     }
 
     /** Whether this node could apply these settings, and what would change for it. One at a time: a rehearsal costs CPU. */
@@ -387,20 +429,26 @@
         trying = true;
         PolicyLog.Entry entry = new PolicyLog.Entry(0, settings, from, PolicyLog.Stage.PROPOSED, "", "");
         Terms now = follower.ruling().terms();
-        Thread checker = new Thread(() -> {
-            String no = no(entry);
-            String said = no.isEmpty() ? String.join("\n", now.difference(follower.applied(entry))) : "!" + no;
-            queue.add(() -> {
-                trying = false;
-                send(from, List.of(Wire.REPLY, token, said));
-            });
-        }, "spartrail-policy-check");
+        Thread checker = new Thread(
+                () -> {
+                    String no = no(entry);
+                    String said = no.isEmpty() ? String.join("\n", now.difference(follower.applied(entry))) : "!" + no;
+                    queue.add(() -> {
+                        trying = false;
+                        send(from, List.of(Wire.REPLY, token, said));
+                    });
+                },
+                "spartrail-policy-check");
         checker.setDaemon(true);
         checker.start();
     }
 
     private void order(String from, List<?> plain) {
-        Op op = new Op(Op.Kind.valueOf((String) plain.get(2)), Wire.number(plain, 3), (String) plain.get(4), (String) plain.get(5),
+        Op op = new Op(
+                Op.Kind.valueOf((String) plain.get(2)),
+                Wire.number(plain, 3),
+                (String) plain.get(4),
+                (String) plain.get(5),
                 (String) plain.get(1));
         if (op.kind() != Op.Kind.PROPOSE && op.kind() != Op.Kind.ABORT) {
             return;
@@ -409,7 +457,8 @@
             send(from, List.of(Wire.DONE, op.token(), "", addressOfLeader()));
             return;
         }
-        deciding.order(op, came -> send(from, List.of(Wire.DONE, op.token(), came == null ? "" : came, addressOfLeader())));
+        deciding.order(
+                op, came -> send(from, List.of(Wire.DONE, op.token(), came == null ? "" : came, addressOfLeader())));
     }
 
     private String addressOfLeader() {
@@ -428,10 +477,22 @@
     /** The log has moved on: all that are there are to ask anew. */
     private void changed() {
         PolicyLog log = deciding.log();
-        carrier.note("log", "holds", log.holds().number(), "open", log.open() == null ? 0 : log.open().number(),
-                "stage", log.open() == null ? "" : log.open().stage().name(), "leading", deciding.leading(),
-                "last", log.entries().isEmpty() ? "" : log.entries().get(log.entries().size() - 1).number() + " "
-                        + log.entries().get(log.entries().size() - 1).stage() + " " + log.entries().get(log.entries().size() - 1).why());
+        carrier.note(
+                "log",
+                "holds",
+                log.holds().number(),
+                "open",
+                log.open() == null ? 0 : log.open().number(),
+                "stage",
+                log.open() == null ? "" : log.open().stage().name(),
+                "leading",
+                deciding.leading(),
+                "last",
+                log.entries().isEmpty()
+                        ? ""
+                        : log.entries().get(log.entries().size() - 1).number() + " "
+                                + log.entries().get(log.entries().size() - 1).stage() + " "
+                                + log.entries().get(log.entries().size() - 1).why());
         if (deciding.leading()) {
             there.forEach(node -> send(addresses.get(node), List.of(Wire.NEWS)));
             follower.news(host.nowMs());
@@ -443,7 +504,8 @@
             return;
         }
         int kind = Wire.whole(plain, 0);
-        String called = kind == Wire.LOG ? LogWire.NAMES.get(Wire.whole((List<?>) plain.get(1), 0) - 1) : Wire.NAMES.get(kind);
+        String called =
+                kind == Wire.LOG ? LogWire.NAMES.get(Wire.whole((List<?>) plain.get(1), 0) - 1) : Wire.NAMES.get(kind);
         CrashPoint.reached("before", "sending", called);
         pieces.cut(Wire.bytes(plain)).forEach(piece -> carrier.send(address, piece));
         CrashPoint.reached("after", "sending", called);
