--- a/policy/src/main/java/spartrail/governing/Journal.java
+++ b/policy/src/main/java/spartrail/governing/Journal.java
@@ -42,11 +42,13 @@
 final class Journal implements RaftStore, AutoCloseable {
     /** What is synced, each before a word is given that rests on it. */
     static final List<String> SYNCED = List.of("SELF", "GROUP", "TERM", "FLUSH", "ANEW");
+
     private static final int FORM = 1;
     private static final int HEAD = 12;
     private static final int MOST_RECORD = 1 << 22;
     /** A file is written anew when it is so large and a snapshot has made some of it needless. */
     private static final long LARGE = 1 << 20;
+
     private static final String NAME = "policy.log";
 
     /** Drills have a disk that is full after so many bytes. */
@@ -71,8 +73,8 @@
     static void found(Path folder, String fleet, String node, List<String> deciders) throws IOException {
         Files.createDirectories(folder);
         Path fresh = folder.resolve(NAME + ".new");
-        try (FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
-                StandardOpenOption.WRITE)) {
+        try (FileChannel out = FileChannel.open(
+                fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
             writeAll(out, record(List.of("FIRST", FORM, fleet, node, deciders)));
             out.force(true);
         }
@@ -118,7 +120,8 @@
             throw new IOException(file + ": is of form " + head.get(1) + ", this program reads form " + FORM);
         }
         if (!head.get(2).equals(fleet) || !head.get(3).equals(node)) {
-            throw new IOException(file + ": is that of " + head.get(3) + " in " + head.get(2) + ", found by " + node + " in " + fleet);
+            throw new IOException(file + ": is that of " + head.get(3) + " in " + head.get(2) + ", found by " + node
+                    + " in " + fleet);
         }
         for (List<?> each : records.subList(1, records.size())) {
             try {
@@ -136,13 +139,17 @@
         while (all.remaining() > 0) {
             int at = all.position();
             int length = all.remaining() < HEAD ? MOST_RECORD : all.getInt(at);
-            // Danger: a spoilt length that points beyond the end would look like a torn tail, and cut off what was synced.
+            // Danger: a spoilt length that points beyond the end would look like a torn tail, and cut off what was
+            // synced.
             if (length < 0 || length > MOST_RECORD || all.remaining() >= HEAD && all.getInt(at + 4) != ~length) {
                 throw new IOException(file + ": the record at byte " + at + " is spoilt");
             }
             if (all.remaining() - HEAD < length) {
-                System.getLogger("spartrail.governing").log(System.Logger.Level.WARNING, file + ": a torn tail of "
-                        + all.remaining() + " bytes, which was never synced, is cut off");
+                System.getLogger("spartrail.governing")
+                        .log(
+                                System.Logger.Level.WARNING,
+                                file + ": a torn tail of " + all.remaining()
+                                        + " bytes, which was never synced, is cut off");
                 channel.truncate(at);
                 channel.force(true);
                 break;
@@ -162,11 +169,17 @@
 
     private void taken(List<?> record) {
         switch ((String) record.get(0)) {
-            case "SELF" -> self = LogWire.MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(Decider.of(record.get(1)))
-                    .setVoting((Boolean) record.get(2)).build();
+            case "SELF" -> self = LogWire.MODEL
+                    .createRaftEndpointPersistentStateBuilder()
+                    .setLocalEndpoint(Decider.of(record.get(1)))
+                    .setVoting((Boolean) record.get(2))
+                    .build();
             case "GROUP" -> group = LogWire.group((List<?>) record.get(1));
-            case "TERM" -> term = LogWire.MODEL.createRaftTermPersistentStateBuilder().setTerm(Wire.whole(record, 1))
-                    .setVotedFor(Decider.of(record.get(2))).build();
+            case "TERM" -> term = LogWire.MODEL
+                    .createRaftTermPersistentStateBuilder()
+                    .setTerm(Wire.whole(record, 1))
+                    .setVotedFor(Decider.of(record.get(2)))
+                    .build();
             case "ENTRY" -> {
                 LogEntry entry = LogWire.entry((List<?>) record.get(1));
                 entries.put(entry.getIndex(), entry);
@@ -175,7 +188,8 @@
             case "UNTIL" -> entries.headMap(Wire.number(record, 1), true).clear();
             case "CHUNK" -> {
                 SnapshotChunk chunk = LogWire.chunk((List<?>) record.get(1));
-                chunks.computeIfAbsent(chunk.getIndex(), index -> new TreeMap<>()).put(chunk.getSnapshotChunkIndex(), chunk);
+                chunks.computeIfAbsent(chunk.getIndex(), index -> new TreeMap<>())
+                        .put(chunk.getSnapshotChunkIndex(), chunk);
             }
             case "DROP" -> chunks.remove(Wire.number(record, 1));
             default -> throw new IllegalArgumentException("unknown record " + record.get(0));
@@ -196,12 +210,22 @@
         for (TreeMap<Integer, SnapshotChunk> parts : chunks.values()) {
             SnapshotChunk one = parts.firstEntry().getValue();
             if (parts.size() == one.getSnapshotChunkCount()) {
-                snapshot = LogWire.MODEL.createSnapshotEntryBuilder().setIndex(one.getIndex()).setTerm(one.getTerm())
-                        .setSnapshotChunks(new ArrayList<>(parts.values())).setGroupMembersView(one.getGroupMembersView()).build();
+                snapshot = LogWire.MODEL
+                        .createSnapshotEntryBuilder()
+                        .setIndex(one.getIndex())
+                        .setTerm(one.getTerm())
+                        .setSnapshotChunks(new ArrayList<>(parts.values()))
+                        .setGroupMembersView(one.getGroupMembersView())
+                        .build();
             }
         }
         long from = snapshot == null ? 0 : snapshot.getIndex();
-        return new RestoredRaftState(self, group, term, snapshot, new ArrayList<>(entries.tailMap(from, false).values()));
+        return new RestoredRaftState(
+                self,
+                group,
+                term,
+                snapshot,
+                new ArrayList<>(entries.tailMap(from, false).values()));
     }
 
     // ---- Writing ----
@@ -224,8 +248,11 @@
             }
         } catch (IOException e) {
             broken = true;
-            System.getLogger("spartrail.governing").log(System.Logger.Level.ERROR, folder.resolve(NAME)
-                    + ": cannot be written, this node decides about policy no more: " + e.getMessage());
+            System.getLogger("spartrail.governing")
+                    .log(
+                            System.Logger.Level.ERROR,
+                            folder.resolve(NAME) + ": cannot be written, this node decides about policy no more: "
+                                    + e.getMessage());
             throw e;
         }
         taken(record);
@@ -233,7 +260,12 @@
 
     private static ByteBuffer record(List<?> plain) {
         byte[] body = Wire.bytes(plain);
-        return ByteBuffer.allocate(HEAD + body.length).putInt(body.length).putInt(~body.length).putInt(crc(body)).put(body).flip();
+        return ByteBuffer.allocate(HEAD + body.length)
+                .putInt(body.length)
+                .putInt(~body.length)
+                .putInt(crc(body))
+                .put(body)
+                .flip();
     }
 
     private static int crc(byte[] body) {
@@ -319,14 +351,15 @@
     private void anew() throws IOException {
         needless = false;
         Path fresh = folder.resolve(NAME + ".new");
-        FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
-                StandardOpenOption.WRITE);
+        FileChannel out = FileChannel.open(
+                fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
         List<List<?>> records = new ArrayList<>();
         records.add(first);
         records.add(List.of("SELF", Decider.name(self.getLocalEndpoint()), self.isVoting()));
         records.add(List.of("GROUP", LogWire.plain(group)));
         records.add(List.of("TERM", term.getTerm(), Decider.name(term.getVotedFor())));
-        chunks.values().forEach(parts -> parts.values().forEach(chunk -> records.add(List.of("CHUNK", LogWire.plain(chunk)))));
+        chunks.values()
+                .forEach(parts -> parts.values().forEach(chunk -> records.add(List.of("CHUNK", LogWire.plain(chunk)))));
         entries.values().forEach(entry -> records.add(List.of("ENTRY", LogWire.plain(entry))));
         for (List<?> record : records) {
             writeAll(out, record(record));
--- a/policy/src/main/java/spartrail/governing/LogWire.java
+++ b/policy/src/main/java/spartrail/governing/LogWire.java
@@ -29,31 +29,62 @@
 /** The library's messages and entries as plain lists, and back. The first value of a message is its kind. */
 final class LogWire {
     /** Kinds of messages, by their numbers from 1 on. */
-    static final List<String> NAMES = List.of("ENTRIES", "ENTRIES TAKEN", "ENTRIES REFUSED", "SNAPSHOT", "SNAPSHOT TAKEN", "PRE-VOTE ASKED",
-            "PRE-VOTE", "VOTE ASKED", "VOTE", "LEAD");
+    static final List<String> NAMES = List.of(
+            "ENTRIES",
+            "ENTRIES TAKEN",
+            "ENTRIES REFUSED",
+            "SNAPSHOT",
+            "SNAPSHOT TAKEN",
+            "PRE-VOTE ASKED",
+            "PRE-VOTE",
+            "VOTE ASKED",
+            "VOTE",
+            "LEAD");
+
     static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
 
-    private LogWire() {
-    }
+    private LogWire() {}
 
     /** A message; null for a kind that is not known. */
     static List<?> plain(RaftMessage message) {
-        List<Object> out = new ArrayList<>(List.of(0, message.getGroupId(), Decider.name(message.getSender()), message.getTerm()));
+        List<Object> out =
+                new ArrayList<>(List.of(0, message.getGroupId(), Decider.name(message.getSender()), message.getTerm()));
         if (message instanceof AppendEntriesRequest m) {
             List<Object> entries = new ArrayList<>();
             m.getLogEntries().forEach(entry -> entries.add(plain(entry)));
-            fill(out, 1, m.getPreviousLogTerm(), m.getPreviousLogIndex(), m.getCommitIndex(), entries, m.getQuerySequenceNumber(),
+            fill(
+                    out,
+                    1,
+                    m.getPreviousLogTerm(),
+                    m.getPreviousLogIndex(),
+                    m.getCommitIndex(),
+                    entries,
+                    m.getQuerySequenceNumber(),
                     m.getFlowControlSequenceNumber());
         } else if (message instanceof AppendEntriesSuccessResponse m) {
             fill(out, 2, m.getLastLogIndex(), m.getQuerySequenceNumber(), m.getFlowControlSequenceNumber());
         } else if (message instanceof AppendEntriesFailureResponse m) {
             fill(out, 3, m.getExpectedNextIndex(), m.getQuerySequenceNumber(), m.getFlowControlSequenceNumber());
         } else if (message instanceof InstallSnapshotRequest m) {
-            fill(out, 4, m.isSenderLeader(), m.getSnapshotTerm(), m.getSnapshotIndex(), m.getTotalSnapshotChunkCount(),
-                    m.getSnapshotChunk() == null ? "" : plain(m.getSnapshotChunk()), Decider.names(m.getSnapshottedMembers()),
-                    plain(m.getGroupMembersView()), m.getQuerySequenceNumber(), m.getFlowControlSequenceNumber());
+            fill(
+                    out,
+                    4,
+                    m.isSenderLeader(),
+                    m.getSnapshotTerm(),
+                    m.getSnapshotIndex(),
+                    m.getTotalSnapshotChunkCount(),
+                    m.getSnapshotChunk() == null ? "" : plain(m.getSnapshotChunk()),
+                    Decider.names(m.getSnapshottedMembers()),
+                    plain(m.getGroupMembersView()),
+                    m.getQuerySequenceNumber(),
+                    m.getFlowControlSequenceNumber());
         } else if (message instanceof InstallSnapshotResponse m) {
-            fill(out, 5, m.getSnapshotIndex(), m.getRequestedSnapshotChunkIndex(), m.getQuerySequenceNumber(),
+            fill(
+                    out,
+                    5,
+                    m.getSnapshotIndex(),
+                    m.getRequestedSnapshotChunkIndex(),
+                    m.getQuerySequenceNumber(),
                     m.getFlowControlSequenceNumber());
         } else if (message instanceof PreVoteRequest m) {
             fill(out, 6, m.getLastLogTerm(), m.getLastLogIndex());
@@ -84,33 +115,91 @@
             case 1 -> {
                 List<LogEntry> entries = new ArrayList<>();
                 ((List<?>) in.get(7)).forEach(entry -> entries.add(entry((List<?>) entry)));
-                yield MODEL.createAppendEntriesRequestBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                        .setPreviousLogTerm(whole(in, 4)).setPreviousLogIndex(number(in, 5)).setCommitIndex(number(in, 6))
-                        .setLogEntries(entries).setQuerySequenceNumber(number(in, 8)).setFlowControlSequenceNumber(number(in, 9)).build();
+                yield MODEL.createAppendEntriesRequestBuilder()
+                        .setGroupId(group)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setPreviousLogTerm(whole(in, 4))
+                        .setPreviousLogIndex(number(in, 5))
+                        .setCommitIndex(number(in, 6))
+                        .setLogEntries(entries)
+                        .setQuerySequenceNumber(number(in, 8))
+                        .setFlowControlSequenceNumber(number(in, 9))
+                        .build();
             }
-            case 2 -> MODEL.createAppendEntriesSuccessResponseBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                    .setLastLogIndex(number(in, 4)).setQuerySequenceNumber(number(in, 5)).setFlowControlSequenceNumber(number(in, 6)).build();
-            case 3 -> MODEL.createAppendEntriesFailureResponseBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                    .setExpectedNextIndex(number(in, 4)).setQuerySequenceNumber(number(in, 5)).setFlowControlSequenceNumber(number(in, 6))
+            case 2 -> MODEL.createAppendEntriesSuccessResponseBuilder()
+                    .setGroupId(group)
+                    .setSender(sender)
+                    .setTerm(term)
+                    .setLastLogIndex(number(in, 4))
+                    .setQuerySequenceNumber(number(in, 5))
+                    .setFlowControlSequenceNumber(number(in, 6))
+                    .build();
+            case 3 -> MODEL.createAppendEntriesFailureResponseBuilder()
+                    .setGroupId(group)
+                    .setSender(sender)
+                    .setTerm(term)
+                    .setExpectedNextIndex(number(in, 4))
+                    .setQuerySequenceNumber(number(in, 5))
+                    .setFlowControlSequenceNumber(number(in, 6))
+                    .build();
+            case 4 -> MODEL.createInstallSnapshotRequestBuilder()
+                    .setGroupId(group)
+                    .setSender(sender)
+                    .setTerm(term)
+                    .setSenderLeader((Boolean) in.get(4))
+                    .setSnapshotTerm(whole(in, 5))
+                    .setSnapshotIndex(number(in, 6))
+                    .setTotalSnapshotChunkCount(whole(in, 7))
+                    .setSnapshotChunk(in.get(8) instanceof List<?> chunk ? chunk(chunk) : null)
+                    .setSnapshottedMembers(Decider.of(Wire.names(in.get(9))))
+                    .setGroupMembersView(group((List<?>) in.get(10)))
+                    .setQuerySequenceNumber(number(in, 11))
+                    .setFlowControlSequenceNumber(number(in, 12))
+                    .build();
+            case 5 -> MODEL.createInstallSnapshotResponseBuilder()
+                    .setGroupId(group)
+                    .setSender(sender)
+                    .setTerm(term)
+                    .setSnapshotIndex(number(in, 4))
+                    .setRequestedSnapshotChunkIndex(whole(in, 5))
+                    .setQuerySequenceNumber(number(in, 6))
+                    .setFlowControlSequenceNumber(number(in, 7))
+                    .build();
+            case 6 -> MODEL.createPreVoteRequestBuilder()
+                    .setGroupId(group)
+                    .setSender(sender)
+                    .setTerm(term)
+                    .setLastLogTerm(whole(in, 4))
+                    .setLastLogIndex(number(in, 5))
+                    .build();
+            case 7 -> MODEL.createPreVoteResponseBuilder()
+                    .setGroupId(group)
+                    .setSender(sender)
+                    .setTerm(term)
+                    .setGranted((Boolean) in.get(4))
+                    .build();
+            case 8 -> MODEL.createVoteRequestBuilder()
+                    .setGroupId(group)
+                    .setSender(sender)
+                    .setTerm(term)
+                    .setLastLogTerm(whole(in, 4))
+                    .setLastLogIndex(number(in, 5))
+                    .setSticky((Boolean) in.get(6))
+                    .build();
+            case 9 -> MODEL.createVoteResponseBuilder()
+                    .setGroupId(group)
+                    .setSender(sender)
+                    .setTerm(term)
+                    .setGranted((Boolean) in.get(4))
+                    .build();
+            case 10 -> MODEL.createTriggerLeaderElectionRequestBuilder()
+                    .setGroupId(group)
+                    .setSender(sender)
+                    .setTerm(term)
+                    .setLastLogTerm(whole(in, 4))
+                    .setLastLogIndex(number(in, 5))
                     .build();
-            case 4 -> MODEL.createInstallSnapshotRequestBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                    .setSenderLeader((Boolean) in.get(4)).setSnapshotTerm(whole(in, 5)).setSnapshotIndex(number(in, 6))
-                    .setTotalSnapshotChunkCount(whole(in, 7)).setSnapshotChunk(in.get(8) instanceof List<?> chunk ? chunk(chunk) : null)
-                    .setSnapshottedMembers(Decider.of(Wire.names(in.get(9)))).setGroupMembersView(group((List<?>) in.get(10)))
-                    .setQuerySequenceNumber(number(in, 11)).setFlowControlSequenceNumber(number(in, 12)).build();
-            case 5 -> MODEL.createInstallSnapshotResponseBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                    .setSnapshotIndex(number(in, 4)).setRequestedSnapshotChunkIndex(whole(in, 5)).setQuerySequenceNumber(number(in, 6))
-                    .setFlowControlSequenceNumber(number(in, 7)).build();
-            case 6 -> MODEL.createPreVoteRequestBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                    .setLastLogTerm(whole(in, 4)).setLastLogIndex(number(in, 5)).build();
-            case 7 -> MODEL.createPreVoteResponseBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                    .setGranted((Boolean) in.get(4)).build();
-            case 8 -> MODEL.createVoteRequestBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                    .setLastLogTerm(whole(in, 4)).setLastLogIndex(number(in, 5)).setSticky((Boolean) in.get(6)).build();
-            case 9 -> MODEL.createVoteResponseBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                    .setGranted((Boolean) in.get(4)).build();
-            case 10 -> MODEL.createTriggerLeaderElectionRequestBuilder().setGroupId(group).setSender(sender).setTerm(term)
-                    .setLastLogTerm(whole(in, 4)).setLastLogIndex(number(in, 5)).build();
             default -> throw new IllegalArgumentException("unknown kind " + in.get(0));
         };
     }
@@ -120,14 +209,21 @@
     }
 
     static LogEntry entry(List<?> in) {
-        return MODEL.createLogEntryBuilder().setIndex(number(in, 0)).setTerm(whole(in, 1)).setOperation(operation((List<?>) in.get(2)))
+        return MODEL.createLogEntryBuilder()
+                .setIndex(number(in, 0))
+                .setTerm(whole(in, 1))
+                .setOperation(operation((List<?>) in.get(2)))
                 .build();
     }
 
     /** What an entry does: one of ours, or a change of who decides. */
     private static List<?> operation(Object operation) {
         if (operation instanceof UpdateRaftGroupMembersOp op) {
-            return List.of("MEMBERS", Decider.names(op.getMembers()), Decider.names(op.getVotingMembers()), Decider.name(op.getEndpoint()),
+            return List.of(
+                    "MEMBERS",
+                    Decider.names(op.getMembers()),
+                    Decider.names(op.getVotingMembers()),
+                    Decider.name(op.getEndpoint()),
                     op.getMode().name());
         }
         return ((Op) operation).plain();
@@ -135,9 +231,12 @@
 
     private static Object operation(List<?> in) {
         if (in.get(0).equals("MEMBERS")) {
-            return MODEL.createUpdateRaftGroupMembersOpBuilder().setMembers(Decider.of(Wire.names(in.get(1))))
-                    .setVotingMembers(Decider.of(Wire.names(in.get(2)))).setEndpoint(Decider.of(in.get(3)))
-                    .setMode(MembershipChangeMode.valueOf((String) in.get(4))).build();
+            return MODEL.createUpdateRaftGroupMembersOpBuilder()
+                    .setMembers(Decider.of(Wire.names(in.get(1))))
+                    .setVotingMembers(Decider.of(Wire.names(in.get(2))))
+                    .setEndpoint(Decider.of(in.get(3)))
+                    .setMode(MembershipChangeMode.valueOf((String) in.get(4)))
+                    .build();
         }
         return Op.of(in);
     }
@@ -147,18 +246,31 @@
     }
 
     static RaftGroupMembersView group(List<?> in) {
-        return MODEL.createRaftGroupMembersViewBuilder().setLogIndex(number(in, 0)).setMembers(Decider.of(Wire.names(in.get(1))))
-                .setVotingMembers(Decider.of(Wire.names(in.get(2)))).build();
+        return MODEL.createRaftGroupMembersViewBuilder()
+                .setLogIndex(number(in, 0))
+                .setMembers(Decider.of(Wire.names(in.get(1))))
+                .setVotingMembers(Decider.of(Wire.names(in.get(2))))
+                .build();
     }
 
     static List<?> plain(SnapshotChunk chunk) {
-        return List.of(chunk.getIndex(), chunk.getTerm(), chunk.getOperation(), chunk.getSnapshotChunkIndex(),
-                chunk.getSnapshotChunkCount(), plain(chunk.getGroupMembersView()));
+        return List.of(
+                chunk.getIndex(),
+                chunk.getTerm(),
+                chunk.getOperation(),
+                chunk.getSnapshotChunkIndex(),
+                chunk.getSnapshotChunkCount(),
+                plain(chunk.getGroupMembersView()));
     }
 
     static SnapshotChunk chunk(List<?> in) {
-        return MODEL.createSnapshotChunkBuilder().setIndex(number(in, 0)).setTerm(whole(in, 1)).setOperation(in.get(2))
-                .setSnapshotChunkIndex(whole(in, 3)).setSnapshotChunkCount(whole(in, 4)).setGroupMembersView(group((List<?>) in.get(5)))
+        return MODEL.createSnapshotChunkBuilder()
+                .setIndex(number(in, 0))
+                .setTerm(whole(in, 1))
+                .setOperation(in.get(2))
+                .setSnapshotChunkIndex(whole(in, 3))
+                .setSnapshotChunkCount(whole(in, 4))
+                .setGroupMembersView(group((List<?>) in.get(5)))
                 .build();
     }
 }
--- a/policy/src/main/java/spartrail/governing/Operator.java
+++ b/policy/src/main/java/spartrail/governing/Operator.java
@@ -37,7 +37,9 @@
     /** Speaks from this machine; the node's file has to name it among its operators. */
     public Operator(Form form, boolean loopback) throws IOException {
         this.form = form;
-        this.socket = loopback ? new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0)) : new DatagramSocket();
+        this.socket = loopback
+                ? new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0))
+                : new DatagramSocket();
         this.pieces = new Pieces(1100, new SecureRandom().nextInt());
         socket.setSoTimeout(ANSWER_MS);
     }
@@ -77,7 +79,8 @@
      * Gives an order, and follows it to whoever leads; a number, or {@code !} and what is wrong. {@code where} is another way to an
      * address that a node names, as a rig has it. The same order may arrive twice and counts once.
      */
-    public String order(String address, Op.Kind kind, long number, String text, String who, Function<String, String> where)
+    public String order(
+            String address, Op.Kind kind, long number, String text, String who, Function<String, String> where)
             throws IOException {
         String token = UUID.randomUUID().toString();
         String to = address;
@@ -89,7 +92,8 @@
             String leader = reply == null ? "" : (String) reply.get(3);
             to = leader.isEmpty() ? address : where.apply(leader);
             if (reply != null && (i > 0 || leader.isEmpty())) {
-                // Danger: two nodes that name each other, or one that is lost, would use up all tries before another one leads.
+                // Danger: two nodes that name each other, or one that is lost, would use up all tries before another
+                // one leads.
                 pause();
             }
         }
@@ -107,7 +111,8 @@
 
     private List<?> asked(String address, List<?> question, String token, int kind) throws IOException {
         int colon = address.lastIndexOf(':');
-        InetSocketAddress to = new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        InetSocketAddress to =
+                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
         for (byte[] piece : pieces.cut(Wire.bytes(question))) {
             byte[] frame = form.frame(piece);
             socket.send(new DatagramPacket(frame, frame.length, to));
@@ -122,7 +127,9 @@
                 return null;
             }
             byte[] piece = form.piece(Arrays.copyOf(buffer, packet.getLength()), packet.getLength());
-            byte[] whole = piece == null ? null : pieces.whole(packet.getSocketAddress().toString(), piece);
+            byte[] whole = piece == null
+                    ? null
+                    : pieces.whole(packet.getSocketAddress().toString(), piece);
             List<?> reply = whole == null ? List.of(-1) : Wire.plain(whole);
             if (Wire.whole(reply, 0) == kind && token.equals(reply.get(1))) {
                 return reply;
--- a/policy/src/main/java/spartrail/governing/Page.java
+++ b/policy/src/main/java/spartrail/governing/Page.java
@@ -14,10 +14,10 @@
     /** A page is one message; the latest so many proposals are in it. */
     private static final int MOST_ENTRIES = 50;
 
-    private Page() {
-    }
+    private Page() {}
 
-    static String of(String node, Ruling given, PolicyFollower follower, Deciding deciding, String leader, double nowMs) {
+    static String of(
+            String node, Ruling given, PolicyFollower follower, Deciding deciding, String leader, double nowMs) {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = new JsonFactory().createGenerator(text)) {
             out.writeStartObject();
@@ -25,7 +25,8 @@
             Ruling now = given == null ? null : given.at(nowMs);
             out.writeStringField("by", now == null ? "" : now.name());
             out.writeBooleanField("guarded", now != null && now.guarded());
-            out.writeNumberField("forMs", now == null || Double.isInfinite(now.untilMs()) ? -1 : Math.round(now.untilMs() - nowMs));
+            out.writeNumberField(
+                    "forMs", now == null || Double.isInfinite(now.untilMs()) ? -1 : Math.round(now.untilMs() - nowMs));
             out.writeStringField("unfit", follower.unfit());
             out.writeStringField("terms", now == null ? "{}" : now.terms().json());
             out.writeBooleanField("decides", deciding != null);
@@ -41,7 +42,8 @@
             out.writeArrayFieldStart("entries");
             if (deciding != null) {
                 var entries = deciding.log().entries();
-                for (PolicyLog.Entry entry : entries.subList(Math.max(0, entries.size() - MOST_ENTRIES), entries.size())) {
+                for (PolicyLog.Entry entry :
+                        entries.subList(Math.max(0, entries.size() - MOST_ENTRIES), entries.size())) {
                     entry(out, null, entry);
                 }
             }
--- a/policy/src/main/java/spartrail/governing/Pieces.java
+++ b/policy/src/main/java/spartrail/governing/Pieces.java
@@ -15,8 +15,7 @@
     private static final int MOST_PIECES = 256;
     private static final int MOST_UNFINISHED = 64;
 
-    private record Key(String from, int number) {
-    }
+    private record Key(String from, int number) {}
 
     private final int mostBytes;
     private final Map<Key, byte[][]> unfinished = new LinkedHashMap<>();
@@ -32,14 +31,19 @@
         int room = mostBytes - HEAD;
         int count = Math.max(1, (message.length + room - 1) / room);
         if (count > MOST_PIECES) {
-            throw new IllegalArgumentException(message.length + " bytes, at most " + MOST_PIECES * room + " are expected");
+            throw new IllegalArgumentException(
+                    message.length + " bytes, at most " + MOST_PIECES * room + " are expected");
         }
         number++;
         List<byte[]> pieces = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             int length = Math.min(room, message.length - i * room);
-            pieces.add(ByteBuffer.allocate(HEAD + length).putInt(number).putShort((short) i).putShort((short) count)
-                    .put(message, i * room, length).array());
+            pieces.add(ByteBuffer.allocate(HEAD + length)
+                    .putInt(number)
+                    .putShort((short) i)
+                    .putShort((short) count)
+                    .put(message, i * room, length)
+                    .array());
         }
         return pieces;
     }
--- a/policy/src/main/java/spartrail/governing/PolicySaid.java
+++ b/policy/src/main/java/spartrail/governing/PolicySaid.java
@@ -9,7 +9,8 @@
 
 /** What the peers' file says about policy; its form is in {@code deploy/peers.schema.json}. */
 final class PolicySaid {
-    private static final Set<String> NAMES = new TreeSet<>(Set.of("deciders", "leaseMs", "askMs", "prepareMs", "readyMs", "drift"));
+    private static final Set<String> NAMES =
+            new TreeSet<>(Set.of("deciders", "leaseMs", "askMs", "prepareMs", "readyMs", "drift"));
 
     final List<String> deciders = new ArrayList<>();
     final PolicyTimes times;
@@ -17,20 +18,28 @@
     PolicySaid(Map<?, ?> tree) {
         for (Object name : tree.keySet()) {
             if (!NAMES.contains(name)) {
-                throw new IllegalArgumentException("/policy/" + name + ": is unknown, one of " + NAMES + " is expected");
+                throw new IllegalArgumentException(
+                        "/policy/" + name + ": is unknown, one of " + NAMES + " is expected");
             }
         }
-        if (!(tree.get("deciders") instanceof List<?> names) || names.size() != 3 && names.size() != 5
+        if (!(tree.get("deciders") instanceof List<?> names)
+                || names.size() != 3 && names.size() != 5
                 || Set.copyOf(names).size() != names.size()) {
-            throw new IllegalArgumentException("/policy/deciders: found " + tree.get("deciders") + ", the names of 3 or 5 nodes are expected");
+            throw new IllegalArgumentException(
+                    "/policy/deciders: found " + tree.get("deciders") + ", the names of 3 or 5 nodes are expected");
         }
         names.forEach(name -> deciders.add(String.valueOf(name)));
         PolicyTimes usual = PolicyTimes.USUAL;
-        times = new PolicyTimes(number(tree, "leaseMs", usual.leaseMs()), number(tree, "askMs", usual.askMs()),
-                number(tree, "prepareMs", usual.prepareMs()), number(tree, "readyMs", usual.readyMs()), number(tree, "drift", usual.drift()));
+        times = new PolicyTimes(
+                number(tree, "leaseMs", usual.leaseMs()),
+                number(tree, "askMs", usual.askMs()),
+                number(tree, "prepareMs", usual.prepareMs()),
+                number(tree, "readyMs", usual.readyMs()),
+                number(tree, "drift", usual.drift()));
         if (times.askMs() * 2 > times.leaseMs() || times.drift() > 0.2) {
-            throw new IllegalArgumentException("/policy/leaseMs: found " + times.leaseMs() + " with askMs " + times.askMs() + " and drift "
-                    + times.drift() + ", at least two questions a lease and a drift of 0.2 at most are expected");
+            throw new IllegalArgumentException("/policy/leaseMs: found " + times.leaseMs() + " with askMs "
+                    + times.askMs() + " and drift " + times.drift()
+                    + ", at least two questions a lease and a drift of 0.2 at most are expected");
         }
     }
 
--- a/policy/src/main/java/spartrail/governing/Wire.java
+++ b/policy/src/main/java/spartrail/governing/Wire.java
@@ -43,12 +43,12 @@
 
     static final String CHECK = "check ";
 
-    static final List<String> NAMES = List.of("ASK", "TOLD", "ELSEWHERE", "NEWS", "LOG", "ORDER", "DONE", "QUESTION", "REPLY");
+    static final List<String> NAMES =
+            List.of("ASK", "TOLD", "ELSEWHERE", "NEWS", "LOG", "ORDER", "DONE", "QUESTION", "REPLY");
 
     private static final CBORFactory CBOR = new CBORFactory();
 
-    private Wire() {
-    }
+    private Wire() {}
 
     /** A list of lists, numbers, text and flags as bytes. */
     public static byte[] bytes(List<?> plain) {
@@ -90,25 +90,37 @@
     }
 
     static Ask ask(List<?> plain) {
-        return new Ask(number(plain, 1), (String) plain.get(2), number(plain, 3), (String) plain.get(4), (String) plain.get(5));
+        return new Ask(number(plain, 1), (String) plain.get(2), number(plain, 3), (String) plain.get(4), (String)
+                plain.get(5));
     }
 
     static List<?> told(Told told) {
-        return List.of(TOLD, told.nonce(), told.index(), entry(told.holds()), told.open() == null ? "" : entry(told.open()));
+        return List.of(
+                TOLD, told.nonce(), told.index(), entry(told.holds()), told.open() == null ? "" : entry(told.open()));
     }
 
     static Told told(List<?> plain) {
-        return new Told(number(plain, 1), number(plain, 2), entry(plain.get(3)), plain.get(4) instanceof List<?> ? entry(plain.get(4)) : null);
+        return new Told(
+                number(plain, 1),
+                number(plain, 2),
+                entry(plain.get(3)),
+                plain.get(4) instanceof List<?> ? entry(plain.get(4)) : null);
     }
 
     private static List<?> entry(PolicyLog.Entry entry) {
-        return List.of(entry.number(), entry.settings(), entry.by(), entry.stage().name(), entry.why(), entry.token());
+        return List.of(
+                entry.number(), entry.settings(), entry.by(), entry.stage().name(), entry.why(), entry.token());
     }
 
     private static PolicyLog.Entry entry(Object plain) {
         List<?> list = (List<?>) plain;
-        return new PolicyLog.Entry(number(list, 0), (String) list.get(1), (String) list.get(2),
-                PolicyLog.Stage.valueOf((String) list.get(3)), (String) list.get(4), (String) list.get(5));
+        return new PolicyLog.Entry(
+                number(list, 0),
+                (String) list.get(1),
+                (String) list.get(2),
+                PolicyLog.Stage.valueOf((String) list.get(3)),
+                (String) list.get(4),
+                (String) list.get(5));
     }
 
     static long number(List<?> plain, int at) {
--- a/policy/src/test/java/spartrail/governing/JournalTest.java
+++ b/policy/src/test/java/spartrail/governing/JournalTest.java
@@ -21,6 +21,7 @@
 class JournalTest {
     @TempDir
     private Path folder;
+
     private Path file;
 
     private final Logger quiet = Logger.getLogger("spartrail.governing");
@@ -33,17 +34,32 @@
     }
 
     private static LogEntry entry(long index, String text) {
-        return LogWire.MODEL.createLogEntryBuilder().setIndex(index).setTerm(2).setOperation(new Op(Op.Kind.PROPOSE, 0, text, "first", "t"))
+        return LogWire.MODEL
+                .createLogEntryBuilder()
+                .setIndex(index)
+                .setTerm(2)
+                .setOperation(new Op(Op.Kind.PROPOSE, 0, text, "first", "t"))
                 .build();
     }
 
     private void fill() throws IOException {
         try (Journal journal = new Journal(folder, "recife", "n0")) {
-            journal.persistAndFlushLocalEndpoint(LogWire.MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(new Decider("n0"))
-                    .setVoting(true).build());
-            journal.persistAndFlushInitialGroupMembers(LogWire.MODEL.createRaftGroupMembersViewBuilder().setLogIndex(0)
-                    .setMembers(Decider.of(journal.deciders())).setVotingMembers(Decider.of(journal.deciders())).build());
-            journal.persistAndFlushTerm(LogWire.MODEL.createRaftTermPersistentStateBuilder().setTerm(2).setVotedFor(new Decider("n1")).build());
+            journal.persistAndFlushLocalEndpoint(LogWire.MODEL
+                    .createRaftEndpointPersistentStateBuilder()
+                    .setLocalEndpoint(new Decider("n0"))
+                    .setVoting(true)
+                    .build());
+            journal.persistAndFlushInitialGroupMembers(LogWire.MODEL
+                    .createRaftGroupMembersViewBuilder()
+                    .setLogIndex(0)
+                    .setMembers(Decider.of(journal.deciders()))
+                    .setVotingMembers(Decider.of(journal.deciders()))
+                    .build());
+            journal.persistAndFlushTerm(LogWire.MODEL
+                    .createRaftTermPersistentStateBuilder()
+                    .setTerm(2)
+                    .setVotedFor(new Decider("n1"))
+                    .build());
             journal.persistLogEntries(List.of(entry(1, "a"), entry(2, "b"), entry(3, "c")));
             journal.truncateLogEntriesFrom(3);
             journal.persistLogEntries(List.of(entry(3, "d")));
@@ -54,9 +70,13 @@
     private String read() throws IOException {
         try (Journal journal = new Journal(folder, "recife", "n0")) {
             RestoredRaftState state = journal.restored();
-            return state == null ? "nothing" : state.getTermPersistentState().getTerm() + " "
-                    + Decider.name(state.getTermPersistentState().getVotedFor()) + " " + state.getLogEntries().stream()
-                    .map(entry -> entry.getIndex() + ((Op) entry.getOperation()).text()).collect(Collectors.joining(" "));
+            return state == null
+                    ? "nothing"
+                    : state.getTermPersistentState().getTerm() + " "
+                            + Decider.name(state.getTermPersistentState().getVotedFor()) + " "
+                            + state.getLogEntries().stream()
+                                    .map(entry -> entry.getIndex() + ((Op) entry.getOperation()).text())
+                                    .collect(Collectors.joining(" "));
         }
     }
 
@@ -99,16 +119,22 @@
             byte[] spoilt = all.clone();
             spoilt[at] ^= 0x10;
             Files.write(file, spoilt);
-            assertThatThrownBy(this::read).as("byte " + at).isInstanceOf(IOException.class).hasMessageContaining("is spoilt");
+            assertThatThrownBy(this::read)
+                    .as("byte " + at)
+                    .isInstanceOf(IOException.class)
+                    .hasMessageContaining("is spoilt");
             assertThat(file).as("what is refused stays as it was").hasBinaryContent(spoilt);
         }
     }
 
     @Test
     void aFolderOfAnotherNodeOrFleetOrInUseIsRefused() throws IOException {
-        assertThatThrownBy(() -> new Journal(folder, "recife", "n1")).hasMessage(file + ": is that of n0 in recife, found by n1 in recife");
-        assertThatThrownBy(() -> new Journal(folder, "macon", "n0")).hasMessage(file + ": is that of n0 in recife, found by n0 in macon");
-        assertThatThrownBy(() -> Journal.found(folder, "recife", "n0", List.of("n0"))).hasMessage(file + ": is there already");
+        assertThatThrownBy(() -> new Journal(folder, "recife", "n1"))
+                .hasMessage(file + ": is that of n0 in recife, found by n1 in recife");
+        assertThatThrownBy(() -> new Journal(folder, "macon", "n0"))
+                .hasMessage(file + ": is that of n0 in recife, found by n0 in macon");
+        assertThatThrownBy(() -> Journal.found(folder, "recife", "n0", List.of("n0")))
+                .hasMessage(file + ": is there already");
         Files.writeString(file, "{\"fleet\": \"recife\", \"what\": \"something else\"}");
         assertThatThrownBy(() -> new Journal(folder, "recife", "n0")).hasMessageContaining("spoilt");
     }
