--- a/lab/src/main/java/spartrail/lab/fleet/FleetPlan.java
+++ b/lab/src/main/java/spartrail/lab/fleet/FleetPlan.java
@@ -29,6 +29,7 @@
         double silentNoticeMs,
         List<ServerLine> servers,
         List<Deed> script) {
+    /** An index server of the plan. */
     public record ServerLine(String id, int cell, String zone, Traits traits, double rating) {}
 
     /** What is done to some servers, or to the lists of some nodes (of all where none is named), and when. */
--- a/lab/src/main/java/spartrail/lab/plan/LoadPlan.java
+++ b/lab/src/main/java/spartrail/lab/plan/LoadPlan.java
@@ -29,11 +29,13 @@
         double connectMs,
         double lagBoundMs,
         double lingerMs) {
+    /** A part of the plan with a rate of its own. */
     public record Phase(String name, double lastsMs, Rate rate) {}
 
     /** Clients who all come within a time, each on a connection of its own. */
     public record Crowd(double atMs, double withinMs, int clients, int stream) {}
 
+    /** A front node under load. */
     public record Target(String host, int port, String zone) {
         @Override
         public String toString() {
--- a/lab/src/main/java/spartrail/lab/plan/Rate.java
+++ b/lab/src/main/java/spartrail/lab/plan/Rate.java
@@ -13,6 +13,7 @@
     /** Expected from the phase's beginning until then. */
     double until(double ms, double lastsMs);
 
+    /** The same rate all along. */
     record Steady(double perS) implements Rate {
         @Override
         public double perS(double ms, double lastsMs) {
@@ -25,6 +26,7 @@
         }
     }
 
+    /** A rate that changes evenly over the phase. */
     record Ramp(double fromPerS, double toPerS) implements Rate {
         @Override
         public double perS(double ms, double lastsMs) {
@@ -73,6 +75,7 @@
         }
     }
 
+    /** A rate that swings around its mean. */
     record Wave(double meanPerS, double swingPerS, double periodMs) implements Rate {
         @Override
         public double perS(double ms, double lastsMs) {
@@ -101,6 +104,7 @@
         }
     }
 
+    /** Rates that add up. */
     record Sum(List<Rate> of) implements Rate {
         @Override
         public double perS(double ms, double lastsMs) {
--- a/node/src/main/java/spartrail/cli/SubsetCommand.java
+++ b/node/src/main/java/spartrail/cli/SubsetCommand.java
@@ -1,5 +1,6 @@
 package spartrail.cli;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
@@ -8,6 +9,7 @@
 import java.util.Locale;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
+import spartrail.json.JsonTree;
 import spartrail.membership.EndpointList;
 import spartrail.model.Server;
 import spartrail.provisioning.DeploymentFile;
@@ -63,10 +65,12 @@
                     .filter(line -> line.state() == Server.State.LIVE)
                     .map(line -> new LiveServer(line.id(), line.zone(), line.cell(), line.rating()))
                     .toList();
-        } catch (IOException | IllegalArgumentException e) {
-            String fault =
-                    Files.isReadable(list) ? e.getMessage().lines().findFirst().orElse("unusable") : "cannot be read";
-            throw new IllegalArgumentException(list + ": " + fault, e);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(list + ": no JSON: " + JsonTree.fault(e), e);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("cannot read " + list, e);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(list + ": " + e.getMessage(), e);
         }
     }
 
--- a/node/src/main/java/spartrail/record/MultigetRecord.java
+++ b/node/src/main/java/spartrail/record/MultigetRecord.java
@@ -14,7 +14,8 @@
 
 /**
  * Writes one JSON line for each multiget taken: its time (Unix milliseconds), op type, key, shards, weights, work, size of
- * its text and its client's time; where policy has versions, also which one decided it, and when on the machine's monotonic clock. Texts are not kept. What comes faster than the disk takes it is left out and counted;
+ * its text and its client's time; where policy has versions, also which one decided it, and when on the machine's
+ * monotonic clock. Texts are not kept. What comes faster than the disk takes it is left out and counted;
  * at the bound the record ends, with a whole last line.
  */
 public final class MultigetRecord implements AutoCloseable {
--- a/node/src/test/java/spartrail/front/FrontNodeTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeTest.java
@@ -481,7 +481,8 @@
     }
 
     /**
-     * A module that, once it has decided on a multiget with connections open to all, tells that the server chosen is to drain; with the I/O thread paused
+     * A module that, once it has decided on a multiget with connections open to all, tells that the server chosen is
+     * to drain; with the I/O thread paused
      * until discovery has written it, or with its own thread paused until it has been read.
      */
     private void drainsWhatIsChosen(boolean ioPaused) throws Exception {
--- a/policy/src/main/java/spartrail/governing/Journal.java
+++ b/policy/src/main/java/spartrail/governing/Journal.java
@@ -33,7 +33,8 @@
  *
  * <ol>
  * <li>No word is given before what it rests on is synced: each call that says so, and {@link #flush}, syncs.
- * <li>A record whose head is whole or cut off, and that ends with the file before its length, is a torn tail: it was never synced, no word rests on it, it is cut off.
+ * <li>A record whose head is whole or cut off, and that ends with the file before its length, is a torn tail: it was
+ * never synced, no word rests on it, it is cut off.
  * <li>A record that is whole and whose sum is wrong may have been synced, and a word given: the file is not used, the node does
  *     not vote.
  * <li>Once a write or a sync has failed nothing more is written: what the file holds then is not known.
