--- /dev/null
+++ b/lab/src/test/java/spartrail/lab/scale/ScaleTestsTest.java
@@ -0,0 +1,74 @@
+package spartrail.lab.scale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import spartrail.lab.file.BadInput;
+import spartrail.membership.EndpointList;
+
+class ScaleTestsTest {
+    private static List<Fit.Point> points(java.util.function.DoubleUnaryOperator curve) {
+        return IntStream.of(1000, 4000, 16_000, 62_000)
+                .mapToObj(size -> new Fit.Point(size, curve.applyAsDouble(size)))
+                .toList();
+    }
+
+    @Test
+    void aLineAndAPowerAreFoundAndTheirResidualsShown() {
+        Fit line = Fit.of(points(size -> 3 + 0.5 * size));
+        assertThat(line.formula()).isEqualTo("3 + 0.5 * size");
+        assertThat(line.at().applyAsDouble(1e6)).isCloseTo(500_003, within(1.0));
+        Fit power = Fit.of(points(size -> 2 * Math.pow(size, 0.3)));
+        assertThat(power.formula()).isEqualTo("2 * size^0.300");
+        assertThat(power.error()).isCloseTo(0, within(1e-9));
+        Fit rough = Fit.of(points(size -> size == 4000 ? 6000 : size));
+        assertThat(rough.residuals()).anyMatch(residual -> Math.abs(residual) > 0.1);
+        assertThat(Fit.of(points(size -> 0)).at().applyAsDouble(9)).isZero();
+    }
+
+    @Test
+    void everyFigureOfProcessorTimeIsMeasuredOnTheRealObjects() throws Exception {
+        for (ScaleTest test : new ScaleTests(0, Benchmarks.Effort.QUICK).list()) {
+            if (test.unit().equals("us")) {
+                assertThat(test.measurement().at(test.size().equals("parts") ? 10 : 500))
+                        .as(test.name())
+                        .isPositive();
+            }
+        }
+    }
+
+    @Test
+    void withSubsetsTheModuleIsSmallerThanItsFleet() throws Exception {
+        double all = ScaleTests.named("module-heap", 0).measurement().at(8000);
+        double subset = ScaleTests.named("module-heap", 4).measurement().at(8000);
+        assertThat(subset).isLessThan(all / 5);
+    }
+
+    @Test
+    void theListIsTheOneThatNodesRead() throws Exception {
+        EndpointList list = HollowServers.list(600, 250, 32);
+        assertThat(EndpointList.decode(HollowServers.json(list).getBytes(StandardCharsets.UTF_8)))
+                .isEqualTo(list);
+    }
+
+    @Test
+    void aResultTellsPointsFitAndTarget() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        List<Fit.Point> points = points(size -> 2 * size);
+        ScaleResult result = new ScaleResult(ScaleTests.named("list-bytes", 0), 0, points, Fit.of(points));
+        result.print(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+        assertThat(bytes.toString(StandardCharsets.UTF_8))
+                .contains("| 62000 | 1.24e+05 | 1.24e+05 | +0% |", "(measured; largest size run 62000)");
+        assertThat(result.json().get("points")).hasSize(4);
+        assertThatThrownBy(() -> ScaleTests.named("module-hip", 0))
+                .isInstanceOf(BadInput.class)
+                .hasMessageStartingWith("no scale test is named 'module-hip'; there are [module-heap, ");
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/spartrail/lab/subset/SubsetRunTest.java
@@ -0,0 +1,49 @@
+package spartrail.lab.subset;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import spartrail.subset.SubsetSettings;
+
+/** Hollow fleets through losses and lists that part; all from seeds, none needs a clock. */
+class SubsetRunTest {
+    private static final int CHANGES = 6;
+    private static final FleetShape SHAPE = new FleetShape(60, 600, 20, 4, new SubsetSettings(4, 3), "");
+
+    @Test
+    void promisesHoldThroughLossesAndLateListsAndARunIsTheSameTwice() {
+        for (long seed = 1; seed <= 12; seed++) {
+            SubsetRun.Outcome outcome = SubsetRun.play(SHAPE, seed, CHANGES, SubsetFault.NONE);
+            assertThat(outcome.examples()).as("seed %d", seed).isEmpty();
+            assertThat(outcome.checks()).isGreaterThan(10_000);
+            assertThat(SubsetRun.play(SHAPE, seed, CHANGES, SubsetFault.NONE)).isEqualTo(outcome);
+        }
+    }
+
+    @Test
+    void everyPlantedFaultIsCaught() {
+        for (SubsetFault fault : SubsetFault.values()) {
+            int caught = (int) IntStream.rangeClosed(1, 3)
+                    .filter(seed -> SubsetRun.play(SHAPE, seed, CHANGES, fault).breaches() > 0)
+                    .count();
+            assertThat(caught).as(fault.summary()).isEqualTo(fault == SubsetFault.NONE ? 0 : 3);
+        }
+    }
+
+    @Test
+    void aChangeMovesNothingButTheServerItselfAndWhatItDisplaces() {
+        FleetShape shape = new FleetShape(200, 2000, 50, 8, new SubsetSettings(8, 2), "");
+        List<SubsetFigures.Row> rows = SubsetFigures.of(List.of(shape));
+        SubsetFigures.Row rendezvous = rows.get(SubsetStrategy.RENDEZVOUS.ordinal());
+        assertThat(rendezvous.connections()).isEqualTo(400);
+        assertThat(rendezvous.emptyShards()).isZero();
+        assertThat(rendezvous.leastZones()).isGreaterThanOrEqualTo(2);
+        assertThat(rendezvous.movedByJoin()).isZero();
+        assertThat(rendezvous.movedByLeave()).isLessThanOrEqualTo(rendezvous.most());
+        assertThat(rendezvous.mostOverMean())
+                .isLessThan(rows.get(SubsetStrategy.RANDOM.ordinal()).mostOverMean() + 0.5);
+        assertThat(rows.get(SubsetStrategy.ROUNDS.ordinal()).movedByJoin()).isGreaterThan(200);
+    }
+}
--- a/node/src/main/java/spartrail/discovery/HostWatch.java
+++ b/node/src/main/java/spartrail/discovery/HostWatch.java
@@ -14,7 +14,6 @@
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioExecutor;
@@ -56,6 +55,7 @@
     private static final int LONGEST = 1024 * 1024;
 
     private final XnioIoThread io;
+    private final Timers timers;
     private final ByteBufferPool buffers;
     private InetSocketAddress address;
     private final boolean onRequest;
@@ -79,7 +79,18 @@
     /** On request: after a failure it waits to be started anew, else it goes on by itself. */
     public HostWatch(
             XnioIoThread io, ByteBufferPool buffers, InetSocketAddress address, boolean onRequest, Listener listener) {
+        this(io, Timers.of(io), buffers, address, onRequest, listener);
+    }
+
+    HostWatch(
+            XnioIoThread io,
+            Timers timers,
+            ByteBufferPool buffers,
+            InetSocketAddress address,
+            boolean onRequest,
+            Listener listener) {
         this.io = io;
+        this.timers = timers;
         this.buffers = buffers;
         this.address = address;
         this.onRequest = onRequest;
@@ -133,7 +144,7 @@
             return;
         }
         long number = ++call;
-        askedNs = System.nanoTime();
+        askedNs = timers.nanoTime();
         // Danger: a silent agent and one that has nothing to tell look the same for as long as a call waits; where it
         // has
         // been silent, one that hardly waits finds out. Danger: a change counts as told 6 s after discovery had it and
@@ -142,13 +153,8 @@
         waitMs = !had || moved ? 0 : failures == 0 ? WAIT_MS : SHORT_WAIT_MS;
         // Danger: discovery that is down says nothing at all, and a call without an end would be the last. Danger: of a
         // process that stood still the answer may wait in the socket; so it is looked at first.
-        timer = io.executeAfter(
-                () -> {
-                    timer = io.executeAfter(
-                            () -> failed(number, "no answer in time"), LAST_LOOK_MS, TimeUnit.MILLISECONDS);
-                },
-                waitMs + ANSWER_MS,
-                TimeUnit.MILLISECONDS);
+        Runnable giveUp = () -> failed(number, "no answer in time");
+        timer = timers.after(waitMs + ANSWER_MS, () -> timer = timers.after(LAST_LOOK_MS, giveUp));
         if (connection != null && connection.isOpen()) {
             request(number);
             return;
@@ -252,7 +258,7 @@
             return;
         }
         timer.remove();
-        boolean early = waitMs == WAIT_MS && System.nanoTime() - askedNs < 1e6 * PAUSE_MS;
+        boolean early = waitMs == WAIT_MS && timers.nanoTime() - askedNs < 1e6 * PAUSE_MS;
         if (failures > 0) {
             LOG.log(System.Logger.Level.INFO, "discovery answers again after " + failures + " failed calls");
             failures = 0;
@@ -274,7 +280,7 @@
             // Danger: one that does not wait, or knows only an older list, would be asked without a pause. (A watch
             // goes on
             // only if its next call comes within this time.)
-            timer = io.executeAfter(this::ask, PAUSE_MS / 2, TimeUnit.MILLISECONDS);
+            timer = timers.after(PAUSE_MS / 2, this::ask);
         } else {
             ask();
         }
@@ -297,7 +303,7 @@
             running = false;
         } else {
             // Danger: what the agent has counts as told while no watch is open.
-            timer = io.executeAfter(this::ask, failures == 1 ? 0 : PAUSE_MS, TimeUnit.MILLISECONDS);
+            timer = timers.after(failures == 1 ? 0 : PAUSE_MS, this::ask);
         }
     }
 }
--- /dev/null
+++ b/node/src/main/java/spartrail/discovery/Timers.java
@@ -0,0 +1,29 @@
+package spartrail.discovery;
+
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** The time that a watch goes by: the I/O thread's own, or one that a test holds. */
+interface Timers {
+    /** Runs this on the I/O thread after so long, unless the key is removed before. */
+    XnioExecutor.Key after(long ms, Runnable task);
+
+    /** A clock that never steps. */
+    long nanoTime();
+
+    /** The I/O thread's timers and the system's clock. */
+    static Timers of(XnioIoThread io) {
+        return new Timers() {
+            @Override
+            public XnioExecutor.Key after(long ms, Runnable task) {
+                return io.executeAfter(task, ms, TimeUnit.MILLISECONDS);
+            }
+
+            @Override
+            public long nanoTime() {
+                return System.nanoTime();
+            }
+        };
+    }
+}
--- a/node/src/test/java/spartrail/discovery/HostWatchTest.java
+++ b/node/src/test/java/spartrail/discovery/HostWatchTest.java
@@ -38,6 +38,10 @@
     private final List<HttpServer> servers = new ArrayList<>();
     private XnioWorker worker;
     private HostWatch watch;
+    /** Whether time passes only as the test says. */
+    private boolean held;
+
+    private HeldTimers timers;
 
     /** Discovery that gives these answers, one to a call, and is silent from then on. */
     private HttpServer discovery(String name, String... texts) throws IOException {
@@ -72,8 +76,10 @@
 
     private void watch(InetSocketAddress address, boolean onRequest) throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        timers = new HeldTimers(worker.getIoThread());
         watch = new HostWatch(
                 worker.getIoThread(),
+                held ? timers : Timers.of(worker.getIoThread()),
                 new DefaultByteBufferPool(true, 1024),
                 address,
                 onRequest,
@@ -151,13 +157,20 @@
     @Test
     void aSilentWatchIsOpenedAnewBeforeItsNewsCountAsToldAndOneThatWasSilentFindsOutSoonWhetherItStillIs()
             throws Exception {
+        held = true;
         watch(discovery("", list(41, true, LINE.formatted("s-1", "SERVING"))));
         assertThat(trace(3)).endsWith("GET /discovery/hosts?since=41&timeout_ms=4000\n");
-        long silentNs = System.nanoTime();
-        assertThat(trace(2)).isEqualTo("not to be had\nGET /discovery/hosts?since=41&timeout_ms=50\n");
-        assertThat(System.nanoTime() - silentNs).isLessThan(5_500_000_000L);
+        timers.pass(4601);
+        assertThat(seen).isEmpty();
+        timers.pass(1);
         assertThat(trace(2)).isEqualTo("not to be had\nGET /discovery/hosts?since=41&timeout_ms=50\n");
-        assertThat(System.nanoTime() - silentNs).isLessThan(6_500_000_000L);
+        timers.pass(651);
+        assertThat(seen).isEmpty();
+        timers.pass(1);
+        assertThat(trace(1)).isEqualTo("not to be had\n");
+        timers.pass(200);
+        assertThat(trace(1)).isEqualTo("GET /discovery/hosts?since=41&timeout_ms=50\n");
+        assertThat(timers.nanoTime()).as("before the news count as told").isLessThan(6_000_000_000L);
     }
 
     @Test
@@ -182,6 +195,14 @@
                 """);
     }
 
+    /** Until discovery has stopped half-way on so many connections. */
+    private void awaitSilent(int connections) throws InterruptedException {
+        for (int tries = 0; silent.size() < connections && tries < 20_000; tries++) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertThat(silent).hasSize(connections);
+    }
+
     private enum End {
         RESET,
         END,
@@ -231,11 +252,17 @@
 
     @Test
     void aListThatFallsSilentInTheMiddleIsGivenUpAndAskedForAnew() throws Exception {
+        held = true;
         raw(
                 "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + list(41, true, LINE.formatted("s-1", "SERVING")),
                 4096,
                 End.SILENCE);
-        assertThat(trace(2)).isEqualTo("not to be had\nnot to be had\n");
+        awaitSilent(1);
+        timers.pass(602);
+        assertThat(trace(1)).isEqualTo("not to be had\n");
+        awaitSilent(2);
+        timers.pass(602);
+        assertThat(trace(1)).isEqualTo("not to be had\n");
         assertThat(silent).as("connections, each for one call").hasSizeGreaterThan(1);
     }
 
