--- a/lab/src/main/java/spartrail/lab/cli/SubsetFleet.java
+++ b/lab/src/main/java/spartrail/lab/cli/SubsetFleet.java
@@ -85,6 +85,8 @@
         if (nodes < 1 || servers < 1 || shards < 1 || zones < 1 || regions < 1 || changes < 1 || seeds < 0) {
             throw new BadInput("numbers of 1 or more are expected");
         }
+        // Before anything is printed: settings that no subset can keep are refused.
+        settings();
         return switch (what) {
             case EVEN -> even(out);
             case CHECK -> check(out, err);
--- a/lab/src/test/java/spartrail/lab/cli/LabCommandLineTest.java
+++ b/lab/src/test/java/spartrail/lab/cli/LabCommandLineTest.java
@@ -93,4 +93,46 @@
                 .startsWith("0 ")
                 .doesNotContain("differs");
     }
+
+    @Test
+    void wrongSizesOfScaleTestsAndFleetsAreOneLine() {
+        assertThat(String.join(
+                        "\n",
+                        run("scale", "run", "module-hip").replaceAll("there are .*", "..."),
+                        run("scale", "run", "list-bytes", "--size", "10", "--size", "20"),
+                        run("scale", "run", "list-bytes", "--subset", "1"),
+                        run("subset", "even", "--nodes", "0"),
+                        run("subset", "check", "--replicas", "2")))
+                .isEqualTo(
+                        """
+                        2 spartrail: no scale test is named 'module-hip'; ...
+                        2 spartrail: --size: found [10, 20], 4 different sizes or more are expected
+                        2 spartrail: --subset: found 1, 0 or a number of 2 or more is expected
+                        2 spartrail: numbers of 1 or more are expected
+                        2 spartrail: 'leastZones of subset': found 3, 1 to 'replicasPerShard', 2, is expected""");
+    }
+
+    @Test
+    void aScaleTestIsStoredAsALineOfJson() throws Exception {
+        Path store = folder.resolve("scale.jsonl");
+        String[] sizes = {"--size", "10", "--size", "20", "--size", "40", "--size", "80"};
+        assertThat(run(
+                        "scale",
+                        "run",
+                        "list-bytes",
+                        sizes[0],
+                        sizes[1],
+                        sizes[2],
+                        sizes[3],
+                        sizes[4],
+                        sizes[5],
+                        sizes[6],
+                        sizes[7],
+                        "--store",
+                        store.toString()))
+                .contains("| servers | MB | fit | residual |", "(by the fit; largest size run 80)");
+        assertThat(Files.readString(store))
+                .startsWith("{\"test\":\"list-bytes\"")
+                .endsWith("}\n");
+    }
 }
