--- a/lab/src/main/java/spartrail/lab/scale/Fit.java
+++ b/lab/src/main/java/spartrail/lab/scale/Fit.java
@@ -9,6 +9,9 @@
     /** A measured figure at a size. */
     public record Point(double size, double figure) {}
 
+    /** Where a point lies further off than this the figure does not follow the curve, and nothing is extrapolated. */
+    private static final double MOST_RESIDUAL = 0.25;
+
     /** Needs two points or more of different sizes. */
     public static Fit of(List<Point> points) {
         Fit line = line(points);
@@ -17,6 +20,11 @@
         return power.error() < line.error() ? power : line;
     }
 
+    /** Whether every point lies near the curve. */
+    public boolean holds() {
+        return residuals.stream().allMatch(residual -> Math.abs(residual) <= MOST_RESIDUAL);
+    }
+
     /** Root of the mean square of the residuals. */
     public double error() {
         return Math.sqrt(residuals.stream()
--- a/lab/src/main/java/spartrail/lab/scale/ScaleResult.java
+++ b/lab/src/main/java/spartrail/lab/scale/ScaleResult.java
@@ -8,13 +8,13 @@
 
 /** What a scale test has measured. */
 public record ScaleResult(ScaleTest test, int replicasPerShard, List<Fit.Point> points, Fit fit) {
-    /** The figure at the target: measured where that size was run, else by the fit. */
+    /** The figure at the target: measured where that size was run, else by the fit; NaN where no fit holds. */
     public double atTarget() {
         return points.stream()
                 .filter(point -> point.size() == test.target())
                 .mapToDouble(Fit.Point::figure)
                 .findFirst()
-                .orElseGet(() -> fit.at().applyAsDouble(test.target()));
+                .orElseGet(() -> fit.holds() ? fit.at().applyAsDouble(test.target()) : Double.NaN);
     }
 
     public double largestRun() {
@@ -40,16 +40,17 @@
                     fit.at().applyAsDouble(point.size()),
                     100 * fit.residuals().get(i));
         }
-        out.printf(
-                Locale.ROOT,
-                "%nFit: %s. At the target, %d %s: %.4g %s (%s; largest size run %.0f).%n",
-                fit.formula(),
-                test.target(),
-                test.size(),
-                atTarget(),
-                test.unit(),
-                largestRun() >= test.target() ? "measured" : "by the fit",
-                largestRun());
+        String fitted = fit.holds() ? "Fit: " + fit.formula() : "No fit holds (nearest: " + fit.formula() + ")";
+        out.printf("%n%s. At the target, %d %s: %s%n", fitted, test.target(), test.size(), target());
+    }
+
+    private String target() {
+        if (Double.isNaN(atTarget())) {
+            return String.format(Locale.ROOT, "not extrapolated (largest size run %.0f).", largestRun());
+        }
+        String how = largestRun() >= test.target() ? "measured" : "by the fit";
+        return String.format(
+                Locale.ROOT, "%.4g %s (%s; largest size run %.0f).", atTarget(), test.unit(), how, largestRun());
     }
 
     public ObjectNode json() {
@@ -62,6 +63,7 @@
                 .put("fit", fit.formula())
                 .put("error", fit.error())
                 .put("target", test.target())
+                .put("holds", fit.holds())
                 .put("atTarget", atTarget())
                 .put("largestRun", largestRun());
         var array = node.putArray("points");
--- a/lab/src/test/java/spartrail/lab/scale/ScaleTestsTest.java
+++ b/lab/src/test/java/spartrail/lab/scale/ScaleTestsTest.java
@@ -34,6 +34,10 @@
         assertThat(power.error()).isCloseTo(0, within(1e-9));
         Fit rough = Fit.of(points(size -> size == 4000 ? 6000 : size));
         assertThat(rough.residuals()).anyMatch(residual -> Math.abs(residual) > 0.1);
+        assertThat(line.holds()).isTrue();
+        assertThat(Fit.of(points(size -> size == 62_000 ? 20 * size : size)).holds())
+                .as("a jump")
+                .isFalse();
         assertThat(Fit.of(points(size -> 0)).at().applyAsDouble(9)).isZero();
     }
 
