--- a/lab/src/main/java/spartrail/lab/virtual/Plants.java
+++ b/lab/src/main/java/spartrail/lab/virtual/Plants.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import javax.tools.JavaCompiler;
 import javax.tools.ToolProvider;
@@ -21,7 +23,7 @@
  * file and what stands there instead. The changed class is compiled beside the real ones and the same seeds are played with it.
  */
 public final class Plants {
-    /** A fault, and the one place in the source that it changes. */
+    /** A fault, and the one place in the source that it changes; how lines are broken there does not matter. */
     public record Plant(String file, String name, String text, String instead) {
         Plant(String name, String text, String instead) {
             this("peers/Peers", name, text, instead);
@@ -168,6 +170,9 @@
                     "case LESS, SHARE_LESS, COUNT_LESS -> Math.min(",
                     "case LESS, SHARE_LESS, COUNT_LESS -> Math.max("));
 
+    private static final Pattern WORD = Pattern.compile("\\w+");
+    private static final Pattern TOKEN = Pattern.compile("\\w+|\\S");
+
     private Plants() {}
 
     /** Plays the seeds with each fault planted. */
@@ -179,12 +184,14 @@
                 throw new BadInput(source + ": is not there; faults are planted in the repository's source");
             }
             String text = Files.readString(source);
-            int at = text.indexOf(plant.text());
-            if (at < 0 || text.indexOf(plant.text(), at + 1) >= 0) {
+            Matcher place = place(plant.text()).matcher(text);
+            long places = place.results().count();
+            if (places != 1) {
                 throw new BadInput("the fault '" + plant.name()
-                        + "' does not fit the source any more: its text is there " + (at < 0 ? "never" : "twice"));
+                        + "' does not fit the source any more: its text is there " + (places == 0 ? "never" : "twice"));
             }
-            plays.add(() -> played(plant, text.replace(plant.text(), plant.instead()), from, count, most));
+            String changed = place.reset().replaceFirst(Matcher.quoteReplacement(plant.instead()));
+            plays.add(() -> played(plant, changed, from, count, most));
         }
         ExecutorService players =
                 Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors());
@@ -199,6 +206,17 @@
         }
     }
 
+    /** Where a text of the source stands, however its lines are broken. */
+    private static Pattern place(String text) {
+        StringBuilder pattern = new StringBuilder();
+        String before = "";
+        for (Matcher token = TOKEN.matcher(text); token.find(); before = token.group()) {
+            boolean words = WORD.matcher(before).matches() && WORD.matcher(token.group()).matches();
+            pattern.append(before.isEmpty() ? "" : words ? "\\s+" : "\\s*").append(Pattern.quote(token.group()));
+        }
+        return Pattern.compile(pattern.toString());
+    }
+
     private static Caught played(Plant plant, String text, long from, long count, int most) throws Exception {
         Path folder = Files.createTempDirectory("spartrail-plant");
         try {
