--- a/lab/src/main/java/spartrail/lab/virtual/Plants.java
+++ b/lab/src/main/java/spartrail/lab/virtual/Plants.java
@@ -211,7 +211,8 @@
         StringBuilder pattern = new StringBuilder();
         String before = "";
         for (Matcher token = TOKEN.matcher(text); token.find(); before = token.group()) {
-            boolean words = WORD.matcher(before).matches() && WORD.matcher(token.group()).matches();
+            boolean words = WORD.matcher(before).matches()
+                    && WORD.matcher(token.group()).matches();
             pattern.append(before.isEmpty() ? "" : words ? "\\s+" : "\\s*").append(Pattern.quote(token.group()));
         }
         return Pattern.compile(pattern.toString());
