--- a/node/src/test/java/spartrail/cli/SignalsTest.java
+++ b/node/src/test/java/spartrail/cli/SignalsTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -221,6 +222,10 @@
                 client.getOutputStream()
                         .write("GET /up HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             }
+            awaitAnswerOrEnd(idle.get(idle.size() - 1));
+            assertThat(descriptorsHeld())
+                    .as("some are left to discovery and to servers")
+                    .isLessThan(DESCRIPTORS);
             fleet.tell(fleet.servers.get(0), "DRAINING");
             long reachableNs = System.nanoTime();
             fleet.silent = false;
@@ -232,4 +237,20 @@
             }
         }
     }
+
+    /** The last one to come is answered or turned away, unless there is no descriptor left for it. */
+    private static void awaitAnswerOrEnd(Socket client) throws IOException {
+        client.setSoTimeout(3000);
+        try {
+            client.getInputStream().read();
+        } catch (SocketTimeoutException e) {
+            assertThat(client.isConnected()).isTrue();
+        }
+    }
+
+    private int descriptorsHeld() {
+        String[] held =
+                Path.of("/proc", String.valueOf(process.pid()), "fd").toFile().list();
+        return held == null ? 0 : held.length;
+    }
 }
