Subsets: a server named twice, one back behind others, one in two groups

Seen in review, each with a test that is red on the code before: a list that names a server twice, at last as gone, threw and was lost (SubsetFilter.own went by the lines, now by the last line of each); a server that drained and came back while others had its place stayed in the reader as draining until it was gone (pass did not note it as displaced); a server in the subset by one group was told as joined again when another group chose it (SubsetSelector.select looked at the touched groups only). The selector derives who was in it in place of a flag in each replica.

--- a/core/src/main/java/spartrail/membership/EndpointList.java
+++ b/core/src/main/java/spartrail/membership/EndpointList.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 import spartrail.json.JsonTree;
+import spartrail.model.NodeClock;
 import spartrail.model.Server;
 
 /** A version of the list of servers, or the lines that changed. */
@@ -22,7 +23,28 @@
             int cell,
             Server.State state,
             double rating,
-            long bootMs) {}
+            long bootMs) {
+        /** The same server in another state. */
+        public Endpoint with(Server.State other) {
+            return new Endpoint(id, address, zone, kind, cell, other, rating, bootMs);
+        }
+    }
+
+    /** The lines as the module takes them. */
+    public List<Server> servers(NodeClock clock) {
+        List<Server> servers = new ArrayList<>(lines.size());
+        for (Endpoint line : lines) {
+            Server server = new Server(line.id());
+            server.zone = line.zone();
+            server.kind = line.kind();
+            server.cell = line.cell();
+            server.state = line.state();
+            server.rating = line.rating();
+            server.bornMs = line.bootMs() > 0 ? clock.at(line.bootMs()) : -1;
+            servers.add(server);
+        }
+        return servers;
+    }
 
     private static final Pattern HOST = Pattern.compile("[0-9.]+|\\[[0-9a-fA-F:.]+]|localhost");
     private static final JsonFactory JSON = new JsonFactory();
--- a/core/src/main/java/spartrail/subset/Replica.java
+++ b/core/src/main/java/spartrail/subset/Replica.java
@@ -9,8 +9,6 @@
     final double score;
     /** Groups of shards in whose subset it is. */
     int selectedIn;
-    /** Whether it was in any at the beginning of the present change. */
-    boolean wasSelected;
 
     Replica(String id, String zone, int cell, double weight, double score) {
         this.id = id;
--- a/core/src/main/java/spartrail/subset/ReplicaGroup.java
+++ b/core/src/main/java/spartrail/subset/ReplicaGroup.java
@@ -21,6 +21,7 @@
     private final List<Replica> ordered = new ArrayList<>();
     private final Map<String, Integer> replicasInZone = new HashMap<>();
     private List<Replica> selected = List.of();
+    private List<Replica> chosen = List.of();
     private boolean sorted = true;
     private double inclusion;
 
@@ -43,13 +44,25 @@
         }
     }
 
-    /** Chooses anew, and counts in each replica whether it is chosen here. */
-    void select(SubsetSettings settings) {
+    /** Chooses anew; the choice holds from {@link #takeChoice} on. */
+    void choose(SubsetSettings settings) {
         sort();
+        chosen = choice(settings);
+        inclusion = inclusionBound(settings);
+    }
+
+    /** Those selected so far, and those chosen now. */
+    List<Replica> concerned() {
+        List<Replica> both = new ArrayList<>(selected);
+        both.addAll(chosen);
+        return both;
+    }
+
+    /** What was chosen is selected, and each replica counts in how many groups it is. */
+    void takeChoice() {
         selected.forEach(replica -> replica.selectedIn--);
-        selected = choice(settings);
+        selected = chosen;
         selected.forEach(replica -> replica.selectedIn++);
-        inclusion = inclusionBound(settings);
     }
 
     /** The bound of {@link #inclusionBound} for the present choice; 0 without a replica. */
@@ -61,20 +74,20 @@
         int wanted = Math.min(settings.replicasPerShard(), ordered.size());
         int zonesWanted = Math.min(settings.leastZones(), replicasInZone.size());
         int places = wanted - Math.min(zonesWanted, wanted);
-        List<Replica> chosen = new ArrayList<>(wanted);
+        List<Replica> first = new ArrayList<>(wanted);
         Set<String> zones = new HashSet<>();
         for (Replica replica : ordered) {
-            if (chosen.size() == wanted) {
+            if (first.size() == wanted) {
                 break;
             }
             if (zones.size() < zonesWanted && zones.add(replica.zone)) {
-                chosen.add(replica);
+                first.add(replica);
             } else if (places > 0) {
                 places--;
-                chosen.add(replica);
+                first.add(replica);
             }
         }
-        return chosen;
+        return first;
     }
 
     List<Replica> selected() {
@@ -83,8 +96,8 @@
 
     /** Those not chosen, in the order in which they follow. */
     List<Replica> spares() {
-        Set<Replica> chosen = new HashSet<>(selected);
-        return ordered.stream().filter(replica -> !chosen.contains(replica)).toList();
+        Set<Replica> used = new HashSet<>(selected);
+        return ordered.stream().filter(replica -> !used.contains(replica)).toList();
     }
 
     /**
--- a/core/src/main/java/spartrail/subset/SubsetFilter.java
+++ b/core/src/main/java/spartrail/subset/SubsetFilter.java
@@ -39,12 +39,14 @@
         this.longestOutMs = longestOutMs;
     }
 
-    /** What this list, or change of a list, means for the node's own servers. */
+    /** What this list, or change of a list, means for the node's own servers. Of a server that is named twice the last counts. */
     public EndpointList own(EndpointList list, double nowMs) {
-        Map<String, Endpoint> gone = note(list);
+        Map<String, Endpoint> lines = new LinkedHashMap<>();
+        list.lines().forEach(line -> lines.put(line.id(), line));
+        Map<String, Endpoint> gone = note(lines, list.all());
         List<LiveServer> live = new ArrayList<>();
         List<String> notLive = new ArrayList<>(gone.keySet());
-        for (Endpoint line : list.lines()) {
+        for (Endpoint line : lines.values()) {
             if (line.state() == Server.State.LIVE) {
                 live.add(new LiveServer(line.id(), line.zone(), line.cell(), line.rating()));
             } else if (line.state() == Server.State.DRAINING) {
@@ -53,9 +55,9 @@
         }
         SubsetChange change = selector.apply(live, notLive);
         Map<String, Endpoint> own = new LinkedHashMap<>();
-        list.lines().forEach(line -> pass(line, own));
+        lines.values().forEach(line -> pass(line, own, nowMs));
         change.joined().forEach(id -> join(id, own));
-        change.displaced().forEach(id -> displace(id, own, nowMs));
+        change.displaced().forEach(id -> displace(known.get(id), own, nowMs));
         gone.values().forEach(line -> tellGone(line, own));
         forgetDisplaced(own, nowMs);
         return new EndpointList(list.version(), false, List.copyOf(own.values()));
@@ -67,12 +69,11 @@
     }
 
     /** Keeps what the list tells; returns those that it ends. */
-    private Map<String, Endpoint> note(EndpointList list) {
-        Map<String, Endpoint> gone = list.all() ? new HashMap<>(known) : new HashMap<>();
-        for (Endpoint line : list.lines()) {
+    private Map<String, Endpoint> note(Map<String, Endpoint> lines, boolean all) {
+        Map<String, Endpoint> gone = all ? new HashMap<>(known) : new HashMap<>();
+        for (Endpoint line : lines.values()) {
             if (line.state() == Server.State.GONE) {
-                Endpoint before = known.get(line.id());
-                gone.put(line.id(), before == null ? line : before);
+                gone.put(line.id(), known.getOrDefault(line.id(), line));
             } else {
                 gone.remove(line.id());
                 known.put(line.id(), shared(line));
@@ -98,12 +99,16 @@
         return names.computeIfAbsent(name, same -> same);
     }
 
-    private void pass(Endpoint line, Map<String, Endpoint> own) {
+    private void pass(Endpoint line, Map<String, Endpoint> own, double nowMs) {
         if (line.state() == Server.State.GONE || !told.contains(line.id())) {
             return;
         }
-        boolean displaced = line.state() == Server.State.LIVE && !selector.selected(line.id());
-        own.put(line.id(), displaced ? with(line, Server.State.DRAINING) : line);
+        if (line.state() == Server.State.LIVE && !selector.selected(line.id())) {
+            // Also one that drained and is back, while others have taken its place.
+            displace(line, own, nowMs);
+        } else {
+            own.put(line.id(), line);
+        }
     }
 
     private void join(String id, Map<String, Endpoint> own) {
@@ -112,15 +117,15 @@
         own.put(id, known.get(id));
     }
 
-    private void displace(String id, Map<String, Endpoint> own, double nowMs) {
-        displacedMs.put(id, nowMs);
-        own.put(id, with(known.get(id), Server.State.DRAINING));
+    private void displace(Endpoint line, Map<String, Endpoint> own, double nowMs) {
+        displacedMs.putIfAbsent(line.id(), nowMs);
+        own.put(line.id(), line.with(Server.State.DRAINING));
     }
 
     private void tellGone(Endpoint line, Map<String, Endpoint> own) {
         displacedMs.remove(line.id());
         if (told.remove(line.id())) {
-            own.put(line.id(), with(line, Server.State.GONE));
+            own.put(line.id(), line.with(Server.State.GONE));
         }
     }
 
@@ -134,12 +139,7 @@
             }
             oldest.remove();
             told.remove(next.getKey());
-            own.put(next.getKey(), with(known.get(next.getKey()), Server.State.GONE));
+            own.put(next.getKey(), known.get(next.getKey()).with(Server.State.GONE));
         }
     }
-
-    private static Endpoint with(Endpoint line, Server.State state) {
-        return new Endpoint(
-                line.id(), line.address(), line.zone(), line.kind(), line.cell(), state, line.rating(), line.bootMs());
-    }
 }
--- a/core/src/main/java/spartrail/subset/SubsetSelector.java
+++ b/core/src/main/java/spartrail/subset/SubsetSelector.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -47,26 +48,24 @@
     /** Takes what has changed: servers that are live, and the names of those that are not. */
     public SubsetChange apply(Collection<LiveServer> nowLive, Collection<String> notLive) {
         Set<ReplicaGroup> touched = new LinkedHashSet<>();
-        List<Replica> removed = new ArrayList<>();
-        notLive.forEach(id -> remove(id, touched, removed));
+        notLive.forEach(id -> remove(id, touched));
         for (LiveServer server : nowLive) {
             Replica known = live.get(server.id);
             if (known == null || !same(known, server)) {
-                remove(server.id, touched, removed);
+                remove(server.id, touched);
                 add(server, touched);
             }
         }
-        return select(touched, removed);
+        return select(touched);
     }
 
     private static boolean same(Replica known, LiveServer server) {
         return known.zone.equals(server.zone) && known.cell == server.cell && known.weight == server.weight;
     }
 
-    private void remove(String id, Set<ReplicaGroup> touched, List<Replica> removed) {
+    private void remove(String id, Set<ReplicaGroup> touched) {
         Replica replica = live.remove(id);
         if (replica != null) {
-            removed.add(replica);
             for (ReplicaGroup group : groupsOf(replica.cell)) {
                 group.remove(replica);
                 touched.add(group);
@@ -95,31 +94,25 @@
         return of;
     }
 
-    private SubsetChange select(Set<ReplicaGroup> touched, List<Replica> removed) {
-        Set<Replica> concerned = new LinkedHashSet<>();
-        touched.forEach(group -> concerned.addAll(group.selected()));
-        concerned.forEach(replica -> replica.wasSelected = replica.selectedIn > 0);
-        touched.forEach(group -> group.select(settings));
-        touched.forEach(group -> concerned.addAll(group.selected()));
-        Set<String> before = new LinkedHashSet<>();
-        removed.stream().filter(replica -> replica.wasSelected).forEach(replica -> before.add(replica.id));
-        List<String> joined = new ArrayList<>();
-        List<String> displaced = new ArrayList<>();
-        for (Replica replica : concerned) {
-            boolean isLive = live.get(replica.id) == replica;
-            boolean was = replica.wasSelected || before.contains(replica.id);
-            boolean is = replica.selectedIn > 0;
-            if (isLive && is && !was) {
-                joined.add(replica.id);
-            } else if (isLive && !is && was) {
-                displaced.add(replica.id);
+    private SubsetChange select(Set<ReplicaGroup> touched) {
+        Set<String> concerned = new LinkedHashSet<>();
+        Set<String> before = new HashSet<>();
+        for (ReplicaGroup group : touched) {
+            group.choose(settings);
+            for (Replica replica : group.concerned()) {
+                concerned.add(replica.id);
+                if (replica.selectedIn > 0) {
+                    before.add(replica.id);
+                }
             }
-            replica.wasSelected = false;
         }
-        // One that is live with another weight and was in the subset by its old one.
-        for (String id : before) {
-            Replica again = live.get(id);
-            if (again != null && again.selectedIn == 0 && !displaced.contains(id)) {
+        touched.forEach(ReplicaGroup::takeChoice);
+        List<String> joined = new ArrayList<>();
+        List<String> displaced = new ArrayList<>();
+        for (String id : concerned) {
+            if (selected(id) && !before.contains(id)) {
+                joined.add(id);
+            } else if (!selected(id) && before.contains(id) && live.containsKey(id)) {
                 displaced.add(id);
             }
         }
--- a/core/src/test/java/spartrail/subset/SubsetFilterTest.java
+++ b/core/src/test/java/spartrail/subset/SubsetFilterTest.java
@@ -91,4 +91,20 @@
         assertThat(filter.own(new EndpointList(2, false, List.of(again)), 1).lines())
                 .containsExactly(again);
     }
+
+    @Test
+    void ofAServerThatIsNamedTwiceTheLastLineCounts() {
+        assertThat(own(true, 0, live(0), live(1), line(0, Server.State.GONE), live(2)))
+                .isEqualTo("1=LIVE 2=LIVE");
+        assertThat(own(false, 1, line(1, Server.State.DRAINING), live(1))).isEqualTo("1=LIVE");
+    }
+
+    @Test
+    void oneThatDrainedAndIsBackBehindOthersIsForgottenInTime() {
+        own(true, 0, live(2), live(3));
+        own(false, 10, line(3, Server.State.DRAINING));
+        own(false, 20, live(0), live(1));
+        assertThat(own(false, 30, live(3))).isEqualTo("3=DRAINING");
+        assertThat(own(false, 1030)).isEqualTo("2=GONE 3=GONE");
+    }
 }
--- a/core/src/test/java/spartrail/subset/SubsetSelectorTest.java
+++ b/core/src/test/java/spartrail/subset/SubsetSelectorTest.java
@@ -96,6 +96,7 @@
                 change = selector.apply(List.of(), List.of(server.id()));
                 selected.remove(server.id());
             }
+            assertThat(change.joined()).as("who was in it does not join").noneMatch(selected::contains);
             selected.addAll(change.joined());
             selected.removeAll(change.displaced());
             SubsetSelector fresh = new SubsetSelector("n", new SubsetSettings(5, 3), 7, 7, 2);
