Cold ramp: the sum over nodes whose lists differ

Asked for and missing: nodes whose lists name from half to all of eight replicas, with counts wrong by up to a half; 20, 30 and 126 nodes, one and four cores, 0.3 to 0.8 used. The sum stays below what a cold server stands in all of them.

--- a/core/src/test/java/spartrail/coordination/ColdFleet.java
+++ b/core/src/test/java/spartrail/coordination/ColdFleet.java
@@ -25,8 +25,8 @@
     private static final double TURN_MS = 5;
     private static final double BORN_MS = 20_000;
 
-    /** A front node: how many nodes it is told of, and its share of the queries. */
-    record Node(int told, double partsPerMs) {}
+    /** A front node: how many nodes it is told of, its share of the queries, and how many of the replicas its list names. */
+    record Node(int told, double partsPerMs, int replicas) {}
 
     private record Event(double atMs, long number, Runnable what) implements Comparable<Event> {
         @Override
@@ -41,7 +41,7 @@
         final double partsPerMs;
         long wakes;
 
-        HollowNode(Node node, int cells, int replicas) {
+        HollowNode(Node node, int cells) {
             opType.learned.usualMs = serviceMs;
             opType.learned.lightMs = serviceMs;
             opType.learned.deviationMs = serviceMs / 5;
@@ -53,7 +53,7 @@
                     .coldStart(SHARE, WARM_MS, TIP, FALL_MS)
                     .comeback(true, 1000);
             List<Server> lines = new ArrayList<>();
-            for (int replica = 0; replica < replicas; replica++) {
+            for (int replica = 0; replica < node.replicas; replica++) {
                 lines.add(Script.line("s" + replica, replica % cells, Server.State.LIVE, -1));
             }
             partsPerMs = node.partsPerMs;
@@ -131,8 +131,8 @@
     }
 
     /** Most that the cold server was sent in any span, over what it stands with chance allowed for; above 1 it falls. */
-    double play(List<Node> nodes, int cells, int replicas) {
-        nodes.forEach(node -> new HollowNode(node, cells, replicas));
+    double play(List<Node> nodes, int cells) {
+        nodes.forEach(node -> new HollowNode(node, cells));
         while (events.peek().atMs < BORN_MS + WARM_MS) {
             Event next = events.poll();
             nowMs = next.atMs;
--- a/core/src/test/java/spartrail/coordination/ColdFleetTest.java
+++ b/core/src/test/java/spartrail/coordination/ColdFleetTest.java
@@ -15,7 +15,7 @@
 
     /** So many nodes, some with several times the queries of others; together they use this share of the warm servers. */
     private static List<ColdFleet.Node> uneven(
-            int count, double used, int cores, int replicas, double toldLeast, double toldMost, long seed) {
+            int count, double used, int cores, int leastReplicas, double toldLeast, double toldMost, long seed) {
         Random random = new Random(seed);
         double[] weights = random.doubles(count, 0.2, 3).toArray();
         double sum = 0;
@@ -26,7 +26,9 @@
         for (double weight : weights) {
             double told = count * (toldLeast + (toldMost - toldLeast) * random.nextDouble());
             nodes.add(new ColdFleet.Node(
-                    (int) Math.max(1, Math.round(told)), used * cores * replicas / SERVICE_MS * weight / sum));
+                    (int) Math.max(1, Math.round(told)),
+                    used * cores * REPLICAS / SERVICE_MS * weight / sum,
+                    leastReplicas + random.nextInt(REPLICAS - leastReplicas + 1)));
         }
         return nodes;
     }
@@ -34,7 +36,7 @@
     private static double worst(
             int count, double used, int cores, int cells, double toldLeast, double toldMost, long seed) {
         return new ColdFleet(seed, SERVICE_MS, cores)
-                .play(uneven(count, used, cores, REPLICAS, toldLeast, toldMost, seed), cells, REPLICAS);
+                .play(uneven(count, used, cores, REPLICAS, toldLeast, toldMost, seed), cells);
     }
 
     @Test
@@ -76,6 +78,22 @@
         }
     }
 
+    /** Lists that differ: each node's names from half to all of the replicas, the cold one among them. */
+    @Test
+    void nodesWhoseListsDifferDoNotBringItDown() {
+        int mean = (int) Math.round(3900 * REPLICAS / 248.0);
+        for (int count : new int[] {20, 30, mean}) {
+            for (int cores : new int[] {1, 4}) {
+                for (double used : new double[] {0.3, 0.6, 0.8}) {
+                    List<ColdFleet.Node> nodes = uneven(count, used, cores, REPLICAS / 2, 0.5, 1.5, count);
+                    assertThat(new ColdFleet(count, SERVICE_MS, cores).play(nodes, 1))
+                            .as("%d nodes, %d cores, %.1f used", count, cores, used)
+                            .isLessThan(1);
+                }
+            }
+        }
+    }
+
     @Test
     void twentyToThirtyNodesWithSeveralServersToACellBringNoColdServerDown() {
         for (int count : new int[] {20, 30, 60}) {
