The rehearsal of a node with a subset plays on the servers that it uses

Cause: at its start a node with a subset built a second module of all servers for the rehearsal (34 MB at 62,000, measured by module-heap, of 48 MB of heap), and Descriptors reckoned the servers used anew. The list is put through the subset once, before the loop starts; loop, descriptors and rehearsal take the result. Without a subset nothing changes; FrontNodeTest, RehearsalTest green.

--- a/node/src/main/java/spartrail/provisioning/DeploymentFile.java
+++ b/node/src/main/java/spartrail/provisioning/DeploymentFile.java
@@ -263,11 +263,6 @@
         return subset() == null ? null : new SubsetFilter(subsetSelector(), longestMs());
     }
 
-    /** How many servers this node can be connected to when it knows of so many. */
-    public int serversUsed(int known) {
-        return subset() == null ? known : Math.min(known, shards() * subset().replicasPerShard());
-    }
-
     /** Consecutive cells that hold a shard. */
     public int reach() {
         return (int) number(map(info, "family-info"), "width", 1);
--- a/node/src/test/java/spartrail/front/RehearsalTest.java
+++ b/node/src/test/java/spartrail/front/RehearsalTest.java
@@ -28,7 +28,8 @@
             exchange.close();
         });
         door.start();
-        new Rehearsal(new NodeClock()).play(DeploymentFile.read(Path.of("example/config.json")), door.getAddress());
+        DeploymentFile deployment = DeploymentFile.read(Path.of("example/config.json"));
+        new Rehearsal(new NodeClock(), deployment.known()).play(deployment, door.getAddress());
         door.stop(0);
         assertThat(asked)
                 .isNotEmpty()
@@ -41,6 +42,7 @@
                 .replaceAll("\"targets\": \\[(?s).*?]}", "\"targets\": []}");
         NodeClock clock = new NodeClock();
         InetSocketAddress nobody = new InetSocketAddress("127.0.0.1", 1);
-        new Rehearsal(clock).play(DeploymentFile.parse(text), nobody);
+        DeploymentFile deployment = DeploymentFile.parse(text);
+        new Rehearsal(clock, deployment.known()).play(deployment, nobody);
     }
 }
