--- a/core/src/main/java/spartrail/peers/Peers.java
+++ b/core/src/main/java/spartrail/peers/Peers.java
@@ -626,8 +626,7 @@
         }
         for (Word word : message.words()) {
             // Danger: two sides of a cut that hold each other for gone would trust no word that they are not. What a
-            // new
-            // answer says of this node itself it may refute, whoever says so.
+            // new answer says of this node itself it may refute, whoever says so.
             if (trusted || proof && word.card().name().equals(self.name())) {
                 word(word, message.from().name());
             }
@@ -932,8 +931,7 @@
         }
         if (!member.askedAgain) {
             // Danger: who was only told of a suspicion hears of its refutation late where there is much to tell; nobody
-            // ends one
-            // without having asked the suspect itself.
+            // ends one without having asked the suspect itself.
             ask(member);
             member.due = timetable.add(nowMs + times.roundMs(), () -> unrefuted(member));
             return;
--- a/core/src/main/java/spartrail/policy/PolicyFollower.java
+++ b/core/src/main/java/spartrail/policy/PolicyFollower.java
@@ -158,8 +158,7 @@
             } catch (IllegalArgumentException e) {
                 if (decided) {
                     // Danger: it was out of touch and nobody waited for its no; a lease on the version before alone
-                    // would
-                    // outlast that version.
+                    // would outlast that version.
                     lapse(last.open(), e);
                     return;
                 }
--- a/node/src/main/java/spartrail/cli/ServeCommand.java
+++ b/node/src/main/java/spartrail/cli/ServeCommand.java
@@ -64,9 +64,8 @@
         AtomicReference<FrontNode> served = new AtomicReference<>();
         synchronized (ServeCommand.class) {
             // Danger: a JVM that nobody told otherwise ends on SIGHUP, with all that it has in hand. Danger: a signal
-            // that
-            // comes between the word that the node is ready and what listens for it ends it the same way; so both come
-            // first, and wait for the start.
+            // that comes between the word that the node is ready and what listens for it ends it the same way; so both
+            // come first, and wait for the start.
             if (Signal.handle(new Signal("HUP"), signal -> reload(served, path)) == SignalHandler.SIG_IGN) {
                 // Danger: a JVM leaves a signal ignored that was so at its start, as below nohup, and no word is said
                 // when one comes.
