--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -318,6 +318,8 @@
         final ServerSocket listening;
         final List<String[]> changes = new ArrayList<>();
         long rev = 1;
+        /** How long an answer takes when it is slow. */
+        volatile long slowMs;
 
         Discovery(Rig rig) throws IOException {
             this.rig = rig;
@@ -387,6 +389,7 @@
                     } else {
                         body = whole();
                     }
+                    sleep(slowMs);
                     byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
                     socket.getOutputStream()
                             .write(("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + bytes.length
