Review case 1: half requests of 340 clients end the front node at its largest memory

Cause: a timer keeps each ended connection, with the body that it had begun, in memory for 2 s, while its bytes no longer count. Change: review/1 sends half requests instead of many large ones, at 192 MB instead of 96 MB; claim and script.

--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -1,16 +1,18 @@
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Some clients send hundreds of requests at once; the front node must go on and answer its usual clients. */
+/** Some clients stop in the middle of a request and stay; the front node must go on and answer its usual clients. */
 final class Case1 {
-    private static final int BAD_CLIENTS = 300;
-    private static final int REQUESTS_AT_ONCE = 8;
-    /** With the rest of the body it stays below the 64 KiB that a body may have. */
-    private static final int TEXT_BYTES = 64_000;
+    private static final int BAD_CLIENTS = 340;
+    private static final int ROUNDS = 3;
+    /** A body may have 64 KiB. */
+    private static final int BODY_BYTES = 65_536;
+
+    private static final int SENT_TEXT_BYTES = 65_000;
 
     private static final int USUAL_CLIENTS = 8;
     private static final double DEADLINE_S = 4.0;
@@ -27,7 +29,7 @@
             rig.addServer("s-" + i, i % 4).workMs = 40;
         }
         Config config = new Config();
-        config.memoryMb = 96;
+        config.memoryMb = 192;
         config.sockets = 1024;
         int port = Rig.freePort();
         Rig.Node node = new Rig.Node(rig, "n0", port, config.json(rig, port));
@@ -98,40 +100,32 @@
         }
     }
 
-    /** Each bad client opens a connection and sends its requests at once, at full speed, and reads what it gets. */
+    /**
+     * Each bad client opens a connection, sends half a request and stays, until it gets its error or close; then it does
+     * the same again, a few times.
+     */
     private static void flood(Rig rig, int port) throws InterruptedException {
-        byte[][] requests = new byte[BAD_CLIENTS][];
-        String text = "x".repeat(TEXT_BYTES);
-        for (int i = 0; i < BAD_CLIENTS; i++) {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            for (int j = 0; j < REQUESTS_AT_ONCE; j++) {
-                bytes.writeBytes(Rig.request(Rig.newId(), "orders", DEADLINE_S, Rig.body(text, (i + j) % 4)));
-            }
-            requests[i] = bytes.toByteArray();
-        }
-        rig.log(BAD_CLIENTS + " clients send " + REQUESTS_AT_ONCE + " requests at once each, bodies of "
-                + Rig.body(text, 0).length() + " bytes");
+        byte[] half = (("POST /orders/k1 HTTP/1.1\r\nHost: api.internal\r\nReq-Id: " + Rig.newId()
+                                + "\r\nReq-Kind: orders\r\nReq-Deadline: 4.000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + Integer.toHexString(BODY_BYTES) + "\r\n{\"segments\":[{\"segment\":0,\"boost\":1.0}],\"text\":\"")
+                        + "x".repeat(SENT_TEXT_BYTES))
+                .getBytes(StandardCharsets.US_ASCII);
+        rig.log(BAD_CLIENTS + " clients send half a request each and stay: the chunk is to have " + BODY_BYTES
+                + " bytes, some 500 of them are missing");
         CountDownLatch connected = new CountDownLatch(BAD_CLIENTS);
-        for (byte[] bytes : requests) {
+        for (int i = 0; i < BAD_CLIENTS; i++) {
             Rig.start(() -> {
-                try (Rig.Client client = new Rig.Client(port)) {
-                    connected.countDown();
-                    connected.await();
-                    Rig.start(() -> {
-                        try {
-                            client.send(bytes);
-                        } catch (IOException e) {
-                            // The front node has closed the connection, as it may.
-                        }
-                    });
-                    int answers = 0;
-                    while (answers < REQUESTS_AT_ONCE && client.receive(10_000).status() > 0) {
-                        answers++;
+                for (int round = 0; round < ROUNDS && !stopped; round++) {
+                    try (Rig.Client client = new Rig.Client(port)) {
+                        connected.countDown();
+                        connected.await();
+                        client.send(half);
+                        client.receive(5000);
+                    } catch (IOException e) {
+                        connected.countDown();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
                     }
-                } catch (IOException e) {
-                    connected.countDown();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
                 }
             });
         }
