Requests of closed client connections count as memory until they are free

Callers saw: 340 clients that sent half a request each ended the node with an OutOfMemoryError; the requests in flight of usual clients got no answer.

Cause: a connection that is closed for want of memory was taken off the count at once, but stayed in memory with its body: in the timeouts of its first request (2 s) and of a lingering close (1 s), in the I/O thread's queue of tasks, and by its key until the next selection. Heads, complete queries before their response, and pipelined bytes left after a response did not count at all.

Change: timeouts end with their connection. RequestMemory counts a request from its first byte to its response, and a closed connection until two timers have run, between which the I/O thread empties its queue and selects. Beyond the limit incomplete requests are closed and complete ones rejected.

The set-up of node processes in SignalsTest moved to NodeProcessFixture, its tests are unchanged.

--- a/node/src/main/java/spartrail/client/ClientConnection.java
+++ b/node/src/main/java/spartrail/client/ClientConnection.java
@@ -46,12 +46,24 @@
     State state = State.NEW;
     /** Whether a complete request has been read on this connection. */
     boolean hasSentRequest;
-    /** The memory reserved for a request body that is being received, in bytes. */
+    /** The bytes that were read since the current request's head or, if that is complete, its body began. */
+    long receivedBytes;
+    /** The line ends among them while the head is incomplete. */
+    int receivedLines;
+    /** The memory of the current request's head, in bytes. */
+    long headBytes;
+    /** The memory of the current request's body, in bytes. */
     long bodyBytes;
-    /** The number of bytes that are buffered for the next request. */
+    /** Whether the body's length is unknown, so that its memory grows with each read. */
+    boolean isBodyLengthUnknown;
+    /** The number of bytes that are buffered for the next requests. */
     long pipelinedBytes;
-    /** Closes the connection if receiving a head or a body, or sending a response, takes too long. */
+    /** What {@link RequestMemory} has counted for this connection, in bytes. */
+    long countedBytes;
+    /** Closes the connection if receiving a head or a body, sending a response, or the lingering close takes too long. */
     XnioExecutor.Key timeout;
+    /** Closes the connection if it sends no complete request in time after it was accepted. */
+    XnioExecutor.Key firstRequestTimeout;
 
     ClientConnection(StreamConnection channel) {
         this.channel = channel;
@@ -71,7 +83,17 @@
     }
 
     boolean isSendingBody() {
-        return bodyBytes > 0;
+        return state == State.BODY;
+    }
+
+    /** The memory of its requests, in bytes. */
+    long requestBytes() {
+        return headBytes + bodyBytes + pipelinedBytes;
+    }
+
+    /** Whether it may be closed to free the memory of its incomplete request. */
+    boolean isIncompleteAndCounted() {
+        return countedBytes > 0 && (state == State.HEAD || state == State.BODY);
     }
 
     boolean isIdle() {
@@ -85,4 +107,12 @@
             timeout = null;
         }
     }
+
+    /** Ends the time limit for the first complete request. */
+    void cancelFirstRequestTimeout() {
+        if (firstRequestTimeout != null) {
+            firstRequestTimeout.remove();
+            firstRequestTimeout = null;
+        }
+    }
 }
--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +10,7 @@
 import java.util.stream.Stream;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
@@ -19,18 +21,23 @@
  * connections.
  */
 final class ClientConnections {
+    /**
+     * The protocol closes a client without a complete request within 3 s of connecting; all timeouts together stay
+     * below that.
+     */
+    private static final int FIRST_REQUEST_TIMEOUT_MS = 2000;
+
     private static final int HEAD_TIMEOUT_MS = 1500;
     /** The I/O thread reads all ready sockets between two timers that are at least this far apart. */
     static final int POLL_DELAY_MS = 2;
 
     private static final int SCRATCH_BYTES = 8 * 1024;
+    /** Requests of clients may take one of so many parts of the heap. */
+    private static final int HEAP_PARTS = 4;
 
     private final XnioIoThread io;
     private final int maxConnections;
-    /** The most bytes that incomplete bodies, counted with their full lengths, and buffered requests may take. */
-    private final long maxBufferedBytes = Runtime.getRuntime().maxMemory() / 4;
-
-    private long bufferedBytes;
+    private final RequestMemory memory = new RequestMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS);
     private final Map<StreamConnection, ClientConnection> connections = new LinkedHashMap<>();
     private final ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
 
@@ -39,7 +46,10 @@
         this.maxConnections = maxConnections;
     }
 
-    /** Detects the first byte of a request, as Undertow reports a request only once its head is complete. */
+    /**
+     * Detects the first byte of a request and counts the memory of an incomplete one, as Undertow reports a request only
+     * once its head is complete, and a body only once it is complete.
+     */
     private final class RequestStartConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
         private final ClientConnection client;
 
@@ -50,18 +60,46 @@
 
         @Override
         public int read(ByteBuffer into) throws IOException {
+            int start = into.position();
             int count = super.read(into);
-            boolean awaitsRequest = client.state == ClientConnection.State.NEW || client.isIdle();
-            if (count > 0 && awaitsRequest) {
-                onRequestStart(client);
+            if (count > 0) {
+                onRead(client, into, start);
+                if (!client.channel.isOpen()) {
+                    throw new ClosedChannelException();
+                }
             }
             return count;
         }
     }
 
+    private void onRead(ClientConnection client, ByteBuffer buffer, int start) {
+        if (client.state == ClientConnection.State.NEW || client.isIdle()) {
+            onRequestStart(client);
+        }
+        client.receivedBytes += buffer.position() - start;
+        if (client.state == ClientConnection.State.HEAD) {
+            client.receivedLines += countLines(buffer, start);
+            client.headBytes = RequestMemory.ofHead(client.receivedBytes, client.receivedLines);
+            updateMemory(client);
+        } else if (client.isSendingBody() && client.isBodyLengthUnknown) {
+            client.bodyBytes = RequestMemory.ofBodyWithoutLength(client.receivedBytes);
+            updateMemory(client);
+        }
+    }
+
+    private static int countLines(ByteBuffer buffer, int start) {
+        int lines = 0;
+        for (int i = start; i < buffer.position(); i++) {
+            lines += buffer.get(i) == '\n' ? 1 : 0;
+        }
+        return lines;
+    }
+
     /** Called when the first bytes of a request's head were received. */
     void onRequestStart(ClientConnection client) {
         client.state = ClientConnection.State.HEAD;
+        client.receivedBytes = 0;
+        client.receivedLines = 0;
         startTimeout(client, HEAD_TIMEOUT_MS);
     }
 
@@ -122,37 +160,88 @@
 
     // ---- Memory ----
 
-    /**
-     * Reserves memory for a body that is about to be received. If there is not enough, closes connections with
-     * incomplete bodies, the longest unused first: filling the heap would end the node with all its requests in flight.
-     */
-    void reserveBody(ClientConnection client, long bytes) {
-        ClientConnection other = findFirst(ClientConnection::isSendingBody);
-        while (bufferedBytes + bytes > maxBufferedBytes && other != null) {
-            closeNow(other.channel);
-            other = findFirst(ClientConnection::isSendingBody);
-        }
-        client.bodyBytes = bytes;
-        bufferedBytes += bytes;
+    /** Counts a complete head; of the bytes read since it began, the last so many are no part of it. */
+    void countHead(ClientConnection client, int headers, int bytesBehind) {
+        client.headBytes = RequestMemory.ofHead(Math.max(0, client.receivedBytes - bytesBehind), headers);
+        updateMemory(client);
+    }
+
+    /** Counts a body that is about to be received, by its length or, if that is negative, as it is read. */
+    void beginBody(ClientConnection client, long length) {
+        client.receivedBytes = 0;
+        client.isBodyLengthUnknown = length < 0;
+        client.bodyBytes = Math.max(0, length);
+        updateMemory(client);
+    }
+
+    /** Counts a complete body until the response; false if there is no memory for it. */
+    boolean keepBody(ClientConnection client, int length) {
+        client.isBodyLengthUnknown = false;
+        client.bodyBytes = length;
+        updateMemory(client);
+        return client.countedBytes == 0 || !(memory.isExceeded() || memory.isExhausted());
     }
 
     /** Reserves memory for bytes of the next request of a connection; false if there is not enough. */
     boolean reservePipelined(StreamConnection channel, int bytes) {
         ClientConnection client = connections.get(channel);
-        boolean reserved = client != null && bufferedBytes + bytes <= maxBufferedBytes;
+        boolean reserved = client != null && memory.hasRoomFor(bytes);
         if (reserved) {
             client.pipelinedBytes += bytes;
-            bufferedBytes += bytes;
+            updateMemory(client);
         }
         return reserved;
     }
 
-    /** Releases the memory of a connection's bodies and buffered requests, and ends its timeout. */
-    void release(ClientConnection client) {
-        bufferedBytes -= client.bodyBytes + client.pipelinedBytes;
+    /** Counts what is still buffered for the next requests of a connection, and nothing else of it. */
+    void keepPipelined(ClientConnection client, int bytes) {
+        client.headBytes = 0;
         client.bodyBytes = 0;
-        client.pipelinedBytes = 0;
+        client.pipelinedBytes = bytes;
+        updateMemory(client);
+    }
+
+    /**
+     * Counts the memory of an open connection. If all of them take too much, closes others with incomplete requests, the
+     * longest unused first; if the memory of those is not free yet, closes this one if its request is incomplete.
+     */
+    private void updateMemory(ClientConnection client) {
+        if (!contains(client)) {
+            return;
+        }
+        memory.update(client);
+        closeIncompleteOthers(client);
+        if (memory.isExhausted() && client.isIncompleteAndCounted()) {
+            closeNow(client.channel);
+        }
+    }
+
+    private void closeIncompleteOthers(ClientConnection client) {
+        while (memory.isExceeded()) {
+            ClientConnection other = findFirst(candidate -> candidate != client && candidate.isIncompleteAndCounted());
+            if (other == null) {
+                return;
+            }
+            closeNow(other.channel);
+        }
+    }
+
+    /**
+     * Ends the timeouts of a removed connection, and releases the memory of its requests. Pending timeouts would keep
+     * that in memory, and so do tasks in the queue of the I/O thread and the connection's key until the next selection.
+     * So the memory counts until two timers have run, between which the I/O thread empties its queue and selects.
+     */
+    private void release(ClientConnection client) {
         client.cancelTimeout();
+        client.cancelFirstRequestTimeout();
+        long bytes = memory.beginClosing(client);
+        if (bytes > 0) {
+            afterPoll(() -> afterPoll(() -> memory.endClosing(bytes)));
+        }
+    }
+
+    private XnioExecutor.Key afterPoll(Runnable task) {
+        return io.executeAfter(task, POLL_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
     /** A buffer for the bytes of one read, shared by all connections: the next read overwrites its content. */
@@ -169,10 +258,21 @@
      */
     void startTimeout(ClientConnection client, int timeoutMs) {
         client.cancelTimeout();
+        if (!contains(client)) {
+            return;
+        }
         client.timeout = io.executeAfter(
-                () -> client.timeout =
-                        io.executeAfter(() -> closeNow(client.channel), POLL_DELAY_MS, TimeUnit.MILLISECONDS),
-                timeoutMs,
+                () -> client.timeout = afterPoll(() -> closeNow(client.channel)), timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Closes a connection that has sent no complete request in time. Its socket is read once more before that, as the
+     * request may have arrived during a pause of the process.
+     */
+    void startFirstRequestTimeout(ClientConnection client) {
+        client.firstRequestTimeout = io.executeAfter(
+                () -> client.firstRequestTimeout = afterPoll(() -> closeNow(client.channel)),
+                FIRST_REQUEST_TIMEOUT_MS,
                 TimeUnit.MILLISECONDS);
     }
 
@@ -195,8 +295,10 @@
     void closeGracefully(StreamConnection channel) {
         ClientConnection client = connections.get(channel);
         if (client != null && client.state != ClientConnection.State.CLOSING) {
-            release(client);
+            keepPipelined(client, 0);
+            client.cancelFirstRequestTimeout();
             client.state = ClientConnection.State.CLOSING;
+            startTimeout(client, LingeringClose.TIMEOUT_MS);
             LingeringClose.begin(channel, client.sink, client.source, scratch);
         }
     }
--- a/node/src/main/java/spartrail/client/ClientListener.java
+++ b/node/src/main/java/spartrail/client/ClientListener.java
@@ -29,11 +29,6 @@
 
     private static final int MAX_HEAD_BYTES = 16 * 1024;
     private static final int ACCEPT_BACKLOG = 1024;
-    /**
-     * The protocol closes a client without a complete request within 3 s of connecting; all timeouts together stay
-     * below that.
-     */
-    private static final int FIRST_REQUEST_TIMEOUT_MS = 2000;
     /** Idle connections stay open for this long, so that those whose clients vanished without a close end, too. */
     private static final int IDLE_TIMEOUT_MS = 60_000;
 
@@ -186,25 +181,7 @@
         if (!connection.isOpen()) {
             connections.remove(connection);
         } else if (!client.hasSentRequest) {
-            startFirstRequestTimeout(client);
-        }
-    }
-
-    /**
-     * Closes a connection that has sent no complete request in time. Its socket is read once more before that, as the
-     * request may have arrived during a pause of the process.
-     */
-    private void startFirstRequestTimeout(ClientConnection client) {
-        io.executeAfter(
-                () -> io.executeAfter(
-                        () -> closeWithoutRequest(client), ClientConnections.POLL_DELAY_MS, TimeUnit.MILLISECONDS),
-                FIRST_REQUEST_TIMEOUT_MS,
-                TimeUnit.MILLISECONDS);
-    }
-
-    private void closeWithoutRequest(ClientConnection client) {
-        if (!client.hasSentRequest && connections.contains(client)) {
-            connections.closeNow(client.channel);
+            connections.startFirstRequestTimeout(client);
         }
     }
 }
--- a/node/src/main/java/spartrail/client/HttpRequestHandler.java
+++ b/node/src/main/java/spartrail/client/HttpRequestHandler.java
@@ -1,5 +1,6 @@
 package spartrail.client;
 
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
@@ -92,6 +93,7 @@
         }
         client.cancelTimeout();
         client.state = ClientConnection.State.BODY;
+        connections.countHead(client, exchange.getRequestHeaders().size(), countUnhandledBytes(exchange));
         if (exchange.getRequestMethod().equals(Methods.GET)
                 && exchange.getRequestPath().equals("/up")) {
             respondReadiness(exchange, client);
@@ -102,9 +104,16 @@
         }
     }
 
+    /** The number of bytes that were read and belong to no request handled so far. */
+    private static int countUnhandledBytes(HttpServerExchange exchange) {
+        PooledByteBuffer unhandled = ((HttpServerConnection) exchange.getConnection()).getExtraBytes();
+        return unhandled == null ? 0 : unhandled.getBuffer().remaining();
+    }
+
     /** Prepares the connection for its next request; returns false if Undertow must not read that. */
     private boolean onExchangeComplete(HttpServerExchange exchange, ClientConnection client) {
-        connections.release(client);
+        client.cancelTimeout();
+        connections.keepPipelined(client, countUnhandledBytes(exchange));
         if (client.state == ClientConnection.State.CLOSING) {
             return false;
         }
@@ -123,8 +132,13 @@
         return true;
     }
 
-    private void respondReadiness(HttpServerExchange exchange, ClientConnection client) {
+    private static void onRequestComplete(ClientConnection client) {
         client.hasSentRequest = true;
+        client.cancelFirstRequestTimeout();
+    }
+
+    private void respondReadiness(HttpServerExchange exchange, ClientConnection client) {
+        onRequestComplete(client);
         client.state = ClientConnection.State.AWAITING_RESPONSE;
         if (shuttingDown) {
             exchange.dispatch(
@@ -146,12 +160,11 @@
             return;
         }
         exchange.setMaxEntitySize(MAX_BODY_BYTES);
-        connections.reserveBody(client, length < 0 ? MAX_BODY_BYTES : Math.min(length, MAX_BODY_BYTES));
+        connections.beginBody(client, length);
         exchange.getRequestReceiver()
-                .receiveFullBytes((complete, body) -> onBody(complete, client, body), (failed, e) -> {
-                    connections.release(client);
-                    IoUtils.safeClose(failed.getConnection());
-                });
+                .receiveFullBytes(
+                        (complete, body) -> onBody(complete, client, body),
+                        (failed, e) -> IoUtils.safeClose(failed.getConnection()));
         if (client.isSendingBody()) {
             connections.startTimeout(client, BODY_TIMEOUT_MS);
         }
@@ -168,13 +181,19 @@
     }
 
     private void onBody(HttpServerExchange exchange, ClientConnection client, byte[] body) {
-        connections.release(client);
+        client.cancelTimeout();
         client.state = ClientConnection.State.AWAITING_RESPONSE;
         double atMs = clock.nowMs();
+        if (!connections.keepBody(client, body.length)) {
+            onRequestComplete(client);
+            exchange.dispatch(
+                    SameThreadExecutor.INSTANCE, () -> sendResponse(exchange, ClientResponse.rejected(0), false));
+            return;
+        }
         try {
             ClientQuery query = decoder.decode(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
             ClientRequest request = new ClientRequest(this, exchange, query.id(), atMs);
-            client.hasSentRequest = true;
+            onRequestComplete(client);
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                 request.watchClient();
                 queryListener.onQuery(query, request);
--- a/node/src/main/java/spartrail/client/LingeringClose.java
+++ b/node/src/main/java/spartrail/client/LingeringClose.java
@@ -2,10 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
-import org.xnio.XnioExecutor;
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -26,26 +24,25 @@
     /**
      * Long enough for a client that reads its response, and the longest time for which a client may hold a descriptor.
      */
-    private static final long TIMEOUT_MS = 1000;
+    static final int TIMEOUT_MS = 1000;
     /** More than any request has; after this many bytes the connection is not read any more. */
     private static final long MAX_DISCARDED_BYTES = 256 * 1024;
 
     private final StreamConnection connection;
     private final StreamSourceConduit source;
     private final ByteBuffer discardBuffer;
-    private final XnioExecutor.Key timeout;
     private long discardedBytes;
 
     private LingeringClose(StreamConnection connection, StreamSourceConduit source, ByteBuffer discardBuffer) {
         this.connection = connection;
         this.source = source;
         this.discardBuffer = discardBuffer;
-        timeout = connection
-                .getIoThread()
-                .executeAfter(() -> IoUtils.safeClose(connection), TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Begins to close a connection, by its own conduits, which no other code may use from now on. */
+    /**
+     * Begins to close a connection, by its own conduits, which no other code may use from now on. The caller closes the
+     * connection after {@link #TIMEOUT_MS}.
+     */
     static void begin(
             StreamConnection connection, StreamSinkConduit sink, StreamSourceConduit source, ByteBuffer discardBuffer) {
         try {
@@ -79,7 +76,6 @@
     }
 
     private void close() {
-        timeout.remove();
         IoUtils.safeClose(connection);
     }
 }
--- /dev/null
+++ b/node/src/test/java/spartrail/cli/ClientFloodTest.java
@@ -0,0 +1,106 @@
+package spartrail.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Many clients send so much at the same time that a node would end for lack of memory if it kept all of it. */
+class ClientFloodTest extends NodeProcessFixture {
+    private static final String BODY_START = "{\"segments\":[{\"segment\":0,\"boost\":1}],\"text\":\"";
+
+    ClientFloodTest() throws IOException {}
+
+    private static String head(String lastHeaders) {
+        return "POST /orders/k HTTP/1.1\r\nHost: x\r\nReq-Id: ID\r\nReq-Kind: orders\r\nReq-Deadline: 2\r\n"
+                + lastHeaders;
+    }
+
+    private static String query(String text) {
+        String body = BODY_START + text + "\"}";
+        return head("Content-Length: " + body.length() + "\r\n\r\n") + body;
+    }
+
+    /**
+     * Each client sends the text on a new connection, waits for the connection's end or its responses, and does the
+     * same again. The node must then still run and answer a usual query.
+     */
+    private void assertNodeSurvives(int clients, int rounds, String text, int responses) throws Exception {
+        startNode("export JAVA_TOOL_OPTIONS='-Xmx24m -XX:+UseSerialGC -XX:+ExitOnOutOfMemoryError'; ");
+        int port = awaitPort();
+        CountDownLatch ready = new CountDownLatch(clients);
+        ExecutorService threads = Executors.newFixedThreadPool(clients);
+        List<Future<?>> ended = new ArrayList<>();
+        for (int i = 0; i < clients; i++) {
+            String client = "c" + i + "-";
+            ended.add(threads.submit(() -> {
+                ready.countDown();
+                ready.await();
+                for (int round = 0; round < rounds; round++) {
+                    sendAndAwaitResponses(port, text.replace("ID", client + round), responses);
+                }
+                return null;
+            }));
+        }
+        for (Future<?> client : ended) {
+            client.get(60, TimeUnit.SECONDS);
+        }
+        threads.shutdown();
+        assertThat(process.isAlive()).as("the node runs").isTrue();
+        try (Socket usual = new Socket("127.0.0.1", port)) {
+            usual.setSoTimeout(20_000);
+            usual.getOutputStream().write(query("t").replace("ID", "usual").getBytes(StandardCharsets.US_ASCII));
+            assertThat(new String(usual.getInputStream().readNBytes(12), StandardCharsets.US_ASCII))
+                    .isEqualTo("HTTP/1.1 200");
+        }
+    }
+
+    /** Ends early if the node closes the connection, as it may when it has no memory for an incomplete request. */
+    private static void sendAndAwaitResponses(int port, String text, int responses) {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            StringBuilder received = new StringBuilder();
+            byte[] buffer = new byte[8192];
+            for (int count = 0; count >= 0 && received.toString().split("HTTP/1.1 ", -1).length <= responses; ) {
+                count = socket.getInputStream().read(buffer);
+                received.append(new String(buffer, 0, Math.max(0, count), StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            assertThat(e.getMessage())
+                    .as("the end of a bad client's connection")
+                    .isNotEmpty();
+        }
+    }
+
+    /**
+     * Guards against the node's end by an OutOfMemoryError: closed connections stayed in memory, in the I/O thread's
+     * queue and timers, with the bodies that no longer counted towards the limit.
+     */
+    @Test
+    void bodiesOfClosedConnectionsDoNotFillTheHeap() throws Exception {
+        String half = head("Transfer-Encoding: chunked\r\n\r\n10000\r\n") + BODY_START + "x".repeat(65_000);
+        assertNodeSurvives(340, 3, half, 1);
+    }
+
+    /** Guards against the same end by incomplete heads, which did not count towards the limit. */
+    @Test
+    void incompleteHeadsDoNotFillTheHeap() throws Exception {
+        assertNodeSurvives(700, 2, head("Padding: " + "x".repeat(16_000)), 1);
+    }
+
+    /** Guards against the same end by complete queries, which did not count while they awaited the loop. */
+    @Test
+    void completeQueriesDoNotFillTheHeap() throws Exception {
+        assertNodeSurvives(300, 1, query("x".repeat(65_000)).repeat(8), 8);
+    }
+}
--- a/node/src/test/java/spartrail/cli/SignalsTest.java
+++ b/node/src/test/java/spartrail/cli/SignalsTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import example.ToyFleet;
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -13,117 +12,17 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Runs a node as a separate process, and checks by its log how it reacts to signals. */
-class SignalsTest {
+class SignalsTest extends NodeProcessFixture {
     /** The descriptor limit in the test of many idle clients; the JVM itself has some dozens open. */
     private static final int MAX_DESCRIPTORS = 160;
 
-    @TempDir
-    private Path dir;
-
-    private final ToyFleet fleet = new ToyFleet(4, 0, 0);
-    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
-    private Path configurationFile;
-    private String validConfiguration;
-    private Process process;
-
     SignalsTest() throws IOException {}
 
-    @BeforeEach
-    void start() throws IOException {
-        validConfiguration = Files.readString(Path.of("example/config.json"))
-                .replace("127.0.0.1:3000", "127.0.0.1:0")
-                .replace("127.0.0.1:8500", fleet.discoveryEndpoint())
-                .replace("\"aim\": 2.0, \"deadline\": 4.0", "\"aim\": 1, \"deadline\": 2");
-        for (int i = 0; i < 4; i++) {
-            validConfiguration = validConfiguration.replace(
-                    "127.0.0.1:" + (7001 + i), fleet.servers.get(i).endpoint());
-        }
-        configurationFile = dir.resolve("config.json");
-        Files.writeString(configurationFile, validConfiguration);
-    }
-
-    private static String findJavaCommand() {
-        return ProcessHandle.current().info().command().orElse("java");
-    }
-
-    /** Starts a node from a shell that first runs the given commands. */
-    private void startNode(String shellPrefix) throws IOException {
-        startProcess(new ProcessBuilder(
-                "sh",
-                "-c",
-                shellPrefix + "exec \"$@\"",
-                "sh",
-                findJavaCommand(),
-                "-cp",
-                System.getProperty("java.class.path"),
-                "spartrail.Main",
-                "serve",
-                "--config",
-                configurationFile.toString()));
-    }
-
-    /**
-     * Starts a node by the deployed start command. Its {@code java} runs the compiled classes, as there is no jar yet.
-     */
-    private void startNodeByStartCommand(String shellPrefix) throws IOException {
-        Path java = Files.createDirectories(dir.resolve("bin")).resolve("java");
-        Files.writeString(
-                java,
-                "#!/bin/sh\nexec '" + findJavaCommand() + "' -cp '" + System.getProperty("java.class.path")
-                        + "' spartrail.Main serve\n");
-        assertThat(java.toFile().setExecutable(true)).isTrue();
-        ProcessBuilder command = new ProcessBuilder("sh", "-c", shellPrefix + "exec sh deploy/run.sh");
-        command.environment().put("PATH", java.getParent() + ":" + System.getenv("PATH"));
-        command.environment().put("BALANCER_CONFIG", configurationFile.toString());
-        startProcess(command);
-    }
-
-    private void startProcess(ProcessBuilder command) throws IOException {
-        process = command.redirectErrorStream(true).start();
-        Thread logReader = new Thread(() -> {
-            try (BufferedReader lines = process.inputReader()) {
-                lines.lines().forEach(log::add);
-            } catch (IOException e) {
-                log.add(String.valueOf(e));
-            }
-        });
-        logReader.setDaemon(true);
-        logReader.start();
-    }
-
-    @AfterEach
-    void close() throws Exception {
-        process.destroyForcibly().waitFor();
-        fleet.close();
-    }
-
-    /** Waits for the next log line with these words, and returns it without its time. */
-    private String awaitLine(String words) throws InterruptedException {
-        for (String line = ""; line != null; line = log.poll(20, TimeUnit.SECONDS)) {
-            if (line.contains(words)) {
-                return line.replaceAll("^.*? (INFO|WARNING) ", "").replace(dir.toString(), "DIR");
-            }
-        }
-        return "no line with '" + words + "', process "
-                + (process.isAlive() ? "runs" : "ended with " + process.exitValue());
-    }
-
-    private void sendSignal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid())
-                .start()
-                .waitFor();
-    }
-
     @Test
     void repeatedSignalsAndUnusableFilesLeaveRequestsInFlightAnswered() throws Exception {
         CompletableFuture<ToyFleet.Connection> held = new CompletableFuture<>();
@@ -134,7 +33,7 @@
             }
         });
         startNode("");
-        String port = awaitLine("serving on").replaceAll(".*:(\\d+), 4 servers known", "$1");
+        int port = awaitPort();
         sendSignal("HUP");
         assertThat(awaitLine("configuration")).isEqualTo("spartrail.cli: configuration reloaded");
         Files.delete(configurationFile);
@@ -142,7 +41,7 @@
         assertThat(awaitLine("configuration"))
                 .isEqualTo(
                         "spartrail.cli: configuration rejected, the previous one stays in effect: cannot read DIR/config.json");
-        try (Socket client = new Socket("127.0.0.1", Integer.parseInt(port))) {
+        try (Socket client = new Socket("127.0.0.1", port)) {
             String body = "{\"segments\":[{\"segment\":0,\"boost\":1}],\"text\":\"t\"}";
             client.getOutputStream()
                     .write(
@@ -215,7 +114,7 @@
                 configurationFile, validConfiguration.replace("\"sockets\": 1024", "\"sockets\": " + MAX_DESCRIPTORS));
         // The system enforces the limit, whatever the node itself counts.
         startNode("ulimit -n " + MAX_DESCRIPTORS + "; ");
-        int port = Integer.parseInt(awaitLine("serving on").replaceAll(".*:(\\d+), 4 servers known", "$1"));
+        int port = awaitPort();
         fleet.silent = true;
         fleet.publish(fleet.servers.get(0), "SERVING");
         assertThat(awaitLine("unavailable: ")).contains("discovery").contains("no response in time");
