Reject an id while a server may still answer an attempt of it

Cause: servers know a part by the request's id and the shard alone. An id was free again when its multiget had ended, though a cancelled or timed-out attempt of it could still run at a server; the late response was then taken for the response to the new part.

Change: a connection keeps the ids of abandoned parts until their late responses arrive or it is closed, and reports that. The coordinator's thread counts the attempts of each id that may still be answered, and rejects the id until there are none. A connection with over 1,000 abandoned parts is drained. The form of a part's id is fixed by the wire, so it can't be made unique instead.

Test changed: aDisconnectAfterPipelinedBytesIsDetected sent the id "a" three times while its server had not answered the cancelled part. Ids are fresh on the wire, so the test uses one for each; what it checks is the same.

--- a/node/src/main/java/spartrail/front/ClientMultiget.java
+++ b/node/src/main/java/spartrail/front/ClientMultiget.java
@@ -15,6 +15,7 @@
 
 /** A multiget in flight, with the request of its client and the values received from servers. */
 final class ClientMultiget extends Multiget {
+    private static final char PART_ID_SEPARATOR = '.';
     private static final long FNV_OFFSET_BASIS = 0xCBF29CE484222325L;
     private static final long FNV_PRIME = 0x100000001B3L;
 
@@ -51,6 +52,16 @@
         }
     }
 
+    /** The id by which servers know the part for this shard. */
+    String partId(int shard) {
+        return query.id() + PART_ID_SEPARATOR + shard;
+    }
+
+    /** The client's id of the multiget to which the part with this id belongs. */
+    static String multigetIdOf(String partId) {
+        return partId.substring(0, partId.lastIndexOf(PART_ID_SEPARATOR));
+    }
+
     /** The number of entries it counts for in the node's in-flight limit: itself and its parts. */
     int size() {
         return 1 + parts.size();
--- a/node/src/main/java/spartrail/front/DecisionDispatcher.java
+++ b/node/src/main/java/spartrail/front/DecisionDispatcher.java
@@ -161,7 +161,7 @@
         double deadlineMs = Math.min(attempt.sentMs + attempt.timeoutMs, multiget.clientDeadlineMs);
         PartRequest part = new PartRequest(
                 attempt,
-                multiget.query.id() + '.' + attempt.part.shard.number,
+                multiget.partId(attempt.part.shard.number),
                 attempt.part.shard.number,
                 multiget.query.text(),
                 deadlineMs,
@@ -169,6 +169,7 @@
         TimerQueue.Timer timeout = timers.schedule(
                 deadlineMs, () -> io.execute(() -> shardPool.withdraw(part, Attempt.Outcome.TIMED_OUT)));
         multiget.inFlightAttempts.put(attempt, new InFlightAttempt(part, timeout));
+        inFlight.addAnswerableAttempt(multiget.query.id());
         return part;
     }
 
--- a/node/src/main/java/spartrail/front/InFlightMultigets.java
+++ b/node/src/main/java/spartrail/front/InFlightMultigets.java
@@ -8,15 +8,22 @@
 /**
  * The multigets in flight, by the ids that their clients gave them, and their total size. Owned by the coordinator's
  * thread.
+ *
+ * <p>An id stays in use until its multiget has ended and no server can answer an attempt of it any more. Servers
+ * identify a part by its multiget's id and its shard alone: if the id were used again before, the late response would be
+ * taken for one to the new multiget, whose client would get a value that was made for another one.
  */
 final class InFlightMultigets {
     private final Map<String, ClientMultiget> multigetsById = new HashMap<>();
+    /** The number of attempts of each multiget, in flight or ended, that a server may still answer. */
+    private final Map<String, Integer> answerableAttemptsById = new HashMap<>();
     /** The number of multigets plus the number of their parts. */
     private int size;
 
-    /** Whether this id is not in flight and a multiget with so many parts would not exceed the limit. */
+    /** Whether this id is not in use and a multiget with so many parts would not exceed the limit. */
     boolean hasCapacityFor(String id, int parts, int maxSize) {
-        return !multigetsById.containsKey(id) && size + 1 + parts <= maxSize;
+        boolean isInUse = multigetsById.containsKey(id) || answerableAttemptsById.containsKey(id);
+        return !isInUse && size + 1 + parts <= maxSize;
     }
 
     void add(ClientMultiget multiget) {
@@ -33,6 +40,16 @@
         return wasInFlight;
     }
 
+    /** Adds an attempt that a server may answer from now on. */
+    void addAnswerableAttempt(String id) {
+        answerableAttemptsById.merge(id, 1, Integer::sum);
+    }
+
+    /** Removes an attempt that no server can answer any more. */
+    void removeAnswerableAttempt(String id) {
+        answerableAttemptsById.computeIfPresent(id, (key, attempts) -> attempts == 1 ? null : attempts - 1);
+    }
+
     boolean contains(ClientMultiget multiget) {
         return multigetsById.get(multiget.query.id()) == multiget;
     }
--- a/node/src/main/java/spartrail/shard/AttemptListener.java
+++ b/node/src/main/java/spartrail/shard/AttemptListener.java
@@ -11,4 +11,11 @@
      * @param atMs the time at which the node saw the end, on the node's clock
      */
     void onAttemptEnded(PartRequest part, Attempt.Outcome outcome, byte[] value, double atMs);
+
+    /**
+     * Called exactly once for each attempt that ended as TIMED_OUT or CANCELLED, when its server can no longer answer it:
+     * the late response has arrived, or the connection is closed. Until then that response could not be told from one to
+     * another part with the same id. All other outcomes imply this.
+     */
+    void onLateResponseRuledOut(String partId);
 }
--- a/node/src/main/java/spartrail/shard/ShardConnection.java
+++ b/node/src/main/java/spartrail/shard/ShardConnection.java
@@ -46,13 +46,20 @@
  * {@link FrameWriter} has the conditions under which a frame may begin.
  */
 final class ShardConnection {
+    /**
+     * A server may never answer parts that were cancelled. A connection with so many of them is drained, so that their
+     * ids do not accumulate.
+     */
+    private static final int MAX_ABANDONED_PARTS = 1000;
+
     private final ShardPool pool;
     private final InetSocketAddress address;
     private final FrameWriter writer;
     private final ShardFrameCodec.Decoder decoder = new ShardFrameCodec.Decoder();
     private final Map<String, PartRequest> awaitingResponse = new HashMap<>();
-    /** Ids of the parts that ended last, at most as many as the limit of parts in flight. */
-    private final Set<String> recentlyEnded = new LinkedHashSet<>();
+    private final AbandonedParts abandoned = new AbandonedParts();
+    /** Ids of the parts that were answered last, at most as many as the limit of parts in flight. */
+    private final Set<String> recentlyAnswered = new LinkedHashSet<>();
 
     private final IoFuture<StreamConnection> connecting;
     private final XnioExecutor.Key connectTimeout;
@@ -175,7 +182,8 @@
             return true;
         }
         awaitingResponse.remove(part.id, part);
-        rememberEnded(part.id);
+        abandoned.add(part.id);
+        draining |= abandoned.size() > MAX_ABANDONED_PARTS;
         if (pool.settings.cancelling() && !closed) {
             writer.enqueueCancellation(part.id);
             write();
@@ -293,13 +301,10 @@
         lastReadMs = lastUsedMs;
         PartRequest part = awaitingResponse.remove(response.id());
         if (part == null) {
-            // Late and duplicate responses are ignored. Any other unknown id is a corrupted one of a part in flight.
-            if (!recentlyEnded.contains(response.id())) {
-                throw new MalformedMessageException("a response has the id of no part in flight");
-            }
+            onUnawaitedResponse(response.id());
             return;
         }
-        rememberEnded(part.id);
+        rememberAnswered(part.id);
         switch (response.status()) {
             case OK -> pool.endPart(part, Outcome.ANSWERED, response.value());
             case ERROR -> pool.endPart(part, Outcome.ERROR, null);
@@ -307,11 +312,21 @@
         }
     }
 
-    private void rememberEnded(String id) {
-        recentlyEnded.remove(id);
-        recentlyEnded.add(id);
-        if (recentlyEnded.size() > pool.settings.partsPerConnection()) {
-            recentlyEnded.remove(recentlyEnded.iterator().next());
+    /** Late and duplicate responses are ignored. Any other unknown id is a corrupted one of a part in flight. */
+    private void onUnawaitedResponse(String partId) throws MalformedMessageException {
+        if (abandoned.remove(partId)) {
+            rememberAnswered(partId);
+            pool.ruleOutLateResponse(partId);
+        } else if (!recentlyAnswered.contains(partId)) {
+            throw new MalformedMessageException("a response has the id of no part in flight");
+        }
+    }
+
+    private void rememberAnswered(String id) {
+        recentlyAnswered.remove(id);
+        recentlyAnswered.add(id);
+        if (recentlyAnswered.size() > pool.settings.partsPerConnection()) {
+            recentlyAnswered.remove(recentlyAnswered.iterator().next());
         }
     }
 
@@ -360,5 +375,6 @@
         }
         unsent.forEach(part -> pool.endPart(part, outcomeIfUnsent, null));
         sent.forEach(part -> pool.endPart(part, outcomeIfSent, null));
+        abandoned.removeAll().forEach(pool::ruleOutLateResponse);
     }
 }
--- a/node/src/main/java/spartrail/shard/ShardPool.java
+++ b/node/src/main/java/spartrail/shard/ShardPool.java
@@ -173,6 +173,11 @@
         listener.onAttemptEnded(part, outcome, value, clock.nowMs());
     }
 
+    /** Reports that no response to an abandoned attempt of this part can arrive any more. */
+    void ruleOutLateResponse(String partId) {
+        listener.onLateResponseRuledOut(partId);
+    }
+
     /** Removes a closed connection. */
     void remove(InetSocketAddress address, ShardConnection connection) {
         List<ShardConnection> open = connections.get(address);
--- a/node/src/test/java/spartrail/front/FrontNodeClientTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeClientTest.java
@@ -242,16 +242,57 @@
         assertThat(new Client().query("b", 0).readResponse()).startsWith("200 ");
     }
 
+    /**
+     * Guards against serving a client the value that was made for another one: the late response to a cancelled attempt
+     * was taken for the response to a new part with the same id.
+     */
+    @Test
+    void anIdIsRejectedWhileAServerMayStillAnswerACancelledAttemptOfIt() throws Exception {
+        CompletableFuture<ToyFleet.Connection> firstPart = new CompletableFuture<>();
+        fleet.servers.forEach(server -> server.behavior = new ToyFleet.ServerBehavior() {
+            @Override
+            public void onPart(ToyFleet.Connection connection, String id, int shard, String text) throws IOException {
+                events.add("part " + text);
+                if (firstPart.isDone()) {
+                    connection.sendResponse(id, "OK", text);
+                }
+                firstPart.complete(connection);
+            }
+
+            @Override
+            public void onCancelled(ToyFleet.Connection connection, String id) {
+                events.add("cancelled " + id);
+            }
+        });
+        start();
+        Client first = new Client().query("a", 0);
+        ToyFleet.Connection connection = firstPart.get(20, TimeUnit.SECONDS);
+        assertThat(nextEvent()).isEqualTo("part t");
+        first.socket.close();
+        assertThat(nextEvent()).isEqualTo("cancelled a.0");
+        String reused = buildRequest("a", "4", buildBody(0).replace("\"t\"}", "\"other\"}"));
+        Client second = new Client();
+        assertThat(second.send(reused).readResponse()).isEqualTo("503 pushed back");
+        connection.sendResponse("a.0", "OK", "made for the first client");
+        String response = "503 pushed back";
+        for (long untilNs = System.nanoTime() + 20_000_000_000L;
+                response.equals("503 pushed back") && System.nanoTime() < untilNs; ) {
+            response = second.send(reused).readResponse();
+        }
+        assertThat(response).contains("\"payload\":\"other\"");
+    }
+
     @Test
     void aDisconnectAfterPipelinedBytesIsDetected() throws Exception {
         start();
         answerOnly("b");
-        for (String pipelined : List.of("P", buildRequest("z", "4", buildBody(1)), "x".repeat(300_000))) {
-            Client client = new Client().query("a", 0);
-            assertThat(nextEvent()).isEqualTo("part a.0");
-            client.send(pipelined);
+        List<String> pipelined = List.of("P", buildRequest("z", "4", buildBody(1)), "x".repeat(300_000));
+        for (int i = 0; i < pipelined.size(); i++) {
+            Client client = new Client().query("a" + i, 0);
+            assertThat(nextEvent()).isEqualTo("part a" + i + ".0");
+            client.send(pipelined.get(i));
             client.socket.close();
-            assertThat(nextEvent()).isEqualTo("cancelled a.0");
+            assertThat(nextEvent()).isEqualTo("cancelled a" + i + ".0");
         }
         assertThat(new Client().query("b", 0).readResponse()).startsWith("200 ");
     }
--- a/node/src/test/java/spartrail/shard/ShardConnectionTest.java
+++ b/node/src/test/java/spartrail/shard/ShardConnectionTest.java
@@ -13,7 +13,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -56,6 +58,65 @@
         assertThat(List.of(nextEvent(), nextEvent())).containsExactlyInAnyOrder("2.0 RESET", "3.0 RESET");
     }
 
+    private static String poll(BlockingQueue<String> queue) throws InterruptedException {
+        return String.valueOf(queue.poll(20, TimeUnit.SECONDS));
+    }
+
+    /** Guards against the reuse of an id whose late response would be taken for the new part's. */
+    @Test
+    void aCancelledPartIsReportedAsUnanswerableAfterItsLateResponseOrTheEndOfItsConnection() throws Exception {
+        createPool(100, 1000, 60_000);
+        InetSocketAddress address = startServer(new ToyFleet.ServerBehavior() {
+            @Override
+            public void onPart(ToyFleet.Connection connection, String id, int shard, String text) {
+                connections.add(connection);
+            }
+
+            @Override
+            public void onCancelled(ToyFleet.Connection connection, String id) {
+                events.add("cancelled " + id);
+            }
+        });
+        List<PartRequest> parts = List.of(createPart("1.0"), createPart("2.0"), createPart("3.0"));
+        runOnIoThread(() -> pool.send(address, parts));
+        ToyFleet.Connection connection = connections.take();
+        runOnIoThread(() -> parts.forEach(part -> pool.withdraw(part, Outcome.CANCELLED)));
+        for (int i = 0; i < 2 * parts.size(); i++) {
+            assertThat(nextEvent()).containsIgnoringCase("cancelled");
+        }
+        assertThat(lateResponsesRuledOut).isEmpty();
+        connection.sendResponse("2.0", "OK", "late");
+        connection.sendResponse("2.0", "OK", "twice");
+        assertThat(poll(lateResponsesRuledOut)).isEqualTo("2.0");
+        connection.close();
+        assertThat(List.of(poll(lateResponsesRuledOut), poll(lateResponsesRuledOut)))
+                .containsExactlyInAnyOrder("1.0", "3.0");
+        assertThat(lateResponsesRuledOut).isEmpty();
+    }
+
+    /** Guards against ids that accumulate on a connection whose server never answers cancelled parts. */
+    @Test
+    void aConnectionWithTooManyCancelledPartsIsReplaced() throws Exception {
+        createPool(100, 1000, 60_000);
+        InetSocketAddress address = startServer(new Silent());
+        for (int i = 0; i <= 1000; i++) {
+            PartRequest part = createPart("p" + i + ".0");
+            runOnIoThread(() -> pool.send(address, List.of(part)));
+            for (String event = ""; !event.equals("server: part " + part.id); ) {
+                event = nextEvent();
+                assertThat(event).isNotEqualTo("nothing").isNotEqualTo("server: disconnected");
+            }
+            runOnIoThread(() -> pool.withdraw(part, Outcome.CANCELLED));
+        }
+        for (String event = ""; !event.equals("server: disconnected"); ) {
+            event = nextEvent();
+            assertThat(event).isNotEqualTo("nothing");
+        }
+        for (int i = 0; i <= 1000; i++) {
+            assertThat(poll(lateResponsesRuledOut)).isNotEqualTo("null");
+        }
+    }
+
     /** The outcome of a part whose server reads its frame, sends these bytes and resets the connection. */
     private String resetAndGetOutcome(byte[] bytes) throws Exception {
         createPool(100, 1000, 60_000);
--- a/node/src/test/java/spartrail/shard/ShardPoolFixture.java
+++ b/node/src/test/java/spartrail/shard/ShardPoolFixture.java
@@ -41,6 +41,9 @@
     /** The ids of the parts whose clients have disconnected. */
     final Set<String> disconnected = ConcurrentHashMap.newKeySet();
 
+    /** The ids of the abandoned parts that can no longer be answered. */
+    final BlockingQueue<String> lateResponsesRuledOut = new LinkedBlockingQueue<>();
+
     final BlockingQueue<ToyFleet.Connection> connections = new LinkedBlockingQueue<>();
 
     double graceMs = 10_000;
@@ -68,7 +71,17 @@
                 worker.getIoThread(),
                 clock,
                 new ShardPool.Settings(partsPerConnection, connectTimeoutMs, keepAliveMs, true, graceMs),
-                (part, outcome, value, atMs) -> events.add(part.id + " " + outcome),
+                new AttemptListener() {
+                    @Override
+                    public void onAttemptEnded(PartRequest part, Attempt.Outcome outcome, byte[] value, double atMs) {
+                        events.add(part.id + " " + outcome);
+                    }
+
+                    @Override
+                    public void onLateResponseRuledOut(String partId) {
+                        lateResponsesRuledOut.add(partId);
+                    }
+                },
                 invariants);
     }
 
