Count the time of pipelined requests from their arrival, and answer all that were read

Cause: the arrival of a request was the time at which its body was parsed, for a pipelined one after the response to the one before it. Beyond 80 KiB all further bytes were discarded, complete requests in the buffer with them. On related paths a shutdown, an eviction or a lack of memory closed connections whose buffer held complete requests.

Change: each read is stamped with its time, and a request arrives with its last byte; one whose time is over at its turn is rejected at once. Bytes that can't begin with a request are still discarded. At a shutdown the response behind which nothing is buffered is the last one. Connections with buffered requests are not evicted.

--- a/node/src/main/java/spartrail/client/ClientConnection.java
+++ b/node/src/main/java/spartrail/client/ClientConnection.java
@@ -17,8 +17,8 @@
  * BODY      read                to AWAITING_         400, CLOSING       as NEW                closed
  *                               RESPONSE
  * AWAITING_ buffered for the    handled after the    IDLE, or HEAD if   the response is the   only if its client does
- * RESPONSE  next request        response             bytes are buffered last one              not read the response
- *                                                                                             for 5 s
+ * RESPONSE  next requests       response             bytes are buffered last one, if no bytes not read the response
+ *                                                                       are buffered          for 5 s
  * IDLE      to HEAD             -                    -                  read once more,       closed, the longest
  *                                                                       then CLOSING          unused one first
  * CLOSING   discarded           ignored              -                  stays                 closed
@@ -46,6 +46,13 @@
     State state = State.NEW;
     /** Whether a complete request has been read on this connection. */
     boolean hasSentRequest;
+    /** When the bytes arrived that were read on this connection. */
+    final ArrivalTimes arrivals = new ArrivalTimes();
+    /**
+     * The time since which the socket may hold unread bytes, as it was not read to its end; NaN if there are none. They
+     * may have arrived as early as then.
+     */
+    double unreadSinceMs = Double.NaN;
     /** The bytes that were read since the current request's head or, if that is complete, its body began. */
     long receivedBytes;
     /** The line ends among them while the head is incomplete. */
@@ -56,7 +63,7 @@
     long bodyBytes;
     /** Whether the body's length is unknown, so that its memory grows with each read. */
     boolean isBodyLengthUnknown;
-    /** The number of bytes that are buffered for the next requests. */
+    /** The number of bytes that were read and not parsed yet; complete requests may be among them. */
     long pipelinedBytes;
     /** What {@link RequestMemory} has counted for this connection, in bytes. */
     long countedBytes;
@@ -72,16 +79,22 @@
     }
 
     /**
-     * Whether it may be closed to make room for another one: it has no request in flight, at most an incomplete one.
+     * Whether it may be closed to make room for another one: it has no request in flight, and has sent none that was
+     * read, at most an incomplete one.
      */
     boolean isEvictable() {
-        return state != State.AWAITING_RESPONSE;
+        return state != State.AWAITING_RESPONSE && pipelinedBytes == 0;
     }
 
     boolean isEvictableWithoutRequest() {
         return isEvictable() && !hasSentRequest;
     }
 
+    /** Whether the head or the body of a request is awaited. */
+    boolean isReceiving() {
+        return state == State.HEAD || state == State.BODY;
+    }
+
     boolean isSendingBody() {
         return state == State.BODY;
     }
@@ -93,7 +106,7 @@
 
     /** Whether it may be closed to free the memory of its incomplete request. */
     boolean isIncompleteAndCounted() {
-        return countedBytes > 0 && (state == State.HEAD || state == State.BODY);
+        return countedBytes > 0 && pipelinedBytes == 0 && isReceiving();
     }
 
     boolean isIdle() {
--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -14,6 +14,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
+import spartrail.model.NodeClock;
 
 /**
  * The open connections of clients, the longest unused first. Limits their number, the memory of incomplete requests,
@@ -36,19 +37,21 @@
     private static final int HEAP_PARTS = 4;
 
     private final XnioIoThread io;
+    private final NodeClock clock;
     private final int maxConnections;
     private final RequestMemory memory = new RequestMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS);
     private final Map<StreamConnection, ClientConnection> connections = new LinkedHashMap<>();
     private final ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
 
-    ClientConnections(XnioIoThread io, int maxConnections) {
+    ClientConnections(XnioIoThread io, NodeClock clock, int maxConnections) {
         this.io = io;
+        this.clock = clock;
         this.maxConnections = maxConnections;
     }
 
     /**
-     * Detects the first byte of a request and counts the memory of an incomplete one, as Undertow reports a request only
-     * once its head is complete, and a body only once it is complete.
+     * Detects the first byte of a request, and counts the memory of an incomplete one and the times at which its bytes
+     * arrived, as Undertow reports a request only once its head is complete, and a body only once it is complete.
      */
     private final class RequestStartConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
         private final ClientConnection client;
@@ -62,12 +65,20 @@
         public int read(ByteBuffer into) throws IOException {
             int start = into.position();
             int count = super.read(into);
+            if (client.isReceiving()) {
+                // Undertow reads the socket only after all bytes that were buffered before, so no request is among
+                // them.
+                client.pipelinedBytes = 0;
+            }
             if (count > 0) {
                 onRead(client, into, start);
                 if (!client.channel.isOpen()) {
                     throw new ClosedChannelException();
                 }
             }
+            if (into.hasRemaining()) {
+                client.unreadSinceMs = Double.NaN;
+            }
             return count;
         }
     }
@@ -76,7 +87,9 @@
         if (client.state == ClientConnection.State.NEW || client.isIdle()) {
             onRequestStart(client);
         }
-        client.receivedBytes += buffer.position() - start;
+        int count = buffer.position() - start;
+        client.arrivals.add(count, Double.isNaN(client.unreadSinceMs) ? clock.nowMs() : client.unreadSinceMs);
+        client.receivedBytes += count;
         if (client.state == ClientConnection.State.HEAD) {
             client.receivedLines += countLines(buffer, start);
             client.headBytes = RequestMemory.ofHead(client.receivedBytes, client.receivedLines);
@@ -98,7 +111,7 @@
     /** Called when the first bytes of a request's head were received. */
     void onRequestStart(ClientConnection client) {
         client.state = ClientConnection.State.HEAD;
-        client.receivedBytes = 0;
+        client.receivedBytes = client.pipelinedBytes;
         client.receivedLines = 0;
         startTimeout(client, HEAD_TIMEOUT_MS);
     }
@@ -163,12 +176,13 @@
     /** Counts a complete head; of the bytes read since it began, the last so many are no part of it. */
     void countHead(ClientConnection client, int headers, int bytesBehind) {
         client.headBytes = RequestMemory.ofHead(Math.max(0, client.receivedBytes - bytesBehind), headers);
+        client.pipelinedBytes = bytesBehind;
         updateMemory(client);
     }
 
     /** Counts a body that is about to be received, by its length or, if that is negative, as it is read. */
     void beginBody(ClientConnection client, long length) {
-        client.receivedBytes = 0;
+        client.receivedBytes = client.pipelinedBytes;
         client.isBodyLengthUnknown = length < 0;
         client.bodyBytes = Math.max(0, length);
         updateMemory(client);
@@ -182,23 +196,23 @@
         return client.countedBytes == 0 || !(memory.isExceeded() || memory.isExhausted());
     }
 
-    /** Reserves memory for bytes of the next request of a connection; false if there is not enough. */
-    boolean reservePipelined(StreamConnection channel, int bytes) {
-        ClientConnection client = connections.get(channel);
-        boolean reserved = client != null && memory.hasRoomFor(bytes);
-        if (reserved) {
-            client.pipelinedBytes += bytes;
-            updateMemory(client);
-        }
-        return reserved;
+    /** Whether there is memory for the bytes of one more read behind a request in flight. */
+    boolean mayReadPipelined() {
+        return memory.hasRoomForPipelined(SCRATCH_BYTES);
+    }
+
+    /** Counts the bytes that are buffered behind a request in flight. */
+    void countPipelined(ClientConnection client, int bytes) {
+        client.pipelinedBytes = bytes;
+        updateMemory(client);
     }
 
     /** Counts what is still buffered for the next requests of a connection, and nothing else of it. */
     void keepPipelined(ClientConnection client, int bytes) {
         client.headBytes = 0;
         client.bodyBytes = 0;
-        client.pipelinedBytes = bytes;
-        updateMemory(client);
+        client.arrivals.forgetHandledBytes(bytes);
+        countPipelined(client, bytes);
     }
 
     /**
--- a/node/src/main/java/spartrail/client/ClientListener.java
+++ b/node/src/main/java/spartrail/client/ClientListener.java
@@ -27,7 +27,7 @@
 public final class ClientListener {
     private static final System.Logger LOG = System.getLogger("spartrail.client");
 
-    private static final int MAX_HEAD_BYTES = 16 * 1024;
+    static final int MAX_HEAD_BYTES = 16 * 1024;
     private static final int ACCEPT_BACKLOG = 1024;
     /** Idle connections stay open for this long, so that those whose clients vanished without a close end, too. */
     private static final int IDLE_TIMEOUT_MS = 60_000;
@@ -51,7 +51,7 @@
             ClientQueryListener queryListener)
             throws IOException {
         io = worker.getIoThread();
-        connections = new ClientConnections(io, maxConnections);
+        connections = new ClientConnections(io, clock, maxConnections);
         handler = new HttpRequestHandler(connections, new ClientQueryDecoder(opTypes, shards), clock, queryListener);
         httpListener = new HttpOpenListener(
                 buffers,
--- a/node/src/main/java/spartrail/client/ClientRequest.java
+++ b/node/src/main/java/spartrail/client/ClientRequest.java
@@ -14,11 +14,17 @@
  *
  * <pre>
  *              bytes received                          end or reset          response given
- * WATCHED      buffered for the next request, up to    closed, reported as   FINISHED, written
- *              its limit; then to DISCARDING           gone: FINISHED
- * DISCARDING   discarded                               the same              FINISHED, written as the connection's last
+ * WATCHED      buffered for the next requests; if      closed, reported as   FINISHED, written
+ *              there is no more room, to NOT_READ,     gone: FINISHED
+ *              or to DISCARDING if they begin with
+ *              no request
+ * NOT_READ     left in the socket                      not detected          the same
+ * DISCARDING   discarded                               as in WATCHED         FINISHED, written as the connection's last
  * FINISHED     left to the next reader                 the same              ignored, as only the first one counts
  * </pre>
+ *
+ * <p>Bytes that were read must not be discarded if there may be a request among them: its client would never get a
+ * response.
  */
 public final class ClientRequest {
     /** The client's id of the request. */
@@ -27,16 +33,23 @@
     private final HttpRequestHandler handler;
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
-    /** The time at which its last byte was read. */
+    private final ClientConnection client;
+    /** The time at which its last byte arrived, or an earlier one. */
     public final double arrivedMs;
 
     private boolean finished;
     private boolean discarding;
 
-    ClientRequest(HttpRequestHandler handler, HttpServerExchange exchange, String id, double arrivedMs) {
+    ClientRequest(
+            HttpRequestHandler handler,
+            HttpServerExchange exchange,
+            ClientConnection client,
+            String id,
+            double arrivedMs) {
         this.handler = handler;
         this.exchange = exchange;
         this.connection = (HttpServerConnection) exchange.getConnection();
+        this.client = client;
         this.id = id;
         this.arrivedMs = arrivedMs;
     }
@@ -65,12 +78,15 @@
             source.suspendReads();
             return;
         }
+        ByteBuffer buffer = handler.scratchBuffer();
+        if (!discarding && !hasRoomFor(buffer.remaining())) {
+            onBufferFull(source);
+        }
         try {
-            ByteBuffer buffer = handler.scratchBuffer();
-            int count = source.read(buffer);
+            int count = source.isReadResumed() ? source.read(buffer) : 0;
             if (count < 0) {
                 onDisconnect();
-            } else if (count > 0) {
+            } else if (count > 0 && !discarding) {
                 bufferPipelined(buffer.flip());
             }
         } catch (IOException e) {
@@ -78,20 +94,35 @@
         }
     }
 
+    private boolean hasRoomFor(int bytes) {
+        boolean full = connection.getExtraBytes() instanceof PipelinedRequests buffered && buffered.isFullFor(bytes);
+        return !full && handler.mayReadPipelined();
+    }
+
+    private void onBufferFull(StreamSourceConduit source) {
+        if (connection.getExtraBytes() instanceof PipelinedRequests buffered && !buffered.mayBeginWithRequest()) {
+            discarding = true;
+        } else {
+            source.suspendReads();
+            handler.markUnread(client);
+        }
+    }
+
     private void bufferPipelined(ByteBuffer pipelined) {
         PooledByteBuffer before = connection.getExtraBytes();
-        if (discarding || !handler.reservePipelined(exchange, pipelined.remaining())) {
-            discarding = true;
-        } else if (before instanceof PipelinedRequests buffered) {
-            discarding = !buffered.append(pipelined);
+        PipelinedRequests buffered;
+        if (before instanceof PipelinedRequests requests) {
+            buffered = requests;
+            buffered.append(pipelined);
         } else if (before == null) {
-            connection.setExtraBytes(new PipelinedRequests(pipelined));
+            buffered = new PipelinedRequests(pipelined);
         } else {
-            PipelinedRequests buffered = new PipelinedRequests(before.getBuffer());
+            buffered = new PipelinedRequests(before.getBuffer());
             before.close();
-            discarding = !buffered.append(pipelined);
-            connection.setExtraBytes(buffered);
+            buffered.append(pipelined);
         }
+        connection.setExtraBytes(buffered);
+        handler.countPipelined(client, buffered.getBuffer().remaining());
     }
 
     private void onDisconnect() {
--- a/node/src/main/java/spartrail/client/HttpRequestHandler.java
+++ b/node/src/main/java/spartrail/client/HttpRequestHandler.java
@@ -142,7 +142,7 @@
         client.state = ClientConnection.State.AWAITING_RESPONSE;
         if (shuttingDown) {
             exchange.dispatch(
-                    SameThreadExecutor.INSTANCE, () -> sendResponse(exchange, ClientResponse.rejected(0), true));
+                    SameThreadExecutor.INSTANCE, () -> sendResponse(exchange, ClientResponse.rejected(0), false));
         } else {
             exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
             exchange.endExchange();
@@ -183,16 +183,20 @@
     private void onBody(HttpServerExchange exchange, ClientConnection client, byte[] body) {
         client.cancelTimeout();
         client.state = ClientConnection.State.AWAITING_RESPONSE;
-        double atMs = clock.nowMs();
         if (!connections.keepBody(client, body.length)) {
-            onRequestComplete(client);
-            exchange.dispatch(
-                    SameThreadExecutor.INSTANCE, () -> sendResponse(exchange, ClientResponse.rejected(0), false));
+            reject(exchange, client);
             return;
         }
+        double nowMs = clock.nowMs();
+        double arrivedMs = client.arrivals.timeOfLastHandledByte(countUnhandledBytes(exchange), nowMs);
         try {
             ClientQuery query = decoder.decode(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
-            ClientRequest request = new ClientRequest(this, exchange, query.id(), atMs);
+            if (nowMs - arrivedMs >= query.clientTimeoutMs()) {
+                // Hundreds of requests may expire behind a slow one; in the loop each would take an iteration.
+                reject(exchange, client);
+                return;
+            }
+            ClientRequest request = new ClientRequest(this, exchange, client, query.id(), arrivedMs);
             onRequestComplete(client);
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                 request.watchClient();
@@ -203,6 +207,12 @@
         }
     }
 
+    /** Rejects a complete request of which no part was sent. */
+    private void reject(HttpServerExchange exchange, ClientConnection client) {
+        onRequestComplete(client);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> sendResponse(exchange, ClientResponse.rejected(0), false));
+    }
+
     /**
      * Rejects a request and closes its connection, as the end of a malformed request, and so the start of the next one,
      * is uncertain. Runs as a dispatched task: if the exchange ended before the handler returns, Undertow would close
@@ -221,9 +231,21 @@
         return connections.scratchBuffer();
     }
 
-    /** Reserves memory for bytes of this client's next request; false if there is not enough. */
-    boolean reservePipelined(HttpServerExchange exchange, int bytes) {
-        return connections.reservePipelined(ClientRequest.channelOf(exchange), bytes);
+    /** Whether there is memory for the bytes of one more read behind a request in flight. */
+    boolean mayReadPipelined() {
+        return connections.mayReadPipelined();
+    }
+
+    /** Counts the bytes that are buffered behind a request in flight. */
+    void countPipelined(ClientConnection client, int bytes) {
+        connections.countPipelined(client, bytes);
+    }
+
+    /** Marks that from now on the socket may hold bytes that were not read for want of room. */
+    void markUnread(ClientConnection client) {
+        if (Double.isNaN(client.unreadSinceMs)) {
+            client.unreadSinceMs = clock.nowMs();
+        }
     }
 
     void onClientGone(ClientRequest request) {
@@ -232,7 +254,10 @@
 
     // ---- Responses ----
 
-    /** Writes a response, and closes the connection after it if that is requested or the node shuts down. */
+    /**
+     * Writes a response, and closes the connection after it if that is requested, or if the node shuts down and no
+     * further request was read on it.
+     */
     void sendResponse(HttpServerExchange exchange, ClientResponse response, boolean isLast) {
         ClientConnection client = connections.get(ClientRequest.channelOf(exchange));
         if (client == null) {
@@ -247,7 +272,8 @@
         if (response.retryAfter() != null) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, response.retryAfter());
         }
-        if (!shuttingDown && !isLast && exchange.isPersistent()) {
+        boolean mayCarryAnother = !shuttingDown || countUnhandledBytes(exchange) > 0;
+        if (mayCarryAnother && !isLast && exchange.isPersistent()) {
             exchange.getResponseSender().send(ByteBuffer.wrap(response.body()), IoCallback.END_EXCHANGE);
         } else {
             sendLastResponse(exchange, response, client.channel);
--- a/node/src/main/java/spartrail/client/RequestMemory.java
+++ b/node/src/main/java/spartrail/client/RequestMemory.java
@@ -67,8 +67,8 @@
         return usedBytes + closingBytes > maxBytes + maxBytes / 2;
     }
 
-    /** Whether so many further bytes are within the limit. */
-    boolean hasRoomFor(long bytes) {
-        return usedBytes + bytes <= maxBytes;
+    /** Whether so many bytes may be buffered behind a request in flight; half of the memory is left to requests. */
+    boolean hasRoomForPipelined(long bytes) {
+        return usedBytes + bytes <= maxBytes / 2;
     }
 }
--- a/node/src/test/java/spartrail/client/ClientListenerTest.java
+++ b/node/src/test/java/spartrail/client/ClientListenerTest.java
@@ -162,6 +162,61 @@
         }
     }
 
+    /**
+     * Guards against answers after the client's time: the time of a pipelined request counted from the response to the
+     * one before it.
+     */
+    @Test
+    void theTimeOfAPipelinedRequestCountsFromItsArrival() throws Exception {
+        ClientListener listener = createListener(16);
+        runOnIoThread(listener::startAccepting);
+        Socket client =
+                new Socket(listener.address().getAddress(), listener.address().getPort());
+        String expiring = QUERY.replace("Req-Id: a", "Req-Id: expired").replace("Req-Deadline: 4", "Req-Deadline: 0.1");
+        send(client, QUERY + expiring + QUERY.replace("Req-Id: a", "Req-Id: last"));
+        ClientRequest first = nextRequest();
+        TimeUnit.MILLISECONDS.sleep(150);
+        runOnIoThread(() -> first.respond(ClientResponse.failure()));
+        ClientRequest last = nextRequest();
+        assertThat(last.id)
+                .as("the request after the expired one, which is rejected at once")
+                .isEqualTo("last");
+        assertThat(last.arrivedMs - first.arrivedMs)
+                .as("ms between the arrivals")
+                .isLessThan(100);
+        runOnIoThread(() -> {
+            listener.beginShutdown();
+            last.respond(ClientResponse.failure());
+        });
+        client.setSoTimeout(20_000);
+        String responses = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertThat(responses).containsSubsequence("HTTP/1.1 500 ", "HTTP/1.1 503 ", "HTTP/1.1 500 ");
+        client.close();
+    }
+
+    /** Guards against the loss of requests that were read behind another one before the shutdown. */
+    @Test
+    void pipelinedRequestsReadBeforeTheShutdownAreAnswered() throws Exception {
+        ClientListener listener = createListener(16);
+        runOnIoThread(listener::startAccepting);
+        Socket client =
+                new Socket(listener.address().getAddress(), listener.address().getPort());
+        send(client, QUERY + QUERY + QUERY);
+        ClientRequest first = nextRequest();
+        runOnIoThread(() -> {
+            listener.beginShutdown();
+            first.respond(ClientResponse.failure());
+        });
+        for (int i = 0; i < 2; i++) {
+            ClientRequest next = nextRequest();
+            runOnIoThread(() -> next.respond(ClientResponse.failure()));
+        }
+        client.setSoTimeout(20_000);
+        String responses = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertThat(responses.split("HTTP/1.1 500 ", -1)).as("three responses").hasSize(4);
+        client.close();
+    }
+
     @Test
     void aConnectionClosesAfterAResponseThatIsBeingWrittenAtTheShutdown() throws Exception {
         ClientListener listener = createListener(16);
--- a/node/src/test/java/spartrail/front/FrontNodeClientTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeClientTest.java
@@ -417,4 +417,26 @@
         assertThat(client.readResponse()).contains("\"segment\":0");
         assertThat(client.readResponse()).contains("\"segment\":1");
     }
+
+    /** Guards against the loss of complete requests that were read beyond what is buffered for a connection. */
+    @Test
+    void pipelinedRequestsBeyondTheBufferLimitAreAllAnswered() throws Exception {
+        start();
+        int requests = 20;
+        String body = buildBody(0).replace("\"t\"}", "\"" + "x".repeat(60_000) + "\"}");
+        Client client = new Client();
+        CompletableFuture<Void> sent = CompletableFuture.runAsync(() -> {
+            try {
+                for (int i = 0; i < requests; i++) {
+                    client.send(buildRequest("q" + i, "4", body));
+                }
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        for (int i = 0; i < requests; i++) {
+            assertThat(client.readResponse()).as("response " + i).startsWith("200 {\"all_in\":true");
+        }
+        sent.get(20, TimeUnit.SECONDS);
+    }
 }
