Requests on an idle connection count from their arrival after bytes were left in the socket

Change: where bytes were left and none are buffered, the socket is read once more after the response.

Run: aRequestAfterALongPipelineCountsFromItsOwnArrival fails without that read and passes with it.

--- a/node/src/main/java/spartrail/client/ClientConnection.java
+++ b/node/src/main/java/spartrail/client/ClientConnection.java
@@ -90,6 +90,11 @@
         return isEvictable() && !hasSentRequest;
     }
 
+    /** Whether the socket may hold bytes that were left in it for want of room. */
+    boolean hasUnreadBytes() {
+        return !Double.isNaN(unreadSinceMs);
+    }
+
     /** Whether the head or the body of a request is awaited. */
     boolean isReceiving() {
         return state == State.HEAD || state == State.BODY;
--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -66,8 +66,7 @@
             int start = into.position();
             int count = super.read(into);
             if (client.isReceiving()) {
-                // Undertow reads the socket only after all bytes that were buffered before, so no request is among
-                // them.
+                // Undertow reads the socket only after all buffered bytes, so there is no complete request left.
                 client.pipelinedBytes = 0;
             }
             if (count > 0) {
@@ -88,7 +87,7 @@
             onRequestStart(client);
         }
         int count = buffer.position() - start;
-        client.arrivals.add(count, Double.isNaN(client.unreadSinceMs) ? clock.nowMs() : client.unreadSinceMs);
+        client.arrivals.add(count, client.hasUnreadBytes() ? client.unreadSinceMs : clock.nowMs());
         client.receivedBytes += count;
         if (client.state == ClientConnection.State.HEAD) {
             client.receivedLines += countLines(buffer, start);
--- a/node/src/main/java/spartrail/client/HttpRequestHandler.java
+++ b/node/src/main/java/spartrail/client/HttpRequestHandler.java
@@ -113,10 +113,13 @@
     /** Prepares the connection for its next request; returns false if Undertow must not read that. */
     private boolean onExchangeComplete(HttpServerExchange exchange, ClientConnection client) {
         client.cancelTimeout();
-        connections.keepPipelined(client, countUnhandledBytes(exchange));
         if (client.state == ClientConnection.State.CLOSING) {
             return false;
         }
+        if (client.hasUnreadBytes() && countUnhandledBytes(exchange) == 0) {
+            bufferUnreadBytes(exchange);
+        }
+        connections.keepPipelined(client, countUnhandledBytes(exchange));
         if (((HttpServerConnection) exchange.getConnection()).getExtraBytes() == null) {
             client.state = ClientConnection.State.IDLE;
         } else {
@@ -132,6 +135,22 @@
         return true;
     }
 
+    /**
+     * Reads bytes that were left in the socket. Otherwise the next request of an idle connection could not be told from
+     * one that has waited there.
+     */
+    private void bufferUnreadBytes(HttpServerExchange exchange) {
+        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        ByteBuffer buffer = connections.scratchBuffer();
+        try {
+            if (connection.getOriginalSourceConduit().read(buffer) > 0) {
+                connection.setExtraBytes(new PipelinedRequests(buffer.flip()));
+            }
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
     private static void onRequestComplete(ClientConnection client) {
         client.hasSentRequest = true;
         client.cancelFirstRequestTimeout();
@@ -243,7 +262,7 @@
 
     /** Marks that from now on the socket may hold bytes that were not read for want of room. */
     void markUnread(ClientConnection client) {
-        if (Double.isNaN(client.unreadSinceMs)) {
+        if (!client.hasUnreadBytes()) {
             client.unreadSinceMs = clock.nowMs();
         }
     }
--- a/node/src/test/java/spartrail/client/ClientListenerTest.java
+++ b/node/src/test/java/spartrail/client/ClientListenerTest.java
@@ -194,6 +194,52 @@
         client.close();
     }
 
+    /** A query that takes so many bytes. */
+    private static String createQuery(int bytes) {
+        String text = "x".repeat(bytes - QUERY.length() - "    ".length());
+        String body = BODY.replace("\"t\"}", "\"t" + text + "\"}");
+        String query = QUERY.replace(BODY, body).replace("Length: " + BODY.length(), "Length: " + body.length());
+        return query.replace("Host: x", "Host: x" + "x".repeat(bytes - query.length()));
+    }
+
+    /**
+     * Guards against the rejection of a request on an idle connection on which bytes were left in the socket before: it
+     * would seem to have arrived then.
+     */
+    @Test
+    void aRequestAfterALongPipelineCountsFromItsOwnArrival() throws Exception {
+        ClientListener listener = createListener(16);
+        runOnIoThread(listener::startAccepting);
+        Socket client =
+                new Socket(listener.address().getAddress(), listener.address().getPort());
+        client.setSoTimeout(20_000);
+        send(client, QUERY);
+        ClientRequest request = nextRequest();
+        String pipelined = createQuery(60_000).repeat(4) + createQuery(22_145);
+        // So many bytes fill the buffer; what fits into the buffer for one read then stays in the socket.
+        int unreadBytes = 8192;
+        send(client, pipelined.substring(0, pipelined.length() - unreadBytes));
+        TimeUnit.MILLISECONDS.sleep(100);
+        send(client, pipelined.substring(pipelined.length() - unreadBytes));
+        for (int i = 0; i < 5; i++) {
+            TimeUnit.MILLISECONDS.sleep(50);
+            ClientRequest answered = request;
+            runOnIoThread(() -> answered.respond(ClientResponse.failure()));
+            request = nextRequest();
+        }
+        ClientRequest lastOfPipeline = request;
+        runOnIoThread(() -> lastOfPipeline.respond(ClientResponse.failure()));
+        double pipelineArrivedMs = request.arrivedMs;
+        TimeUnit.MILLISECONDS.sleep(150);
+        send(client, QUERY);
+        ClientRequest next = nextRequest();
+        assertThat(next.arrivedMs - pipelineArrivedMs)
+                .as("ms between the arrivals")
+                .isGreaterThan(100);
+        runOnIoThread(() -> next.respond(ClientResponse.failure()));
+        client.close();
+    }
+
     /** Guards against the loss of requests that were read behind another one before the shutdown. */
     @Test
     void pipelinedRequestsReadBeforeTheShutdownAreAnswered() throws Exception {
