The memory of a connection's requests is estimated by a class of its own

RequestBytes keeps them private; RequestMemory has the limit alone. What was read behind a complete body is counted exactly.

--- a/node/src/main/java/spartrail/client/ClientConnection.java
+++ b/node/src/main/java/spartrail/client/ClientConnection.java
@@ -53,18 +53,8 @@
      * may have arrived as early as then.
      */
     double unreadSinceMs = Double.NaN;
-    /** The bytes that were read since the current request's head or, if that is complete, its body began. */
-    long receivedBytes;
-    /** The line ends among them while the head is incomplete. */
-    int receivedLines;
-    /** The memory of the current request's head, in bytes. */
-    long headBytes;
-    /** The memory of the current request's body, in bytes. */
-    long bodyBytes;
-    /** Whether the body's length is unknown, so that its memory grows with each read. */
-    boolean isBodyLengthUnknown;
-    /** The number of bytes that were read and not parsed yet; complete requests may be among them. */
-    long pipelinedBytes;
+    /** The memory of its requests. */
+    final RequestBytes requestBytes = new RequestBytes();
     /** What {@link RequestMemory} has counted for this connection, in bytes. */
     long countedBytes;
     /** Closes the connection if receiving a head or a body, sending a response, or the lingering close takes too long. */
@@ -83,7 +73,7 @@
      * read, at most an incomplete one.
      */
     boolean isEvictable() {
-        return state != State.AWAITING_RESPONSE && pipelinedBytes == 0;
+        return state != State.AWAITING_RESPONSE && !requestBytes.hasBuffered();
     }
 
     boolean isEvictableWithoutRequest() {
@@ -104,14 +94,9 @@
         return state == State.BODY;
     }
 
-    /** The memory of its requests, in bytes. */
-    long requestBytes() {
-        return headBytes + bodyBytes + pipelinedBytes;
-    }
-
     /** Whether it may be closed to free the memory of its incomplete request. */
     boolean isIncompleteAndCounted() {
-        return countedBytes > 0 && pipelinedBytes == 0 && isReceiving();
+        return countedBytes > 0 && !requestBytes.hasBuffered() && isReceiving();
     }
 
     boolean isIdle() {
--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -67,7 +67,7 @@
             int count = super.read(into);
             if (client.isReceiving()) {
                 // Undertow reads the socket only after all buffered bytes, so there is no complete request left.
-                client.pipelinedBytes = 0;
+                client.requestBytes.setBuffered(0);
             }
             if (count > 0) {
                 onRead(client, into, start);
@@ -88,30 +88,19 @@
         }
         int count = buffer.position() - start;
         client.arrivals.add(count, client.hasUnreadBytes() ? client.unreadSinceMs : clock.nowMs());
-        client.receivedBytes += count;
         if (client.state == ClientConnection.State.HEAD) {
-            client.receivedLines += countLines(buffer, start);
-            client.headBytes = RequestMemory.ofHead(client.receivedBytes, client.receivedLines);
+            client.requestBytes.addToHead(buffer, start);
             updateMemory(client);
-        } else if (client.isSendingBody() && client.isBodyLengthUnknown) {
-            client.bodyBytes = RequestMemory.ofBodyWithoutLength(client.receivedBytes);
+        } else if (client.isSendingBody()) {
+            client.requestBytes.addToBody(count);
             updateMemory(client);
         }
     }
 
-    private static int countLines(ByteBuffer buffer, int start) {
-        int lines = 0;
-        for (int i = start; i < buffer.position(); i++) {
-            lines += buffer.get(i) == '\n' ? 1 : 0;
-        }
-        return lines;
-    }
-
     /** Called when the first bytes of a request's head were received. */
     void onRequestStart(ClientConnection client) {
         client.state = ClientConnection.State.HEAD;
-        client.receivedBytes = client.pipelinedBytes;
-        client.receivedLines = 0;
+        client.requestBytes.beginHead();
         startTimeout(client, HEAD_TIMEOUT_MS);
     }
 
@@ -172,25 +161,21 @@
 
     // ---- Memory ----
 
-    /** Counts a complete head; of the bytes read since it began, the last so many are no part of it. */
+    /** Counts a complete head with so many headers, behind which so many bytes were read. */
     void countHead(ClientConnection client, int headers, int bytesBehind) {
-        client.headBytes = RequestMemory.ofHead(Math.max(0, client.receivedBytes - bytesBehind), headers);
-        client.pipelinedBytes = bytesBehind;
+        client.requestBytes.endHead(headers, bytesBehind);
         updateMemory(client);
     }
 
     /** Counts a body that is about to be received, by its length or, if that is negative, as it is read. */
     void beginBody(ClientConnection client, long length) {
-        client.receivedBytes = client.pipelinedBytes;
-        client.isBodyLengthUnknown = length < 0;
-        client.bodyBytes = Math.max(0, length);
+        client.requestBytes.beginBody(length);
         updateMemory(client);
     }
 
     /** Counts a complete body until the response; false if there is no memory for it. */
-    boolean keepBody(ClientConnection client, int length) {
-        client.isBodyLengthUnknown = false;
-        client.bodyBytes = length;
+    boolean keepBody(ClientConnection client, int length, int bytesBehind) {
+        client.requestBytes.endBody(length, bytesBehind);
         updateMemory(client);
         return client.countedBytes == 0 || !(memory.isExceeded() || memory.isExhausted());
     }
@@ -202,16 +187,15 @@
 
     /** Counts the bytes that are buffered behind a request in flight. */
     void countPipelined(ClientConnection client, int bytes) {
-        client.pipelinedBytes = bytes;
+        client.requestBytes.setBuffered(bytes);
         updateMemory(client);
     }
 
-    /** Counts what is still buffered for the next requests of a connection, and nothing else of it. */
-    void keepPipelined(ClientConnection client, int bytes) {
-        client.headBytes = 0;
-        client.bodyBytes = 0;
-        client.arrivals.forgetHandledBytes(bytes);
-        countPipelined(client, bytes);
+    /** Counts what is still buffered behind a request that has ended, and nothing else of the connection. */
+    void endRequest(ClientConnection client, int bytesBehind) {
+        client.arrivals.forgetHandledBytes(bytesBehind);
+        client.requestBytes.endRequest(bytesBehind);
+        updateMemory(client);
     }
 
     /**
@@ -308,7 +292,7 @@
     void closeGracefully(StreamConnection channel) {
         ClientConnection client = connections.get(channel);
         if (client != null && client.state != ClientConnection.State.CLOSING) {
-            keepPipelined(client, 0);
+            endRequest(client, 0);
             client.cancelFirstRequestTimeout();
             client.state = ClientConnection.State.CLOSING;
             startTimeout(client, LingeringClose.TIMEOUT_MS);
--- a/node/src/main/java/spartrail/client/HttpRequestHandler.java
+++ b/node/src/main/java/spartrail/client/HttpRequestHandler.java
@@ -119,7 +119,7 @@
         if (client.hasUnreadBytes() && countUnhandledBytes(exchange) == 0) {
             bufferUnreadBytes(exchange);
         }
-        connections.keepPipelined(client, countUnhandledBytes(exchange));
+        connections.endRequest(client, countUnhandledBytes(exchange));
         if (((HttpServerConnection) exchange.getConnection()).getExtraBytes() == null) {
             client.state = ClientConnection.State.IDLE;
         } else {
@@ -202,12 +202,13 @@
     private void onBody(HttpServerExchange exchange, ClientConnection client, byte[] body) {
         client.cancelTimeout();
         client.state = ClientConnection.State.AWAITING_RESPONSE;
-        if (!connections.keepBody(client, body.length)) {
+        int bytesBehind = countUnhandledBytes(exchange);
+        if (!connections.keepBody(client, body.length, bytesBehind)) {
             reject(exchange, client);
             return;
         }
         double nowMs = clock.nowMs();
-        double arrivedMs = client.arrivals.timeOfLastHandledByte(countUnhandledBytes(exchange), nowMs);
+        double arrivedMs = client.arrivals.timeOfLastHandledByte(bytesBehind, nowMs);
         try {
             ClientQuery query = decoder.decode(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
             if (nowMs - arrivedMs >= query.clientTimeoutMs()) {
--- /dev/null
+++ b/node/src/main/java/spartrail/client/RequestBytes.java
@@ -0,0 +1,90 @@
+package spartrail.client;
+
+import java.nio.ByteBuffer;
+
+/**
+ * The memory that the requests on one connection take, in bytes: the one that is received or in flight, and those that
+ * are buffered behind it. Estimated from what was read, as Undertow does not tell what it keeps.
+ */
+final class RequestBytes {
+    /** The objects and strings of one parsed header. */
+    private static final int BYTES_PER_HEADER = 200;
+    /** Buffers whose final size is unknown grow by doubling. */
+    private static final int BUFFER_GROWTH_FACTOR = 2;
+
+    /** What was read since the head or, if that is complete, the body began. */
+    private long received;
+    /** The line ends that were read since the head began. */
+    private int receivedLines;
+
+    private long head;
+    private long body;
+    private boolean isBodyLengthUnknown;
+    private long buffered;
+
+    /** Begins a head, with the bytes that are buffered. */
+    void beginHead() {
+        received = buffered;
+        receivedLines = 0;
+    }
+
+    /** Adds the bytes of a read to an incomplete head; they begin at this position of the buffer. */
+    void addToHead(ByteBuffer buffer, int start) {
+        received += buffer.position() - start;
+        for (int i = start; i < buffer.position(); i++) {
+            receivedLines += buffer.get(i) == '\n' ? 1 : 0;
+        }
+        head = estimateHead(received, receivedLines);
+    }
+
+    /** Ends a head with so many headers, behind which so many bytes were read. */
+    void endHead(int headers, int bytesBehind) {
+        head = estimateHead(Math.max(0, received - bytesBehind), headers);
+        buffered = bytesBehind;
+    }
+
+    private static long estimateHead(long bytes, int headers) {
+        return BUFFER_GROWTH_FACTOR * bytes + (long) headers * BYTES_PER_HEADER;
+    }
+
+    /** Begins a body of this length, which is negative if it is unknown. */
+    void beginBody(long length) {
+        received = buffered;
+        isBodyLengthUnknown = length < 0;
+        body = Math.max(0, length);
+    }
+
+    /** Adds the bytes of a read to an incomplete body. */
+    void addToBody(int bytes) {
+        received += bytes;
+        if (isBodyLengthUnknown) {
+            body = Math.min(HttpRequestHandler.MAX_BODY_BYTES, BUFFER_GROWTH_FACTOR * received);
+        }
+    }
+
+    /** Ends a body of this length, behind which so many bytes were read. */
+    void endBody(int length, int bytesBehind) {
+        body = length;
+        buffered = bytesBehind;
+    }
+
+    /** Ends a request, behind which so many bytes are buffered. */
+    void endRequest(int bytesBehind) {
+        head = 0;
+        body = 0;
+        buffered = bytesBehind;
+    }
+
+    void setBuffered(int bytes) {
+        buffered = bytes;
+    }
+
+    /** Whether bytes were read that are not parsed yet; complete requests may be among them. */
+    boolean hasBuffered() {
+        return buffered > 0;
+    }
+
+    long total() {
+        return head + body + buffered;
+    }
+}
--- a/node/src/main/java/spartrail/client/RequestMemory.java
+++ b/node/src/main/java/spartrail/client/RequestMemory.java
@@ -11,11 +11,6 @@
     /** More than a request with a short text and a dozen headers takes. */
     static final int UNCOUNTED_BYTES = 4 * 1024;
 
-    /** The objects and strings of one parsed header. */
-    private static final int BYTES_PER_HEADER = 200;
-    /** Buffers whose final size is unknown grow by doubling. */
-    private static final int BUFFER_GROWTH_FACTOR = 2;
-
     private final long maxBytes;
     /** The memory of requests on open connections. */
     private long usedBytes;
@@ -26,19 +21,9 @@
         this.maxBytes = maxBytes;
     }
 
-    /** The memory of a head of this length with so many headers, complete or not. */
-    static long ofHead(long bytes, int headers) {
-        return BUFFER_GROWTH_FACTOR * bytes + (long) headers * BYTES_PER_HEADER;
-    }
-
-    /** The memory of a body of unknown length of which so much was received. */
-    static long ofBodyWithoutLength(long receivedBytes) {
-        return Math.min(HttpRequestHandler.MAX_BODY_BYTES, BUFFER_GROWTH_FACTOR * receivedBytes);
-    }
-
     /** Counts the memory that the requests of this connection take now. */
     void update(ClientConnection client) {
-        long counted = Math.max(0, client.requestBytes() - UNCOUNTED_BYTES);
+        long counted = Math.max(0, client.requestBytes.total() - UNCOUNTED_BYTES);
         usedBytes += counted - client.countedBytes;
         client.countedBytes = counted;
     }
