--- a/node/src/main/java/spartrail/front/InFlightMultigets.java
+++ b/node/src/main/java/spartrail/front/InFlightMultigets.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import spartrail.client.ClientRequest;
+import spartrail.model.IdMultiset;
 
 /**
  * The multigets in flight, by the ids that their clients gave them, and their total size. Owned by the coordinator's
@@ -15,14 +16,14 @@
  */
 final class InFlightMultigets {
     private final Map<String, ClientMultiget> multigetsById = new HashMap<>();
-    /** The number of attempts of each multiget, in flight or ended, that a server may still answer. */
-    private final Map<String, Integer> answerableAttemptsById = new HashMap<>();
+    /** The ids of multigets, in flight or ended, once for each attempt that a server may still answer. */
+    private final IdMultiset answerableAttempts = new IdMultiset();
     /** The number of multigets plus the number of their parts. */
     private int size;
 
     /** Whether this id is not in use and a multiget with so many parts would not exceed the limit. */
     boolean hasCapacityFor(String id, int parts, int maxSize) {
-        boolean isInUse = multigetsById.containsKey(id) || answerableAttemptsById.containsKey(id);
+        boolean isInUse = multigetsById.containsKey(id) || answerableAttempts.contains(id);
         return !isInUse && size + 1 + parts <= maxSize;
     }
 
@@ -42,12 +43,12 @@
 
     /** Adds an attempt that a server may answer from now on. */
     void addAnswerableAttempt(String id) {
-        answerableAttemptsById.merge(id, 1, Integer::sum);
+        answerableAttempts.add(id);
     }
 
     /** Removes an attempt that no server can answer any more. */
     void removeAnswerableAttempt(String id) {
-        answerableAttemptsById.computeIfPresent(id, (key, attempts) -> attempts == 1 ? null : attempts - 1);
+        answerableAttempts.remove(id);
     }
 
     boolean contains(ClientMultiget multiget) {
--- a/node/src/main/java/spartrail/shard/ShardConnection.java
+++ b/node/src/main/java/spartrail/shard/ShardConnection.java
@@ -18,6 +18,7 @@
 import org.xnio.XnioExecutor;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import spartrail.model.Attempt.Outcome;
+import spartrail.model.IdMultiset;
 import spartrail.model.MalformedMessageException;
 
 /**
@@ -57,7 +58,11 @@
     private final FrameWriter writer;
     private final ShardFrameCodec.Decoder decoder = new ShardFrameCodec.Decoder();
     private final Map<String, PartRequest> awaitingResponse = new HashMap<>();
-    private final AbandonedParts abandoned = new AbandonedParts();
+    /**
+     * Ids of the parts for which the node no longer waits, but which the server may still answer. Ids only, as a part
+     * would keep the text of its query in memory.
+     */
+    private final IdMultiset abandoned = new IdMultiset();
     /** Ids of the parts that were answered last, at most as many as the limit of parts in flight. */
     private final Set<String> recentlyAnswered = new LinkedHashSet<>();
 
@@ -183,7 +188,7 @@
         }
         awaitingResponse.remove(part.id, part);
         abandoned.add(part.id);
-        draining |= abandoned.size() > MAX_ABANDONED_PARTS;
+        draining |= abandoned.distinctIds() > MAX_ABANDONED_PARTS;
         if (pool.settings.cancelling() && !closed) {
             writer.enqueueCancellation(part.id);
             write();
--- a/node/src/test/java/spartrail/client/ArrivalTimesTest.java
+++ b/node/src/test/java/spartrail/client/ArrivalTimesTest.java
@@ -22,9 +22,9 @@
 
     @Test
     void bytesInQuickSuccessionShareTheEarliestTime() {
-        arrivals.add(1, 1000);
-        arrivals.add(1, 1009);
-        arrivals.add(1, 1011);
+        for (double atMs : new double[] {1000, 1009, 1011}) {
+            arrivals.add(1, atMs);
+        }
         assertThat(arrivals.timeOfLastHandledByte(1, NOW_MS)).isEqualTo(1000);
         assertThat(arrivals.timeOfLastHandledByte(0, NOW_MS)).isEqualTo(1011);
     }
--- a/node/src/test/java/spartrail/client/ClientListenerTest.java
+++ b/node/src/test/java/spartrail/client/ClientListenerTest.java
@@ -63,6 +63,20 @@
                 });
     }
 
+    private ClientListener startListener() throws Exception {
+        ClientListener listener = createListener(16);
+        runOnIoThread(listener::startAccepting);
+        return listener;
+    }
+
+    private static Socket connect(ClientListener listener) throws IOException {
+        return new Socket(listener.address().getAddress(), listener.address().getPort());
+    }
+
+    private void fail(ClientRequest request) throws Exception {
+        runOnIoThread(() -> request.respond(ClientResponse.failure()));
+    }
+
     private interface Step {
         void run() throws Exception;
     }
@@ -97,13 +111,16 @@
             "POST /orders/k HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nReq-Kind: orders\r\nReq-Deadline: 4\r\n"
                     + "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY;
 
+    private static String readAllToEnd(Socket socket) throws IOException {
+        socket.setSoTimeout(20_000);
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
     /**
      * Reads this connection to its end, and shortens the heads of responses to their status line; throws on a reset.
      */
     private static String readToEnd(Socket socket) throws IOException {
-        socket.setSoTimeout(20_000);
-        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
-                .replaceAll("(?s)\r\n.*\r\n\r\n", " ");
+        return readAllToEnd(socket).replaceAll("(?s)\r\n.*\r\n\r\n", " ");
     }
 
     /**
@@ -112,12 +129,10 @@
      */
     @Test
     void requestsSentDuringTheShutdownAreAnsweredAndNoConnectionIsReset() throws Exception {
-        ClientListener listener = createListener(16);
-        runOnIoThread(listener::startAccepting);
+        ClientListener listener = startListener();
         Socket[] clients = new Socket[4];
         for (int i = 0; i < clients.length; i++) {
-            clients[i] = new Socket(
-                    listener.address().getAddress(), listener.address().getPort());
+            clients[i] = connect(listener);
             send(clients[i], UP);
             assertThat(clients[i].getInputStream().readNBytes(12)).endsWith("503".getBytes(StandardCharsets.US_ASCII));
             while (clients[i].getInputStream().available() > 0) {
@@ -131,8 +146,7 @@
         Socket[] newClient = new Socket[1];
         runOnIoThread(() -> {
             send(clients[0], QUERY.replace("Req-Id: a", "Req-Id: crossing"));
-            newClient[0] = new Socket(
-                    listener.address().getAddress(), listener.address().getPort());
+            newClient[0] = connect(listener);
             send(newClient[0], QUERY.replace("Req-Id: a", "Req-Id: new"));
             listener.beginShutdown();
         });
@@ -168,15 +182,13 @@
      */
     @Test
     void theTimeOfAPipelinedRequestCountsFromItsArrival() throws Exception {
-        ClientListener listener = createListener(16);
-        runOnIoThread(listener::startAccepting);
-        Socket client =
-                new Socket(listener.address().getAddress(), listener.address().getPort());
+        ClientListener listener = startListener();
+        Socket client = connect(listener);
         String expiring = QUERY.replace("Req-Id: a", "Req-Id: expired").replace("Req-Deadline: 4", "Req-Deadline: 0.1");
         send(client, QUERY + expiring + QUERY.replace("Req-Id: a", "Req-Id: last"));
         ClientRequest first = nextRequest();
         TimeUnit.MILLISECONDS.sleep(150);
-        runOnIoThread(() -> first.respond(ClientResponse.failure()));
+        fail(first);
         ClientRequest last = nextRequest();
         assertThat(last.id)
                 .as("the request after the expired one, which is rejected at once")
@@ -188,8 +200,7 @@
             listener.beginShutdown();
             last.respond(ClientResponse.failure());
         });
-        client.setSoTimeout(20_000);
-        String responses = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        String responses = readAllToEnd(client);
         assertThat(responses).containsSubsequence("HTTP/1.1 500 ", "HTTP/1.1 503 ", "HTTP/1.1 500 ");
         client.close();
     }
@@ -208,11 +219,8 @@
      */
     @Test
     void aRequestAfterALongPipelineCountsFromItsOwnArrival() throws Exception {
-        ClientListener listener = createListener(16);
-        runOnIoThread(listener::startAccepting);
-        Socket client =
-                new Socket(listener.address().getAddress(), listener.address().getPort());
-        client.setSoTimeout(20_000);
+        ClientListener listener = startListener();
+        Socket client = connect(listener);
         send(client, QUERY);
         ClientRequest request = nextRequest();
         String pipelined = createQuery(60_000).repeat(4) + createQuery(22_145);
@@ -223,12 +231,10 @@
         send(client, pipelined.substring(pipelined.length() - unreadBytes));
         for (int i = 0; i < 5; i++) {
             TimeUnit.MILLISECONDS.sleep(50);
-            ClientRequest answered = request;
-            runOnIoThread(() -> answered.respond(ClientResponse.failure()));
+            fail(request);
             request = nextRequest();
         }
-        ClientRequest lastOfPipeline = request;
-        runOnIoThread(() -> lastOfPipeline.respond(ClientResponse.failure()));
+        fail(request);
         double pipelineArrivedMs = request.arrivedMs;
         TimeUnit.MILLISECONDS.sleep(150);
         send(client, QUERY);
@@ -236,17 +242,15 @@
         assertThat(next.arrivedMs - pipelineArrivedMs)
                 .as("ms between the arrivals")
                 .isGreaterThan(100);
-        runOnIoThread(() -> next.respond(ClientResponse.failure()));
+        fail(next);
         client.close();
     }
 
     /** Guards against the loss of requests that were read behind another one before the shutdown. */
     @Test
     void pipelinedRequestsReadBeforeTheShutdownAreAnswered() throws Exception {
-        ClientListener listener = createListener(16);
-        runOnIoThread(listener::startAccepting);
-        Socket client =
-                new Socket(listener.address().getAddress(), listener.address().getPort());
+        ClientListener listener = startListener();
+        Socket client = connect(listener);
         send(client, QUERY + QUERY + QUERY);
         ClientRequest first = nextRequest();
         runOnIoThread(() -> {
@@ -255,18 +259,16 @@
         });
         for (int i = 0; i < 2; i++) {
             ClientRequest next = nextRequest();
-            runOnIoThread(() -> next.respond(ClientResponse.failure()));
+            fail(next);
         }
-        client.setSoTimeout(20_000);
-        String responses = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        String responses = readAllToEnd(client);
         assertThat(responses.split("HTTP/1.1 500 ", -1)).as("three responses").hasSize(4);
         client.close();
     }
 
     @Test
     void aConnectionClosesAfterAResponseThatIsBeingWrittenAtTheShutdown() throws Exception {
-        ClientListener listener = createListener(16);
-        runOnIoThread(listener::startAccepting);
+        ClientListener listener = startListener();
         Socket client = new Socket();
         client.setReceiveBufferSize(2048);
         client.connect(listener.address());
@@ -287,13 +289,11 @@
      */
     @Test
     void bytesReceivedDuringAPauseAreReadBeforeTheTimeoutCloses() throws Exception {
-        ClientListener listener = createListener(16);
-        runOnIoThread(listener::startAccepting);
+        ClientListener listener = startListener();
         int[] cuts = {0, 60, QUERY.length() - 5};
         Socket[] clients = new Socket[cuts.length];
         for (int i = 0; i < cuts.length; i++) {
-            clients[i] = new Socket(
-                    listener.address().getAddress(), listener.address().getPort());
+            clients[i] = connect(listener);
             send(clients[i], QUERY.substring(0, cuts[i]));
         }
         while (listener.connectionCount() < cuts.length) {
@@ -332,8 +332,7 @@
         int initialDescriptors = countOpenDescriptors();
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
-            clients.add(new Socket(
-                    listener.address().getAddress(), listener.address().getPort()));
+            clients.add(connect(listener));
         }
         for (int check = 0; check < 50; check++) {
             assertThat(countOpenDescriptors() - initialDescriptors - clients.size())
