Clients that reconnect at once no longer keep others from being answered

Cause: the I/O thread took over accepted connections for as long as there were any, and read no sockets meanwhile. For want of memory each taken one closed another, whose client connected again.

Evidence: four of four stacks of the I/O thread, 0.3 s apart, were below ClientListener.accept.

Change: accepted connections are queued; at most 32 are taken over between two reads of all sockets. The drill bad-clients runs two node processes with half requests, requests sent at once and reused ids at both, while servers pause, hang and are killed.

Run: ClientFloodTest#clientsThatReconnectAtOnceDoNotKeepOthersFromBeingAnswered fails with ClientListener as before (read timed out after 2.5 s) and passes.

--- a/lab/src/main/java/spartrail/lab/drill/Drills.java
+++ b/lab/src/main/java/spartrail/lab/drill/Drills.java
@@ -18,6 +18,7 @@
                 new DnsResolverDrill(),
                 new DnsNodeDrill(true),
                 new DnsNodeDrill(false),
+                new BadClientsDrill(),
                 new SubsetDrill()));
         drills.addAll(PeersDrill.all());
         drills.addAll(PolicyDrill.all());
--- a/node/src/main/java/spartrail/client/ClientConnection.java
+++ b/node/src/main/java/spartrail/client/ClientConnection.java
@@ -4,6 +4,7 @@
 import org.xnio.XnioExecutor;
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
+import spartrail.intake.RequestBytes;
 
 /**
  * A client's connection. Belongs to the I/O thread. By event and state:
@@ -54,9 +55,7 @@
      */
     double unreadSinceMs = Double.NaN;
     /** The memory of its requests. */
-    final RequestBytes requestBytes = new RequestBytes();
-    /** What {@link RequestMemory} has counted for this connection, in bytes. */
-    long countedBytes;
+    final RequestBytes requestBytes = new RequestBytes(HttpRequestHandler.MAX_BODY_BYTES);
     /** Closes the connection if receiving a head or a body, sending a response, or the lingering close takes too long. */
     XnioExecutor.Key timeout;
     /** Closes the connection if it sends no complete request in time after it was accepted. */
@@ -96,7 +95,7 @@
 
     /** Whether it may be closed to free the memory of its incomplete request. */
     boolean isIncompleteAndCounted() {
-        return countedBytes > 0 && !requestBytes.hasBuffered() && isReceiving();
+        return requestBytes.isCounted() && !requestBytes.hasBuffered() && isReceiving();
     }
 
     boolean isIdle() {
--- a/node/src/main/java/spartrail/client/ClientListener.java
+++ b/node/src/main/java/spartrail/client/ClientListener.java
@@ -7,8 +7,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -29,6 +32,11 @@
 
     static final int MAX_HEAD_BYTES = 16 * 1024;
     private static final int ACCEPT_BACKLOG = 1024;
+    /**
+     * The most accepted connections that the I/O thread takes over before it reads its sockets again. Clients that
+     * connect again as soon as they are closed would otherwise keep it from reading the requests of all others.
+     */
+    private static final int MAX_TAKEOVERS_PER_POLL = 32;
     /** Idle connections stay open for this long, so that those whose clients vanished without a close end, too. */
     private static final int IDLE_TIMEOUT_MS = 60_000;
 
@@ -37,6 +45,11 @@
     private final HttpRequestHandler handler;
     private final HttpOpenListener httpListener;
     private final AcceptingChannel<StreamConnection> serverChannel;
+    /** Accepted connections that the I/O thread has not taken over yet. */
+    private final Queue<StreamConnection> accepted = new ConcurrentLinkedQueue<>();
+    /** Whether the I/O thread will take over accepted connections without being asked. */
+    private final AtomicBoolean isTakeoverScheduled = new AtomicBoolean();
+
     private long acceptFailures;
 
     /** Binds the address; connections are accepted from {@link #startAccepting} on. */
@@ -121,7 +134,7 @@
      */
     public boolean stopIfDisconnected() {
         accept(serverChannel);
-        boolean isDisconnected = connections.count() == 0;
+        boolean isDisconnected = connections.count() == 0 && accepted.isEmpty();
         if (isDisconnected) {
             IoUtils.safeClose(serverChannel);
         }
@@ -131,6 +144,7 @@
     /** Closes everything at once. */
     public void close() {
         IoUtils.safeClose(serverChannel);
+        accepted.forEach(IoUtils::safeClose);
         connections.closeAll();
     }
 
@@ -142,12 +156,7 @@
     private void accept(AcceptingChannel<StreamConnection> channel) {
         try {
             for (StreamConnection next = channel.accept(); next != null; next = channel.accept()) {
-                StreamConnection connection = next;
-                if (Thread.currentThread() == connection.getIoThread()) {
-                    onAccepted(connection);
-                } else {
-                    connection.getIoThread().execute(() -> onAccepted(connection));
-                }
+                accepted.add(next);
             }
         } catch (ClosedChannelException e) {
             LOG.log(System.Logger.Level.DEBUG, "the listening socket is closed; no connections are accepted any more");
@@ -155,6 +164,25 @@
             // Without a free descriptor the accept would fail again and again, so a connection is evicted to free one.
             io.execute(() -> onAcceptFailed(e));
         }
+        scheduleTakeover();
+    }
+
+    private void scheduleTakeover() {
+        if (!accepted.isEmpty() && isTakeoverScheduled.compareAndSet(false, true)) {
+            io.execute(this::takeOverAccepted);
+        }
+    }
+
+    private void takeOverAccepted() {
+        for (int i = 0; i < MAX_TAKEOVERS_PER_POLL && !accepted.isEmpty(); i++) {
+            onAccepted(accepted.remove());
+        }
+        io.executeAfter(this::onPolledAfterTakeover, ClientConnections.POLL_DELAY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void onPolledAfterTakeover() {
+        isTakeoverScheduled.set(false);
+        scheduleTakeover();
     }
 
     private void onAcceptFailed(IOException e) {
--- a/node/src/main/java/spartrail/client/ClientRequest.java
+++ b/node/src/main/java/spartrail/client/ClientRequest.java
@@ -79,11 +79,14 @@
             return;
         }
         ByteBuffer buffer = handler.scratchBuffer();
+        discarding |= beginsWithNoRequest();
         if (!discarding && !hasRoomFor(buffer.remaining())) {
-            onBufferFull(source);
+            source.suspendReads();
+            handler.markUnread(client);
+            return;
         }
         try {
-            int count = source.isReadResumed() ? source.read(buffer) : 0;
+            int count = source.read(buffer);
             if (count < 0) {
                 onDisconnect();
             } else if (count > 0 && !discarding) {
@@ -99,32 +102,31 @@
         return !full && handler.mayReadPipelined();
     }
 
-    private void onBufferFull(StreamSourceConduit source) {
-        if (connection.getExtraBytes() instanceof PipelinedRequests buffered && !buffered.mayBeginWithRequest()) {
-            discarding = true;
-        } else {
-            source.suspendReads();
-            handler.markUnread(client);
-        }
+    private boolean beginsWithNoRequest() {
+        return connection.getExtraBytes() instanceof PipelinedRequests buffered && !buffered.mayBeginWithRequest();
     }
 
     private void bufferPipelined(ByteBuffer pipelined) {
-        PooledByteBuffer before = connection.getExtraBytes();
-        PipelinedRequests buffered;
-        if (before instanceof PipelinedRequests requests) {
-            buffered = requests;
-            buffered.append(pipelined);
-        } else if (before == null) {
-            buffered = new PipelinedRequests(pipelined);
-        } else {
-            buffered = new PipelinedRequests(before.getBuffer());
-            before.close();
-            buffered.append(pipelined);
-        }
+        PipelinedRequests buffered = takeBuffered();
+        buffered.append(pipelined);
         connection.setExtraBytes(buffered);
         handler.countPipelined(client, buffered.getBuffer().remaining());
     }
 
+    /** The bytes behind this request that were read so far; Undertow may have read the first ones. */
+    private PipelinedRequests takeBuffered() {
+        PooledByteBuffer before = connection.getExtraBytes();
+        if (before instanceof PipelinedRequests buffered) {
+            return buffered;
+        }
+        if (before == null) {
+            return new PipelinedRequests(ByteBuffer.allocate(0));
+        }
+        PipelinedRequests buffered = new PipelinedRequests(before.getBuffer());
+        before.close();
+        return buffered;
+    }
+
     private void onDisconnect() {
         finished = true;
         IoUtils.safeClose(connection);
--- a/node/src/main/java/spartrail/client/HttpRequestHandler.java
+++ b/node/src/main/java/spartrail/client/HttpRequestHandler.java
@@ -15,6 +15,7 @@
 import java.nio.ByteBuffer;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import spartrail.intake.RequestIntake;
 import spartrail.model.MalformedMessageException;
 import spartrail.model.NodeClock;
 
@@ -211,8 +212,7 @@
         double arrivedMs = client.arrivals.timeOfLastHandledByte(bytesBehind, nowMs);
         try {
             ClientQuery query = decoder.decode(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
-            if (nowMs - arrivedMs >= query.clientTimeoutMs()) {
-                // Hundreds of requests may expire behind a slow one; in the loop each would take an iteration.
+            if (RequestIntake.isExpired(arrivedMs, query.clientTimeoutMs(), nowMs)) {
                 reject(exchange, client);
                 return;
             }
--- a/node/src/main/java/spartrail/client/LingeringClose.java
+++ b/node/src/main/java/spartrail/client/LingeringClose.java
@@ -66,16 +66,12 @@
                 discardedBytes += count;
             }
             if (count < 0) {
-                close();
+                IoUtils.safeClose(connection);
             } else if (discardedBytes >= MAX_DISCARDED_BYTES) {
                 source.suspendReads();
             }
         } catch (IOException e) {
-            close();
+            IoUtils.safeClose(connection);
         }
     }
-
-    private void close() {
-        IoUtils.safeClose(connection);
-    }
 }
--- a/node/src/main/java/spartrail/client/PipelinedRequests.java
+++ b/node/src/main/java/spartrail/client/PipelinedRequests.java
@@ -23,11 +23,11 @@
         return bytes.remaining() + moreBytes > MAX_BYTES;
     }
 
-    /** Appends bytes. */
+    /** Appends bytes; the caller has checked that they do not exceed the limit. */
     void append(ByteBuffer more) {
         int needed = bytes.remaining() + more.remaining();
         if (needed > bytes.capacity()) {
-            bytes = ByteBuffer.allocate(Math.max(needed, 2 * bytes.capacity()))
+            bytes = ByteBuffer.allocate(Math.min(MAX_BYTES, Math.max(needed, 2 * bytes.capacity())))
                     .put(bytes)
                     .flip();
         }
--- a/node/src/main/java/spartrail/client/package-info.java
+++ b/node/src/main/java/spartrail/client/package-info.java
@@ -6,6 +6,6 @@
  * the clients' protocol uses.
  *
  * <p>Thread: the one I/O thread, except for {@link spartrail.client.ClientListener}'s constructor. No code here blocks,
- * decides whether a query is served, or refers to servers.
+ * or refers to servers; {@link spartrail.intake.RequestIntake} decides which requests are received and kept.
  */
 package spartrail.client;
--- a/node/src/test/java/spartrail/cli/ClientFloodTest.java
+++ b/node/src/test/java/spartrail/cli/ClientFloodTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /** Many clients send so much at the same time that a node would end for lack of memory if it kept all of it. */
@@ -30,12 +31,16 @@
         return head("Content-Length: " + body.length() + "\r\n\r\n") + body;
     }
 
+    private void startFloodedNode() throws IOException {
+        startNode("export JAVA_TOOL_OPTIONS='-Xmx24m -XX:+UseSerialGC -XX:+ExitOnOutOfMemoryError'; ");
+    }
+
     /**
      * Each client sends the text on a new connection, waits for the connection's end or its responses, and does the
      * same again. The node must then still run and answer a usual query.
      */
     private void assertNodeSurvives(int clients, int rounds, String text, int responses) throws Exception {
-        startNode("export JAVA_TOOL_OPTIONS='-Xmx24m -XX:+UseSerialGC -XX:+ExitOnOutOfMemoryError'; ");
+        startFloodedNode();
         int port = awaitPort();
         CountDownLatch ready = new CountDownLatch(clients);
         ExecutorService threads = Executors.newFixedThreadPool(clients);
@@ -59,8 +64,7 @@
         try (Socket usual = new Socket("127.0.0.1", port)) {
             usual.setSoTimeout(20_000);
             usual.getOutputStream().write(query("t").replace("ID", "usual").getBytes(StandardCharsets.US_ASCII));
-            assertThat(new String(usual.getInputStream().readNBytes(12), StandardCharsets.US_ASCII))
-                    .isEqualTo("HTTP/1.1 200");
+            assertThat(readResponse(usual)).isEqualTo("200");
         }
     }
 
@@ -103,4 +107,50 @@
     void completeQueriesDoNotFillTheHeap() throws Exception {
         assertNodeSurvives(300, 1, query("x".repeat(65_000)).repeat(8), 8);
     }
+
+    /** Reads a response, and returns its status; fails if the connection ends before. */
+    private static String readResponse(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = socket.getInputStream().read();
+            assertThat(next).as("the next byte of a response after " + head).isNotNegative();
+            head.append((char) next);
+        }
+        socket.getInputStream()
+                .readNBytes(Integer.parseInt(head.toString().replaceAll("(?s).*Content-Length: (\\d+).*", "$1")));
+        return head.substring(9, 12);
+    }
+
+    /**
+     * Guards against requests without an answer: the I/O thread took over new connections for as long as there were any,
+     * and read no others meanwhile.
+     */
+    @Test
+    void clientsThatReconnectAtOnceDoNotKeepOthersFromBeingAnswered() throws Exception {
+        startFloodedNode();
+        int port = awaitPort();
+        String query = query("x".repeat(65_000));
+        String half = query.substring(0, query.length() - 1);
+        AtomicBoolean ended = new AtomicBoolean();
+        ExecutorService threads = Executors.newFixedThreadPool(200);
+        for (int i = 0; i < 200; i++) {
+            threads.execute(() -> {
+                while (!ended.get()) {
+                    sendAndAwaitResponses(port, half, 1);
+                }
+            });
+        }
+        try (Socket usual = new Socket("127.0.0.1", port)) {
+            usual.setSoTimeout(2500);
+            for (int round = 0; round < 20; round++) {
+                usual.getOutputStream()
+                        .write(query("t").replace("ID", "usual" + round).getBytes(StandardCharsets.US_ASCII));
+                assertThat(readResponse(usual)).isEqualTo("200");
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+        } finally {
+            ended.set(true);
+            threads.shutdown();
+        }
+    }
 }
