Only incomplete requests count as incomplete while memory is short

Cause: all bytes of a read counted as an incomplete head before Undertow had parsed them, so forty complete small requests looked like one of 70 KB, and were closed when memory was short.

Change: bytes count as incomplete when Undertow reads on, as it has parsed what was read before.

--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -14,10 +14,11 @@
 import org.xnio.XnioIoThread;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
+import spartrail.intake.RequestIntake;
 import spartrail.model.NodeClock;
 
 /**
- * The open connections of clients, the longest unused first. Limits their number, the memory of incomplete requests,
+ * The open connections of clients, the longest unused first. Limits their number, the memory of their requests,
  * and the time for sending a request. Runs on the I/O thread only. Cost: an eviction is at most linear in the open
  * connections.
  */
@@ -33,13 +34,11 @@
     static final int POLL_DELAY_MS = 2;
 
     private static final int SCRATCH_BYTES = 8 * 1024;
-    /** Requests of clients may take one of so many parts of the heap. */
-    private static final int HEAP_PARTS = 4;
 
     private final XnioIoThread io;
     private final NodeClock clock;
     private final int maxConnections;
-    private final RequestMemory memory = new RequestMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS);
+    private final RequestIntake intake = new RequestIntake(Runtime.getRuntime().maxMemory());
     private final Map<StreamConnection, ClientConnection> connections = new LinkedHashMap<>();
     private final ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
 
@@ -63,17 +62,13 @@
 
         @Override
         public int read(ByteBuffer into) throws IOException {
-            int start = into.position();
-            int count = super.read(into);
             if (client.isReceiving()) {
-                // Undertow reads the socket only after all buffered bytes, so there is no complete request left.
-                client.requestBytes.setBuffered(0);
+                onIncomplete(client);
             }
+            int start = into.position();
+            int count = super.read(into);
             if (count > 0) {
                 onRead(client, into, start);
-                if (!client.channel.isOpen()) {
-                    throw new ClosedChannelException();
-                }
             }
             if (into.hasRemaining()) {
                 client.unreadSinceMs = Double.NaN;
@@ -82,6 +77,18 @@
         }
     }
 
+    /**
+     * Counts an incomplete request. Undertow reads the socket only after it has parsed all bytes that were read before, so
+     * they contain no complete request.
+     */
+    private void onIncomplete(ClientConnection client) throws ClosedChannelException {
+        client.requestBytes.setBuffered(0);
+        updateMemory(client);
+        if (!client.channel.isOpen()) {
+            throw new ClosedChannelException();
+        }
+    }
+
     private void onRead(ClientConnection client, ByteBuffer buffer, int start) {
         if (client.state == ClientConnection.State.NEW || client.isIdle()) {
             onRequestStart(client);
@@ -89,14 +96,20 @@
         int count = buffer.position() - start;
         client.arrivals.add(count, client.hasUnreadBytes() ? client.unreadSinceMs : clock.nowMs());
         if (client.state == ClientConnection.State.HEAD) {
-            client.requestBytes.addToHead(buffer, start);
-            updateMemory(client);
+            client.requestBytes.addToHead(count, countLines(buffer, start));
         } else if (client.isSendingBody()) {
             client.requestBytes.addToBody(count);
-            updateMemory(client);
         }
     }
 
+    private static int countLines(ByteBuffer buffer, int start) {
+        int lines = 0;
+        for (int i = start; i < buffer.position(); i++) {
+            lines += buffer.get(i) == '\n' ? 1 : 0;
+        }
+        return lines;
+    }
+
     /** Called when the first bytes of a request's head were received. */
     void onRequestStart(ClientConnection client) {
         client.state = ClientConnection.State.HEAD;
@@ -177,12 +190,12 @@
     boolean keepBody(ClientConnection client, int length, int bytesBehind) {
         client.requestBytes.endBody(length, bytesBehind);
         updateMemory(client);
-        return client.countedBytes == 0 || !(memory.isExceeded() || memory.isExhausted());
+        return intake.mayKeep(client.requestBytes);
     }
 
     /** Whether there is memory for the bytes of one more read behind a request in flight. */
     boolean mayReadPipelined() {
-        return memory.hasRoomForPipelined(SCRATCH_BYTES);
+        return intake.mayBuffer(SCRATCH_BYTES);
     }
 
     /** Counts the bytes that are buffered behind a request in flight. */
@@ -206,15 +219,15 @@
         if (!contains(client)) {
             return;
         }
-        memory.update(client);
+        intake.update(client.requestBytes);
         closeIncompleteOthers(client);
-        if (memory.isExhausted() && client.isIncompleteAndCounted()) {
+        if (client.isIncompleteAndCounted() && !intake.mayReceive(client.requestBytes)) {
             closeNow(client.channel);
         }
     }
 
     private void closeIncompleteOthers(ClientConnection client) {
-        while (memory.isExceeded()) {
+        while (intake.mustCloseIncomplete()) {
             ClientConnection other = findFirst(candidate -> candidate != client && candidate.isIncompleteAndCounted());
             if (other == null) {
                 return;
@@ -231,9 +244,9 @@
     private void release(ClientConnection client) {
         client.cancelTimeout();
         client.cancelFirstRequestTimeout();
-        long bytes = memory.beginClosing(client);
+        long bytes = intake.beginClosing(client.requestBytes);
         if (bytes > 0) {
-            afterPoll(() -> afterPoll(() -> memory.endClosing(bytes)));
+            afterPoll(() -> afterPoll(() -> intake.endClosing(bytes)));
         }
     }
 
