What Undertow reads on a client's connection is observed by a class of its own

Change: RequestReadConduit has the conduit; ClientConnections keeps the counting of memory. No decision changes.

--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -1,8 +1,6 @@
 package spartrail.client;
 
-import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedChannelException;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -12,8 +10,6 @@
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.StreamSourceConduit;
 import spartrail.intake.RequestIntake;
 import spartrail.model.NodeClock;
 
@@ -48,68 +44,6 @@
         this.maxConnections = maxConnections;
     }
 
-    /**
-     * Detects the first byte of a request, and counts the memory of an incomplete one and the times at which its bytes
-     * arrived, as Undertow reports a request only once its head is complete, and a body only once it is complete.
-     */
-    private final class RequestStartConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
-        private final ClientConnection client;
-
-        RequestStartConduit(ClientConnection client) {
-            super(client.source);
-            this.client = client;
-        }
-
-        @Override
-        public int read(ByteBuffer into) throws IOException {
-            if (client.isReceiving()) {
-                onIncomplete(client);
-            }
-            int start = into.position();
-            int count = super.read(into);
-            if (count > 0) {
-                onRead(client, into, start);
-            }
-            if (into.hasRemaining()) {
-                client.unreadSinceMs = Double.NaN;
-            }
-            return count;
-        }
-    }
-
-    /**
-     * Counts an incomplete request. Undertow reads the socket only after it has parsed all bytes that were read before, so
-     * they contain no complete request.
-     */
-    private void onIncomplete(ClientConnection client) throws ClosedChannelException {
-        client.requestBytes.setBuffered(0);
-        updateMemory(client);
-        if (!client.channel.isOpen()) {
-            throw new ClosedChannelException();
-        }
-    }
-
-    private void onRead(ClientConnection client, ByteBuffer buffer, int start) {
-        if (client.state == ClientConnection.State.NEW || client.isIdle()) {
-            onRequestStart(client);
-        }
-        int count = buffer.position() - start;
-        client.arrivals.add(count, client.hasUnreadBytes() ? client.unreadSinceMs : clock.nowMs());
-        if (client.state == ClientConnection.State.HEAD) {
-            client.requestBytes.addToHead(count, countLines(buffer, start));
-        } else if (client.isSendingBody()) {
-            client.requestBytes.addToBody(count);
-        }
-    }
-
-    private static int countLines(ByteBuffer buffer, int start) {
-        int lines = 0;
-        for (int i = start; i < buffer.position(); i++) {
-            lines += buffer.get(i) == '\n' ? 1 : 0;
-        }
-        return lines;
-    }
-
     /** Called when the first bytes of a request's head were received. */
     void onRequestStart(ClientConnection client) {
         client.state = ClientConnection.State.HEAD;
@@ -117,11 +51,11 @@
         startTimeout(client, HEAD_TIMEOUT_MS);
     }
 
-    /** Adds a connection, and installs the conduit that detects the start of requests. */
+    /** Adds a connection, and installs the conduit that observes what is read on it. */
     ClientConnection add(StreamConnection channel) {
         ClientConnection client = new ClientConnection(channel);
         connections.put(channel, client);
-        channel.getSourceChannel().setConduit(new RequestStartConduit(client));
+        channel.getSourceChannel().setConduit(new RequestReadConduit(this, client, clock));
         return client;
     }
 
@@ -174,6 +108,15 @@
 
     // ---- Memory ----
 
+    /**
+     * Counts an incomplete request whose next bytes are about to be read. Undertow reads the socket only after it has
+     * parsed all bytes that were read before, so they contain no complete request.
+     */
+    void countIncomplete(ClientConnection client) {
+        client.requestBytes.setBuffered(0);
+        updateMemory(client);
+    }
+
     /** Counts a complete head with so many headers, behind which so many bytes were read. */
     void countHead(ClientConnection client, int headers, int bytesBehind) {
         client.requestBytes.endHead(headers, bytesBehind);
--- /dev/null
+++ b/node/src/main/java/spartrail/client/RequestReadConduit.java
@@ -0,0 +1,71 @@
+package spartrail.client;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+import spartrail.model.NodeClock;
+
+/**
+ * Observes what Undertow reads on a client's connection: the first byte of a request, the memory of an incomplete one
+ * and the times at which its bytes arrived. Undertow reports a request only once its head is complete, and a body only
+ * once it is complete.
+ */
+final class RequestReadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    private final ClientConnections connections;
+    private final ClientConnection client;
+    private final NodeClock clock;
+
+    RequestReadConduit(ClientConnections connections, ClientConnection client, NodeClock clock) {
+        super(client.source);
+        this.connections = connections;
+        this.client = client;
+        this.clock = clock;
+    }
+
+    @Override
+    public int read(ByteBuffer into) throws IOException {
+        if (client.isReceiving()) {
+            countIncomplete();
+        }
+        int start = into.position();
+        int count = super.read(into);
+        if (count > 0) {
+            onRead(into, start);
+        }
+        if (into.hasRemaining()) {
+            client.unreadSinceMs = Double.NaN;
+        }
+        return count;
+    }
+
+    /** Counts the incomplete request; that may close this connection, as there may be no memory for it. */
+    private void countIncomplete() throws ClosedChannelException {
+        connections.countIncomplete(client);
+        if (!client.channel.isOpen()) {
+            throw new ClosedChannelException();
+        }
+    }
+
+    private void onRead(ByteBuffer buffer, int start) {
+        if (client.state == ClientConnection.State.NEW || client.isIdle()) {
+            connections.onRequestStart(client);
+        }
+        int count = buffer.position() - start;
+        client.arrivals.add(count, client.hasUnreadBytes() ? client.unreadSinceMs : clock.nowMs());
+        if (client.state == ClientConnection.State.HEAD) {
+            client.requestBytes.addToHead(count, countLines(buffer, start));
+        } else if (client.isSendingBody()) {
+            client.requestBytes.addToBody(count);
+        }
+    }
+
+    private static int countLines(ByteBuffer buffer, int start) {
+        int lines = 0;
+        for (int i = start; i < buffer.position(); i++) {
+            lines += buffer.get(i) == '\n' ? 1 : 0;
+        }
+        return lines;
+    }
+}
