The last read before a close does not depend on a timer any more

Callers saw: on a busy machine a request that had arrived on an idle connection before the shutdown got the end of the connection and no response. ClientListenerTest#requestsSentDuringTheShutdownAreAnsweredAndNoConnectionIsReset is flaky by it.

Cause: the I/O thread runs all due timers before it selects, and a timer of 2 ms stood for a selection.

Change: PollBarrier runs a task after the selection that reports a byte in a pipe, behind all that this selection has reported. It serves the shutdown, the time limits of clients, the memory of closed connections and the takeover of accepted ones. A listener's close empties its queue of accepted connections; its tests close their listeners.

--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -8,7 +8,6 @@
 import java.util.stream.Stream;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import spartrail.intake.RequestIntake;
 import spartrail.model.NodeClock;
@@ -26,20 +25,19 @@
     private static final int FIRST_REQUEST_TIMEOUT_MS = 2000;
 
     private static final int HEAD_TIMEOUT_MS = 1500;
-    /** The I/O thread reads all ready sockets between two timers that are at least this far apart. */
-    static final int POLL_DELAY_MS = 2;
-
     private static final int SCRATCH_BYTES = 8 * 1024;
 
     private final XnioIoThread io;
+    private final PollBarrier pollBarrier;
     private final NodeClock clock;
     private final int maxConnections;
     private final RequestIntake intake = new RequestIntake(Runtime.getRuntime().maxMemory());
     private final Map<StreamConnection, ClientConnection> connections = new LinkedHashMap<>();
     private final ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
 
-    ClientConnections(XnioIoThread io, NodeClock clock, int maxConnections) {
+    ClientConnections(XnioIoThread io, PollBarrier pollBarrier, NodeClock clock, int maxConnections) {
         this.io = io;
+        this.pollBarrier = pollBarrier;
         this.clock = clock;
         this.maxConnections = maxConnections;
     }
@@ -182,21 +180,17 @@
     /**
      * Ends the timeouts of a removed connection, and releases the memory of its requests. Pending timeouts would keep
      * that in memory, and so do tasks in the queue of the I/O thread and the connection's key until the next selection.
-     * So the memory counts until two timers have run, between which the I/O thread empties its queue and selects.
+     * So the memory counts until the I/O thread has emptied its queue and selected.
      */
     private void release(ClientConnection client) {
         client.cancelTimeout();
         client.cancelFirstRequestTimeout();
         long bytes = intake.beginClosing(client.requestBytes);
         if (bytes > 0) {
-            afterPoll(() -> afterPoll(() -> intake.endClosing(bytes)));
+            pollBarrier.afterPoll(() -> intake.endClosing(bytes));
         }
     }
 
-    private XnioExecutor.Key afterPoll(Runnable task) {
-        return io.executeAfter(task, POLL_DELAY_MS, TimeUnit.MILLISECONDS);
-    }
-
     /** A buffer for the bytes of one read, shared by all connections: the next read overwrites its content. */
     ByteBuffer scratchBuffer() {
         return scratch.clear();
@@ -215,7 +209,9 @@
             return;
         }
         client.timeout = io.executeAfter(
-                () -> client.timeout = afterPoll(() -> closeNow(client.channel)), timeoutMs, TimeUnit.MILLISECONDS);
+                () -> client.timeout = pollBarrier.afterPoll(() -> closeNow(client.channel)),
+                timeoutMs,
+                TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -224,7 +220,7 @@
      */
     void startFirstRequestTimeout(ClientConnection client) {
         client.firstRequestTimeout = io.executeAfter(
-                () -> client.firstRequestTimeout = afterPoll(() -> closeNow(client.channel)),
+                () -> client.firstRequestTimeout = pollBarrier.afterPoll(() -> closeNow(client.channel)),
                 FIRST_REQUEST_TIMEOUT_MS,
                 TimeUnit.MILLISECONDS);
     }
--- a/node/src/main/java/spartrail/client/ClientListener.java
+++ b/node/src/main/java/spartrail/client/ClientListener.java
@@ -10,7 +10,6 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
@@ -41,6 +40,7 @@
     private static final int IDLE_TIMEOUT_MS = 60_000;
 
     private final XnioIoThread io;
+    private final PollBarrier pollBarrier;
     private final ClientConnections connections;
     private final HttpRequestHandler handler;
     private final HttpOpenListener httpListener;
@@ -64,7 +64,8 @@
             ClientQueryListener queryListener)
             throws IOException {
         io = worker.getIoThread();
-        connections = new ClientConnections(io, clock, maxConnections);
+        pollBarrier = new PollBarrier(io);
+        connections = new ClientConnections(io, pollBarrier, clock, maxConnections);
         handler = new HttpRequestHandler(connections, new ClientQueryDecoder(opTypes, shards), clock, queryListener);
         httpListener = new HttpOpenListener(
                 buffers,
@@ -119,7 +120,7 @@
      */
     public void beginShutdown() {
         handler.beginShutdown();
-        io.executeAfter(connections::closeIdleGracefully, ClientConnections.POLL_DELAY_MS, TimeUnit.MILLISECONDS);
+        pollBarrier.afterPoll(connections::closeIdleGracefully);
     }
 
     /** Begins the shutdown, and rejects all further queries at once. */
@@ -144,8 +145,11 @@
     /** Closes everything at once. */
     public void close() {
         IoUtils.safeClose(serverChannel);
-        accepted.forEach(IoUtils::safeClose);
+        for (StreamConnection next = accepted.poll(); next != null; next = accepted.poll()) {
+            IoUtils.safeClose(next);
+        }
         connections.closeAll();
+        pollBarrier.close();
     }
 
     /** The number of open connections. */
@@ -177,7 +181,7 @@
         for (int i = 0; i < MAX_TAKEOVERS_PER_POLL && !accepted.isEmpty(); i++) {
             onAccepted(accepted.remove());
         }
-        io.executeAfter(this::onPolledAfterTakeover, ClientConnections.POLL_DELAY_MS, TimeUnit.MILLISECONDS);
+        pollBarrier.afterPoll(this::onPolledAfterTakeover);
     }
 
     private void onPolledAfterTakeover() {
--- a/node/src/test/java/spartrail/client/ClientListenerTest.java
+++ b/node/src/test/java/spartrail/client/ClientListenerTest.java
@@ -35,16 +35,20 @@
 
     private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
     private final BlockingQueue<ClientRequest> queries = new LinkedBlockingQueue<>();
+    private final List<ClientListener> listeners = new ArrayList<>();
 
     ClientListenerTest() throws IOException {}
 
     @AfterEach
-    void close() {
+    void close() throws Exception {
+        for (ClientListener listener : listeners) {
+            runOnIoThread(listener::close);
+        }
         worker.shutdown();
     }
 
     private ClientListener createListener(int maxConnections) throws IOException {
-        return new ClientListener(
+        ClientListener listener = new ClientListener(
                 worker,
                 new DefaultByteBufferPool(true, 1024),
                 new InetSocketAddress("127.0.0.1", 0),
@@ -61,6 +65,8 @@
                     @Override
                     public void onClientGone(ClientRequest request) {}
                 });
+        listeners.add(listener);
+        return listener;
     }
 
     private ClientListener startListener() throws Exception {
