Link faults and throttled nodes of a cluster run are classes of their own

Change: LinkFaultStep and NodeThrottle are taken out, and each action of a step is a method. What a step does is the same.

--- a/lab/src/main/java/spartrail/lab/cluster/ClusterHarness.java
+++ b/lab/src/main/java/spartrail/lab/cluster/ClusterHarness.java
@@ -19,7 +19,6 @@
 import spartrail.lab.experiment.NodeSettings;
 import spartrail.lab.experiment.Runner;
 import spartrail.lab.file.Document;
-import spartrail.lab.file.InvalidInputException;
 import spartrail.lab.fleet.Fleet;
 import spartrail.lab.load.LoadSession;
 import spartrail.lab.plan.LoadPlan;
@@ -58,6 +57,8 @@
     private static final double TOLERANCE_MS = 500;
 
     private static final double MEMBERSHIP_TIMEOUT_MS = 20_000;
+    private static final double DEFAULT_CORE_SHARE = 0.05;
+    private static final double DEFAULT_FLOOD_PER_S = 2000;
 
     /** A step that has not been executed yet, with the number of history lines that matched its trigger so far. */
     private static final class PendingStep {
@@ -90,7 +91,7 @@
     /** Time since the start of the run at which each step was executed, by step name. */
     private final Map<String, Double> executedAtMs = new HashMap<>();
 
-    private final Set<Integer> slowed = new HashSet<>();
+    private final List<NodeThrottle> throttles = new ArrayList<>();
     private final List<DatagramFlood> floods = new ArrayList<>();
     private final List<Integer> peerPorts = new ArrayList<>();
     private OperatorCommands operatorCommands;
@@ -474,93 +475,119 @@
                         : " with far ends "
                                 + step.others().stream().map(node -> "n" + node).toList()));
         switch (step.action()) {
-            case "kill" -> {
-                tolerateOutage(step, 0);
-                endedNodes.addAll(step.nodes());
-                for (int node : step.nodes()) {
-                    nodes.get(node).handle().destroyForcibly();
-                }
-                for (int node : step.nodes()) {
-                    nodes.get(node).awaitEnd(10);
-                }
-                recordStep(step, "killed");
-            }
-            case "terminate" -> {
-                recordStep(step, "asked to end");
-                endedNodes.addAll(step.nodes());
-                step.nodes().forEach(node -> nodes.get(node).terminate());
-            }
-            case "start" -> {
-                recordStep(step, "started");
-                for (int i = 0; i < step.nodes().size(); i++) {
-                    int node = step.nodes().get(i);
-                    if (plan.peers() != null && step.parameters().has("as")) {
-                        setPeerName(node, step.parameters().get("as").get(i).asText());
-                    }
-                    nodes.get(node).launch(machineOptions(step.parameters()));
-                    endedNodes.remove(node);
-                }
-            }
-            case "stop" -> {
-                tolerateOutage(step, step.durationMs() > 0 ? step.durationMs() : plan.durationMs());
-                for (int node : step.nodes()) {
-                    nodes.get(node).stop(true);
-                }
-                recordStep(step, "stopped");
-                scheduleEnd(
-                        step,
-                        "goes on",
-                        () -> forEachNode(step, node -> nodes.get(node).stop(false)));
-            }
-            case "slow" -> {
-                tolerateOutage(step, step.durationMs() > 0 ? step.durationMs() : plan.durationMs());
-                recordStep(step, "slowed");
-                slowed.addAll(step.nodes());
-                Thread slowing = new Thread(
-                        () -> throttle(step, step.parameters().path("share").asDouble(0.05)), "spartrail-slowing");
-                slowing.setDaemon(true);
-                slowing.start();
-                scheduleEnd(step, "quick again", () -> slowed.removeAll(step.nodes()));
-            }
-            case "flood" -> {
-                recordStep(step, "flooded");
-                DatagramFlood flood = new DatagramFlood(
-                        step.parameters().path("perS").asDouble(2000),
-                        step.parameters().path("manner").asText("names"),
-                        step.nodes().stream()
-                                .map(node -> PORT_OF.apply(links.address(node)))
-                                .toList(),
-                        "rig",
-                        plan.seed());
-                floods.add(flood);
-                scheduleEnd(step, "flood ends", flood::close);
-            }
+            case "kill" -> kill(step);
+            case "terminate" -> terminate(step);
+            case "start" -> start(step);
+            case "stop" -> suspend(step);
+            case "slow" -> throttle(step);
+            case "flood" -> flood(step);
             case "propose" -> operatorCommands.propose(
-                    step.name(),
-                    step.nodes().isEmpty() ? 0 : step.nodes().get(0),
-                    step.parameters().get("settings"));
+                    step.name(), firstNode(step, 0), step.parameters().get("settings"));
             case "abort" -> operatorCommands.abort(
                     step.name(),
-                    step.nodes().isEmpty() ? 0 : step.nodes().get(0),
+                    firstNode(step, 0),
                     step.parameters().path("number").asLong());
             case "push" -> schedulePush(step);
             case "abandon" -> recordStep(step, "abandoned");
-            case "harm" -> {
-                for (int node : step.nodes()) {
-                    DiskFault.apply(folder, node, step.parameters().path("harm").asText());
-                }
-                recordStep(step, "harmed");
-            }
+            case "harm" -> harmDisks(step);
             case "crash" -> operatorCommands.armCrashPoint(
                     step.name(),
-                    step.nodes().isEmpty() ? leader : step.nodes().get(0),
+                    firstNode(step, leader),
                     step.parameters().path("point").asText());
-            case "heal" -> {
-                links.setFaults(node -> true, node -> true, () -> null);
-                recordStep(step, "healed");
+            case "heal" -> healLinks(step);
+            default -> setLinkFault(step);
+        }
+    }
+
+    private static int firstNode(Step step, int nodeIfNone) {
+        return step.nodes().isEmpty() ? nodeIfNone : step.nodes().get(0);
+    }
+
+    private void kill(Step step) throws IOException, InterruptedException {
+        tolerateOutage(step, 0);
+        endedNodes.addAll(step.nodes());
+        for (int node : step.nodes()) {
+            nodes.get(node).handle().destroyForcibly();
+        }
+        for (int node : step.nodes()) {
+            nodes.get(node).awaitEnd(10);
+        }
+        recordStep(step, "killed");
+    }
+
+    private void terminate(Step step) {
+        recordStep(step, "asked to end");
+        endedNodes.addAll(step.nodes());
+        step.nodes().forEach(node -> nodes.get(node).terminate());
+    }
+
+    private void start(Step step) throws IOException, InterruptedException {
+        recordStep(step, "started");
+        for (int i = 0; i < step.nodes().size(); i++) {
+            int node = step.nodes().get(i);
+            if (plan.peers() != null && step.parameters().has("as")) {
+                setPeerName(node, step.parameters().get("as").get(i).asText());
             }
-            default -> executeLinkStep(step);
+            nodes.get(node).launch(machineOptions(step.parameters()));
+            endedNodes.remove(node);
+        }
+    }
+
+    private void suspend(Step step) throws IOException, InterruptedException {
+        tolerateOutage(step, durationOrRestOfRunMs(step));
+        for (int node : step.nodes()) {
+            nodes.get(node).stop(true);
         }
+        recordStep(step, "stopped");
+        scheduleEnd(
+                step, "goes on", () -> forEachNode(step, node -> nodes.get(node).stop(false)));
+    }
+
+    private void throttle(Step step) {
+        tolerateOutage(step, durationOrRestOfRunMs(step));
+        recordStep(step, "slowed");
+        NodeThrottle throttle = new NodeThrottle(
+                step.nodes().stream().map(nodes::get).toList(),
+                step.parameters().path("share").asDouble(DEFAULT_CORE_SHARE),
+                problem -> progress.accept(
+                        "step " + step.name() + " cannot slow its nodes: " + problem + "; it stops slowing them"));
+        throttles.add(throttle);
+        scheduleEnd(step, "quick again", throttle::close);
+    }
+
+    private double durationOrRestOfRunMs(Step step) {
+        return step.durationMs() > 0 ? step.durationMs() : plan.durationMs();
+    }
+
+    private void flood(Step step) throws IOException {
+        recordStep(step, "flooded");
+        DatagramFlood flood = new DatagramFlood(
+                step.parameters().path("perS").asDouble(DEFAULT_FLOOD_PER_S),
+                step.parameters().path("manner").asText("names"),
+                step.nodes().stream().map(node -> portOf(links.address(node))).toList(),
+                "rig",
+                plan.seed());
+        floods.add(flood);
+        scheduleEnd(step, "flood ends", flood::close);
+    }
+
+    private void harmDisks(Step step) throws IOException {
+        for (int node : step.nodes()) {
+            DiskFault.apply(folder, node, step.parameters().path("harm").asText());
+        }
+        recordStep(step, "harmed");
+    }
+
+    private void healLinks(Step step) {
+        links.setFaults(node -> true, node -> true, () -> null);
+        recordStep(step, "healed");
+    }
+
+    private void setLinkFault(Step step) {
+        LinkFaultStep linkFault = new LinkFaultStep(step, links);
+        linkFault.begin();
+        recordStep(step, step.action());
+        scheduleEnd(step, step.action() + " ends", linkFault::end);
     }
 
     /**
@@ -595,8 +622,9 @@
         }
     }
 
-    private static final java.util.function.Function<String, Integer> PORT_OF =
-            address -> Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    private static int portOf(String address) {
+        return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    }
 
     /**
      * Excludes the step's nodes from the rule checks for this long: the harness itself causes their missing responses.
@@ -624,70 +652,6 @@
         }
     }
 
-    /**
-     * Limits the step's nodes to a share of a core: each runs for that share of every 100 ms and is suspended for the
-     * rest.
-     */
-    private void throttle(Step step, double share) {
-        try {
-            while (step.nodes().stream().anyMatch(slowed::contains)) {
-                for (int node : step.nodes()) {
-                    nodes.get(node).stop(false);
-                }
-                Thread.sleep(Math.max(1, Math.round(100 * share)));
-                for (int node : step.nodes()) {
-                    nodes.get(node).stop(true);
-                }
-                Thread.sleep(Math.max(1, Math.round(100 * (1 - share))));
-            }
-            for (int node : step.nodes()) {
-                nodes.get(node).stop(false);
-            }
-        } catch (IOException e) {
-            progress.accept(
-                    "step " + step.name() + " cannot slow its nodes: " + e.getMessage() + "; it stops slowing them");
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void executeLinkStep(Step step) {
-        boolean bothWays = step.action().equals("cut") || step.action().equals("link");
-        if (!bothWays && !step.action().equals("one-way") && !step.action().equals("link-one-way")) {
-            throw new InvalidInputException(
-                    "step '" + step.name() + "': found the unknown action '" + step.action() + "'");
-        }
-        JsonNode parameters = step.parameters();
-        double untilMs = links.nowMs() + parameters.path("heldMs").asDouble(0);
-        java.util.function.Supplier<DatagramLinks.Fault> faults = () -> {
-            DatagramLinks.Fault fault = new DatagramLinks.Fault();
-            fault.cut = step.action().equals("cut") || step.action().equals("one-way");
-            fault.lossProbability = parameters.path("loss").asDouble(0);
-            fault.delayMs = parameters.path("delayMs").asDouble(0);
-            fault.jitterMs = parameters.path("jitterMs").asDouble(0);
-            fault.duplicateProbability = parameters.path("twice").asDouble(0);
-            fault.bitFlipProbability = parameters.path("flipped").asDouble(0);
-            fault.maxBytes = parameters.path("mostBytes").asInt(Integer.MAX_VALUE);
-            fault.bytesPerSecond = parameters.path("bytesPerS").asDouble(0);
-            fault.messageKind = parameters.path("kind").asText(null);
-            fault.heldUntilMs = parameters.has("heldMs") ? untilMs : 0;
-            return fault;
-        };
-        setLinkFaults(step, bothWays, faults);
-        recordStep(step, step.action());
-        scheduleEnd(step, step.action() + " ends", () -> setLinkFaults(step, bothWays, () -> null));
-    }
-
-    private void setLinkFaults(Step step, boolean bothWays, java.util.function.Supplier<DatagramLinks.Fault> faults) {
-        java.util.function.Predicate<Integer> isFarEnd = node -> step.others().isEmpty()
-                ? !step.nodes().contains(node)
-                : step.others().contains(node);
-        links.setFaults(step.nodes()::contains, isFarEnd, faults);
-        if (bothWays) {
-            links.setFaults(isFarEnd, step.nodes()::contains, faults);
-        }
-    }
-
     /** Gives the node another peer name, which applies from its next start on. */
     private void setPeerName(int node, String name) throws IOException {
         Path file = folder.resolve("n" + node + ".peers.json");
@@ -752,7 +716,7 @@
 
     @Override
     public void close() {
-        slowed.clear();
+        throttles.forEach(NodeThrottle::close);
         floods.forEach(DatagramFlood::close);
         if (operatorCommands != null) {
             operatorCommands.close();
