Requests of clients that have disconnected before they are read are not sent

Cause: since the limit on takeovers an accepted connection waited for the next poll even below the limit. Its request was read together with the end of its connection, and the query was handed on before that end was read.

Change: connections are taken over at once up to the limit between two polls, and a query is handed on only after one more read of its connection, which costs a system call a request.

Tests: requestsOfClientsThatHaveDisconnectedBeforeTheyAreReadAreNotSent fails before, passes.

--- a/node/src/main/java/spartrail/client/ClientListener.java
+++ b/node/src/main/java/spartrail/client/ClientListener.java
@@ -10,7 +10,6 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -47,9 +46,9 @@
     private final AcceptingChannel<StreamConnection> serverChannel;
     /** Accepted connections that the I/O thread has not taken over yet. */
     private final Queue<StreamConnection> accepted = new ConcurrentLinkedQueue<>();
-    /** Whether the I/O thread will take over accepted connections without being asked. */
-    private final AtomicBoolean isTakeoverScheduled = new AtomicBoolean();
 
+    private int takeoversSincePoll;
+    private boolean isPollAwaited;
     private long acceptFailures;
 
     /** Binds the address; connections are accepted from {@link #startAccepting} on. */
@@ -168,25 +167,26 @@
             // Without a free descriptor the accept would fail again and again, so a connection is evicted to free one.
             io.execute(() -> onAcceptFailed(e));
         }
-        scheduleTakeover();
-    }
-
-    private void scheduleTakeover() {
-        if (!accepted.isEmpty() && isTakeoverScheduled.compareAndSet(false, true)) {
+        if (!accepted.isEmpty()) {
             io.execute(this::takeOverAccepted);
         }
     }
 
     private void takeOverAccepted() {
-        for (int i = 0; i < MAX_TAKEOVERS_PER_POLL && !accepted.isEmpty(); i++) {
+        while (takeoversSincePoll < MAX_TAKEOVERS_PER_POLL && !accepted.isEmpty()) {
+            takeoversSincePoll++;
             onAccepted(accepted.remove());
         }
-        pollBarrier.afterPoll(this::onPolledAfterTakeover);
+        if (takeoversSincePoll > 0 && !isPollAwaited) {
+            isPollAwaited = true;
+            pollBarrier.afterPoll(this::onPolled);
+        }
     }
 
-    private void onPolledAfterTakeover() {
-        isTakeoverScheduled.set(false);
-        scheduleTakeover();
+    private void onPolled() {
+        isPollAwaited = false;
+        takeoversSincePoll = 0;
+        takeOverAccepted();
     }
 
     private void onAcceptFailed(IOException e) {
--- a/node/src/main/java/spartrail/client/ClientRequest.java
+++ b/node/src/main/java/spartrail/client/ClientRequest.java
@@ -65,35 +65,53 @@
 
     /**
      * Keeps reading the connection while the request is in flight. Without a pending read, the node would not notice
-     * that the client has disconnected, and would continue to work for it.
+     * that the client has disconnected, and would continue to work for it. Reads once at once, as a client may have
+     * disconnected before its request was read.
+     *
+     * @return whether the client is still connected; if not, the connection is closed
      */
-    void watchClient() {
+    boolean watchClient() {
         StreamSourceConduit source = connection.getOriginalSourceConduit();
         connection.getChannel().getSourceChannel().setReadListener(channel -> onReadable(source));
         source.resumeReads();
+        return readBehind(source);
     }
 
     private void onReadable(StreamSourceConduit source) {
         if (finished) {
             source.suspendReads();
-            return;
+        } else if (!readBehind(source)) {
+            handler.onClientGone(this);
         }
+    }
+
+    /** Reads bytes behind this request; false if the client has disconnected. */
+    private boolean readBehind(StreamSourceConduit source) {
         ByteBuffer buffer = handler.scratchBuffer();
         discarding |= beginsWithNoRequest();
         if (!discarding && !hasRoomFor(buffer.remaining())) {
             source.suspendReads();
             handler.markUnread(client);
-            return;
+            return true;
+        }
+        int count = readOrEnd(source, buffer);
+        if (count < 0) {
+            finished = true;
+            IoUtils.safeClose(connection);
+            return false;
+        }
+        if (count > 0 && !discarding) {
+            bufferPipelined(buffer.flip());
         }
+        return true;
+    }
+
+    /** Reads into the buffer; -1 if the stream has ended, by a reset too. */
+    private static int readOrEnd(StreamSourceConduit source, ByteBuffer buffer) {
         try {
-            int count = source.read(buffer);
-            if (count < 0) {
-                onDisconnect();
-            } else if (count > 0 && !discarding) {
-                bufferPipelined(buffer.flip());
-            }
+            return source.read(buffer);
         } catch (IOException e) {
-            onDisconnect();
+            return -1;
         }
     }
 
@@ -127,12 +145,6 @@
         return buffered;
     }
 
-    private void onDisconnect() {
-        finished = true;
-        IoUtils.safeClose(connection);
-        handler.onClientGone(this);
-    }
-
     /** Sends the final response; a second one is ignored. */
     public void respond(ClientResponse response) {
         if (finished) {
--- a/node/src/main/java/spartrail/client/HttpRequestHandler.java
+++ b/node/src/main/java/spartrail/client/HttpRequestHandler.java
@@ -219,8 +219,9 @@
             ClientRequest request = new ClientRequest(this, exchange, client, query.id(), arrivedMs);
             onRequestComplete(client);
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                request.watchClient();
-                queryListener.onQuery(query, request);
+                if (request.watchClient()) {
+                    queryListener.onQuery(query, request);
+                }
             });
         } catch (MalformedMessageException e) {
             rejectMalformed(exchange, StatusCodes.BAD_REQUEST, e.getMessage());
--- a/node/src/test/java/spartrail/client/ClientListenerTest.java
+++ b/node/src/test/java/spartrail/client/ClientListenerTest.java
@@ -315,7 +315,9 @@
         });
         for (int i = 0; i < cuts.length; i++) {
             nextRequest();
-            clients[i].close();
+        }
+        for (Socket client : clients) {
+            client.close();
         }
     }
 
--- a/node/src/test/java/spartrail/front/FrontNodeClientTest.java
+++ b/node/src/test/java/spartrail/front/FrontNodeClientTest.java
@@ -389,6 +389,29 @@
                 .isLessThanOrEqualTo(16);
     }
 
+    /** Guards against work for clients whose request is read together with the end of their connection. */
+    @Test
+    void requestsOfClientsThatHaveDisconnectedBeforeTheyAreReadAreNotSent() throws Exception {
+        start();
+        answerOnly("b");
+        CompletableFuture<Void> disconnected = new CompletableFuture<>();
+        node.io.execute(() -> {
+            try {
+                for (int i = 0; i < 100; i++) {
+                    new Client().query("c" + i, i % 4).socket.close();
+                }
+                disconnected.complete(null);
+            } catch (IOException e) {
+                disconnected.completeExceptionally(e);
+            }
+        });
+        disconnected.get(20, TimeUnit.SECONDS);
+        assertThat(new Client().query("b", 0).readResponse()).startsWith("200 ");
+        List<String> remaining = new ArrayList<>();
+        events.drainTo(remaining);
+        assertThat(remaining).noneMatch(line -> line.startsWith("part c"));
+    }
+
     @Test
     void aClientThatPipelinesTooMuchGetsACompleteLastResponse() throws Exception {
         start();
