Failing tests: pipelining clients starve others; an id runs twice after its client left

Queries that are not idempotent ran twice when their id came again after their client had left.

An id that comes again once its server has answered the cancelled attempt is served again.

--- /dev/null
+++ b/node/src/test/java/spartrail/cli/UsualClients.java
@@ -0,0 +1,155 @@
+package spartrail.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Clients that keep to the protocol: each sends a query of three parts on a connection of its own, waits for the
+ * response, and sends the next one after a pause.
+ */
+final class UsualClients {
+    private static final int CLIENTS = 8;
+    private static final int PAUSE_MS = 30;
+    /** The time that each client waits, in its Req-Deadline. */
+    private static final int CLIENT_TIMEOUT_MS = 400;
+    /** A query is lost if it gets its response later, by the rules on sockets. */
+    private static final int LOST_AFTER_MS = CLIENT_TIMEOUT_MS + 550;
+
+    private static final int SOCKET_TIMEOUT_MS = 4000;
+
+    private final int port;
+    private final String opType;
+    private final List<Response> responses = new ArrayList<>();
+
+    /** A response, or its absence with status 0. */
+    private record Response(int status, double waitMs) {}
+
+    /** What the clients saw in one run. */
+    record Summary(double seconds, int served, int rejected, int failed, int lost, double meanMs, double longestMs) {
+        double servedPerSecond() {
+            return served / seconds;
+        }
+
+        @Override
+        public String toString() {
+            return String.format(
+                    Locale.ROOT,
+                    "%.0f/s of 200 in %.1f s, %d of 503, %d of 500, %d lost, mean wait %.1f ms, longest %.0f ms",
+                    servedPerSecond(),
+                    seconds,
+                    rejected,
+                    failed,
+                    lost,
+                    meanMs,
+                    longestMs);
+        }
+    }
+
+    private UsualClients(int port, String opType) {
+        this.port = port;
+        this.opType = opType;
+    }
+
+    /** Runs the clients for this time; ends once each has its last response or has given up on it. */
+    static Summary run(int port, String opType, double seconds) throws InterruptedException {
+        UsualClients clients = new UsualClients(port, opType);
+        long startNs = System.nanoTime();
+        long endNs = startNs + (long) (seconds * 1e9);
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            String name = "usual" + startNs + "-" + i + "-";
+            threads.add(new Thread(() -> clients.runClient(name, endNs)));
+        }
+        threads.forEach(Thread::start);
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        return clients.summarize((System.nanoTime() - startNs) / 1e9);
+    }
+
+    private synchronized Summary summarize(double seconds) {
+        return new Summary(
+                seconds,
+                count(200),
+                count(503),
+                count(500),
+                (int) responses.stream()
+                        .filter(response -> response.status == 0 || response.waitMs > LOST_AFTER_MS)
+                        .count(),
+                responses.stream().mapToDouble(Response::waitMs).average().orElse(0),
+                responses.stream().mapToDouble(Response::waitMs).max().orElse(0));
+    }
+
+    private int count(int status) {
+        return (int)
+                responses.stream().filter(response -> response.status == status).count();
+    }
+
+    private void runClient(String name, long endNs) {
+        int sent = 0;
+        while (System.nanoTime() < endNs) {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.setTcpNoDelay(true);
+                socket.setSoTimeout(SOCKET_TIMEOUT_MS);
+                while (System.nanoTime() < endNs) {
+                    add(sendQuery(socket, name + sent++));
+                    TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+                }
+            } catch (IOException e) {
+                add(new Response(0, SOCKET_TIMEOUT_MS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private synchronized void add(Response response) {
+        responses.add(response);
+    }
+
+    private Response sendQuery(Socket socket, String id) throws IOException {
+        long sentNs = System.nanoTime();
+        String query = buildQuery(opType, id, CLIENT_TIMEOUT_MS / 1000.0, 3);
+        socket.getOutputStream().write(query.getBytes(StandardCharsets.US_ASCII));
+        int status = readStatus(socket.getInputStream());
+        return new Response(status, (System.nanoTime() - sentNs) / 1e6);
+    }
+
+    /** A query for the first shards of the example's configuration. */
+    static String buildQuery(String opType, String id, double clientTimeoutSeconds, int parts) {
+        StringBuilder body = new StringBuilder("{\"segments\":[");
+        for (int shard = 0; shard < parts; shard++) {
+            body.append(shard > 0 ? "," : "")
+                    .append("{\"segment\":")
+                    .append(shard)
+                    .append(",\"boost\":")
+                    .append(1.0 / parts)
+                    .append('}');
+        }
+        body.append("],\"text\":\"c41e77d0\"}");
+        return "POST /" + opType + "/k HTTP/1.1\r\nHost: x\r\nReq-Id: " + id + "\r\nReq-Kind: " + opType
+                + "\r\nReq-Deadline: " + clientTimeoutSeconds + "\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body;
+    }
+
+    /** Reads a response; returns its status. */
+    static int readStatus(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("the connection ended after '" + head + "'");
+            }
+            head.append((char) next);
+        }
+        in.readNBytes(Integer.parseInt(head.toString().replaceAll("(?s).*Content-Length: (\\d+).*", "$1")));
+        return Integer.parseInt(head.substring(9, 12));
+    }
+}
