Log how long sockets are not read, and count why clients are closed and rejected

The log could not tell them apart, as it said nothing about clients or the I/O thread.

Now counted: connections accepted and closed, by side and reason; requests by kind; queries rejected before the coordinator, by reason (also a DEBUG line with the id); the longest time until all readable sockets were read, with a WARNING beyond 200 ms.

--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -9,6 +9,7 @@
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
+import spartrail.client.ClientCounters.CloseReason;
 import spartrail.intake.RequestIntake;
 import spartrail.model.NodeClock;
 
@@ -31,15 +32,18 @@
     private final PollBarrier pollBarrier;
     private final NodeClock clock;
     private final int maxConnections;
+    private final ClientCounters counters;
     private final RequestIntake intake = new RequestIntake(Runtime.getRuntime().maxMemory());
     private final Map<StreamConnection, ClientConnection> connections = new LinkedHashMap<>();
     private final ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
 
-    ClientConnections(XnioIoThread io, PollBarrier pollBarrier, NodeClock clock, int maxConnections) {
+    ClientConnections(
+            XnioIoThread io, PollBarrier pollBarrier, NodeClock clock, int maxConnections, ClientCounters counters) {
         this.io = io;
         this.pollBarrier = pollBarrier;
         this.clock = clock;
         this.maxConnections = maxConnections;
+        this.counters = counters;
     }
 
     /** Called when the first bytes of a request's head were received. */
@@ -51,6 +55,7 @@
 
     /** Adds a connection, and installs the conduit that observes what is read on it. */
     ClientConnection add(StreamConnection channel) {
+        counters.countAccepted();
         ClientConnection client = new ClientConnection(channel);
         connections.put(channel, client);
         channel.getSourceChannel().setConduit(new RequestReadConduit(this, client, clock));
@@ -70,7 +75,7 @@
         ClientConnection withoutRequest = findFirst(ClientConnection::isEvictableWithoutRequest);
         ClientConnection candidate = withoutRequest != null ? withoutRequest : findFirst(ClientConnection::isEvictable);
         if (candidate != null) {
-            closeNow(candidate.channel);
+            closeNow(candidate, CloseReason.EVICTED);
         }
         return candidate != null;
     }
@@ -163,7 +168,7 @@
         intake.update(client.requestBytes);
         closeIncompleteOthers(client);
         if (client.isIncompleteAndCounted() && !intake.mayReceive(client.requestBytes)) {
-            closeNow(client.channel);
+            closeNow(client, CloseReason.OUT_OF_MEMORY);
         }
     }
 
@@ -173,7 +178,7 @@
             if (other == null) {
                 return;
             }
-            closeNow(other.channel);
+            closeNow(other, CloseReason.OUT_OF_MEMORY);
         }
     }
 
@@ -209,7 +214,7 @@
             return;
         }
         client.timeout = io.executeAfter(
-                () -> client.timeout = pollBarrier.afterPoll(() -> closeNow(client.channel)),
+                () -> client.timeout = pollBarrier.afterPoll(() -> closeNow(client, CloseReason.TIMED_OUT)),
                 timeoutMs,
                 TimeUnit.MILLISECONDS);
     }
@@ -220,22 +225,30 @@
      */
     void startFirstRequestTimeout(ClientConnection client) {
         client.firstRequestTimeout = io.executeAfter(
-                () -> client.firstRequestTimeout = pollBarrier.afterPoll(() -> closeNow(client.channel)),
+                () -> client.firstRequestTimeout = pollBarrier.afterPoll(() -> closeNow(client, CloseReason.TIMED_OUT)),
                 FIRST_REQUEST_TIMEOUT_MS,
                 TimeUnit.MILLISECONDS);
     }
 
-    /** Removes a connection that has been closed, by either side. */
-    void remove(StreamConnection channel) {
+    /** Called when a connection was closed, by either side. */
+    void onClosed(StreamConnection channel) {
         ClientConnection client = connections.remove(channel);
-        if (client != null) {
-            release(client);
+        if (client == null) {
+            return;
+        }
+        release(client);
+        if (client.state != ClientConnection.State.CLOSING) {
+            counters.countClosedByClient();
         }
     }
 
-    void closeNow(StreamConnection channel) {
-        remove(channel);
-        IoUtils.safeClose(channel);
+    /** Closes a connection at once, unless it is closed. */
+    void closeNow(ClientConnection client, CloseReason reason) {
+        if (connections.remove(client.channel, client)) {
+            counters.countClose(reason, client);
+            release(client);
+        }
+        IoUtils.safeClose(client.channel);
     }
 
     /**
@@ -244,6 +257,7 @@
     void closeGracefully(StreamConnection channel) {
         ClientConnection client = connections.get(channel);
         if (client != null && client.state != ClientConnection.State.CLOSING) {
+            counters.countClose(CloseReason.FINISHED, client);
             endRequest(client, 0);
             client.cancelFirstRequestTimeout();
             client.state = ClientConnection.State.CLOSING;
--- a/node/src/main/java/spartrail/client/ClientListener.java
+++ b/node/src/main/java/spartrail/client/ClientListener.java
@@ -40,6 +40,8 @@
 
     private final XnioIoThread io;
     private final PollBarrier pollBarrier;
+    private final PollMonitor pollMonitor;
+    private final ClientCounters counters = new ClientCounters();
     private final ClientConnections connections;
     private final HttpRequestHandler handler;
     private final HttpOpenListener httpListener;
@@ -64,8 +66,10 @@
             throws IOException {
         io = worker.getIoThread();
         pollBarrier = new PollBarrier(io);
-        connections = new ClientConnections(io, pollBarrier, clock, maxConnections);
-        handler = new HttpRequestHandler(connections, new ClientQueryDecoder(opTypes, shards), clock, queryListener);
+        pollMonitor = new PollMonitor(io, pollBarrier, clock, counters);
+        connections = new ClientConnections(io, pollBarrier, clock, maxConnections, counters);
+        handler = new HttpRequestHandler(
+                connections, new ClientQueryDecoder(opTypes, shards), clock, queryListener, counters);
         httpListener = new HttpOpenListener(
                 buffers,
                 OptionMap.builder()
@@ -96,6 +100,11 @@
         return (InetSocketAddress) serverChannel.getLocalAddress();
     }
 
+    /** Counts what became of clients' connections and requests. */
+    public ClientCounters counters() {
+        return counters;
+    }
+
     /** Starts accepting connections. */
     public void startAccepting() {
         serverChannel.resumeAccepts();
@@ -148,6 +157,7 @@
             IoUtils.safeClose(next);
         }
         connections.closeAll();
+        pollMonitor.close();
         pollBarrier.close();
     }
 
@@ -207,11 +217,11 @@
         httpListener.handleEvent(connection);
         ChannelListener<? super StreamConnection> undertowListener = connection.getCloseListener();
         connection.setCloseListener(closed -> {
-            connections.remove(connection);
+            connections.onClosed(connection);
             ChannelListeners.invokeChannelListener(closed, undertowListener);
         });
         if (!connection.isOpen()) {
-            connections.remove(connection);
+            connections.onClosed(connection);
         } else if (!client.hasSentRequest) {
             connections.startFirstRequestTimeout(client);
         }
--- a/node/src/main/java/spartrail/client/ClientQueryDecoder.java
+++ b/node/src/main/java/spartrail/client/ClientQueryDecoder.java
@@ -20,7 +20,7 @@
     private static final Pattern ID_FORMAT = Pattern.compile("[0-9A-Za-z_-]{1,64}");
     private static final Pattern SECONDS_FORMAT = Pattern.compile("[0-9]{1,6}([.][0-9]{1,18})?");
     private static final Pattern AFFINITY_FORMAT = Pattern.compile("[0-9a-fA-F]{16}");
-    private static final HttpString ID_HEADER = new HttpString("Req-Id");
+    static final HttpString ID_HEADER = new HttpString("Req-Id");
     private static final HttpString KIND_HEADER = new HttpString("Req-Kind");
     private static final HttpString DEADLINE_HEADER = new HttpString("Req-Deadline");
     private static final HttpString RETRY_HEADER = new HttpString("Req-Retry");
--- a/node/src/main/java/spartrail/client/HttpRequestHandler.java
+++ b/node/src/main/java/spartrail/client/HttpRequestHandler.java
@@ -15,6 +15,8 @@
 import java.nio.ByteBuffer;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import spartrail.client.ClientCounters.CloseReason;
+import spartrail.client.ClientCounters.Rejection;
 import spartrail.intake.RequestIntake;
 import spartrail.model.MalformedMessageException;
 import spartrail.model.NodeClock;
@@ -31,6 +33,7 @@
     private final ClientConnections connections;
     private final ClientQueryDecoder decoder;
     private final NodeClock clock;
+    private final ClientCounters counters;
     private ClientQueryListener queryListener;
     private boolean ready;
     private boolean shuttingDown;
@@ -39,11 +42,13 @@
             ClientConnections connections,
             ClientQueryDecoder decoder,
             NodeClock clock,
-            ClientQueryListener queryListener) {
+            ClientQueryListener queryListener,
+            ClientCounters counters) {
         this.connections = connections;
         this.decoder = decoder;
         this.clock = clock;
         this.queryListener = queryListener;
+        this.counters = counters;
     }
 
     /** Sets whether {@code GET /up} reports the node as ready. */
@@ -158,6 +163,7 @@
     }
 
     private void respondReadiness(HttpServerExchange exchange, ClientConnection client) {
+        counters.countReadinessCheck();
         onRequestComplete(client);
         client.state = ClientConnection.State.AWAITING_RESPONSE;
         if (shuttingDown) {
@@ -204,8 +210,9 @@
         client.cancelTimeout();
         client.state = ClientConnection.State.AWAITING_RESPONSE;
         int bytesBehind = countUnhandledBytes(exchange);
+        counters.countQuery();
         if (!connections.keepBody(client, body.length, bytesBehind)) {
-            reject(exchange, client);
+            reject(exchange, client, Rejection.OUT_OF_MEMORY);
             return;
         }
         double nowMs = clock.nowMs();
@@ -213,7 +220,7 @@
         try {
             ClientQuery query = decoder.decode(exchange.getRequestPath(), exchange.getRequestHeaders(), body);
             if (RequestIntake.isExpired(arrivedMs, query.clientTimeoutMs(), nowMs)) {
-                reject(exchange, client);
+                reject(exchange, client, Rejection.EXPIRED);
                 return;
             }
             ClientRequest request = new ClientRequest(this, exchange, client, query.id(), arrivedMs);
@@ -229,7 +236,8 @@
     }
 
     /** Rejects a complete request of which no part was sent. */
-    private void reject(HttpServerExchange exchange, ClientConnection client) {
+    private void reject(HttpServerExchange exchange, ClientConnection client, Rejection reason) {
+        counters.countRejection(reason, exchange.getRequestHeaders().getFirst(ClientQueryDecoder.ID_HEADER));
         onRequestComplete(client);
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> sendResponse(exchange, ClientResponse.rejected(0), false));
     }
@@ -240,6 +248,7 @@
      * the connection without the lingering close.
      */
     private void rejectMalformed(HttpServerExchange exchange, int status, String problem) {
+        counters.countMalformed();
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
                 () -> sendResponse(exchange, ClientResponse.malformed(status, problem), true));
@@ -297,22 +306,22 @@
         if (mayCarryAnother && !isLast && exchange.isPersistent()) {
             exchange.getResponseSender().send(ByteBuffer.wrap(response.body()), IoCallback.END_EXCHANGE);
         } else {
-            sendLastResponse(exchange, response, client.channel);
+            sendLastResponse(exchange, response, client);
         }
     }
 
-    private void sendLastResponse(HttpServerExchange exchange, ClientResponse response, StreamConnection channel) {
+    private void sendLastResponse(HttpServerExchange exchange, ClientResponse response, ClientConnection client) {
         exchange.setPersistent(false);
         exchange.setResponseContentLength(response.body().length);
         exchange.getResponseSender().send(ByteBuffer.wrap(response.body()), new IoCallback() {
             @Override
             public void onComplete(HttpServerExchange written, Sender sender) {
-                connections.closeGracefully(channel);
+                connections.closeGracefully(client.channel);
             }
 
             @Override
             public void onException(HttpServerExchange broken, Sender sender, IOException e) {
-                connections.closeNow(channel);
+                connections.closeNow(client, CloseReason.WRITE_FAILED);
             }
         });
     }
--- a/node/src/test/java/spartrail/cli/ConnectionFairnessTest.java
+++ b/node/src/test/java/spartrail/cli/ConnectionFairnessTest.java
@@ -59,7 +59,8 @@
         }
         UsualClients.Summary beside = UsualClients.run(port, "orders", RUN_SECONDS);
         others.forEach(PipeliningClient::close);
-        String seen = "alone " + alone + "; beside " + clients + " others " + beside;
+        String seen = "alone " + alone + "; beside " + clients + " others " + beside + "; log "
+                + findLines("spartrail.client");
         LOG.log(System.Logger.Level.INFO, seen);
         assertThat(beside.lost()).as("lost, " + seen).isZero();
         assertThat(beside.servedPerSecond()).as(seen).isGreaterThan(alone.servedPerSecond() / MAX_SLOWDOWN);
--- a/node/src/test/java/spartrail/cli/NodeProcessFixture.java
+++ b/node/src/test/java/spartrail/cli/NodeProcessFixture.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -107,6 +109,13 @@
                 + (process.isAlive() ? "runs" : "ended with " + process.exitValue());
     }
 
+    /** The log lines that were not awaited so far and have this text. */
+    List<String> findLines(String words) {
+        List<String> lines = new ArrayList<>();
+        log.drainTo(lines);
+        return lines.stream().filter(line -> line.contains(words)).toList();
+    }
+
     void sendSignal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid())
                 .start()
