A query that may have run and must not run twice is rejected when its id comes again

Cause: an id was free again as soon as no server could answer an attempt of it any more, that is once the late answer to the cancelled attempt had come. That answer shows that the part has run; the id was forgotten at that very moment. With key-ttl the same happened after the window of the first run, as servers no longer recognize the second one.

The id is added with the outcome of the attempt, before it stops being answerable, so there is no gap. Such a query gets 503 and is counted as `ids in use`, apart from `over cap`. What never ran (NOT_SENT, CONNECT_FAILED, rejected by the server) is not remembered, and idempotent queries are served as before.

--- a/node/src/main/java/spartrail/front/ClientMultiget.java
+++ b/node/src/main/java/spartrail/front/ClientMultiget.java
@@ -68,7 +68,7 @@
     }
 
     /** FNV-1a over the characters of the client's id. */
-    private static long hashId(String id) {
+    static long hashId(String id) {
         long hash = FNV_OFFSET_BASIS;
         for (int i = 0; i < id.length(); i++) {
             hash = (hash ^ id.charAt(i)) * FNV_PRIME;
--- a/node/src/main/java/spartrail/front/InFlightMultigets.java
+++ b/node/src/main/java/spartrail/front/InFlightMultigets.java
@@ -4,27 +4,47 @@
 import java.util.List;
 import java.util.Map;
 import spartrail.client.ClientRequest;
+import spartrail.intake.ExecutedRequestIds;
+import spartrail.model.Attempt;
 import spartrail.model.IdMultiset;
+import spartrail.model.OpType;
 
 /**
- * The multigets in flight, by the ids that their clients gave them, and their total size. Owned by the coordinator's
- * thread.
+ * The multigets in flight, by the ids that their clients gave them, and their total size; and which ids must not be used
+ * again yet. Owned by the coordinator's thread.
  *
  * <p>An id stays in use until its multiget has ended and no server can answer an attempt of it any more. Servers
  * identify a part by its multiget's id and its shard alone: if the id were used again before, the late response would be
- * taken for one to the new multiget, whose client would get a value that was made for another one.
+ * taken for one to the new multiget, whose client would get a value that was made for another one. If a part of a
+ * multiget may have run that is not idempotent, its id is rejected for much longer ({@link ExecutedRequestIds}).
  */
 final class InFlightMultigets {
     private final Map<String, ClientMultiget> multigetsById = new HashMap<>();
     /** The ids of multigets, in flight or ended, once for each attempt that a server may still answer. */
     private final IdMultiset answerableAttempts = new IdMultiset();
+    /** The ids of multigets of which a part may have run that must not run twice. */
+    private final ExecutedRequestIds executedIds = new ExecutedRequestIds();
     /** The number of multigets plus the number of their parts. */
     private int size;
 
-    /** Whether this id is not in use and a multiget with so many parts would not exceed the limit. */
-    boolean hasCapacityFor(String id, int parts, int maxSize) {
-        boolean isInUse = multigetsById.containsKey(id) || answerableAttempts.contains(id);
-        return !isInUse && size + 1 + parts <= maxSize;
+    /** Whether a multiget with so many parts would not exceed the limit. */
+    boolean hasCapacityFor(int parts, int maxSize) {
+        return size + 1 + parts <= maxSize;
+    }
+
+    /** Whether a multiget with this id must not begin, as another one is in flight, may be answered or has run. */
+    boolean isIdInUse(String id, double nowMs) {
+        return multigetsById.containsKey(id)
+                || answerableAttempts.contains(id)
+                || executedIds.contains(ClientMultiget.hashId(id), nowMs);
+    }
+
+    /** Adds the end of an attempt, after which the id of its multiget may have to be rejected. */
+    void addOutcome(ClientMultiget multiget, Attempt.Outcome outcome, double nowMs) {
+        boolean mustNotRepeat = multiget.opType.idempotency != OpType.Idempotency.IDEMPOTENT;
+        if (mustNotRepeat && outcome.mayHaveRun) {
+            executedIds.add(multiget.id, nowMs);
+        }
     }
 
     void add(ClientMultiget multiget) {
--- a/node/src/main/java/spartrail/front/NodeCounters.java
+++ b/node/src/main/java/spartrail/front/NodeCounters.java
@@ -13,6 +13,9 @@
 final class NodeCounters {
     long queries;
     long rejectedOverCap;
+    /** Queries whose id was in use, or was that of a query that may have run and must not run twice. */
+    long rejectedIds;
+
     long clientsGone;
     volatile long endpointUpdates;
     /** How often changed settings have been applied. */
@@ -24,7 +27,8 @@
 
     @Override
     public String toString() {
-        return "taken " + queries + ", over cap " + rejectedOverCap + ", clients gone " + clientsGone + ", answers "
+        return "taken " + queries + ", over cap " + rejectedOverCap + ", ids in use " + rejectedIds + ", clients gone "
+                + clientsGone + ", answers "
                 + answers + ", outcomes " + outcomes + ", lists " + endpointUpdates + ", switches "
                 + configurationSwitches + ", exceptions " + exceptions;
     }
