--- a/node/src/main/java/spartrail/shard/ShardConnection.java
+++ b/node/src/main/java/spartrail/shard/ShardConnection.java
@@ -52,6 +52,8 @@
      * ids do not accumulate.
      */
     private static final int MAX_ABANDONED_PARTS = 1000;
+    /** A server that sends without a pause must not keep the I/O thread from all other sockets. */
+    private static final int MAX_READS_PER_POLL = 16;
 
     private final ShardPool pool;
     private final InetSocketAddress address;
@@ -233,7 +235,7 @@
     private void onReadable(ConduitStreamSourceChannel source) {
         try {
             boolean completed = false;
-            while (!closed) {
+            for (int reads = 0; !closed && reads < MAX_READS_PER_POLL; reads++) {
                 ByteBuffer buffer = pool.readBuffer.clear();
                 int count = source.read(buffer);
                 if (count < 0) {
