Connections take turns by how long ago their last one was, however many there are

Causes, in that order: turns in the order of arrival give 200 clients 25 turns for each of a usual one; Undertow copies what is left of a read for each chunk, so that 8 KB of chunks of one byte took tens of ms (stacks of the I/O thread: Buffers.copy); Undertow discards a body by transferTo, which passed by the turns; while new connections waited for their turn, the idle ones of usual clients were evicted for still newer ones; up to 32 connections were taken over between two polls, whatever they cost.

A turn that throws doesn't stop the others.

--- a/core/src/main/java/spartrail/intake/RequestBytes.java
+++ b/core/src/main/java/spartrail/intake/RequestBytes.java
@@ -66,14 +66,21 @@
         }
     }
 
+    /** Whether a body in chunks is being received. */
+    public boolean isReceivingChunks() {
+        return isBodyLengthUnknown;
+    }
+
     /** Ends a body of this length, behind which so many bytes were read. */
     public void endBody(int length, int bytesBehind) {
+        isBodyLengthUnknown = false;
         body = length;
         buffered = bytesBehind;
     }
 
     /** Ends a request, behind which so many bytes are buffered. */
     public void endRequest(int bytesBehind) {
+        isBodyLengthUnknown = false;
         head = 0;
         body = 0;
         buffered = bytesBehind;
--- a/core/src/main/java/spartrail/intake/RequestQueue.java
+++ b/core/src/main/java/spartrail/intake/RequestQueue.java
@@ -1,42 +1,38 @@
 package spartrail.intake;
 
-import java.util.ArrayDeque;
-import java.util.Queue;
+import java.util.Comparator;
+import java.util.PriorityQueue;
 
 /**
- * Connections that wait for their turn to have a request handled, each at most once, so that all get the same number of
- * turns. A client that waits for its response before it sends the next request goes before one that pipelines requests;
- * the latter still gets a fixed share of the turns.
+ * Connections that wait for their turn to have a request handled. The one goes first whose last turn is the longest ago;
+ * for a new connection its start counts as a turn. So each waits for at most one turn of each other connection, and a
+ * client with a pause between its requests goes before all that send without one, however many these are.
  *
- * @param <C> the type of a waiting connection
+ * <p>Cost: logarithmic in the waiting connections for each turn.
+ *
+ * @param <C> the type of a connection
  */
 public final class RequestQueue<C> {
-    /** The most turns of other connections between two turns of pipelining ones. */
-    private static final int TURNS_PER_PIPELINED_TURN = 8;
+    /** The order decides between connections with the same time. */
+    private record Waiting<C>(C connection, double lastTurnMs, long order) {}
 
-    private final Queue<C> single = new ArrayDeque<>();
-    private final Queue<C> pipelined = new ArrayDeque<>();
-    private int turnsSincePipelined;
+    private final PriorityQueue<Waiting<C>> waiting = new PriorityQueue<>(
+            Comparator.<Waiting<C>>comparingDouble(Waiting::lastTurnMs).thenComparingLong(Waiting::order));
+    private long added;
 
-    /** Adds a connection that does not wait yet. */
-    public void add(C connection, boolean isPipelined) {
-        Queue<C> queue = isPipelined ? pipelined : single;
-        queue.add(connection);
+    /** Adds a connection that does not wait yet, with the time of its last turn. */
+    public void add(C connection, double lastTurnMs) {
+        waiting.add(new Waiting<>(connection, lastTurnMs, added++));
     }
 
     /** Removes the connection whose turn it is, or null if none waits. */
     public C poll() {
-        boolean isPipelinedDue = single.isEmpty() || turnsSincePipelined >= TURNS_PER_PIPELINED_TURN;
-        if (isPipelinedDue && !pipelined.isEmpty()) {
-            turnsSincePipelined = 0;
-            return pipelined.remove();
-        }
-        turnsSincePipelined++;
-        return single.poll();
+        Waiting<C> next = waiting.poll();
+        return next == null ? null : next.connection;
     }
 
     /** Whether no connection waits. */
     public boolean isEmpty() {
-        return single.isEmpty() && pipelined.isEmpty();
+        return waiting.isEmpty();
     }
 }
--- a/node/src/main/java/spartrail/client/ClientConnection.java
+++ b/node/src/main/java/spartrail/client/ClientConnection.java
@@ -52,7 +52,7 @@
     final StreamSinkConduit sink;
     State state = State.NEW;
     /** Its turn to have a request read and handled. */
-    final RequestScheduler.Turn turn = new RequestScheduler.Turn();
+    final RequestScheduler.Turn turn;
     /** Whether a complete request has been read on this connection. */
     boolean hasSentRequest;
     /** When the bytes arrived that were read on this connection. */
@@ -69,8 +69,9 @@
     /** Closes the connection if it sends no complete request in time after it was accepted. */
     XnioExecutor.Key firstRequestTimeout;
 
-    ClientConnection(StreamConnection channel) {
+    ClientConnection(StreamConnection channel, double connectedMs) {
         this.channel = channel;
+        turn = new RequestScheduler.Turn(connectedMs);
         source = channel.getSourceChannel().getConduit();
         sink = channel.getSinkChannel().getConduit();
     }
--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -72,30 +72,38 @@
     /** Adds a connection, and installs the conduit that observes what is read on it. */
     ClientConnection add(StreamConnection channel) {
         counters.countAccepted();
-        ClientConnection client = new ClientConnection(channel);
+        ClientConnection client = new ClientConnection(channel, clock.nowMs());
         connections.put(channel, client);
         client.requestSource = new RequestReadConduit(this, scheduler, client, clock);
         channel.getSourceChannel().setConduit(client.requestSource);
         return client;
     }
 
+    /** Whether a further connection may be taken over before the next poll. */
+    boolean mayTakeOver() {
+        return scheduler.mayTakeOver();
+    }
+
     /** Makes room for a further connection; false if there is none, as all connections have requests in flight. */
     boolean makeRoom() {
         return connections.size() < maxConnections || evict();
     }
 
-    /** Whether there may be room after the next poll, as connections wait for their turn and cannot be evicted before. */
+    /** Whether a connection waits for its turn, so that there may be room after that. */
     boolean mayGetRoom() {
         return findFirst(client -> client.turn.isAwaited()) != null;
     }
 
     /**
      * Closes one connection: the oldest that has not sent a complete request, else the longest unused. In any other
-     * order, clients that connect and send nothing would evict the connections of those that send requests.
+     * order, clients that connect and send nothing would evict the connections of those that send requests. For the same
+     * reason none that has sent requests is closed while others wait for their turn, after which they may be closed.
      */
     boolean evict() {
-        ClientConnection withoutRequest = findFirst(ClientConnection::isEvictableWithoutRequest);
-        ClientConnection candidate = withoutRequest != null ? withoutRequest : findFirst(ClientConnection::isEvictable);
+        ClientConnection candidate = findFirst(ClientConnection::isEvictableWithoutRequest);
+        if (candidate == null && !mayGetRoom()) {
+            candidate = findFirst(ClientConnection::isEvictable);
+        }
         if (candidate != null) {
             closeNow(candidate, CloseReason.EVICTED);
         }
--- a/node/src/main/java/spartrail/client/ClientResponse.java
+++ b/node/src/main/java/spartrail/client/ClientResponse.java
@@ -53,6 +53,11 @@
                 encodeTextBody("pushed back"));
     }
 
+    /** The response to a readiness check. */
+    static ClientResponse readiness(boolean isReady) {
+        return new ClientResponse(isReady ? 200 : 503, null, encodeTextBody(isReady ? "ready" : "not ready"));
+    }
+
     /** The response to a failed query, of which parts may have run. */
     public static ClientResponse failure() {
         return new ClientResponse(500, null, encodeTextBody("failed"));
--- a/node/src/main/java/spartrail/client/HttpRequestHandler.java
+++ b/node/src/main/java/spartrail/client/HttpRequestHandler.java
@@ -164,9 +164,11 @@
         counters.countReadinessCheck();
         onRequestComplete(client);
         client.state = ClientConnection.State.AWAITING_RESPONSE;
-        if (shuttingDown) {
-            exchange.dispatch(
-                    SameThreadExecutor.INSTANCE, () -> sendResponse(exchange, ClientResponse.rejected(0), false));
+        if (shuttingDown || !exchange.isRequestComplete()) {
+            // Undertow would read a body to its end before the next request, and it may have none.
+            ClientResponse response = ClientResponse.readiness(ready && !shuttingDown);
+            boolean isLast = !exchange.isRequestComplete();
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> sendResponse(exchange, response, isLast));
         } else {
             exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
             exchange.endExchange();
--- a/node/src/main/java/spartrail/client/RequestReadConduit.java
+++ b/node/src/main/java/spartrail/client/RequestReadConduit.java
@@ -3,7 +3,11 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
+import java.nio.channels.FileChannel;
+import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitReadableByteChannel;
+import org.xnio.conduits.Conduits;
 import org.xnio.conduits.StreamSourceConduit;
 import spartrail.model.NodeClock;
 
@@ -13,6 +17,9 @@
  * first byte of a request, the memory of an incomplete one and the times at which its bytes arrived.
  */
 final class RequestReadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /** Undertow copies what is left of a read for each chunk, so a large read of tiny chunks would take long. */
+    private static final int MAX_CHUNKED_READ_BYTES = 1024;
+
     private final ClientConnections connections;
     private final RequestScheduler scheduler;
     private final ClientConnection client;
@@ -34,11 +41,37 @@
             next.suspendReads();
             return 0;
         }
+        int limit = into.limit();
+        if (client.requestBytes.isReceivingChunks()) {
+            into.limit(Math.min(limit, into.position() + MAX_CHUNKED_READ_BYTES));
+        }
         int count = readNow(into);
+        into.limit(limit);
         scheduler.countRead(client.turn, Math.max(0, count));
         return count;
     }
 
+    @Override
+    public long read(ByteBuffer[] into, int offset, int length) throws IOException {
+        for (int i = offset; i < offset + length; i++) {
+            if (into[i].hasRemaining()) {
+                return read(into[i]);
+            }
+        }
+        return 0;
+    }
+
+    /** Undertow discards the rest of a request by this method. */
+    @Override
+    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target) throws IOException {
+        return Conduits.transfer(this, count, throughBuffer, target);
+    }
+
+    @Override
+    public long transferTo(long position, long count, FileChannel target) throws IOException {
+        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
+    }
+
     /** Reads are resumed by the connection's turn if that is awaited. */
     @Override
     public void resumeReads() {
--- a/node/src/main/java/spartrail/client/RequestScheduler.java
+++ b/node/src/main/java/spartrail/client/RequestScheduler.java
@@ -17,11 +17,12 @@
  * QUEUED       QUEUED, not read            -                      QUEUED, budget refilled    READY, read or handled
  * </pre>
  *
- * <p>Each turn is one request, or {@link #MAX_BYTES_PER_TURN} of a longer one. Cost: constant for each turn.
+ * <p>Each turn is one request, or {@link #MAX_BYTES_PER_TURN} of a longer one. Cost: logarithmic in the queue
+ * for each turn.
  */
 final class RequestScheduler {
-    /** The longest body that the protocol permits, so that usual requests take one turn. */
-    private static final int MAX_BYTES_PER_TURN = 64 * 1024;
+    /** Usual requests take one turn; the longest take some, as reading them takes as long as many usual ones. */
+    private static final int MAX_BYTES_PER_TURN = 16 * 1024;
 
     private final XnioIoThread io;
     private final PollBarrier pollBarrier;
@@ -39,9 +40,16 @@
     /** What a connection has been granted. */
     static final class Turn {
         private Runnable onTurn;
+        /** The time of the last turn or, if there was none, of the connection's start. */
+        private double lastMs;
+
         private long grantedAtPoll = -1;
         private long bytesLeft;
 
+        Turn(double connectedMs) {
+            lastMs = connectedMs;
+        }
+
         /** Whether the connection waits for its turn. */
         boolean isAwaited() {
             return onTurn != null;
@@ -63,13 +71,24 @@
             endPollLater();
             grant(turn);
         }
-        if (turn.grantedAtPoll == poll && turn.bytesLeft > 0) {
+        if (turn.grantedAtPoll == poll && mayContinue(turn)) {
             return true;
         }
-        enqueue(turn, false, onTurn);
+        enqueue(turn, onTurn);
         return false;
     }
 
+    /** Whether a turn goes on: the first read always may, further ones within the limits. */
+    private boolean mayContinue(Turn turn) {
+        boolean isFirstRead = turn.bytesLeft == MAX_BYTES_PER_TURN;
+        return isFirstRead || turn.bytesLeft > 0 && budget.mayBegin(clock.nowMs());
+    }
+
+    /** Whether a further connection may be taken over before the next poll. */
+    boolean mayTakeOver() {
+        return budget.mayBegin(clock.nowMs());
+    }
+
     /** Counts bytes that were read for a request. */
     void countRead(Turn turn, int bytes) {
         turn.bytesLeft -= bytes;
@@ -77,17 +96,18 @@
 
     /** Runs a task that handles the next request of a connection, which is buffered, in the connection's turn. */
     void handleBuffered(Turn turn, Runnable onTurn) {
-        enqueue(turn, true, onTurn);
+        enqueue(turn, onTurn);
     }
 
     private void grant(Turn turn) {
+        turn.lastMs = clock.nowMs();
         turn.grantedAtPoll = poll;
         turn.bytesLeft = MAX_BYTES_PER_TURN;
     }
 
-    private void enqueue(Turn turn, boolean isPipelined, Runnable onTurn) {
+    private void enqueue(Turn turn, Runnable onTurn) {
         turn.onTurn = onTurn;
-        queue.add(turn, isPipelined);
+        queue.add(turn, turn.lastMs);
         awaitPoll();
     }
 
@@ -136,7 +156,11 @@
         grant(next);
         Runnable onTurn = next.onTurn;
         next.onTurn = null;
-        onTurn.run();
-        io.execute(this::giveNextTurn);
+        try {
+            onTurn.run();
+        } finally {
+            // Without this, an exception would leave all that wait without their turns.
+            io.execute(this::giveNextTurn);
+        }
     }
 }
