--- a/node/src/test/java/spartrail/cli/NodeProcessFixture.java
+++ b/node/src/test/java/spartrail/cli/NodeProcessFixture.java
@@ -64,14 +64,26 @@
     }
 
     /**
-     * Starts a node by the deployed start command. Its {@code java} runs the compiled classes, as there is no jar yet.
+     * Starts a node by the deployed start command. Its {@code java} runs the compiled classes with the same options of the
+     * JVM, as there is no jar and no class archive yet.
      */
     void startNodeByStartCommand(String shellPrefix) throws IOException {
         Path java = Files.createDirectories(dir.resolve("bin")).resolve("java");
         Files.writeString(
                 java,
-                "#!/bin/sh\nexec '" + findJavaCommand() + "' -cp '" + System.getProperty("java.class.path")
-                        + "' spartrail.Main serve\n");
+                """
+                #!/bin/sh
+                options=
+                while [ "$1" != -jar ]; do
+                    case $1 in
+                    -XX:SharedArchiveFile=*) ;;
+                    *) options="$options $1" ;;
+                    esac
+                    shift
+                done
+                exec '%s' $options -cp '%s' spartrail.Main serve
+                """
+                        .formatted(findJavaCommand(), System.getProperty("java.class.path")));
         assertThat(java.toFile().setExecutable(true)).isTrue();
         ProcessBuilder command = new ProcessBuilder("sh", "-c", shellPrefix + "exec sh deploy/run.sh");
         command.environment().put("PATH", java.getParent() + ":" + System.getenv("PATH"));
