Timeouts, closes at the shutdown and discarded bytes take turns, too

Now a connection whose time is over, or that is idle when the shutdown begins, is read once more in its turn and then closed if it made no progress, so that no request that has arrived is lost; a closing connection reads what it discards in its turns; behind a request in flight at most four reads are discarded a poll.

--- a/node/src/main/java/spartrail/client/ClientConnection.java
+++ b/node/src/main/java/spartrail/client/ClientConnection.java
@@ -46,10 +46,12 @@
     final StreamConnection channel;
     /** The conduit that Undertow reads, above {@link #source}. */
     RequestReadConduit requestSource;
-    /** The conduits below Undertow's, which a graceful close uses. */
+    /** The conduit of the socket, below {@link #requestSource}. */
     final StreamSourceConduit source;
 
+    /** The conduit below Undertow's, which a graceful close uses. */
     final StreamSinkConduit sink;
+
     State state = State.NEW;
     /** Its turn to have a request read and handled. */
     final RequestScheduler.Turn turn;
--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -4,10 +4,12 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import spartrail.client.ClientCounters.CloseReason;
 import spartrail.intake.RequestIntake;
@@ -27,7 +29,7 @@
 
     private static final int HEAD_TIMEOUT_MS = 1500;
     /** How often a connection whose time is over is checked while it waits for its turn. */
-    private static final int TURN_CHECK_INTERVAL_MS = 50;
+    private static final int TURN_CHECK_INTERVAL_MS = 250;
 
     private static final int SCRATCH_BYTES = 8 * 1024;
 
@@ -61,7 +63,7 @@
     /** Has the next request of a connection, which is buffered, handled by the task in the connection's turn. */
     void handleBuffered(ClientConnection client, Runnable onTurn) {
         client.state = ClientConnection.State.QUEUED;
-        scheduler.handleBuffered(client.turn, () -> {
+        scheduler.runInTurn(client.turn, () -> {
             if (contains(client)) {
                 onRequestStart(client);
             }
@@ -254,13 +256,31 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    /** Closes a connection, but not before its turn: the rest of its request may be unread in the socket. */
     private void onTimeout(ClientConnection client) {
         if (client.turn.isAwaited()) {
+            // The rest of its request may be unread in the socket.
             startTimeout(client, TURN_CHECK_INTERVAL_MS);
-        } else {
-            closeNow(client, CloseReason.TIMED_OUT);
+            return;
         }
+        XnioExecutor.Key due = client.timeout;
+        closeInTurn(client, () -> client.timeout == due, () -> closeNow(client, CloseReason.TIMED_OUT));
+    }
+
+    /**
+     * Closes a connection in its turn, as hundreds may be due at the same time, if that is still due after one more read
+     * of its socket.
+     */
+    private void closeInTurn(ClientConnection client, BooleanSupplier isStillDue, Runnable close) {
+        scheduler.runInTurn(client.turn, () -> {
+            if (contains(client)) {
+                client.source.wakeupReads();
+                io.execute(() -> {
+                    if (contains(client) && isStillDue.getAsBoolean()) {
+                        close.run();
+                    }
+                });
+            }
+        });
     }
 
     /**
@@ -281,9 +301,10 @@
     private void onFirstRequestTimeout(ClientConnection client) {
         if (client.turn.isAwaited()) {
             startFirstRequestTimeout(client, TURN_CHECK_INTERVAL_MS);
-        } else {
-            closeNow(client, CloseReason.TIMED_OUT);
+            return;
         }
+        XnioExecutor.Key due = client.firstRequestTimeout;
+        closeInTurn(client, () -> client.firstRequestTimeout == due, () -> closeNow(client, CloseReason.TIMED_OUT));
     }
 
     /** Called when a connection was closed, by either side. */
@@ -318,7 +339,7 @@
             client.cancelFirstRequestTimeout();
             client.state = ClientConnection.State.CLOSING;
             startTimeout(client, LingeringClose.TIMEOUT_MS);
-            LingeringClose.begin(channel, client.sink, client.source, scratch);
+            LingeringClose.begin(channel, client.sink, client.requestSource, scratch);
         }
     }
 
@@ -326,7 +347,7 @@
     void closeIdleGracefully() {
         filter(client -> client.isIdle() && !client.turn.isAwaited())
                 .toList()
-                .forEach(client -> closeGracefully(client.channel));
+                .forEach(client -> closeInTurn(client, client::isIdle, () -> closeGracefully(client.channel)));
     }
 
     void closeAll() {
--- a/node/src/main/java/spartrail/client/ClientRequest.java
+++ b/node/src/main/java/spartrail/client/ClientRequest.java
@@ -38,7 +38,7 @@
     }
 
     /** The most reads in a row of bytes that are discarded. */
-    private static final int MAX_DISCARDING_READS = 32;
+    private static final int MAX_DISCARDING_READS = 4;
 
     private final HttpRequestHandler handler;
     private final HttpServerExchange exchange;
--- a/node/src/main/java/spartrail/client/RequestReadConduit.java
+++ b/node/src/main/java/spartrail/client/RequestReadConduit.java
@@ -34,7 +34,7 @@
         this.clock = clock;
     }
 
-    /** Reads for Undertow; 0 if the turn of this connection is yet to come. */
+    /** Reads a request, or what is discarded at a close; 0 if the turn of this connection is yet to come. */
     @Override
     public int read(ByteBuffer into) throws IOException {
         if (!scheduler.mayRead(client.turn, next::wakeupReads)) {
@@ -95,7 +95,7 @@
         }
         int start = into.position();
         int count = super.read(into);
-        if (count > 0) {
+        if (count > 0 && client.state != ClientConnection.State.CLOSING) {
             onRead(into, start);
         }
         if (into.hasRemaining()) {
--- a/node/src/main/java/spartrail/client/RequestScheduler.java
+++ b/node/src/main/java/spartrail/client/RequestScheduler.java
@@ -11,10 +11,11 @@
  * bytes. Runs on the I/O thread only.
  *
  * <pre>
- *              request to be read          request buffered       poll                       turn
+ *              request to be read          buffered request,      poll                       turn
+ *                                          or close
  * READY        READY while there is        QUEUED                 READY, budget refilled     -
  *              budget, else QUEUED
- * QUEUED       QUEUED, not read            -                      QUEUED, budget refilled    READY, read or handled
+ * QUEUED       QUEUED, not read            -                      QUEUED, budget refilled    READY, task run
  * </pre>
  *
  * <p>Each turn is one request, or {@link #MAX_BYTES_PER_TURN} of a longer one. Cost: logarithmic in the queue
@@ -94,8 +95,8 @@
         turn.bytesLeft -= bytes;
     }
 
-    /** Runs a task that handles the next request of a connection, which is buffered, in the connection's turn. */
-    void handleBuffered(Turn turn, Runnable onTurn) {
+    /** Runs a task in the turn of a connection that does not wait for one. */
+    void runInTurn(Turn turn, Runnable onTurn) {
         enqueue(turn, onTurn);
     }
 
