A server's start time is converted to the node's clock once, not with each list

Terms: a machine's wall clock may step, and windows are spans of real time.

Cause: NodeClock.toNodeTimeMs subtracted the age by the present wall clock at each list. A step changed the start time of each server with a boot_ms, and EndpointTracker takes a later start for a restart: it resets the server's limit and its warm-up, and counts a crash. After a step backward all servers seem to have restarted; after a step forward a cold one seems warm.

Change: ServerStartTimes converts each start when it is first listed and keeps it for as long as the server is listed with the same boot_ms. A new start after a step of the wall clock since the list before counts as just now, as its age is unknown and a cold server must not get a warm one's traffic; none is in the future. Published Unix times stay the same, too.

--- a/core/src/main/java/spartrail/endpoint/EndpointList.java
+++ b/core/src/main/java/spartrail/endpoint/EndpointList.java
@@ -1,9 +1,7 @@
 package spartrail.endpoint;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
-import spartrail.model.NodeClock;
 import spartrail.model.Server;
 
 /**
@@ -30,23 +28,5 @@
         public Endpoint withState(Server.State other) {
             return new Endpoint(id, address, zone, kind, cell, other, weight, bootMs);
         }
-
-        private Server toServer(NodeClock clock) {
-            Server server = new Server(id);
-            server.zone = zone;
-            server.kind = kind;
-            server.cell = cell;
-            server.state = state;
-            server.weight = weight;
-            server.startedAtMs = bootMs > 0 ? clock.toNodeTimeMs(bootMs) : -1;
-            return server;
-        }
-    }
-
-    /** Converts the endpoints to the servers that the coordinator works with. */
-    public List<Server> toServers(NodeClock clock) {
-        List<Server> servers = new ArrayList<>(endpoints.size());
-        endpoints.forEach(endpoint -> servers.add(endpoint.toServer(clock)));
-        return servers;
     }
 }
--- a/core/src/main/java/spartrail/model/NodeClock.java
+++ b/core/src/main/java/spartrail/model/NodeClock.java
@@ -20,11 +20,6 @@
         return startMs + (System.nanoTime() - startNs) / 1e6 * RATE;
     }
 
-    /** Converts a Unix time of the machine's clock to this clock. */
-    public double toNodeTimeMs(long unixMs) {
-        return nowMs() - (unixMs() - unixMs);
-    }
-
     /** Returns the Unix time of the machine's clock, which may step. */
     public static long unixMs() {
         return System.currentTimeMillis() + AHEAD_MS;
--- a/lab/src/main/java/spartrail/lab/scale/HollowNode.java
+++ b/lab/src/main/java/spartrail/lab/scale/HollowNode.java
@@ -6,6 +6,7 @@
 import spartrail.coordination.Coordinator;
 import spartrail.coordination.WindowCoordinator;
 import spartrail.endpoint.EndpointList;
+import spartrail.endpoint.ServerStartTimes;
 import spartrail.model.Attempt;
 import spartrail.model.Decisions;
 import spartrail.model.Multiget;
@@ -32,6 +33,7 @@
     private static final int CHANGED_NUMBER = 7;
 
     private static final NodeClock CLOCK = new NodeClock();
+    private final ServerStartTimes startTimes = new ServerStartTimes();
 
     private final OpType opType = createOpType();
     private final Coordinator coordinator;
@@ -82,7 +84,8 @@
     /** Applies a complete endpoint list or a change of one. */
     public Decisions applyList(EndpointList list) {
         EndpointList subset = filter == null ? list : filter.toSubset(list, nowMs);
-        return coordinator.onEndpointUpdate(subset.toServers(CLOCK), subset.isComplete(), true, nowMs);
+        return coordinator.onEndpointUpdate(
+                startTimes.toServers(subset, CLOCK.nowMs(), NodeClock.unixMs()), subset.isComplete(), true, nowMs);
     }
 
     /** Applies a change by which one server drains or, on the next call, returns. */
--- a/node/src/main/java/spartrail/endpoint/sources/EndpointSources.java
+++ b/node/src/main/java/spartrail/endpoint/sources/EndpointSources.java
@@ -24,6 +24,7 @@
 import spartrail.endpoint.EndpointRegistry;
 import spartrail.endpoint.EndpointSource;
 import spartrail.endpoint.EndpointSourceProvider;
+import spartrail.endpoint.ServerStartTimes;
 import spartrail.endpoint.SourceReport;
 import spartrail.model.NodeClock;
 
@@ -38,8 +39,7 @@
     /** No task is scheduled for longer delays than this. */
     private static final double MAX_WAIT_MS = 1e9;
 
-    private static final long STARTED_LONG_AGO = -1;
-
+    private final ServerStartTimes startTimes = new ServerStartTimes();
     private final EndpointRegistry registry;
     private final EndpointSource discovery;
     private final NodeClock clock;
@@ -88,7 +88,7 @@
 
     private void applyFromDiscovery(boolean isComplete, EndpointList list) {
         isFromDiscovery = true;
-        registry.applyReports(discovery, isComplete, toReports(list), 0, clock.nowMs());
+        registry.applyReports(discovery, isComplete, toReports(isComplete, list), 0, clock.nowMs());
         isFromDiscovery = false;
     }
 
@@ -148,11 +148,17 @@
         });
     }
 
-    private List<SourceReport> toReports(EndpointList list) {
-        return list.endpoints().stream().map(this::toReport).toList();
+    private List<SourceReport> toReports(boolean isComplete, EndpointList list) {
+        EndpointList received = new EndpointList(list.version(), isComplete, list.endpoints());
+        List<Double> startedMs = startTimes.convert(received, clock.nowMs(), NodeClock.unixMs());
+        List<SourceReport> reports = new ArrayList<>();
+        for (int i = 0; i < startedMs.size(); i++) {
+            reports.add(toReport(list.endpoints().get(i), startedMs.get(i)));
+        }
+        return reports;
     }
 
-    private SourceReport toReport(Endpoint endpoint) {
+    private static SourceReport toReport(Endpoint endpoint, double startedMs) {
         return new SourceReport(
                 endpoint.id(),
                 endpoint.address() == null ? null : formatAddress(endpoint.address()),
@@ -161,7 +167,7 @@
                 endpoint.cell(),
                 endpoint.state(),
                 endpoint.weight(),
-                endpoint.bootMs() > 0 ? clock.toNodeTimeMs(endpoint.bootMs()) : STARTED_LONG_AGO,
+                startedMs,
                 0);
     }
 
@@ -195,12 +201,7 @@
                 report.cell(),
                 report.state(),
                 report.weight(),
-                report.startedMs() > 0 ? toUnixMs(report.startedMs()) : 0);
-    }
-
-    /** Converts a time of the node's clock to Unix time. */
-    private long toUnixMs(double ms) {
-        return System.currentTimeMillis() - Math.round(clock.nowMs() - ms);
+                startTimes.toBootMs(report, clock.nowMs(), NodeClock.unixMs()));
     }
 
     private void logChange(SourceReport report) {
