--- a/node/src/main/java/spartrail/client/RequestReadConduit.java
+++ b/node/src/main/java/spartrail/client/RequestReadConduit.java
@@ -18,7 +18,7 @@
  */
 final class RequestReadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     /** Undertow copies what is left of a read for each chunk, so a large read of tiny chunks would take long. */
-    private static final int MAX_CHUNKED_READ_BYTES = 512;
+    private static final int MAX_CHUNKED_READ_BYTES = 128;
 
     private final ClientConnections connections;
     private final RequestScheduler scheduler;
--- a/node/src/test/java/spartrail/cli/NodeProcessFixture.java
+++ b/node/src/test/java/spartrail/cli/NodeProcessFixture.java
@@ -121,6 +121,12 @@
                 + (process.isAlive() ? "runs" : "ended with " + process.exitValue());
     }
 
+    /** The largest memory that the process has had so far. */
+    double readPeakMemoryMb() throws IOException {
+        String status = Files.readString(Path.of("/proc", String.valueOf(process.pid()), "status"));
+        return Integer.parseInt(status.replaceAll("(?s).*VmHWM:\\s+(\\d+) kB.*", "$1")) / 1024.0;
+    }
+
     /** The log lines that were not awaited so far and have this text. */
     List<String> findLines(String words) {
         List<String> lines = new ArrayList<>();
--- a/node/src/test/java/spartrail/client/ClientListenerTest.java
+++ b/node/src/test/java/spartrail/client/ClientListenerTest.java
@@ -252,6 +252,42 @@
         client.close();
     }
 
+    /** Guards against work for a client that may have left behind more requests than can be read. */
+    @Test
+    void aRequestIsGivenUpWhenItsClientSendsMoreThanIsBuffered() throws Exception {
+        ClientListener listener = startListener();
+        Socket client = connect(listener);
+        send(client, QUERY);
+        ClientRequest first = nextRequest();
+        int pipelined = 60;
+        CompletableFuture<Void> sent = CompletableFuture.runAsync(() -> {
+            try {
+                for (int i = 0; i < pipelined; i++) {
+                    send(client, createQuery(60_000));
+                }
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        client.setSoTimeout(20_000);
+        assertThat(client.getInputStream().readNBytes(12)).endsWith("500".getBytes(StandardCharsets.US_ASCII));
+        assertThat(first.isClientWaiting()).isFalse();
+        assertThat(listener.counters().toString()).contains("GIVEN_UP=1");
+        StringBuilder responses = new StringBuilder();
+        byte[] buffer = new byte[8192];
+        while (responses.toString().split("HTTP/1.1 ", -1).length <= pipelined) {
+            for (ClientRequest next = queries.poll(); next != null; next = queries.poll()) {
+                fail(next);
+            }
+            int available = Math.min(buffer.length, client.getInputStream().available());
+            int count = client.getInputStream().read(buffer, 0, available);
+            responses.append(new String(buffer, 0, count, StandardCharsets.US_ASCII));
+        }
+        assertThat(responses).as("rejected without an attempt").contains("HTTP/1.1 503 ");
+        sent.get(20, TimeUnit.SECONDS);
+        client.close();
+    }
+
     /** Guards against the loss of requests that were read behind another one before the shutdown. */
     @Test
     void pipelinedRequestsReadBeforeTheShutdownAreAnswered() throws Exception {
