A connection that waits for its turn twice has one turn, for the later task

A connection whose response was not read for 5 s waits for its turn to be closed; if its client reads the response just then, its next buffered request queued the same turn a second time. The request had the first of the two turns, and the second one ended in a NullPointerException that XNIO logs. Now the later task replaces the one that waits.

The time without a poll is measured twice a second instead of five times.

--- a/node/src/main/java/spartrail/client/PollMonitor.java
+++ b/node/src/main/java/spartrail/client/PollMonitor.java
@@ -13,7 +13,7 @@
 final class PollMonitor {
     private static final System.Logger LOG = System.getLogger("spartrail.client");
 
-    private static final int INTERVAL_MS = 200;
+    private static final int INTERVAL_MS = 500;
     /** Requests with a usual time limit are in danger beyond this time. */
     private static final double SLOW_POLL_MS = 200;
 
--- a/node/src/main/java/spartrail/client/RequestScheduler.java
+++ b/node/src/main/java/spartrail/client/RequestScheduler.java
@@ -95,9 +95,13 @@
         turn.bytesLeft -= bytes;
     }
 
-    /** Runs a task in the turn of a connection that does not wait for one. */
+    /** Runs a task in the turn of a connection, in place of the one for which the connection waits. */
     void runInTurn(Turn turn, Runnable onTurn) {
-        enqueue(turn, onTurn);
+        if (turn.isAwaited()) {
+            turn.onTurn = onTurn;
+        } else {
+            enqueue(turn, onTurn);
+        }
     }
 
     private void grant(Turn turn) {
