Tests of other clients take less of the machine, and say how long the node waited for it

Traced in a trial on beside eight busy processes: in a run of 2 s the threads of the node were ready to run and waited for a processor for 16,252 ms in all, as 200 clients with two threads each filled megabytes of send buffers, read responses byte by byte and parsed them by regular expressions; the load average was 43. So these failures show a machine without room, and not the node.

Now the clients have a send buffer of 32 KiB, so that one that writes without a pause waits for the node, and read through a buffer. What they send and every bound is the same. Both tests print the time that the node waited for a processor, so that a failure can be told from this.

--- a/node/src/test/java/spartrail/cli/BadClient.java
+++ b/node/src/test/java/spartrail/cli/BadClient.java
@@ -1,7 +1,9 @@
 package spartrail.cli;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +12,7 @@
 /** A client that strains a node: it sends at full speed, stops in the middle of a request, or leaves and comes again. */
 final class BadClient implements AutoCloseable {
     private static final int REQUESTS_PER_WRITE = 50;
+    private static final int SEND_BUFFER_BYTES = 32 * 1024;
     private static final int READ_BYTES = 64 * 1024;
     private static final int SLOW_BYTE_INTERVAL_MS = 20;
     private static final int SHORT_FIELDS = 190;
@@ -65,7 +68,11 @@
 
     private void run() {
         while (!closed) {
-            try (Socket next = new Socket("127.0.0.1", port)) {
+            try (Socket next = new Socket()) {
+                // So a client that writes without a pause waits for the node; filling megabytes would take its
+                // processor.
+                next.setSendBufferSize(SEND_BUFFER_BYTES);
+                next.connect(new InetSocketAddress("127.0.0.1", port));
                 socket = next;
                 next.setSoTimeout(5000);
                 useConnection(next);
@@ -93,9 +100,10 @@
     }
 
     private void sendOneAtATime(Socket connection, boolean isRepeated) throws IOException {
+        BufferedInputStream in = new BufferedInputStream(connection.getInputStream());
         do {
             write(connection, buildRequest());
-            UsualClients.readStatus(connection.getInputStream());
+            UsualClients.readStatus(in);
         } while (isRepeated && !closed);
     }
 
--- a/node/src/test/java/spartrail/cli/ClientSoakTest.java
+++ b/node/src/test/java/spartrail/cli/ClientSoakTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import example.DelayedAnswers;
+import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -107,7 +108,7 @@
                     String query = UsualClients.buildQuery("orders", name + i, 0.6, 3);
                     again.getOutputStream().write(query.getBytes(StandardCharsets.US_ASCII));
                     again.setSoTimeout(1000);
-                    UsualClients.readStatus(again.getInputStream());
+                    UsualClients.readStatus(new BufferedInputStream(again.getInputStream()));
                 }
             }
         } catch (IOException e) {
@@ -154,6 +155,7 @@
         double share = List.of(1.0, 1.0, 0.25, 0.1).get(random.nextInt(4));
         int port = startServing(random, isIdempotent, memoryMb);
         double[] peakMb = new double[1];
+        double[] waitedMs = new double[1];
         try (UsualClients usual = new UsualClients(port, "orders")) {
             usual.run(0.5);
             if (share < 1) {
@@ -166,11 +168,15 @@
                 Random own = new Random(random.nextLong());
                 schedule(random.nextInt(SERVING_MS + KILL_AFTER_MS), () -> leaveAndComeAgain(port, name, own));
             }
-            schedule(SERVING_MS - 10, () -> peakMb[0] = readPeakMemoryMb());
+            schedule(SERVING_MS - 10, () -> {
+                peakMb[0] = readPeakMemoryMb();
+                waitedMs[0] = readProcessorWaitMs();
+            });
             schedule(SERVING_MS + KILL_AFTER_MS, () -> process.destroyForcibly());
             UsualClients.Summary seen = usual.run((SERVING_MS + KILL_AFTER_MS) / 1000.0);
             String run = "seed " + seed + ", share " + share + ", " + memoryMb + " MB, idempotent " + isIdempotent
-                    + ", " + others.size() + " others, peak " + peakMb[0] + " MB: " + seen + "; log "
+                    + ", " + others.size() + " others, peak " + peakMb[0] + " MB, waited for a processor "
+                    + Math.round(waitedMs[0]) + " ms: " + seen + "; log "
                     + findLines("WARNING");
             LOG.log(System.Logger.Level.INFO, "soak " + run);
             assertThat(seen.lost()).as("lost, " + run).isZero();
--- a/node/src/test/java/spartrail/cli/ConnectionFairnessTest.java
+++ b/node/src/test/java/spartrail/cli/ConnectionFairnessTest.java
@@ -49,9 +49,11 @@
             usual.run(1);
             UsualClients.Summary alone = usual.run(RUN_SECONDS);
             for (Kind kind : kinds) {
+                double waitedMs = readProcessorWaitMs();
                 UsualClients.Summary beside = runBeside(usual, port, clients, kind);
-                String seen = "alone " + alone + "; beside " + clients + " " + kind + " " + beside + "; log "
-                        + findLines("spartrail.client");
+                waitedMs = readProcessorWaitMs() - waitedMs;
+                String seen = "waited for a processor " + Math.round(waitedMs) + " ms, alone " + alone + "; beside "
+                        + clients + " " + kind + " " + beside + "; log " + findLines("spartrail.client");
                 LOG.log(System.Logger.Level.INFO, seen);
                 assertThat(beside.lost()).as("lost, " + seen).isZero();
                 assertThat(beside.servedPerSecond()).as(seen).isGreaterThan(alone.servedPerSecond() / MAX_SLOWDOWN);
--- a/node/src/test/java/spartrail/cli/NodeProcessFixture.java
+++ b/node/src/test/java/spartrail/cli/NodeProcessFixture.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
@@ -121,6 +122,18 @@
                 + (process.isAlive() ? "runs" : "ended with " + process.exitValue());
     }
 
+    /** How long the threads of the process have been ready to run and waited for a processor, in all. */
+    double readProcessorWaitMs() throws IOException {
+        double waitNs = 0;
+        try (Stream<Path> threads = Files.list(Path.of("/proc", String.valueOf(process.pid()), "task"))) {
+            for (Path thread : threads.toList()) {
+                waitNs += Double.parseDouble(
+                        Files.readString(thread.resolve("schedstat")).split(" ")[1]);
+            }
+        }
+        return waitNs / 1e6;
+    }
+
     /** The largest memory that the process has had so far. */
     double readPeakMemoryMb() throws IOException {
         String status = Files.readString(Path.of("/proc", String.valueOf(process.pid()), "status"));
--- a/node/src/test/java/spartrail/cli/UsualClients.java
+++ b/node/src/test/java/spartrail/cli/UsualClients.java
@@ -1,7 +1,7 @@
 package spartrail.cli;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -23,6 +23,7 @@
     private static final int LOST_AFTER_MS = CLIENT_TIMEOUT_MS + 550;
 
     private static final int SOCKET_TIMEOUT_MS = 4000;
+    private static final String LENGTH_FIELD = "Content-Length: ";
 
     private final int port;
     private final String opType;
@@ -133,6 +134,7 @@
     /** The connection of one client, which is opened again after its end. */
     private final class Connection {
         private Socket socket;
+        private BufferedInputStream in;
 
         /** Sends a query, once more on a new connection if the node has closed the idle one meanwhile. */
         Response sendQuery(String id) {
@@ -168,10 +170,11 @@
                 socket = new Socket("127.0.0.1", port);
                 socket.setTcpNoDelay(true);
                 socket.setSoTimeout(SOCKET_TIMEOUT_MS);
+                in = new BufferedInputStream(socket.getInputStream());
             }
             String query = buildQuery(opType, id, CLIENT_TIMEOUT_MS / 1000.0, 3);
             socket.getOutputStream().write(query.getBytes(StandardCharsets.US_ASCII));
-            return readStatus(socket.getInputStream());
+            return readStatus(in);
         }
 
         void close() {
@@ -207,17 +210,24 @@
                 + "\r\nReq-Deadline: " + clientTimeoutSeconds + "\r\nContent-Length: " + bodyLength + "\r\n\r\n";
     }
 
-    /** Reads a response; returns its status. */
-    static int readStatus(InputStream in) throws IOException {
+    /** Reads a response from a buffered stream; returns its status. */
+    static int readStatus(BufferedInputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
+        while (!isHeadComplete(head)) {
             int next = in.read();
             if (next < 0) {
                 throw new IOException("the connection ended after '" + head + "'");
             }
             head.append((char) next);
         }
-        in.readNBytes(Integer.parseInt(head.toString().replaceAll("(?s).*Content-Length: (\\d+).*", "$1")));
+        int lengthStart = head.indexOf(LENGTH_FIELD) + LENGTH_FIELD.length();
+        int length = Integer.parseInt(head.substring(lengthStart, head.indexOf("\r", lengthStart)));
+        in.skipNBytes(length);
         return Integer.parseInt(head.substring(9, 12));
     }
+
+    private static boolean isHeadComplete(StringBuilder head) {
+        int end = head.length() - 4;
+        return end >= 0 && head.indexOf("\r\n\r\n", end) >= 0;
+    }
 }
