--- a/node/src/test/java/spartrail/cli/ClientSoakTest.java
+++ b/node/src/test/java/spartrail/cli/ClientSoakTest.java
@@ -63,7 +63,8 @@
     }
 
     private int startServing(Random random, boolean isIdempotent, int memoryMb) throws Exception {
-        answers = new DelayedAnswers(fleet, () -> random.nextInt(2 * SERVICE_TIME_MS));
+        Random serviceTimes = new Random(random.nextLong());
+        answers = new DelayedAnswers(fleet, () -> serviceTimes.nextInt(2 * SERVICE_TIME_MS));
         Files.writeString(
                 configurationFile,
                 validConfiguration
