--- a/core/src/main/java/spartrail/intake/ExecutedRequestIds.java
+++ b/core/src/main/java/spartrail/intake/ExecutedRequestIds.java
@@ -1,5 +1,8 @@
 package spartrail.intake;
 
+import spartrail.model.Attempt;
+import spartrail.model.OpType;
+
 /**
  * The ids of requests of which a part may have run, for as long as they are rejected if they come again: a second run of
  * a request that is not idempotent would take effect twice. Remembers hashes, so a request with a new id is rejected with
@@ -19,8 +22,14 @@
     private LongHashSet older = new LongHashSet();
     private double youngerSinceMs = Double.NEGATIVE_INFINITY;
 
-    /** Adds the hash of the id of a request of which a part may have run. */
-    public void add(long idHash, double nowMs) {
+    /** Adds the hash of a request's id when an attempt has ended, if the request must not run a second time now. */
+    public void addOutcome(long idHash, OpType.Idempotency idempotency, Attempt.Outcome outcome, double nowMs) {
+        if (idempotency != OpType.Idempotency.IDEMPOTENT && outcome.mayHaveRun) {
+            add(idHash, nowMs);
+        }
+    }
+
+    void add(long idHash, double nowMs) {
         forgetOld(nowMs);
         younger.add(idHash);
     }
@@ -31,8 +40,7 @@
         return younger.contains(idHash) || older.contains(idHash);
     }
 
-    /** The number of ids that are remembered. */
-    public int size() {
+    int size() {
         return younger.size() + older.size();
     }
 
--- a/core/src/main/java/spartrail/intake/RequestBytes.java
+++ b/core/src/main/java/spartrail/intake/RequestBytes.java
@@ -67,7 +67,7 @@
     }
 
     /** Whether a body in chunks is being received. */
-    public boolean isReceivingChunks() {
+    boolean isReceivingChunks() {
         return isBodyLengthUnknown;
     }
 
--- a/core/src/main/java/spartrail/intake/RequestIntake.java
+++ b/core/src/main/java/spartrail/intake/RequestIntake.java
@@ -20,6 +20,9 @@
     /** One connection may buffer one of so many parts of the memory for requests. */
     private static final int BUFFER_PARTS = 8;
 
+    /** The HTTP server copies what is left of a read for each chunk, so a large read of tiny chunks takes long. */
+    private static final int MAX_CHUNKED_READ_BYTES = 128;
+
     private final long maxBytes;
     /** The memory of requests on open connections. */
     private long usedBytes;
@@ -80,6 +83,11 @@
         return (int) Math.max(MIN_BUFFERED_BYTES, Math.min(MAX_BUFFERED_BYTES, maxBytes / BUFFER_PARTS));
     }
 
+    /** The most bytes that one read of a connection may take. */
+    public static int maxReadBytes(RequestBytes requests) {
+        return requests.isReceivingChunks() ? MAX_CHUNKED_READ_BYTES : Integer.MAX_VALUE;
+    }
+
     private boolean isExhausted() {
         return usedBytes + closingBytes > maxBytes + maxBytes / 2;
     }
--- a/core/src/test/java/spartrail/intake/ExecutedRequestIdsTest.java
+++ b/core/src/test/java/spartrail/intake/ExecutedRequestIdsTest.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Random;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import spartrail.model.Attempt;
+import spartrail.model.OpType;
 
 class ExecutedRequestIdsTest {
     private final ExecutedRequestIds ids = new ExecutedRequestIds();
@@ -19,6 +22,16 @@
         assertThat(ids.contains(8, 0)).isFalse();
     }
 
+    @Test
+    void onlyWhatMayHaveRunAndMustNotRunTwiceIsKnown() {
+        ids.addOutcome(1, OpType.Idempotency.NON_IDEMPOTENT, Attempt.Outcome.CANCELLED, 0);
+        ids.addOutcome(2, OpType.Idempotency.IDEMPOTENCY_KEY, Attempt.Outcome.ANSWERED, 0);
+        ids.addOutcome(3, OpType.Idempotency.NON_IDEMPOTENT, Attempt.Outcome.NOT_SENT, 0);
+        ids.addOutcome(4, OpType.Idempotency.IDEMPOTENT, Attempt.Outcome.ANSWERED, 0);
+        assertThat(LongStream.rangeClosed(1, 4).filter(id -> ids.contains(id, 1)))
+                .containsExactly(1L, 2L);
+    }
+
     /** Guards against memory that grows with each new id. */
     @Test
     void aFloodOfNewIdsIsBoundedAndTheNewestStayKnown() {
--- a/core/src/test/java/spartrail/intake/RequestQueueTest.java
+++ b/core/src/test/java/spartrail/intake/RequestQueueTest.java
@@ -53,4 +53,20 @@
         assertThat(budget.mayBegin(2000)).isTrue();
         assertThat(budget.mayBegin(2500)).isFalse();
     }
+
+    @Test
+    void aTurnEndsWithItsBytesOrTheBudgetAndIsNotGivenWhileOthersWait() {
+        ClientWorkBudget budget = new ClientWorkBudget();
+        ClientTurn turn = new ClientTurn(0);
+        assertThat(budget.mayRead(turn, true, 1000)).as("others wait").isFalse();
+        assertThat(budget.mayRead(turn, false, 1000)).as("first read").isTrue();
+        turn.countRead(ClientWorkBudget.MAX_BYTES_PER_TURN - 1);
+        assertThat(budget.mayRead(turn, true, 1000.5)).as("its turn goes on").isTrue();
+        assertThat(budget.mayRead(turn, true, 1001)).as("the time is over").isFalse();
+        turn.countRead(1);
+        assertThat(budget.mayRead(turn, true, 1000.5)).as("its bytes are read").isFalse();
+        budget.refill();
+        assertThat(budget.mayRead(turn, false, 1002)).as("after a poll").isTrue();
+        assertThat(turn.lastMs()).isEqualTo(1002);
+    }
 }
--- a/node/src/main/java/spartrail/client/ClientConnections.java
+++ b/node/src/main/java/spartrail/client/ClientConnections.java
@@ -81,9 +81,9 @@
         return client;
     }
 
-    /** Whether a further connection may be taken over before the next poll. */
-    boolean mayTakeOver() {
-        return scheduler.mayTakeOver();
+    /** Whether a further connection may be taken over, after so many since the last poll. */
+    boolean mayTakeOver(int takeovers) {
+        return scheduler.mayTakeOver(takeovers);
     }
 
     /** Makes room for a further connection; false if there is none, as all connections have requests in flight. */
@@ -171,6 +171,11 @@
         return intake.mayKeep(client.requestBytes);
     }
 
+    /** The most bytes that one read of this connection may take. */
+    int maxReadBytes(ClientConnection client) {
+        return RequestIntake.maxReadBytes(client.requestBytes);
+    }
+
     /** Whether there is memory for the bytes of one more read behind a request in flight. */
     boolean mayReadPipelined() {
         return intake.mayBuffer(SCRATCH_BYTES);
--- a/node/src/main/java/spartrail/client/ClientListener.java
+++ b/node/src/main/java/spartrail/client/ClientListener.java
@@ -30,11 +30,6 @@
 
     static final int MAX_HEAD_BYTES = 16 * 1024;
     private static final int ACCEPT_BACKLOG = 1024;
-    /**
-     * The most accepted connections that the I/O thread takes over before it reads its sockets again. Clients that
-     * connect again as soon as they are closed would otherwise keep it from reading the requests of all others.
-     */
-    private static final int MAX_TAKEOVERS_PER_POLL = 8;
     /** Idle connections stay open for this long, so that those whose clients vanished without a close end, too. */
     private static final int IDLE_TIMEOUT_MS = 60_000;
 
@@ -195,7 +190,7 @@
 
     private void takeOverAccepted() {
         boolean hasRoom = true;
-        while (hasRoom && mayTakeOver() && !accepted.isEmpty()) {
+        while (hasRoom && connections.mayTakeOver(takeoversSincePoll) && !accepted.isEmpty()) {
             hasRoom = connections.makeRoom();
             if (hasRoom) {
                 takeoversSincePoll++;
@@ -212,11 +207,6 @@
         }
     }
 
-    private boolean mayTakeOver() {
-        boolean isFirst = takeoversSincePoll == 0;
-        return isFirst || takeoversSincePoll < MAX_TAKEOVERS_PER_POLL && connections.mayTakeOver();
-    }
-
     private void onPolled() {
         isPollAwaited = false;
         takeoversSincePoll = 0;
--- a/node/src/main/java/spartrail/client/RequestReadConduit.java
+++ b/node/src/main/java/spartrail/client/RequestReadConduit.java
@@ -17,9 +17,6 @@
  * first byte of a request, the memory of an incomplete one and the times at which its bytes arrived.
  */
 final class RequestReadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
-    /** Undertow copies what is left of a read for each chunk, so a large read of tiny chunks would take long. */
-    private static final int MAX_CHUNKED_READ_BYTES = 128;
-
     private final ClientConnections connections;
     private final RequestScheduler scheduler;
     private final ClientConnection client;
@@ -42,9 +39,7 @@
             return 0;
         }
         int limit = into.limit();
-        if (client.requestBytes.isReceivingChunks()) {
-            into.limit(Math.min(limit, into.position() + MAX_CHUNKED_READ_BYTES));
-        }
+        into.limit(into.position() + Math.min(into.remaining(), connections.maxReadBytes(client)));
         int count = readNow(into);
         into.limit(limit);
         scheduler.countRead(client.turn, Math.max(0, count));
--- a/node/src/main/java/spartrail/client/RequestScheduler.java
+++ b/node/src/main/java/spartrail/client/RequestScheduler.java
@@ -1,12 +1,14 @@
 package spartrail.client;
 
 import org.xnio.XnioIoThread;
+import spartrail.intake.ClientTurn;
 import spartrail.intake.ClientWorkBudget;
 import spartrail.intake.RequestQueue;
 import spartrail.model.NodeClock;
 
 /**
- * Decides when the I/O thread reads and handles clients' requests, so that it polls all sockets in time. Undertow would
+ * Has the I/O thread read and handle clients' requests in turns, so that it polls all sockets in time; {@link
+ * ClientWorkBudget} and {@link RequestQueue} decide. Undertow would
  * handle pipelined requests one after another without a poll between them, and read a request for as long as there are
  * bytes. Runs on the I/O thread only.
  *
@@ -18,37 +20,26 @@
  * QUEUED       QUEUED, not read            -                      QUEUED, budget refilled    READY, task run
  * </pre>
  *
- * <p>Each turn is one request, or {@link #MAX_BYTES_PER_TURN} of a longer one. Cost: logarithmic in the queue
- * for each turn.
+ * <p>Cost: logarithmic in the queue for each turn.
  */
 final class RequestScheduler {
-    /** Usual requests take one turn; the longest take some, as reading them takes as long as many usual ones. */
-    private static final int MAX_BYTES_PER_TURN = 16 * 1024;
-
     private final XnioIoThread io;
     private final PollBarrier pollBarrier;
     private final NodeClock clock;
     private final ClientWorkBudget budget = new ClientWorkBudget();
     private final RequestQueue<Turn> queue = new RequestQueue<>();
-    /** Counts the polls of all sockets, as far as work for clients lay between them. */
-    private long poll;
-
     private boolean isPollEndQueued;
     private boolean isPollAwaited;
     /** Whether turns are being given; others that queue up meanwhile need no further poll for theirs. */
     private boolean isGivingTurns;
 
-    /** What a connection has been granted. */
+    /** A connection's turn, and the task that runs in it while it is awaited. */
     static final class Turn {
+        private final ClientTurn granted;
         private Runnable onTurn;
-        /** The time of the last turn or, if there was none, of the connection's start. */
-        private double lastMs;
-
-        private long grantedAtPoll = -1;
-        private long bytesLeft;
 
         Turn(double connectedMs) {
-            lastMs = connectedMs;
+            granted = new ClientTurn(connectedMs);
         }
 
         /** Whether the connection waits for its turn. */
@@ -68,31 +59,22 @@
         if (turn.isAwaited()) {
             return false;
         }
-        if (turn.grantedAtPoll != poll && queue.isEmpty() && budget.mayBegin(clock.nowMs())) {
+        if (budget.mayRead(turn.granted, !queue.isEmpty(), clock.nowMs())) {
             endPollLater();
-            grant(turn);
-        }
-        if (turn.grantedAtPoll == poll && mayContinue(turn)) {
             return true;
         }
         enqueue(turn, onTurn);
         return false;
     }
 
-    /** Whether a turn goes on: the first read always may, further ones within the limits. */
-    private boolean mayContinue(Turn turn) {
-        boolean isFirstRead = turn.bytesLeft == MAX_BYTES_PER_TURN;
-        return isFirstRead || turn.bytesLeft > 0 && budget.mayBegin(clock.nowMs());
-    }
-
-    /** Whether a further connection may be taken over before the next poll. */
-    boolean mayTakeOver() {
-        return budget.mayBegin(clock.nowMs());
+    /** Whether a further connection may be taken over, after so many since the last poll. */
+    boolean mayTakeOver(int takeovers) {
+        return budget.mayTakeOver(takeovers, clock.nowMs());
     }
 
     /** Counts bytes that were read for a request. */
     void countRead(Turn turn, int bytes) {
-        turn.bytesLeft -= bytes;
+        turn.granted.countRead(bytes);
     }
 
     /** Runs a task in the turn of a connection, in place of the one for which the connection waits. */
@@ -104,15 +86,9 @@
         }
     }
 
-    private void grant(Turn turn) {
-        turn.lastMs = clock.nowMs();
-        turn.grantedAtPoll = poll;
-        turn.bytesLeft = MAX_BYTES_PER_TURN;
-    }
-
     private void enqueue(Turn turn, Runnable onTurn) {
         turn.onTurn = onTurn;
-        queue.add(turn, turn.lastMs);
+        queue.add(turn, turn.granted.lastMs());
         awaitPoll();
     }
 
@@ -129,20 +105,15 @@
             isPollEndQueued = true;
             io.execute(() -> {
                 isPollEndQueued = false;
-                refill();
+                budget.refill();
             });
         }
     }
 
-    private void refill() {
-        poll++;
-        budget.refill();
-    }
-
     private void onPolled() {
         isPollAwaited = false;
         isGivingTurns = true;
-        refill();
+        budget.refill();
         giveNextTurn();
     }
 
@@ -152,13 +123,13 @@
         if (next == null) {
             isGivingTurns = false;
             if (queue.isEmpty()) {
-                refill();
+                budget.refill();
             } else {
                 awaitPoll();
             }
             return;
         }
-        grant(next);
+        budget.grant(next.granted, clock.nowMs());
         Runnable onTurn = next.onTurn;
         next.onTurn = null;
         try {
--- a/node/src/main/java/spartrail/front/InFlightMultigets.java
+++ b/node/src/main/java/spartrail/front/InFlightMultigets.java
@@ -7,7 +7,6 @@
 import spartrail.intake.ExecutedRequestIds;
 import spartrail.model.Attempt;
 import spartrail.model.IdMultiset;
-import spartrail.model.OpType;
 
 /**
  * The multigets in flight, by the ids that their clients gave them, and their total size; and which ids must not be used
@@ -41,10 +40,7 @@
 
     /** Adds the end of an attempt, after which the id of its multiget may have to be rejected. */
     void addOutcome(ClientMultiget multiget, Attempt.Outcome outcome, double nowMs) {
-        boolean mustNotRepeat = multiget.opType.idempotency != OpType.Idempotency.IDEMPOTENT;
-        if (mustNotRepeat && outcome.mayHaveRun) {
-            executedIds.add(multiget.id, nowMs);
-        }
+        executedIds.addOutcome(multiget.id, multiget.opType.idempotency, outcome, nowMs);
     }
 
     void add(ClientMultiget multiget) {
