--- a/node/src/test/java/spartrail/cli/ConnectionFairnessTest.java
+++ b/node/src/test/java/spartrail/cli/ConnectionFairnessTest.java
@@ -105,4 +105,21 @@
             }
         }
     }
+
+    /** Guards against answers after the clients' time beside each kind of other clients, with little processor time. */
+    @Test
+    void fortyClientsOfEachKindAtATenthOfACoreMakeNoAnswerLate() throws Exception {
+        int port = startServing();
+        try (UsualClients usual = new UsualClients(port, "orders")) {
+            usual.run(1);
+            try (ProcessThrottle throttle = new ProcessThrottle(process.pid(), 0.1)) {
+                for (Kind kind : Kind.values()) {
+                    UsualClients.Summary beside = runBeside(usual, port, 40, kind);
+                    String seen = "beside 40 " + kind + " with " + throttle + ": " + beside;
+                    LOG.log(System.Logger.Level.INFO, seen);
+                    assertThat(beside.longestMs()).as("longest wait, " + seen).isLessThan(UsualClients.LATE_AFTER_MS);
+                }
+            }
+        }
+    }
 }
--- a/node/src/test/java/spartrail/cli/UsualClients.java
+++ b/node/src/test/java/spartrail/cli/UsualClients.java
@@ -19,6 +19,8 @@
     private static final int PAUSE_MS = 30;
     /** The time that each client waits, in its Req-Deadline. */
     private static final int CLIENT_TIMEOUT_MS = 400;
+    /** An answer is late after this time, by the rules on sockets. */
+    static final double LATE_AFTER_MS = CLIENT_TIMEOUT_MS + 50;
     /** A query is lost if it gets its response later, by the rules on sockets. */
     private static final int LOST_AFTER_MS = CLIENT_TIMEOUT_MS + 550;
 
