--- a/review/rig-2/Deployment.java
+++ b/review/rig-2/Deployment.java
@@ -29,9 +29,4 @@
         node.configure(agent.port(), 192, agent.listJson(true, 0), settings.toJson());
         node.start();
     }
-
-    /** From now on a server that drains takes nothing new. */
-    void beginDrain(int number) {
-        servers.get(number).plan = part -> part.link().answer(part.id(), "REJECTED", "");
-    }
 }
--- a/review/rig-2/HeldAnswers.java
+++ b/review/rig-2/HeldAnswers.java
@@ -91,7 +91,8 @@
             return Rig.HELD;
         }
         String log = node.log();
-        record.say("the front node has ended with status %d: %s", node.exitCode(), log.substring(log.lastIndexOf('\n', log.length() - 2) + 1));
+        String last = log.substring(log.lastIndexOf('\n', log.length() - 2) + 1).trim();
+        record.say("the front node has ended with status %d: %s", node.exitCode(), last);
         return Rig.BROKEN;
     }
 }
--- a/review/rig-2/IndexServer.java
+++ b/review/rig-2/IndexServer.java
@@ -193,7 +193,7 @@
             answer(id, end, value, 0);
         }
 
-        /** Answers in a frame whose length is too large by so many bytes, or too small if they are negative. */
+        /** Answers in a frame whose length is too large by so many bytes. */
         synchronized void answer(String id, String end, String value, int excess) {
             waiting.decrementAndGet();
             byte[] line = (id + " " + end + " 1 -\n").getBytes(StandardCharsets.US_ASCII);
@@ -208,7 +208,8 @@
                 out.write(frame.toByteArray());
                 out.flush();
                 if (logging) {
-                    record.add("%s: %s answered %s%s", uid, id, end, excess == 0 ? "" : ", length wrong by " + excess);
+                    String mark = excess == 0 ? "" : ", length too large by " + excess;
+                    record.add("%s: %s answered %s%s", uid, id, end, mark);
                 }
             } catch (IOException e) {
                 if (logging) {
--- a/review/rig-2/LateParts.java
+++ b/review/rig-2/LateParts.java
@@ -8,7 +8,7 @@
     private final List<Double> late = new ArrayList<>();
     private volatile double toldMs = Double.POSITIVE_INFINITY;
 
-    /** Watches a server; parts are late if they come more than the grace, with the slack of sockets, after the telling. */
+    /** Watches a server; a part is late if it comes over the grace, with the slack of sockets, after the telling. */
     LateParts(IndexServer server, double graceMs) {
         allowedMs = graceMs + SOCKET_SLACK_MS;
         server.observer = part -> {
@@ -29,7 +29,7 @@
 
     /** Reports, and returns the exit status. */
     synchronized int report(Record record, boolean couldRun) {
-        record.say("%d parts came to the draining server more than %.0f ms after its drain was told", late.size(), allowedMs);
+        record.say("%d parts came to the draining server over %.0f ms after its drain was told", late.size(), allowedMs);
         if (!late.isEmpty()) {
             record.say("the first one %.0f ms, the last one %.0f ms after", late.get(0), late.get(late.size() - 1));
         }
--- a/review/rig-2/SpoiltLength.java
+++ b/review/rig-2/SpoiltLength.java
@@ -3,12 +3,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Now and then an answer of an index server arrives with a length that does not fit, while other parts wait. */
+/** Now and then an answer of an index server arrives with a length that is too large; good answers follow behind it. */
 public final class SpoiltLength {
     /** One answer of so many is spoilt, if other parts wait on its connection. */
     private static final int SPOILT_ONE_OF = 50;
-    /** The length is too large by up to so many bytes; one in two is too small instead, by up to an eighth of that. */
-    private static final int MAX_EXCESS = 64;
+    /** The length is too large by up to so many bytes, fewer than the next frame has; its rest begins no frame. */
+    private static final int MAX_EXCESS = 40;
 
     private SpoiltLength() {}
 
@@ -61,11 +61,8 @@
         return wrong.get() == 0 ? Rig.HELD : Rig.BROKEN;
     }
 
-    /** By how many bytes the length of an answer is too large; negative if it is too small; mostly 0. */
+    /** By how many bytes the length of an answer is too large; mostly 0. */
     private static int drawExcess(Random random) {
-        if (!Rig.TROUBLE || random.nextInt(SPOILT_ONE_OF) != 0) {
-            return 0;
-        }
-        return random.nextBoolean() ? 1 + random.nextInt(MAX_EXCESS) : -1 - random.nextInt(MAX_EXCESS / 8);
+        return Rig.TROUBLE && random.nextInt(SPOILT_ONE_OF) == 0 ? 1 + random.nextInt(MAX_EXCESS) : 0;
     }
 }
